--- a/src/common/mod.ts
+++ b/src/common/mod.ts
@@ -3,4 +3,5 @@
 export * from "./disposable_store.ts";
 export * from "./emitter.ts";
 export * from "./failure.ts";
+export * from "./invariant.ts";
 export * from "./types.ts";
--- a/src/consensus/single_voter_log.ts
+++ b/src/consensus/single_voter_log.ts
@@ -2,7 +2,13 @@
 import type { FileHandle } from "node:fs/promises";
 import { join } from "node:path";
 import { err, ok, type Result } from "neverthrow";
-import { Emitter, type Failure, type IClock, notRun } from "../common/mod.ts";
+import {
+  type Deadline,
+  Emitter,
+  type Failure,
+  type IClock,
+  notRun,
+} from "../common/mod.ts";
 import type { PeerAddress } from "../rpc/mod.ts";
 import type {
   ILeadership,
@@ -16,6 +22,7 @@
   readonly leadership: ILeadership;
   readonly #leadershipChange = new Emitter<ILeadership>();
   readonly onLeadershipChange = this.#leadershipChange.event;
+  readonly leaseUntil = Number.POSITIVE_INFINITY as Deadline;
   #self: PeerAddress;
   #sections: Map<string, IStateSection>;
   #clock: IClock;
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -108,6 +108,12 @@
   barrier(options: IDeadlineOptions): Promise<Result<void, Failure>>;
   readonly leadership: ILeadership;
   readonly onLeadershipChange: IEvent<ILeadership>;
+  /**
+   * Point until which no other replica can lead, with the bound on clock
+   * drift taken off; undefined unless this replica leads. Effects outside the
+   * log, such as orders to engines, begin only before it.
+   */
+  readonly leaseUntil: Deadline | undefined;
   status(): LogStatus;
   /** Hands leadership to a caught-up voter, if there is one. */
   transferLeadership(options: IDeadlineOptions): Promise<boolean>;
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -11,3 +11,11 @@
   /** Whether the leader answered a heartbeat recently. */
   readonly isConnected: boolean;
 }
+
+/** Whether targets may get new work, by the platform's list. */
+export interface ITargetAvailability {
+  /** `unknown` when the list does not name the target. */
+  stateOf(targetId: string): "live" | "leaving" | "unknown";
+  /** Fires with the target's id when its state changes. */
+  readonly onChange: IEvent<string>;
+}
