--- /dev/null
+++ b/src/consensus/checked_document.ts
@@ -0,0 +1,45 @@
+import { Buffer } from "node:buffer";
+import { crc32 } from "node:zlib";
+import type { z } from "zod";
+import { CorruptionError } from "./corruption_error.ts";
+import type { IStorage } from "./storage.ts";
+
+/** Length of the checksum line before the document, in characters. */
+const CHECKSUM_LENGTH = 9;
+
+/** Encodes a JSON document after a line with its checksum. */
+export function encodeChecked(value: unknown): Buffer {
+  const text = JSON.stringify(value);
+  const checksum = crc32(text).toString(16).padStart(CHECKSUM_LENGTH - 1, "0");
+  return Buffer.from(`${checksum}\n${text}`, "utf8");
+}
+
+/**
+ * Decodes a document of `encodeChecked`.
+ *
+ * @throws CorruptionError when the checksum or the schema does not fit.
+ */
+export function decodeChecked<S extends z.ZodType>(
+  name: string,
+  bytes: Buffer,
+  schema: S,
+): z.infer<S> {
+  const checksum = bytes.subarray(0, CHECKSUM_LENGTH - 1).toString("latin1");
+  const body = bytes.subarray(CHECKSUM_LENGTH);
+  if (Number.parseInt(checksum, 16) !== crc32(body)) {
+    throw new CorruptionError(`${name}: checksum does not fit`);
+  }
+  const value = schema.safeParse(JSON.parse(body.toString("utf8")));
+  if (value.success) return value.data;
+  throw new CorruptionError(`${name}: ${value.error.message}`);
+}
+
+/** Reads a document, or undefined if there is none. */
+export async function readChecked<S extends z.ZodType>(
+  storage: IStorage,
+  name: string,
+  schema: S,
+): Promise<z.infer<S> | undefined> {
+  const bytes = await storage.read(name);
+  return bytes && decodeChecked(name, bytes, schema);
+}
--- a/src/consensus/control_client.ts
+++ b/src/consensus/control_client.ts
@@ -8,6 +8,7 @@
   notRun,
 } from "../common/mod.ts";
 import type { IRpcClient, IRpcMethod, PeerAddress } from "../rpc/mod.ts";
+import { LeaderFinder } from "./leader_finder.ts";
 import { proposeMethod } from "./messages.ts";
 import type {
   IControlClient,
@@ -15,10 +16,10 @@
   ISectionDefinition,
 } from "./types.ts";
 
-/** Pause between two rounds over the voters, in milliseconds. */
-const RETRY_PAUSE_MILLISECONDS = 50;
+/** Pause between two searches for the leader, in milliseconds. */
+const RETRY_PAUSE_MILLISECONDS = 100;
 
-/** Longest wait for one voter's answer, in milliseconds. */
+/** Longest wait for the leader's answer, in milliseconds. */
 const ATTEMPT_TIMEOUT_MILLISECONDS = 5_000;
 
 /** Seconds after which callers may try again when no leader answers. */
@@ -26,20 +27,20 @@
 
 /** Finds the leader among the voters and remembers it. */
 export class ControlClient implements IControlClient {
-  #voters: () => readonly PeerAddress[];
   #rpc: IRpcClient;
   #clock: IClock;
-  #leader: string | undefined;
-  #next = 0;
+  #finder: LeaderFinder;
+  #leader: PeerAddress | undefined;
 
+  /** @param voters voters of the settings; later ones are learned. */
   constructor(
     voters: () => readonly PeerAddress[],
     rpc: IRpcClient,
     options: { clock: IClock },
   ) {
-    this.#voters = voters;
     this.#rpc = rpc;
     this.#clock = options.clock;
+    this.#finder = new LeaderFinder(voters, rpc, options);
   }
 
   async propose<C extends z.ZodType, O extends z.ZodType>(
@@ -60,52 +61,48 @@
     params: z.infer<P>,
     options: IDeadlineOptions,
   ): Promise<Result<z.infer<R>, Failure>> {
-    let last = notRun("unavailable", "no voter is known", {
-      retryAfterSeconds: RETRY_AFTER_SECONDS,
-    });
+    let last = notRun("unavailable", "no leader of the control log is known");
     while (!this.#clock.isPast(options.deadline)) {
-      const voter = this.#choose();
-      if (!voter) return err(last);
-      const result = await this.#rpc.call(voter, method, params, {
-        deadline: earlierDeadline(
-          options.deadline,
-          this.#clock.deadlineIn(ATTEMPT_TIMEOUT_MILLISECONDS),
-        ),
-        lane: "bulk",
-      });
-      if (result.isOk()) {
-        this.#leader = voter.id;
-        return result;
+      this.#leader ??= await this.#finder.find(options);
+      const leader = this.#leader;
+      if (leader) {
+        const result = await this.#rpc.call(leader, method, params, {
+          deadline: earlierDeadline(
+            options.deadline,
+            this.#clock.deadlineIn(ATTEMPT_TIMEOUT_MILLISECONDS),
+          ),
+          lane: "bulk",
+        });
+        if (result.isOk()) return result;
+        last = result.error;
+        this.#review(leader, last);
+        if (!this.#mayTryAgain(last)) return result;
+        if (this.#leader) continue;
       }
-      last = result.error;
-      this.#forget(voter, last);
-      if (!this.#mayTryAgain(last)) return result;
-      await this.#pause(last, options);
+      await this.#pause(options);
     }
     return err({ ...last, retryAfterSeconds: RETRY_AFTER_SECONDS });
   }
 
-  /** Only a call that provably did not run may go to another voter. */
+  /** Only a call that provably did not run may be sent again. */
   #mayTryAgain(failure: Failure): boolean {
     if (failure.verdict === "may-have-run") return false;
-    return failure.code === "not-leader" || failure.code === "unavailable";
+    return failure.code === "not-leader" || failure.code === "unavailable" ||
+      failure.code === "storage-error";
   }
 
-  #choose(): PeerAddress | undefined {
-    const voters = this.#voters();
-    const leader = voters.find((voter) => voter.id === this.#leader);
-    if (leader) return leader;
-    this.#next += 1;
-    return voters[this.#next % voters.length];
+  /** Forgets a leader that may no longer be one, unless it names another. */
+  #review(asked: PeerAddress, failure: Failure): void {
+    if (this.#leader !== asked) return;
+    const isSilent = failure.code === "deadline-exceeded";
+    const isGone = isSilent || this.#mayTryAgain(failure) ||
+      failure.code === "unavailable";
+    if (!isGone) return;
+    const hint = this.#finder.voter(failure.leader);
+    this.#leader = hint?.id === asked.id ? undefined : hint;
   }
 
-  #forget(voter: PeerAddress, failure: Failure): void {
-    const hint = failure.leader;
-    this.#leader = hint === voter.id ? undefined : hint;
-  }
-
-  async #pause(failure: Failure, options: IDeadlineOptions): Promise<void> {
-    if (failure.leader !== undefined) return;
+  async #pause(options: IDeadlineOptions): Promise<void> {
     const pause = this.#clock.deadlineIn(RETRY_PAUSE_MILLISECONDS);
     await this.#clock.sleepUntil(earlierDeadline(pause, options.deadline));
   }
--- /dev/null
+++ b/src/consensus/follower.ts
@@ -0,0 +1,105 @@
+import { err, ok, type Result } from "neverthrow";
+import { type Failure, invariant, mayHaveRun } from "../common/mod.ts";
+import type { Entry } from "./entry.ts";
+import type { AppendParams, AppendResult } from "./messages.ts";
+import type { ReplicaState } from "./replica_state.ts";
+
+/** Takes entries and heartbeats of the leader. */
+export class Follower {
+  #state: ReplicaState;
+  #appending: Promise<unknown> = Promise.resolve();
+
+  constructor(state: ReplicaState) {
+    this.#state = state;
+  }
+
+  /** Answers an append once its entries are durable. */
+  async append(
+    params: AppendParams,
+  ): Promise<Result<AppendResult, Failure>> {
+    if (params.entries.length === 0) return ok(await this.#heartbeat(params));
+    const run = this.#appending.then(() => this.#append(params));
+    this.#appending = run.catch(() => {});
+    return await run;
+  }
+
+  /** Runs an action while no append is taken. */
+  exclusively<T>(action: () => Promise<T>): Promise<T> {
+    const run = this.#appending.then(action);
+    this.#appending = run.catch(() => {});
+    return run;
+  }
+
+  /** Follows the sender if its term is the present one. */
+  recognise(head: { term: number; leader: string; from: string }): boolean {
+    const state = this.#state;
+    state.observeTerm(head.term);
+    if (head.term < state.term || state.role === "stopped") return false;
+    state.follow(head.leader, head.from);
+    return true;
+  }
+
+  /**
+   * The leader sends with a heartbeat only a commit index up to which this
+   * replica has already stored its entries.
+   */
+  async #heartbeat(params: AppendParams): Promise<AppendResult> {
+    const state = this.#state;
+    const accepted = this.recognise(params);
+    if (accepted) state.commit(params.commitIndex);
+    await state.terms.durable();
+    return { term: state.term, accepted, index: state.log.lastIndex };
+  }
+
+  async #append(
+    params: AppendParams,
+  ): Promise<Result<AppendResult, Failure>> {
+    const state = this.#state;
+    if (!this.recognise(params)) {
+      await state.terms.durable();
+      return ok({ term: state.term, accepted: false, index: 0 });
+    }
+    const { term } = state;
+    if (!this.#isKnown(params)) {
+      await state.terms.durable();
+      return ok({ term, accepted: false, index: this.#retryIndex(params) });
+    }
+    const last = params.prevIndex + params.entries.length;
+    const news = this.#news(params.entries);
+    await (news.length > 0 ? state.append(news) : state.log.synced());
+    await state.terms.durable();
+    if (state.log.isFailed) {
+      return err(mayHaveRun("storage-error", "the disk has failed"));
+    }
+    invariant(state.log.syncedIndex >= last, "acknowledged entries are synced");
+    if (state.term === term) state.commit(Math.min(params.commitIndex, last));
+    return ok({ term: state.term, accepted: state.term === term, index: last });
+  }
+
+  /** Whether the entry before those sent is the leader's; committed ones are. */
+  #isKnown(params: AppendParams): boolean {
+    if (params.prevIndex <= this.#state.commitIndex) return true;
+    return this.#state.log.termAt(params.prevIndex) === params.prevTerm;
+  }
+
+  /** Leaves out what is stored already. */
+  #news(entries: readonly Entry[]): Entry[] {
+    const { log, commitIndex } = this.#state;
+    const start = entries.findIndex((entry) =>
+      entry.index > commitIndex && log.termAt(entry.index) !== entry.term
+    );
+    return start === -1 ? [] : entries.slice(start);
+  }
+
+  /** Last index at which the leader's log may agree with this one. */
+  #retryIndex(params: AppendParams): number {
+    const { log, commitIndex } = this.#state;
+    if (params.prevIndex > log.lastIndex) return log.lastIndex;
+    const conflicting = log.termAt(params.prevIndex);
+    let index = params.prevIndex - 1;
+    while (index > commitIndex && log.termAt(index) === conflicting) {
+      index -= 1;
+    }
+    return index;
+  }
+}
--- /dev/null
+++ b/src/consensus/leader_finder.ts
@@ -0,0 +1,88 @@
+import { earlierDeadline, type IClock } from "../common/mod.ts";
+import type { IRpcClient, PeerAddress } from "../rpc/mod.ts";
+import { statusMethod } from "./messages.ts";
+import type { IDeadlineOptions, LogStatus } from "./types.ts";
+
+/** Longest wait for the status of a voter, in milliseconds. */
+const STATUS_TIMEOUT_MILLISECONDS = 1_000;
+
+/**
+ * Asks all voters at once who leads, and learns from them who votes.
+ *
+ * A search ends when a majority has answered, so a silent voter delays it
+ * only where its answer is needed. Concurrent searches are one.
+ */
+export class LeaderFinder {
+  #settled: () => readonly PeerAddress[];
+  #rpc: IRpcClient;
+  #clock: IClock;
+  #learned: readonly PeerAddress[] = [];
+  #learnedTerm = 0;
+  #search: Promise<PeerAddress | undefined> | undefined;
+
+  constructor(
+    voters: () => readonly PeerAddress[],
+    rpc: IRpcClient,
+    options: { clock: IClock },
+  ) {
+    this.#settled = voters;
+    this.#rpc = rpc;
+    this.#clock = options.clock;
+  }
+
+  /** Voter of an identifier, if it is known. */
+  voter(id: string | undefined): PeerAddress | undefined {
+    return this.#voters().find((voter) => voter.id === id);
+  }
+
+  /** Searches for the leader once. */
+  find(options: IDeadlineOptions): Promise<PeerAddress | undefined> {
+    this.#search ??= this.#ask(options).finally(() => {
+      this.#search = undefined;
+    });
+    return this.#search;
+  }
+
+  /** Voters of the settings, and those learned since. */
+  #voters(): PeerAddress[] {
+    const learned = new Set(this.#learned.map(({ id }) => id));
+    const settled = this.#settled().filter(({ id }) => !learned.has(id));
+    return [...this.#learned, ...settled];
+  }
+
+  #ask(options: IDeadlineOptions): Promise<PeerAddress | undefined> {
+    const voters = this.#voters();
+    const deadline = earlierDeadline(
+      options.deadline,
+      this.#clock.deadlineIn(STATUS_TIMEOUT_MILLISECONDS),
+    );
+    const answers: LogStatus[] = [];
+    let open = voters.length;
+    return new Promise((resolve) => {
+      if (open === 0) return resolve(undefined);
+      for (const voter of voters) {
+        const call = this.#rpc.call(voter, statusMethod, {}, { deadline });
+        void call.then((answer) => {
+          open -= 1;
+          if (answer.isOk()) answers.push(answer.value);
+          const leader = this.#choose(answers);
+          const isMajority = answers.length * 2 > voters.length;
+          if (open === 0 || leader && isMajority) resolve(leader);
+        });
+      }
+    });
+  }
+
+  /** The leader of the latest term that an answer names. */
+  #choose(answers: readonly LogStatus[]): PeerAddress | undefined {
+    const latest = answers
+      .filter(({ leader, role }) => leader !== undefined && role !== "stopped")
+      .sort((first, second) => second.term - first.term)[0];
+    if (!latest) return undefined;
+    if (latest.term >= this.#learnedTerm && latest.voters.length > 0) {
+      this.#learned = latest.voters;
+      this.#learnedTerm = latest.term;
+    }
+    return this.voter(latest.leader);
+  }
+}
--- /dev/null
+++ b/src/consensus/leader_term.ts
@@ -0,0 +1,353 @@
+import { err, ok, type Result } from "neverthrow";
+import {
+  type Deadline,
+  DisposableStore,
+  type Failure,
+  type IDisposable,
+  invariant,
+  mayHaveRun,
+  notRun,
+} from "../common/mod.ts";
+import type { IRpcClient } from "../rpc/mod.ts";
+import type { EntryBody } from "./entry.ts";
+import { takeOverMethod } from "./messages.ts";
+import { PeerReplicator } from "./peer_replicator.ts";
+import {
+  allMembers,
+  quorumValue,
+  type ReplicaMember,
+  type ReplicaSet,
+} from "./replica_set.ts";
+import type { ReplicaState } from "./replica_state.ts";
+import { Signal } from "./signal.ts";
+import type { IAppliedEntry, StateMachine } from "./state_machine.ts";
+import { CLOCK_DRIFT_BOUND } from "./timing.ts";
+import type { IDeadlineOptions, ISnapshotSender } from "./types.ts";
+
+/** Proposals that may wait for their commit. */
+const MAXIMUM_PENDING_PROPOSALS = 4_096;
+
+/** Encoded size of entries that may wait for their commit, in characters. */
+const MAXIMUM_PENDING_BYTES = 16 * 1024 * 1024;
+
+/** Seconds after which a refused proposer may try again. */
+const RETRY_AFTER_SECONDS = 1;
+
+type ProposalResult = Result<unknown, Failure>;
+
+/** Collaborators of a `LeaderTerm`. */
+export interface ILeaderParts {
+  readonly rpc: IRpcClient;
+  readonly machine: StateMachine;
+  readonly snapshots: ISnapshotSender;
+}
+
+/** Duties of this replica while it leads, from its election on. */
+export class LeaderTerm implements IDisposable {
+  readonly term: number;
+  #state: ReplicaState;
+  #parts: ILeaderParts;
+  #startedAt: Deadline;
+  #firstIndex = 0;
+  #peers = new Map<string, PeerReplicator>();
+  #proposals = new Map<number, (result: ProposalResult) => void>();
+  #pendingBytes = 0;
+  #progress = new Signal();
+  #store = new DisposableStore();
+  #stopping = new AbortController();
+  #transferring = false;
+
+  constructor(state: ReplicaState, parts: ILeaderParts) {
+    this.#state = state;
+    this.#parts = parts;
+    this.term = state.term;
+    this.#startedAt = state.clock.monotonic();
+  }
+
+  /** Begins with an entry of this term, which commits all earlier ones. */
+  start(): void {
+    this.#store.add(this.#state.log.onSynced(() => this.#advance()));
+    this.#store.add(
+      this.#parts.machine.onApplied((applied) => this.#answer(applied)),
+    );
+    this.#firstIndex = this.#state.log.lastIndex + 1;
+    this.#append({ kind: "replicas", replicas: this.#state.replicas });
+    void this.#checkQuorum();
+  }
+
+  /** Commits and applies a command, and resolves with its answer. */
+  propose(
+    section: string,
+    command: unknown,
+    options: IDeadlineOptions,
+  ): Promise<ProposalResult> {
+    const refusal = this.#refusal(options);
+    if (refusal) return Promise.resolve(err(refusal));
+    return this.#commit({ kind: "command", section, command }, options);
+  }
+
+  /** Commits a change of the members; the caller sees to one at a time. */
+  async changeReplicas(
+    replicas: ReplicaSet,
+    options: IDeadlineOptions,
+  ): Promise<Result<ReplicaSet, Failure>> {
+    const refusal = this.#refusal(options) ?? this.#changeRefusal();
+    if (refusal) return err(refusal);
+    const result = await this.#commit({ kind: "replicas", replicas }, options);
+    return result.map(() => replicas);
+  }
+
+  /** Confirms the lead and waits until all that was committed is applied. */
+  async barrier(options: IDeadlineOptions): Promise<Result<void, Failure>> {
+    const { clock } = this.#state;
+    const askedAt = clock.monotonic();
+    const needed = Math.max(this.#state.commitIndex, this.#firstIndex);
+    if (!this.#hasLease) this.#peers.forEach((peer) => peer.beat());
+    while (!this.#stopping.signal.aborted) {
+      const confirmed = this.#hasLease || this.quorumContact >= askedAt;
+      if (confirmed && this.#parts.machine.appliedIndex >= needed) {
+        return ok(undefined);
+      }
+      if (clock.isPast(options.deadline)) {
+        return err(notRun("unavailable", "no quorum confirmed the leader", {
+          retryAfterSeconds: RETRY_AFTER_SECONDS,
+        }));
+      }
+      await this.#wait(options.deadline);
+    }
+    return err(notRun("not-leader", "another replica leads"));
+  }
+
+  /** Point at which a quorum was last in contact with this leader. */
+  get quorumContact(): number {
+    const { clock, self, replicas } = this.#state;
+    return quorumValue(
+      replicas,
+      ({ storage }) =>
+        storage === self.storage
+          ? clock.monotonic()
+          : this.contactAt(storage) ?? Number.NEGATIVE_INFINITY,
+    );
+  }
+
+  /** Point until which no other replica can lead. */
+  get leaseUntil(): Deadline | undefined {
+    if (this.#transferring || this.#stopping.signal.aborted) return undefined;
+    const { electionMinimum } = this.#state.timing;
+    const length = electionMinimum * (1 - CLOCK_DRIFT_BOUND);
+    return this.quorumContact + length as Deadline;
+  }
+
+  /** When a peer last answered; undefined if it is no member. */
+  contactAt(storage: string): number | undefined {
+    return this.#peers.get(storage)?.contactAt;
+  }
+
+  /** Index up to which a peer is durable; undefined if it is no member. */
+  matchIndex(storage: string): number | undefined {
+    return this.#peers.get(storage)?.matchIndex;
+  }
+
+  /** Whether the first entry of the term is committed. */
+  get isEstablished(): boolean {
+    return this.#state.commitIndex >= this.#firstIndex;
+  }
+
+  /** Hands the lead to a voter; the given one or the most advanced. */
+  async transfer(
+    target: ReplicaMember | undefined,
+    options: IDeadlineOptions,
+  ): Promise<boolean> {
+    const peer = this.#peers.get((target ?? this.#furthest())?.storage ?? "");
+    if (!peer || this.#transferring) return false;
+    const { log } = this.#state;
+    this.#transferring = true;
+    while (peer.matchIndex < log.lastIndex && !this.#isOver(options)) {
+      await this.#wait(options.deadline);
+    }
+    if (this.#isOver(options)) {
+      this.#transferring = false;
+      return false;
+    }
+    const { cluster, self } = this.#state;
+    const head = { cluster, to: peer.peer.storage, from: self.storage };
+    const answer = await this.#parts.rpc.call(
+      peer.peer,
+      takeOverMethod,
+      { ...head, term: this.term },
+      options,
+    );
+    if (answer.isErr() && answer.error.verdict === "not-run") {
+      this.#transferring = false;
+      return false;
+    }
+    while (!this.#isOver(options)) {
+      await this.#wait(options.deadline);
+    }
+    if (this.#stopping.signal.aborted) return true;
+    // A vote for the target may still be on its way: the lease has ended.
+    this.#state.stepDown("the target of the transfer is silent");
+    return false;
+  }
+
+  dispose(): void {
+    this.#stopping.abort();
+    this.#store.dispose();
+    this.#peers.forEach((peer) => peer.dispose());
+    this.#progress.notify();
+    for (const resolve of [...this.#proposals.values()]) {
+      resolve(err(mayHaveRun("unavailable", "the leader changed", {
+        retryAfterSeconds: RETRY_AFTER_SECONDS,
+      })));
+    }
+  }
+
+  get #hasLease(): boolean {
+    const { leaseUntil } = this;
+    return leaseUntil !== undefined && !this.#state.clock.isPast(leaseUntil);
+  }
+
+  #isOver(options: IDeadlineOptions): boolean {
+    const { signal } = this.#stopping;
+    return signal.aborted || this.#state.clock.isPast(options.deadline);
+  }
+
+  async #wait(deadline: Deadline): Promise<void> {
+    const { clock } = this.#state;
+    const timer = new AbortController();
+    const timeout = clock.sleepUntil(deadline, timer.signal);
+    await Promise.race([this.#progress.wait(), timeout]);
+    timer.abort();
+  }
+
+  #refusal(options: IDeadlineOptions): Failure | undefined {
+    const { clock } = this.#state;
+    if (this.#stopping.signal.aborted || this.#transferring) {
+      return notRun("not-leader", "the leader is changing");
+    }
+    if (clock.isPast(options.deadline)) {
+      return notRun("deadline-exceeded", "deadline passed before a proposal");
+    }
+    if (
+      this.#proposals.size < MAXIMUM_PENDING_PROPOSALS &&
+      this.#pendingBytes < MAXIMUM_PENDING_BYTES
+    ) return undefined;
+    return notRun("overloaded", "too many commands wait for their commit", {
+      retryAfterSeconds: RETRY_AFTER_SECONDS,
+    });
+  }
+
+  #changeRefusal(): Failure | undefined {
+    const { tracker, commitIndex } = this.#state;
+    if (this.isEstablished && tracker.latestIndex <= commitIndex) {
+      return undefined;
+    }
+    return notRun("conflict", "another change of the members is under way", {
+      retryAfterSeconds: RETRY_AFTER_SECONDS,
+    });
+  }
+
+  async #commit(
+    body: EntryBody,
+    options: IDeadlineOptions,
+  ): Promise<ProposalResult> {
+    const index = this.#append(body);
+    const size = this.#state.log.sizeFrom(index, 1);
+    this.#pendingBytes += size;
+    const timer = new AbortController();
+    const { clock } = this.#state;
+    const result = await new Promise<ProposalResult>((resolve) => {
+      this.#proposals.set(index, resolve);
+      void clock.sleepUntil(options.deadline, timer.signal).then(() =>
+        resolve(err(mayHaveRun("deadline-exceeded", "not committed in time")))
+      );
+    });
+    timer.abort();
+    this.#proposals.delete(index);
+    this.#pendingBytes -= size;
+    return result;
+  }
+
+  #append(body: EntryBody): number {
+    const { log, clock, term } = this.#state;
+    invariant(term === this.term, "a leader appends in its own term");
+    const index = log.lastIndex + 1;
+    const earliest = Math.max(
+      log.lastProposedAt,
+      this.#parts.machine.lastProposedAt,
+    );
+    const proposedAt = Math.max(clock.wall(), earliest);
+    void this.#state.append([{ index, term, proposedAt, body }]);
+    if (body.kind === "replicas") this.#updatePeers();
+    this.#peers.forEach((peer) => peer.wake());
+    return index;
+  }
+
+  #updatePeers(): void {
+    const { replicas, self } = this.#state;
+    const members = allMembers(replicas)
+      .filter(({ storage }) => storage !== self.storage);
+    for (const [storage, peer] of this.#peers) {
+      if (members.some((member) => member.storage === storage)) continue;
+      peer.dispose();
+      this.#peers.delete(storage);
+    }
+    for (const member of members) {
+      if (!this.#peers.has(member.storage)) this.#addPeer(member);
+    }
+  }
+
+  #addPeer(member: ReplicaMember): void {
+    const peer = new PeerReplicator(member, this.#state, {
+      rpc: this.#parts.rpc,
+      snapshots: this.#parts.snapshots,
+      observer: { onProgress: () => this.#advance() },
+    });
+    this.#peers.set(member.storage, peer);
+    peer.start();
+  }
+
+  /** Commits what a quorum holds durably, if it is of this term. */
+  #advance(): void {
+    const { log, replicas, self, role, term } = this.#state;
+    if (role !== "leader" || term !== this.term) return;
+    const held = quorumValue(
+      replicas,
+      ({ storage }) =>
+        storage === self.storage
+          ? log.syncedIndex
+          : this.matchIndex(storage) ?? 0,
+    );
+    if (log.termAt(held) === this.term) this.#state.commit(held);
+    this.#progress.notify();
+  }
+
+  #answer({ entry, output }: IAppliedEntry): void {
+    this.#progress.notify();
+    if (entry.term !== this.term) return;
+    this.#proposals.get(entry.index)?.(ok(output));
+  }
+
+  /** Steps down when no quorum has answered for an election timeout. */
+  async #checkQuorum(): Promise<void> {
+    const { clock, timing } = this.#state;
+    const { electionMinimum } = timing;
+    for (;;) {
+      const heardAt = Math.max(this.quorumContact, this.#startedAt);
+      const deadline = heardAt + electionMinimum as Deadline;
+      if (clock.isPast(deadline)) break;
+      const next = clock.deadlineIn(timing.heartbeat);
+      await clock.sleepUntil(next, this.#stopping.signal);
+      if (this.#stopping.signal.aborted) return;
+    }
+    this.#state.stepDown("no contact to a quorum");
+  }
+
+  #furthest(): ReplicaMember | undefined {
+    const { replicas, self } = this.#state;
+    const peers = replicas.voters
+      .filter(({ storage }) => storage !== self.storage);
+    const reached = (peer: ReplicaMember) => this.matchIndex(peer.storage) ?? 0;
+    return peers.sort((a, b) => reached(b) - reached(a))[0];
+  }
+}
--- /dev/null
+++ b/src/consensus/peer_replicator.ts
@@ -0,0 +1,215 @@
+import type { Result } from "neverthrow";
+import {
+  type Deadline,
+  type Failure,
+  type IClock,
+  type IDisposable,
+  invariant,
+} from "../common/mod.ts";
+import type { IRpcClient, RpcLane } from "../rpc/mod.ts";
+import type { Entry } from "./entry.ts";
+import { appendMethod, type AppendResult } from "./messages.ts";
+import type { ReplicaMember } from "./replica_set.ts";
+import type { ReplicaState } from "./replica_state.ts";
+import { Signal } from "./signal.ts";
+import type { ISnapshotSender } from "./types.ts";
+
+/** Encoded size of the entries in one message, in characters. */
+const BATCH_BYTES = 1024 * 1024;
+
+/** Encoded size from which a message travels apart from heartbeats. */
+const BULK_BYTES = 32 * 1024;
+
+/** What a leader's peer tasks tell it. */
+export interface IPeerObserver {
+  /** The peer answered; it has more entries or was reached again. */
+  onProgress(): void;
+}
+
+/**
+ * Brings one peer up to date while this replica leads.
+ *
+ * One task sends entries, one message at a time; another sends heartbeats,
+ * which never wait for the peer's disk.
+ */
+export class PeerReplicator implements IDisposable {
+  readonly peer: ReplicaMember;
+  #state: ReplicaState;
+  #clock: IClock;
+  #rpc: IRpcClient;
+  #snapshots: ISnapshotSender;
+  #observer: IPeerObserver;
+  #term: number;
+  #nextIndex: number;
+  #matchIndex = 0;
+  #contactAt = Number.NEGATIVE_INFINITY;
+  #work = new Signal();
+  #stopping = new AbortController();
+  #beatNow = new AbortController();
+
+  constructor(
+    peer: ReplicaMember,
+    state: ReplicaState,
+    options: {
+      rpc: IRpcClient;
+      snapshots: ISnapshotSender;
+      observer: IPeerObserver;
+    },
+  ) {
+    this.peer = peer;
+    this.#state = state;
+    this.#clock = state.clock;
+    this.#rpc = options.rpc;
+    this.#snapshots = options.snapshots;
+    this.#observer = options.observer;
+    this.#term = state.term;
+    // The last entry goes out at once and shows where the logs agree.
+    this.#nextIndex = Math.max(1, state.log.lastIndex);
+  }
+
+  /** Last index up to which the peer holds this log durably. */
+  get matchIndex(): number {
+    return this.#matchIndex;
+  }
+
+  /** When the latest message that the peer answered was sent. */
+  get contactAt(): number {
+    return this.#contactAt;
+  }
+
+  /** Starts the tasks. */
+  start(): void {
+    for (const task of [this.#replicate(), this.#beat()]) {
+      task.catch((error) => this.#state.fail(error as Error));
+    }
+  }
+
+  /** There are new entries. */
+  wake(): void {
+    this.#work.notify();
+  }
+
+  /** Sends a heartbeat at once. */
+  beat(): void {
+    this.#beatNow.abort();
+  }
+
+  dispose(): void {
+    this.#stopping.abort();
+    this.#beatNow.abort();
+    this.#work.notify();
+  }
+
+  get #isActive(): boolean {
+    if (this.#stopping.signal.aborted) return false;
+    return this.#state.role === "leader" && this.#state.term === this.#term;
+  }
+
+  async #replicate(): Promise<void> {
+    while (this.#isActive) {
+      const { log } = this.#state;
+      if (this.#nextIndex > log.lastIndex) {
+        await this.#work.wait();
+        continue;
+      }
+      const sent = this.#nextIndex < log.firstIndex
+        ? await this.#sendSnapshot()
+        : await this.#sendEntries();
+      if (!sent) await this.#pause();
+    }
+  }
+
+  async #beat(): Promise<void> {
+    while (this.#isActive) {
+      // Calls that a silent connection swallows must not stop the heartbeat.
+      void this.#sendHeartbeat();
+      if (this.#beatNow.signal.aborted) this.#beatNow = new AbortController();
+      const next = this.#clock.deadlineIn(this.#state.timing.heartbeat);
+      await this.#clock.sleepUntil(next, this.#beatNow.signal);
+    }
+  }
+
+  async #sendHeartbeat(): Promise<void> {
+    const { commitIndex, timing } = this.#state;
+    const sentAt = this.#clock.monotonic();
+    const answer = await this.#append({
+      entries: [],
+      commitIndex: Math.min(commitIndex, this.#matchIndex),
+      deadline: this.#clock.deadlineIn(timing.electionMinimum),
+      lane: "control",
+    });
+    if (this.#accepts(answer)) this.#hear(sentAt);
+  }
+
+  async #sendEntries(): Promise<boolean> {
+    const { log, commitIndex, timing } = this.#state;
+    const entries = log.from(this.#nextIndex, BATCH_BYTES);
+    const sentAt = this.#clock.monotonic();
+    const answer = await this.#append({
+      entries,
+      commitIndex,
+      deadline: this.#clock.deadlineIn(timing.append),
+      lane: log.sizeFrom(this.#nextIndex, entries.length) > BULK_BYTES
+        ? "bulk"
+        : "control",
+    });
+    if (!answer.isOk() || !this.#isActive) return false;
+    if (!this.#accepts(answer)) {
+      this.#nextIndex = Math.max(1, answer.value.index + 1);
+      return true;
+    }
+    const { index } = answer.value;
+    invariant(index >= this.#matchIndex, "a peer's log never shrinks");
+    this.#matchIndex = index;
+    this.#nextIndex = index + 1;
+    this.#hear(sentAt);
+    return true;
+  }
+
+  async #sendSnapshot(): Promise<boolean> {
+    const index = await this.#snapshots.send(this.peer, this.#stopping.signal);
+    if (index === undefined || !this.#isActive) return false;
+    this.#matchIndex = Math.max(this.#matchIndex, index);
+    this.#nextIndex = this.#matchIndex + 1;
+    this.#observer.onProgress();
+    return true;
+  }
+
+  async #append(options: {
+    entries: Entry[];
+    commitIndex: number;
+    deadline: Deadline;
+    lane: RpcLane;
+  }): Promise<Result<AppendResult, Failure>> {
+    const { cluster, self, log } = this.#state;
+    const { entries, commitIndex, deadline, lane } = options;
+    const prevIndex = this.#nextIndex - 1;
+    const answer = await this.#rpc.call(this.peer, appendMethod, {
+      cluster,
+      to: this.peer.storage,
+      from: self.storage,
+      term: this.#term,
+      leader: self.id,
+      prevIndex,
+      prevTerm: log.termAt(prevIndex) ?? 0,
+      entries,
+      commitIndex,
+    }, { deadline, lane });
+    if (answer.isOk()) this.#state.observeTerm(answer.value.term);
+    return answer;
+  }
+
+  #accepts(answer: Result<AppendResult, Failure>): boolean {
+    return answer.isOk() && answer.value.accepted && this.#isActive;
+  }
+
+  #hear(sentAt: number): void {
+    this.#contactAt = Math.max(this.#contactAt, sentAt);
+    this.#observer.onProgress();
+  }
+
+  async #pause(): Promise<void> {
+    const end = this.#clock.deadlineIn(this.#state.timing.heartbeat);
+    await this.#clock.sleepUntil(end, this.#stopping.signal);
+  }
+}
--- /dev/null
+++ b/src/consensus/process_test.ts
@@ -0,0 +1,101 @@
+import test from "ava";
+import { Fleet, type IFleetInstance, kill } from "../../testing/fleet.ts";
+import { fetchJson, postJson } from "../../testing/http.ts";
+
+const CHANGES_BEFORE_KILL = 15;
+const CHANGES_IN_ALL = 40;
+const WORKERS = 3;
+
+interface IAcknowledged {
+  readonly changeId: string;
+  readonly version: number;
+}
+
+/** Applies changes one after the other until enough are acknowledged. */
+async function changeConfiguration(
+  worker: number,
+  instances: readonly IFleetInstance[],
+  acknowledged: IAcknowledged[],
+): Promise<void> {
+  for (let count = 0; acknowledged.length < CHANGES_IN_ALL; count++) {
+    const changeId = `${worker}-${count}`;
+    for (let attempt = 0;; attempt++) {
+      const at = instances[(worker + attempt) % instances.length];
+      const answer = await apply(at?.operators ?? "", changeId);
+      if (answer === "conflict") continue;
+      if (answer === undefined) continue;
+      acknowledged.push({ changeId, version: answer });
+      break;
+    }
+  }
+}
+
+async function apply(
+  operators: string,
+  changeId: string,
+): Promise<number | "conflict" | undefined> {
+  try {
+    const shown = await fetchJson(`${operators}/configuration`);
+    const { version, document } = shown.body.accepted;
+    const answer = await postJson(`${operators}/configuration`, {
+      changeId,
+      operator: "test",
+      expectedVersion: version,
+      document,
+    });
+    if (answer.status === 409) return "conflict";
+    return answer.status === 200 ? answer.body.record.version : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+async function findLeader(fleet: Fleet): Promise<IFleetInstance | undefined> {
+  for (const instance of fleet.instances) {
+    try {
+      const { body } = await fetchJson(`${instance.operators}/status`);
+      if (body.log.role === "leader") return instance;
+    } catch {
+      // The instance is down.
+    }
+  }
+  return undefined;
+}
+
+async function history(fleet: Fleet): Promise<IAcknowledged[]> {
+  for (;;) {
+    for (const { operators } of fleet.instances) {
+      try {
+        const url = `${operators}/configuration/history?limit=1000`;
+        const answer = await fetchJson(url);
+        if (answer.status === 200) return answer.body.records;
+      } catch {
+        // The instance is down.
+      }
+    }
+  }
+}
+
+test("leader killed under load", async (t) => {
+  const fleet = await Fleet.start({ instances: 3, voters: 3, engines: 1 });
+  t.teardown(() => fleet.stop());
+  const acknowledged: IAcknowledged[] = [];
+  const load = Array.from(
+    { length: WORKERS },
+    (_, worker) => changeConfiguration(worker, fleet.instances, acknowledged),
+  );
+  while (acknowledged.length < CHANGES_BEFORE_KILL) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  const leader = await findLeader(fleet);
+  t.truthy(leader);
+  if (leader) await kill(leader.process, "SIGKILL");
+  await Promise.all(load);
+  const kept = new Map(
+    (await history(fleet)).map((record) => [record.changeId, record.version]),
+  );
+  for (const { changeId, version } of acknowledged) {
+    t.is(kept.get(changeId), version, changeId);
+  }
+  t.is(new Set(kept.values()).size, kept.size);
+});
--- /dev/null
+++ b/src/consensus/replica.ts
@@ -0,0 +1,294 @@
+import { err, ok, type Result } from "neverthrow";
+import {
+  DisposableStore,
+  type Failure,
+  type IClock,
+  type IEvent,
+  mayHaveRun,
+  notRun,
+} from "../common/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
+import type { IRpcClient, IRpcServer } from "../rpc/mod.ts";
+import { CorruptionError } from "./corruption_error.ts";
+import { Elector } from "./elector.ts";
+import { tailCut } from "./events.ts";
+import { Follower } from "./follower.ts";
+import { LeaderTerm } from "./leader_term.ts";
+import { LogStore } from "./log_store.ts";
+import {
+  appendMethod,
+  type ReplicaHead,
+  snapshotChunkMethod,
+  takeOverMethod,
+  voteMethod,
+} from "./messages.ts";
+import { ReplicaAdministrator } from "./replica_administrator.ts";
+import type { ReplicaMember } from "./replica_set.ts";
+import { ReplicaState } from "./replica_state.ts";
+import { ReplicaTracker } from "./replica_tracker.ts";
+import { SnapshotReceiver } from "./snapshot_receiver.ts";
+import { SnapshotSender } from "./snapshot_sender.ts";
+import { type Snapshot, SnapshotStore } from "./snapshot_store.ts";
+import {
+  type ICompaction,
+  restoreSections,
+  StateMachine,
+} from "./state_machine.ts";
+import type { IStorage } from "./storage.ts";
+import { TermStore } from "./term_store.ts";
+import type { ITiming } from "./timing.ts";
+import type { ILeadership, IStateSection, LogStatus } from "./types.ts";
+import { type IRecoveredLog, WriteAheadLog } from "./write_ahead_log.ts";
+
+/** Collaborators and settings of a `Replica`. */
+export interface IReplicaOptions {
+  readonly cluster: string;
+  /** Voters before the first entry; empty on one that joined later. */
+  readonly founders: ReplicaMember[];
+  readonly storage: IStorage;
+  readonly rpc: IRpcClient;
+  readonly server: IRpcServer;
+  readonly clock: IClock;
+  readonly events: IEventLog;
+  readonly timing: ITiming;
+  readonly compaction: ICompaction;
+  readonly random: () => number;
+}
+
+/** Replica that belongs to a log, with its tasks. */
+export class Replica {
+  readonly cluster: string;
+  readonly machine: StateMachine;
+  #state: ReplicaState;
+  #options: IReplicaOptions;
+  #elector: Elector;
+  #follower: Follower;
+  #receiver: SnapshotReceiver;
+  #leader: LeaderTerm | undefined;
+  #administrator: ReplicaAdministrator | undefined;
+  #store = new DisposableStore();
+  #stopping = new AbortController();
+
+  private constructor(
+    state: ReplicaState,
+    machine: StateMachine,
+    options: IReplicaOptions,
+  ) {
+    const { rpc, random, storage } = options;
+    this.cluster = options.cluster;
+    this.machine = machine;
+    this.#state = state;
+    this.#options = options;
+    this.#elector = new Elector(state, rpc, { random });
+    this.#follower = new Follower(state);
+    this.#receiver = new SnapshotReceiver(state, {
+      storage,
+      store: new SnapshotStore(storage),
+      follower: this.#follower,
+      machine,
+    });
+    this.#handleCalls();
+    this.#store.add(state.onChange(() => this.#reviewLead()));
+  }
+
+  /**
+   * Recovers the state of a data folder.
+   *
+   * @throws CorruptionError when the files hold what no crash can leave.
+   */
+  static async open(
+    self: ReplicaMember,
+    sections: readonly IStateSection[],
+    options: IReplicaOptions,
+  ): Promise<Replica> {
+    const { storage, founders, compaction, events } = options;
+    const store = new SnapshotStore(storage);
+    const snapshot = await store.recover();
+    const terms = await TermStore.open(storage);
+    const wal = new WriteAheadLog(storage);
+    const recovered = await wal.recover();
+    if (recovered.cutBytes > 0) {
+      events.emit(tailCut, { bytes: recovered.cutBytes });
+    }
+    const log = await openLog(wal, recovered, snapshot);
+    const base = { voters: founders, learners: [] };
+    const tracker = new ReplicaTracker(
+      snapshot?.index ?? 0,
+      snapshot?.replicas ?? base,
+    );
+    tracker.append(log.from(log.firstIndex, Number.POSITIVE_INFINITY));
+    await restoreSections(sections, snapshot);
+    const commitIndex = snapshot?.index ?? 0;
+    const parts = { ...options, self, terms, log, tracker, commitIndex };
+    const state = new ReplicaState(parts);
+    const machineOptions = { store, compaction, snapshot };
+    const machine = new StateMachine(sections, state, machineOptions);
+    return new Replica(state, machine, options);
+  }
+
+  /** Starts the tasks. */
+  start(): void {
+    this.#supervise(this.machine.run());
+    this.#supervise(this.#elector.run(this.#stopping.signal));
+  }
+
+  /** Duties of the lead, while this replica has it. */
+  get leader(): LeaderTerm | undefined {
+    return this.#leader;
+  }
+
+  get administrator(): ReplicaAdministrator | undefined {
+    return this.#administrator;
+  }
+
+  get leadership(): ILeadership {
+    return this.#state.leadership;
+  }
+
+  get onLeadershipChange(): IEvent<ILeadership> {
+    return this.#state.onChange;
+  }
+
+  status(): LogStatus {
+    const { self, role, term, leader, log, replicas } = this.#state;
+    const isLearner = !this.#state.isVoter && role !== "stopped";
+    return {
+      id: self.id,
+      role: isLearner ? "learner" : role,
+      term,
+      leader,
+      firstIndex: log.firstIndex,
+      lastIndex: log.lastIndex,
+      commitIndex: this.#state.commitIndex,
+      appliedIndex: this.machine.appliedIndex,
+      voters: replicas.voters,
+      learners: replicas.learners,
+    };
+  }
+
+  /** Stops after the writes in progress. */
+  async stop(): Promise<void> {
+    this.#stopping.abort();
+    this.#state.stop("the replica stops");
+    this.machine.dispose();
+    await this.machine.settle();
+    await this.#state.log.close();
+    this.#store.dispose();
+  }
+
+  #reviewLead(): void {
+    const { role, term } = this.#state;
+    if (role === "leader" && this.#leader?.term === term) return;
+    this.#leader?.dispose();
+    this.#administrator?.dispose();
+    this.#leader = undefined;
+    this.#administrator = undefined;
+    if (role !== "leader") return;
+    const { rpc, storage } = this.#options;
+    const leader = new LeaderTerm(this.#state, {
+      rpc,
+      machine: this.machine,
+      snapshots: new SnapshotSender(this.#state, storage, { rpc }),
+    });
+    this.#leader = leader;
+    this.#administrator = new ReplicaAdministrator(this.#state, leader, {
+      rpc,
+    });
+    leader.start();
+    this.#supervise(this.#administrator.run());
+  }
+
+  /** A task that breaks an invariant takes the replica out of the quorum. */
+  #supervise(task: Promise<void>): void {
+    task.catch((error) => this.#state.fail(error as Error));
+  }
+
+  #handleCalls(): void {
+    const { server } = this.#options;
+    const add = this.#store.add.bind(this.#store);
+    add(
+      server.handle(
+        voteMethod,
+        (params) => this.#guard(params, () => this.#elector.vote(params)),
+      ),
+    );
+    add(
+      server.handle(
+        appendMethod,
+        (params) => this.#guard(params, () => this.#follower.append(params)),
+      ),
+    );
+    add(
+      server.handle(
+        snapshotChunkMethod,
+        (params) => this.#guard(params, () => this.#receiver.receive(params)),
+      ),
+    );
+    add(
+      server.handle(
+        takeOverMethod,
+        (params) => this.#guard(params, () => this.#takeOver(params)),
+      ),
+    );
+  }
+
+  #takeOver(head: ReplicaHead): Promise<
+    Result<{ accepted: boolean }, Failure>
+  > {
+    const accepted = head.term === this.#state.term && this.#state.isVoter;
+    if (accepted) this.#supervise(this.#elector.campaign({ transfer: true }));
+    return Promise.resolve(ok({ accepted }));
+  }
+
+  /** Refuses what is not for this replica; a broken invariant stops it. */
+  async #guard<T>(
+    head: ReplicaHead,
+    action: () => Promise<Result<T, Failure>>,
+  ): Promise<Result<T, Failure>> {
+    if (this.#state.role === "stopped") {
+      return err(notRun("storage-error", "the replica is stopped"));
+    }
+    if (!this.#state.isAddressed(head)) {
+      return err(notRun("conflict", "the call is for another data folder"));
+    }
+    try {
+      return await action();
+    } catch (error) {
+      this.#state.fail(error as Error);
+      return err(mayHaveRun("internal", (error as Error).message));
+    }
+  }
+}
+
+/** Joins the recovered entries to the snapshot. */
+async function openLog(
+  wal: WriteAheadLog,
+  recovered: IRecoveredLog,
+  snapshot: Snapshot | undefined,
+): Promise<LogStore> {
+  const position = snapshot
+    ? { index: snapshot.index, term: snapshot.term }
+    : { index: 0, term: 0 };
+  const { entries, base } = recovered;
+  const first = entries[0]?.index ?? (base?.index ?? 0) + 1;
+  const covered = entries.find(({ index }) => index === position.index);
+  const isJoined = first === position.index + 1 ||
+    covered?.term === position.term;
+  if (isJoined) {
+    const kept = entries.filter(({ index }) => index > position.index);
+    return new LogStore(wal, position, kept);
+  }
+  const last = entries.at(-1)?.index ?? 0;
+  if (first > position.index + 1) {
+    throw new CorruptionError(
+      `entries ${position.index + 1} to ${first - 1} are missing`,
+    );
+  }
+  // The snapshot was installed and the crash came before the log was told.
+  const log = new LogStore(wal, position, []);
+  await log.restartAfter(position);
+  if (last >= position.index && covered === undefined) {
+    throw new CorruptionError(`no entry at ${position.index}`);
+  }
+  return log;
+}
--- /dev/null
+++ b/src/consensus/replica_administrator.ts
@@ -0,0 +1,241 @@
+import { err, ok, type Result } from "neverthrow";
+import { match } from "ts-pattern";
+import {
+  type Failure,
+  type IClock,
+  type IDisposable,
+  notRun,
+} from "../common/mod.ts";
+import type { IRpcClient } from "../rpc/mod.ts";
+import type { LeaderTerm } from "./leader_term.ts";
+import { helloMethod, type ReplicaChange } from "./messages.ts";
+import {
+  allMembers,
+  MAXIMUM_MEMBERS,
+  type ReplicaMember,
+  type ReplicaSet,
+} from "./replica_set.ts";
+import type { ReplicaState } from "./replica_state.ts";
+import type { IDeadlineOptions } from "./types.ts";
+
+/** Entries that a learner may lack when it becomes a voter. */
+const PROMOTION_LAG_ENTRIES = 100;
+
+/** Time that an automatic promotion may take, in milliseconds. */
+const PROMOTION_TIMEOUT_MILLISECONDS = 5_000;
+
+/** Silence, in election timeouts, after which a folder may be replaced. */
+const REPLACEMENT_TIMEOUTS = 2;
+
+type ChangeResult = Result<ReplicaSet, Failure>;
+
+/** Changes the members while this replica leads, one step at a time. */
+export class ReplicaAdministrator implements IDisposable {
+  #state: ReplicaState;
+  #leader: LeaderTerm;
+  #rpc: IRpcClient;
+  #clock: IClock;
+  #ledSince: number;
+  #stopping = new AbortController();
+
+  constructor(
+    state: ReplicaState,
+    leader: LeaderTerm,
+    options: { rpc: IRpcClient },
+  ) {
+    this.#state = state;
+    this.#leader = leader;
+    this.#rpc = options.rpc;
+    this.#clock = state.clock;
+    this.#ledSince = state.clock.monotonic();
+  }
+
+  /** Promotes returned voters when they have caught up. */
+  async run(): Promise<void> {
+    const { signal } = this.#stopping;
+    while (!signal.aborted) {
+      const next = this.#clock.deadlineIn(this.#state.timing.heartbeat);
+      await this.#clock.sleepUntil(next, signal);
+      const returned = this.#state.replicas.learners
+        .find((it) => it.promote && this.#isCaughtUp(it));
+      if (!returned || signal.aborted) continue;
+      await this.#promote(returned, {
+        deadline: this.#clock.deadlineIn(PROMOTION_TIMEOUT_MILLISECONDS),
+      });
+    }
+  }
+
+  dispose(): void {
+    this.#stopping.abort();
+  }
+
+  /** Carries out an operator's order. */
+  async change(
+    order: ReplicaChange,
+    options: IDeadlineOptions,
+  ): Promise<ChangeResult> {
+    return await match(order)
+      .with({ action: "add" }, ({ voter }) => this.#add(voter, options))
+      .with(
+        { action: "promote" },
+        ({ voter }) =>
+          this.#withMember(voter.id, (it) => this.#promoteByOrder(it, options)),
+      )
+      .with(
+        { action: "remove" },
+        ({ voter }) =>
+          this.#withMember(voter.id, (it) => this.#remove(it, options)),
+      )
+      .with(
+        { action: "transfer" },
+        ({ voter }) => this.#transfer(voter?.id, options),
+      )
+      .exhaustive();
+  }
+
+  /**
+   * Takes in an empty data folder as a learner. If its instance was a
+   * member under another folder, that one leaves first.
+   */
+  async join(
+    member: ReplicaMember,
+    options: IDeadlineOptions,
+  ): Promise<ChangeResult> {
+    const { replicas } = this.#state;
+    const members = allMembers(replicas);
+    if (members.some(({ storage }) => storage === member.storage)) {
+      return ok(replicas);
+    }
+    const earlier = members.find(({ id }) => id === member.id);
+    if (!earlier) return await this.#addLearner(member, options);
+    if (this.#mayBeAlive(earlier)) {
+      const reason = `${member.id} is a member with another data folder`;
+      return err(notRun("conflict", reason));
+    }
+    const wasVoter = replicas.voters.includes(earlier);
+    const removed = await this.#remove(earlier, options);
+    if (removed.isErr()) return removed;
+    const promote = wasVoter || earlier.promote;
+    return await this.#addLearner({ ...member, promote }, options);
+  }
+
+  async #add(
+    address: { id: string; address: string; port: number } & {
+      failureDomain: string;
+    },
+    options: IDeadlineOptions,
+  ): Promise<ChangeResult> {
+    const hello = await this.#rpc.call(address, helloMethod, {}, options);
+    if (hello.isErr()) return err(hello.error);
+    const { id, storage, cluster } = hello.value;
+    if (id !== address.id) {
+      return err(notRun("bad-request", `the instance there is ${id}`));
+    }
+    if (cluster !== undefined && cluster !== this.#state.cluster) {
+      return err(notRun("conflict", `${id} belongs to another log`));
+    }
+    return await this.join({ ...address, storage, promote: false }, options);
+  }
+
+  async #addLearner(
+    member: ReplicaMember,
+    options: IDeadlineOptions,
+  ): Promise<ChangeResult> {
+    const { voters, learners } = this.#state.replicas;
+    if (voters.length + learners.length >= MAXIMUM_MEMBERS) {
+      const reason = `the log has ${MAXIMUM_MEMBERS} members already`;
+      return err(notRun("limit-exceeded", reason));
+    }
+    const replicas = { voters, learners: [...learners, member] };
+    return await this.#leader.changeReplicas(replicas, options);
+  }
+
+  async #promoteByOrder(
+    member: ReplicaMember,
+    options: IDeadlineOptions,
+  ): Promise<ChangeResult> {
+    if (this.#state.replicas.voters.includes(member)) {
+      return ok(this.#state.replicas);
+    }
+    if (this.#isCaughtUp(member)) return await this.#promote(member, options);
+    return err(notRun("conflict", `${member.id} has not caught up`, {
+      retryAfterSeconds: 1,
+    }));
+  }
+
+  async #promote(
+    member: ReplicaMember,
+    options: IDeadlineOptions,
+  ): Promise<ChangeResult> {
+    const { voters, learners } = this.#state.replicas;
+    const replicas = {
+      voters: [...voters, { ...member, promote: false }],
+      learners: learners.filter((it) => it.storage !== member.storage),
+    };
+    return await this.#leader.changeReplicas(replicas, options);
+  }
+
+  async #remove(
+    member: ReplicaMember,
+    options: IDeadlineOptions,
+  ): Promise<ChangeResult> {
+    if (member.storage === this.#state.self.storage) {
+      const reason = "the leader cannot be removed; transfer the lead first";
+      return err(notRun("conflict", reason));
+    }
+    const { voters, learners } = this.#state.replicas;
+    const others = (it: ReplicaMember) => it.storage !== member.storage;
+    const replicas = {
+      voters: voters.filter(others),
+      learners: learners.filter(others),
+    };
+    return await this.#leader.changeReplicas(replicas, options);
+  }
+
+  async #transfer(
+    id: string | undefined,
+    options: IDeadlineOptions,
+  ): Promise<ChangeResult> {
+    const { replicas } = this.#state;
+    const target = replicas.voters.find((voter) => voter.id === id);
+    if (id !== undefined && !target) {
+      return err(notRun("not-found", `${id} is no voter`));
+    }
+    const done = await this.#leader.transfer(target, options);
+    if (done) return ok(replicas);
+    return err(notRun("unavailable", "no voter took the lead over"));
+  }
+
+  #withMember(
+    id: string,
+    action: (member: ReplicaMember) => Promise<ChangeResult>,
+  ): Promise<ChangeResult> {
+    const member = allMembers(this.#state.replicas).find((it) => it.id === id);
+    if (member) return action(member);
+    return Promise.resolve(err(notRun("not-found", `${id} is no member`)));
+  }
+
+  #isCaughtUp(member: ReplicaMember): boolean {
+    const index = this.#leader.matchIndex(member.storage) ?? 0;
+    const { lastIndex } = this.#state.log;
+    if (!this.#wasHeard(member, 1)) return false;
+    return this.#leader.isEstablished &&
+      index + PROMOTION_LAG_ENTRIES >= lastIndex &&
+      index > 0;
+  }
+
+  #mayBeAlive(member: ReplicaMember): boolean {
+    const { electionMinimum } = this.#state.timing;
+    const led = this.#clock.monotonic() - this.#ledSince;
+    if (led < REPLACEMENT_TIMEOUTS * electionMinimum) return true;
+    if (member.storage === this.#state.self.storage) return true;
+    return this.#wasHeard(member, REPLACEMENT_TIMEOUTS);
+  }
+
+  #wasHeard(member: ReplicaMember, timeouts: number): boolean {
+    const heardAt = this.#leader.contactAt(member.storage);
+    if (heardAt === undefined) return false;
+    const silence = this.#clock.monotonic() - heardAt;
+    return silence < timeouts * this.#state.timing.electionMinimum;
+  }
+}
--- /dev/null
+++ b/src/consensus/snapshot_store.ts
@@ -0,0 +1,115 @@
+import { z } from "zod";
+import { encodeChecked, readChecked } from "./checked_document.ts";
+import { CorruptionError } from "./corruption_error.ts";
+import { replicaSetSchema } from "./replica_set.ts";
+import type { IStorage } from "./storage.ts";
+import { sectionSnapshotSchema } from "./types.ts";
+
+/** File with the latest snapshot, below the data folder. */
+export const SNAPSHOT_FILE = "log/snapshot.json";
+
+/** Folder for a snapshot that is being received. */
+export const INCOMING_FOLDER = "incoming";
+
+/** Marks a received snapshot as complete. */
+const COMPLETE_MARK = `${INCOMING_FOLDER}/complete`;
+
+/** State of all sections at one index. */
+export const snapshotSchema = z.object({
+  index: z.number(),
+  term: z.number(),
+  proposedAt: z.number(),
+  replicas: replicaSetSchema,
+  sections: z.record(z.string(), sectionSnapshotSchema),
+});
+export type Snapshot = z.infer<typeof snapshotSchema>;
+
+/** Keeps the latest snapshot and the files that belong to it. */
+export class SnapshotStore {
+  #storage: IStorage;
+
+  constructor(storage: IStorage) {
+    this.#storage = storage;
+  }
+
+  /** Saves a snapshot durably and returns its size in bytes. */
+  async save(snapshot: Snapshot): Promise<number> {
+    const bytes = encodeChecked(snapshot);
+    await this.#storage.replace(SNAPSHOT_FILE, bytes);
+    return bytes.length;
+  }
+
+  /**
+   * Reads the latest snapshot, after an interrupted installation is
+   * finished, and brings the sections' files to the lengths in it.
+   *
+   * @throws CorruptionError when a file is missing or too short.
+   */
+  async recover(): Promise<Snapshot | undefined> {
+    if (await this.#storage.size(COMPLETE_MARK) !== undefined) {
+      return await this.install();
+    }
+    const snapshot = await this.#load();
+    if (snapshot) await this.#cutFiles(snapshot);
+    return snapshot;
+  }
+
+  /** Removes what an earlier transfer left behind. */
+  async clearIncoming(): Promise<void> {
+    for (const name of await this.#storage.list(INCOMING_FOLDER)) {
+      await this.#storage.remove(name);
+    }
+  }
+
+  /** Notes durably that everything has been received. */
+  async markComplete(): Promise<void> {
+    const mark = await this.#storage.open(COMPLETE_MARK);
+    await mark.sync();
+    await mark.close();
+  }
+
+  /** Moves the received files in place; goes on where a crash stopped it. */
+  async install(): Promise<Snapshot> {
+    const received = await this.#storage.list(INCOMING_FOLDER);
+    for (const name of received) {
+      if (name === COMPLETE_MARK) continue;
+      const target = name.slice(INCOMING_FOLDER.length + 1);
+      if (target !== SNAPSHOT_FILE) await this.#storage.rename(name, target);
+    }
+    const incoming = `${INCOMING_FOLDER}/${SNAPSHOT_FILE}`;
+    if (received.includes(incoming)) {
+      await this.#storage.rename(incoming, SNAPSHOT_FILE);
+    }
+    await this.#storage.remove(COMPLETE_MARK);
+    const snapshot = await this.#load();
+    if (!snapshot) throw new CorruptionError("no snapshot was received");
+    await this.#cutFiles(snapshot);
+    return snapshot;
+  }
+
+  async #load(): Promise<Snapshot | undefined> {
+    return await readChecked(this.#storage, SNAPSHOT_FILE, snapshotSchema);
+  }
+
+  async #cutFiles(snapshot: Snapshot): Promise<void> {
+    for (const [section, { files }] of Object.entries(snapshot.sections)) {
+      const lengths = new Map(
+        files.map(({ name, length }) => [`${section}/${name}`, length]),
+      );
+      for (const name of await this.#storage.list(section)) {
+        if (!lengths.has(name)) await this.#storage.remove(name);
+      }
+      for (const [name, length] of lengths) {
+        await this.#cut(name, length);
+      }
+    }
+  }
+
+  async #cut(name: string, length: number): Promise<void> {
+    const size = await this.#storage.size(name) ?? 0;
+    if (size < length) {
+      throw new CorruptionError(`${name}: ${size} of ${length} bytes`);
+    }
+    if (size > length) await this.#storage.truncate(name, length);
+  }
+}
--- /dev/null
+++ b/src/consensus/state_machine.ts
@@ -0,0 +1,252 @@
+import { setImmediate } from "node:timers/promises";
+import { Emitter, type IDisposable, invariant } from "../common/mod.ts";
+import type { Entry } from "./entry.ts";
+import { replicasChanged, snapshotFailed, snapshotTaken } from "./events.ts";
+import type { ReplicaState } from "./replica_state.ts";
+import { Signal } from "./signal.ts";
+import type { Snapshot, SnapshotStore } from "./snapshot_store.ts";
+import type { IStateSection, SectionSnapshot } from "./types.ts";
+
+/** Entries applied before other tasks get a turn. */
+const APPLY_BURST = 200;
+
+/** When the log is compacted. */
+export interface ICompaction {
+  /** Entries since the last snapshot that call for a new one. */
+  readonly entries: number;
+  /** Encoded size of them that calls for a new one, in characters. */
+  readonly bytes: number;
+  /** Entries before the snapshot that are kept for slow peers. */
+  readonly trailingEntries: number;
+}
+
+/** Compaction of daemons. */
+export const DEFAULT_COMPACTION: ICompaction = {
+  entries: 10_000,
+  bytes: 8 * 1024 * 1024,
+  trailingEntries: 500,
+};
+
+/** Entry that has been applied, with the answer of its section. */
+export interface IAppliedEntry {
+  readonly entry: Entry;
+  readonly output: unknown;
+}
+
+/** Applies committed entries to the sections, and captures their state. */
+export class StateMachine implements IDisposable {
+  #sections: Map<string, IStateSection>;
+  #store: SnapshotStore;
+  #state: ReplicaState;
+  #compaction: ICompaction;
+  #appliedIndex: number;
+  #lastProposedAt: number;
+  #attempt: { index: number; bytes: number };
+  #saving: Promise<void> | undefined;
+  #tasks: (() => Promise<void>)[] = [];
+  #work = new Signal();
+  #disposed = false;
+  readonly #applied = new Emitter<IAppliedEntry>();
+  /** Fires for each applied entry, in order. */
+  readonly onApplied = this.#applied.event;
+
+  constructor(
+    sections: readonly IStateSection[],
+    state: ReplicaState,
+    options: {
+      store: SnapshotStore;
+      compaction: ICompaction;
+      /** Snapshot that the sections already hold. */
+      snapshot: Snapshot | undefined;
+    },
+  ) {
+    this.#sections = new Map(sections.map((it) => [it.definition.name, it]));
+    this.#state = state;
+    this.#store = options.store;
+    this.#compaction = options.compaction;
+    this.#appliedIndex = options.snapshot?.index ?? 0;
+    this.#lastProposedAt = options.snapshot?.proposedAt ?? 0;
+    this.#attempt = { index: this.#appliedIndex, bytes: 0 };
+    state.onCommit(() => this.#work.notify());
+  }
+
+  get appliedIndex(): number {
+    return this.#appliedIndex;
+  }
+
+  /** Time stamp of the last applied entry. */
+  get lastProposedAt(): number {
+    return this.#lastProposedAt;
+  }
+
+  /** Whether the section exists and takes the command; returns it parsed. */
+  parse(section: string, command: unknown): unknown {
+    const parsed = this.#sections.get(section)?.definition.command
+      .safeParse(command);
+    return parsed?.success ? parsed.data : undefined;
+  }
+
+  /** Applies entries as they commit, until it is disposed of. */
+  async run(): Promise<void> {
+    while (!this.#disposed && this.#state.role !== "stopped") {
+      const task = this.#tasks.shift();
+      if (task) {
+        await task();
+      } else if (this.#appliedIndex < this.#state.commitIndex) {
+        await this.#applyBurst();
+        if (this.#isSnapshotDue()) await this.#capture();
+      } else {
+        await this.#work.wait();
+      }
+    }
+  }
+
+  /** Puts an installed snapshot in place of the present state. */
+  install(prepare: () => Promise<Snapshot>): Promise<Snapshot> {
+    return new Promise((resolve, reject) => {
+      this.#tasks.push(async () => {
+        try {
+          await this.#saving;
+          for (const section of this.#sections.values()) {
+            await section.reset();
+          }
+          const snapshot = await prepare();
+          await restoreSections(this.#sections.values(), snapshot);
+          invariant(
+            snapshot.index >= this.#appliedIndex,
+            "the applied index only rises",
+          );
+          this.#appliedIndex = snapshot.index;
+          this.#lastProposedAt = snapshot.proposedAt;
+          this.#attempt = { index: snapshot.index, bytes: 0 };
+          resolve(snapshot);
+        } catch (error) {
+          this.#state.fail(error as Error);
+          reject(error);
+        }
+      });
+      this.#work.notify();
+    });
+  }
+
+  dispose(): void {
+    this.#disposed = true;
+    this.#work.notify();
+  }
+
+  /** Waits for the snapshot that is being written. */
+  async settle(): Promise<void> {
+    await this.#saving;
+  }
+
+  async #applyBurst(): Promise<void> {
+    const { commitIndex } = this.#state;
+    const end = Math.min(commitIndex, this.#appliedIndex + APPLY_BURST);
+    try {
+      while (this.#appliedIndex < end) {
+        this.#applyNext();
+      }
+    } catch (error) {
+      this.#state.fail(error as Error);
+    }
+    if (end < commitIndex) await setImmediate();
+  }
+
+  #applyNext(): void {
+    const entry = this.#state.log.at(this.#appliedIndex + 1);
+    invariant(entry !== undefined, "committed entries are in the log");
+    invariant(entry.index === this.#appliedIndex + 1, "one index at a time");
+    invariant(
+      entry.proposedAt >= this.#lastProposedAt,
+      "the time of proposals never decreases",
+    );
+    const output = this.#apply(entry);
+    this.#appliedIndex = entry.index;
+    this.#lastProposedAt = entry.proposedAt;
+    this.#attempt.bytes += this.#state.log.sizeFrom(entry.index, 1);
+    this.#applied.fire({ entry, output });
+  }
+
+  #apply(entry: Entry): unknown {
+    const { index, term, proposedAt, body } = entry;
+    if (body.kind === "replicas") {
+      this.#reportReplicas(index);
+      return undefined;
+    }
+    const section = this.#sections.get(body.section);
+    invariant(section !== undefined, `section ${body.section} exists`);
+    return section.apply(body.command, { index, term, proposedAt });
+  }
+
+  #reportReplicas(index: number): void {
+    const before = this.#state.tracker.at(index - 1);
+    const after = this.#state.tracker.at(index);
+    if (JSON.stringify(before) === JSON.stringify(after)) return;
+    this.#state.events.emit(replicasChanged, {
+      index,
+      voters: after.voters.map(({ id }) => id),
+      learners: after.learners.map(({ id }) => id),
+    });
+  }
+
+  #isSnapshotDue(): boolean {
+    if (this.#saving || this.#state.role === "stopped") return false;
+    const entries = this.#appliedIndex - this.#attempt.index;
+    return entries >= this.#compaction.entries ||
+      this.#attempt.bytes >= this.#compaction.bytes;
+  }
+
+  /** Captures all sections at one index; nothing is applied meanwhile. */
+  async #capture(): Promise<void> {
+    const startedAt = this.#state.clock.monotonic();
+    const index = this.#appliedIndex;
+    this.#attempt = { index, bytes: 0 };
+    const sections: Record<string, SectionSnapshot> = {};
+    for (const [name, section] of this.#sections) {
+      try {
+        sections[name] = await section.snapshot();
+      } catch (error) {
+        const reason = (error as Error).message;
+        this.#state.events.emit(snapshotFailed, { section: name, reason });
+        return;
+      }
+    }
+    const { log, tracker } = this.#state;
+    const snapshot = {
+      index,
+      term: log.termAt(index) ?? 0,
+      proposedAt: this.#lastProposedAt,
+      replicas: tracker.at(index),
+      sections,
+    };
+    this.#saving = this.#save(snapshot, startedAt);
+  }
+
+  async #save(snapshot: Snapshot, startedAt: number): Promise<void> {
+    const { clock, events, log, tracker } = this.#state;
+    try {
+      const bytes = await this.#store.save(snapshot);
+      const { index } = snapshot;
+      await log.compact(index - this.#compaction.trailingEntries);
+      tracker.compact(log.firstIndex - 1);
+      const milliseconds = Math.round(clock.monotonic() - startedAt);
+      events.emit(snapshotTaken, { index, bytes, milliseconds });
+    } catch (error) {
+      this.#state.fail(error as Error);
+    } finally {
+      this.#saving = undefined;
+    }
+  }
+}
+
+/** Brings sections to the state of a snapshot, or to the empty state. */
+export async function restoreSections(
+  sections: Iterable<IStateSection>,
+  snapshot: Snapshot | undefined,
+): Promise<void> {
+  for (const section of sections) {
+    const saved = snapshot?.sections[section.definition.name];
+    if (saved) await section.restore(saved);
+    else await section.reset();
+  }
+}
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -2,6 +2,7 @@
 import { z } from "zod";
 import type { Deadline, Failure, IEvent } from "../common/mod.ts";
 import { type IRpcMethod, peerAddressSchema } from "../rpc/mod.ts";
+import type { ReplicaMember } from "./replica_set.ts";
 
 /** Messages of one section of the replicated state. */
 export interface ISectionDefinition<
@@ -121,6 +122,18 @@
   stop(): Promise<void>;
 }
 
+/** Brings the leader's snapshot to a peer that missed too much. */
+export interface ISnapshotSender {
+  /**
+   * Sends the latest snapshot. Resolves with its index, or undefined when it
+   * could not be sent.
+   */
+  send(
+    peer: ReplicaMember,
+    signal: AbortSignal,
+  ): Promise<number | undefined>;
+}
+
 /** Access to the log's leader from any instance. */
 export interface IControlClient {
   /** Proposes a command at the leader, wherever it is. */
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -8,8 +8,8 @@
 } from "../configuration/mod.ts";
 import {
   ControlClient,
-  proposeMethod,
-  SingleVoterLog,
+  FolderStorage,
+  ReplicatedLog,
 } from "../consensus/mod.ts";
 import { Dispatcher } from "../dispatch/mod.ts";
 import {
@@ -64,21 +64,21 @@
   );
   const control = new ControlClient(() => voters, rpc, { clock });
 
-  let log: SingleVoterLog | undefined;
+  let log: ReplicatedLog | undefined;
   if (settings.control) {
+    const { dataFolder, start } = settings.control;
     const configuration = new ConfigurationSection();
-    const jobs = new JobsSection(join(settings.control.dataFolder, "jobs"));
-    log = new SingleVoterLog(self, [configuration, jobs], { clock });
-    await log.start(join(settings.control.dataFolder, "log"));
-    const replica = log;
-    server.handle(proposeMethod, async ({ section, command }) => {
-      const output = await replica.propose(section, command);
-      return output.map((output) => ({ output }));
+    const jobs = new JobsSection(join(dataFolder, "jobs"));
+    const { failureDomain } = settings.instance;
+    log = new ReplicatedLog({ ...self, failureDomain }, [configuration, jobs], {
+      ...{ rpc, server, clock, events, founders: voters, start },
+      storage: new FolderStorage(dataFolder),
     });
     store.add(handleConfiguration(server, log, { section: configuration }));
     store.add(handleJobs(server, log, { section: jobs }));
     store.add(new LeaseManager(log, jobs, { clock, server }));
     store.add(new MemberRegistry(log, configuration, { clock, server }));
+    await log.start();
   }
 
   const configuration = new ConfigurationHolder(events);
