Soak: mixed load under a seeded schedule of faults, checked from outside

Daemons run as processes, engines and relays inside the soak's process so that their counts survive.

--- /dev/null
+++ b/soak/batch_load.ts
@@ -0,0 +1,150 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { COMMITTEE_KEY, type Fleet } from "../testing/fleet.ts";
+import { fetchJson, postJson } from "../testing/http.ts";
+import type { SeededRandom } from "../testing/seeded_random.ts";
+import type { IJobRecord, SoakRecord } from "./record.ts";
+
+/** Pause between two jobs, in milliseconds. */
+const JOB_PAUSE_MILLISECONDS = 1_500;
+
+/** Longest wait for one answer, in milliseconds. */
+const ANSWER_TIMEOUT_MILLISECONDS = 15_000;
+
+const AUTHORIZATION = { authorization: `Bearer ${COMMITTEE_KEY}` };
+
+/** Prompt of an item. */
+export function itemPrompt(job: IJobRecord, index: number): string {
+  const word = job.poisoned.has(index) ? "[refuse]" : "gauge";
+  return `${job.name} ${word} ${index}`;
+}
+
+/** Tokens of an item. */
+export function itemTokens(index: number): number {
+  return 4 + (index % 20);
+}
+
+/** Submits jobs, some of them twice, and cancels some. */
+export async function runJobs(
+  fleet: Fleet,
+  record: SoakRecord,
+  options: { name: string; random: SeededRandom; signal: AbortSignal },
+): Promise<void> {
+  const { random, name, signal } = options;
+  for (let count = 0; !signal.aborted; count++) {
+    const items = random.integer(5, 60);
+    const job: IJobRecord = {
+      key: `${name}-${count}`,
+      name: `${name} job ${count}`,
+      items,
+      poisoned: new Set(
+        random.chance(30) ? [random.integer(0, items - 1)] : [],
+      ),
+      ids: new Set(),
+      cancelledAt: undefined,
+    };
+    const submitted = await submitUntilAnswered(fleet, job, { random, signal });
+    if (!submitted) return;
+    record.jobs.push(job);
+    if (random.chance(30)) await submit(job, submitted);
+    if (random.chance(25)) {
+      await sleep(random.integer(0, 800));
+      await cancel(fleet, job, { random, signal });
+    }
+    await sleep(random.integer(200, JOB_PAUSE_MILLISECONDS));
+  }
+}
+
+/** Uploads and submits until an answer arrives; returns the file used. */
+async function submitUntilAnswered(
+  fleet: Fleet,
+  job: IJobRecord,
+  options: { random: SeededRandom; signal: AbortSignal },
+): Promise<{ fileId: string; url: string } | undefined> {
+  let fileId: string | undefined;
+  for (let attempt = 0; attempt === 0 || !options.signal.aborted; attempt++) {
+    const url = options.random.pick(fleet.instances).callers;
+    fileId ??= await upload(url, job);
+    if (fileId !== undefined) {
+      const another = options.random.pick(fleet.instances).callers;
+      if (await submit(job, { fileId, url })) {
+        return { fileId, url: another };
+      }
+    }
+    await sleep(200);
+  }
+  return undefined;
+}
+
+async function upload(
+  url: string,
+  job: IJobRecord,
+): Promise<string | undefined> {
+  const lines = Array.from({ length: job.items }, (_, index) =>
+    JSON.stringify({
+      custom_id: `${index}`,
+      method: "POST",
+      url: "/v1/completions",
+      body: {
+        model: "alert-writer",
+        prompt: itemPrompt(job, index),
+        max_tokens: itemTokens(index),
+      },
+    }));
+  const form = new FormData();
+  form.set("purpose", "batch");
+  form.set("file", new Blob([lines.join("\n")]), "items.jsonl");
+  try {
+    const answer = await fetchJson(`${url}/v1/files`, {
+      method: "POST",
+      headers: AUTHORIZATION,
+      body: form,
+      signal: AbortSignal.timeout(ANSWER_TIMEOUT_MILLISECONDS),
+    });
+    return answer.status === 200 ? answer.body.id : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+async function submit(
+  job: IJobRecord,
+  options: { fileId: string; url: string },
+): Promise<boolean> {
+  try {
+    const answer = await postJson(`${options.url}/v1/batches`, {
+      input_file_id: options.fileId,
+      endpoint: "/v1/completions",
+      completion_window: "24h",
+    }, { ...AUTHORIZATION, "idempotency-key": job.key });
+    if (answer.status !== 200) return false;
+    job.ids.add(answer.body.id);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+async function cancel(
+  fleet: Fleet,
+  job: IJobRecord,
+  options: { random: SeededRandom; signal: AbortSignal },
+): Promise<void> {
+  const [id] = job.ids;
+  while (!options.signal.aborted) {
+    const url = options.random.pick(fleet.instances).callers;
+    try {
+      const answer = await postJson(
+        `${url}/v1/batches/${id}/cancel`,
+        {},
+        AUTHORIZATION,
+      );
+      if (answer.status === 200) {
+        job.cancelledAt = Date.now();
+        return;
+      }
+    } catch {
+      // Sent again below; cancelling twice is harmless.
+    }
+    await sleep(200);
+  }
+}
--- /dev/null
+++ b/soak/checks.ts
@@ -0,0 +1,220 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { type EngineStandin, expectedText } from "../testing/engine_standin.ts";
+import { COMMITTEE_KEY, type Fleet } from "../testing/fleet.ts";
+import { fetchJson } from "../testing/http.ts";
+import type { PlainStandin } from "../testing/plain_standin.ts";
+import { itemPrompt, itemTokens } from "./batch_load.ts";
+import type { IJobRecord, SoakRecord } from "./record.ts";
+
+/** Longest wait for all jobs to end after the faults, in milliseconds. */
+const SETTLE_TIMEOUT_MILLISECONDS = 90_000;
+
+/** Time in which work of a cancelled job may still begin: one lease. */
+const CANCEL_LIMIT_MILLISECONDS = 10_000;
+
+const AUTHORIZATION = { authorization: `Bearer ${COMMITTEE_KEY}` };
+
+/** What the stand-in engines counted, over all of them. */
+export interface IEngineCounts {
+  /** Attempts by prompt, resumed ones included. */
+  readonly attempts: ReadonlyMap<string, number>;
+  /** When the latest attempt began, by prompt. */
+  readonly lastBegun: ReadonlyMap<string, number>;
+}
+
+/** Adds up the counts of the engines. */
+export function readEngineCounts(
+  engines: readonly EngineStandin[],
+): IEngineCounts {
+  const attempts = new Map<string, number>();
+  const lastBegun = new Map<string, number>();
+  for (const engine of engines) {
+    for (const [prompt, count] of engine.attempts) {
+      attempts.set(prompt, (attempts.get(prompt) ?? 0) + count);
+    }
+    for (const [prompt, at] of engine.lastBegun) {
+      lastBegun.set(prompt, Math.max(lastBegun.get(prompt) ?? 0, at));
+    }
+  }
+  return { attempts, lastBegun };
+}
+
+/** Checks what callers were told against what engines and services ran. */
+export function checkRequests(
+  record: SoakRecord,
+  counts: IEngineCounts,
+  plain: PlainStandin,
+): void {
+  const runsOf = (request: { kind: string; prompt: string }) =>
+    (request.kind === "plain" ? plain.runs : counts.attempts)
+      .get(request.prompt) ?? 0;
+  const ends = new Map<string, Set<string>>();
+  for (const request of record.requests) {
+    const kinds = ends.get(request.prompt) ?? new Set();
+    ends.set(request.prompt, kinds.add(request.end?.kind ?? "none"));
+    if (request.end?.kind === "answer") {
+      if (request.end.text !== request.expected) {
+        record.violate(
+          `answer of "${request.prompt}" is "${request.end.text}"`,
+        );
+      }
+    }
+    if (request.kind !== "live" && runsOf(request) > 1) {
+      const runs = runsOf(request);
+      record.violate(`non-idempotent "${request.prompt}" ran ${runs} times`);
+    }
+  }
+  for (const request of record.requests) {
+    const kinds = ends.get(request.prompt);
+    if (kinds?.size === 1 && kinds.has("not-run") && runsOf(request) > 0) {
+      record.violate(`"${request.prompt}" was told not-run but ran`);
+    }
+  }
+}
+
+/** Checks that no planned stop cut off a request in progress. */
+export function checkPlannedStops(record: SoakRecord): void {
+  for (const stop of record.plannedStops) {
+    if (stop.exitCode !== 0) {
+      record.violate(`${stop.instance} stopped with code ${stop.exitCode}`);
+    }
+    for (const request of record.requests) {
+      const during = request.instance === stop.instance &&
+        request.beganAt <= stop.endedAt && request.endedAt >= stop.beganAt;
+      if (!during || request.end?.kind !== "broken") continue;
+      if (request.end.afterHead || request.beganAt < stop.beganAt) {
+        record.violate(
+          `planned stop of ${stop.instance} cut off "${request.prompt}"`,
+        );
+      }
+    }
+  }
+}
+
+/** Checks that accepted changes are in the history and in force. */
+export async function checkChanges(
+  fleet: Fleet,
+  record: SoakRecord,
+): Promise<void> {
+  const [first] = fleet.instances;
+  const answer = await fetchJson(
+    `${first?.operators}/configuration/history?limit=1000`,
+  );
+  const versions = new Map<string, number>();
+  for (const { changeId, version } of answer.body.records) {
+    versions.set(changeId, version);
+  }
+  const winners = new Map<number, string>();
+  for (const change of record.changes) {
+    const { changeId, acceptedVersion } = change;
+    if (acceptedVersion === undefined) continue;
+    if (versions.get(changeId) !== acceptedVersion) {
+      record.violate(`accepted change ${changeId} is not in the history`);
+    }
+    const other = winners.get(acceptedVersion);
+    if (other !== undefined) {
+      record.violate(`${changeId} and ${other} both won ${acceptedVersion}`);
+    }
+    winners.set(acceptedVersion, changeId);
+  }
+}
+
+/** Waits until all jobs have ended and checks their results. */
+export async function checkJobs(
+  fleet: Fleet,
+  record: SoakRecord,
+  counts: () => IEngineCounts,
+): Promise<void> {
+  const deadline = Date.now() + SETTLE_TIMEOUT_MILLISECONDS;
+  for (const job of record.jobs) {
+    if (job.ids.size !== 1) {
+      const ids = [...job.ids].join(", ");
+      record.violate(`job ${job.key} has the ids ${ids}`);
+    }
+    await checkJob(fleet, record, { job, deadline });
+  }
+  const { lastBegun } = counts();
+  for (const job of record.jobs) {
+    const limit = (job.cancelledAt ?? Infinity) + CANCEL_LIMIT_MILLISECONDS;
+    for (let index = 0; index < job.items; index++) {
+      const at = lastBegun.get(itemPrompt(job, index)) ?? 0;
+      if (at > limit) {
+        record.violate(`item ${index} of cancelled job ${job.key} began late`);
+      }
+    }
+  }
+}
+
+async function checkJob(
+  fleet: Fleet,
+  record: SoakRecord,
+  options: { job: IJobRecord; deadline: number },
+): Promise<void> {
+  const { job, deadline } = options;
+  const [id] = job.ids;
+  const batch = await waitForEnd(fleet, `${id}`, deadline);
+  if (!batch) return record.violate(`job ${job.key} did not end`);
+  const cancelled = job.cancelledAt !== undefined;
+  if (cancelled !== (batch.status === "cancelled")) {
+    // A job may have finished before its cancellation arrived.
+    if (!cancelled || batch.status !== "completed") {
+      record.violate(`job ${job.key} ended as ${batch.status}`);
+    }
+  }
+  const url = fleet.instances.at(-1)?.callers ?? "";
+  const results = new Map<number, string>();
+  for (const file of [batch.output_file_id, batch.error_file_id]) {
+    if (!file) continue;
+    for (const line of await readLines(`${url}/v1/files/${file}/content`)) {
+      const result = JSON.parse(line);
+      const index = Number(result.custom_id);
+      if (results.has(index)) {
+        record.violate(`item ${index} of ${job.key} has two results`);
+      }
+      results.set(index, line);
+      checkText(record, job, { index, result });
+    }
+  }
+  if (results.size !== job.items) {
+    const count = `${results.size} of ${job.items}`;
+    record.violate(`job ${job.key} has ${count} results`);
+  }
+}
+
+function checkText(
+  record: SoakRecord,
+  job: IJobRecord,
+  // deno-lint-ignore no-explicit-any
+  options: { index: number; result: any },
+): void {
+  const { index, result } = options;
+  const text = result.response?.body.choices[0].text;
+  if (text === undefined) return;
+  const expected = expectedText(itemPrompt(job, index), itemTokens(index));
+  if (text !== expected) {
+    record.violate(`item ${index} of ${job.key} has the text "${text}"`);
+  }
+}
+
+async function waitForEnd(fleet: Fleet, id: string, deadline: number) {
+  for (let attempt = 0; Date.now() < deadline; attempt++) {
+    const instance = fleet.instances[attempt % fleet.instances.length];
+    try {
+      const { status, body } = await fetchJson(
+        `${instance?.callers}/v1/batches/${id}`,
+        { headers: AUTHORIZATION, signal: AbortSignal.timeout(5_000) },
+      );
+      if (status === 200 && !/progress|ing$/.test(body.status)) return body;
+    } catch {
+      // Another instance is asked next.
+    }
+    await sleep(100);
+  }
+  return undefined;
+}
+
+async function readLines(url: string): Promise<string[]> {
+  const response = await fetch(url, { headers: AUTHORIZATION });
+  const text = await response.text();
+  return text.split("\n").filter((line) => line !== "");
+}
--- /dev/null
+++ b/soak/faults.ts
@@ -0,0 +1,176 @@
+import { rm } from "node:fs/promises";
+import { setTimeout as sleep } from "node:timers/promises";
+import { match } from "ts-pattern";
+import { type IFleetInstance, kill } from "../testing/fleet.ts";
+import type { SeededRandom } from "../testing/seeded_random.ts";
+import type { SoakRecord } from "./record.ts";
+import type { SoakFleet } from "./soak_fleet.ts";
+
+const FAULT_KINDS = [
+  "kill-instance",
+  "freeze-instance",
+  "stop-instance",
+  "isolate-voter",
+  "silence-voter-connections",
+  "cut-engine",
+  "freeze-engine",
+  "silence-engine-streams",
+  "lose-answers-of-plain-service",
+] as const;
+
+/** Kind of a fault. */
+export type FaultKind = typeof FAULT_KINDS[number];
+
+/** A fault of the schedule. */
+export interface IScheduledFault {
+  readonly kind: FaultKind;
+  /** Begin, in milliseconds after the start of the load. */
+  readonly at: number;
+  /** How long it lasts, in milliseconds. */
+  readonly lasts: number;
+  /** Chooses the instance or engine. */
+  readonly choice: number;
+}
+
+/** Shortest and longest pause between two faults, in milliseconds. */
+const MINIMUM_PAUSE_MILLISECONDS = 300;
+const MAXIMUM_PAUSE_MILLISECONDS = 2_500;
+
+/** Shortest and longest fault, in milliseconds. */
+const MINIMUM_FAULT_MILLISECONDS = 200;
+const MAXIMUM_FAULT_MILLISECONDS = 8_000;
+
+/** Draws a schedule; the same seed gives the same schedule. */
+export function drawSchedule(
+  random: SeededRandom,
+  milliseconds: number,
+): IScheduledFault[] {
+  const faults: IScheduledFault[] = [];
+  let at = 0;
+  for (;;) {
+    at += random.integer(
+      MINIMUM_PAUSE_MILLISECONDS,
+      MAXIMUM_PAUSE_MILLISECONDS,
+    );
+    if (at >= milliseconds) return faults;
+    const kind = random.pick(FAULT_KINDS);
+    const lasts = random.integer(
+      MINIMUM_FAULT_MILLISECONDS,
+      MAXIMUM_FAULT_MILLISECONDS,
+    );
+    faults.push({ kind, at, lasts, choice: random.integer(0, 1_000) });
+  }
+}
+
+/** Carries out a schedule and resolves when every fault has ended. */
+export async function runFaults(
+  fleet: SoakFleet,
+  record: SoakRecord,
+  schedule: readonly IScheduledFault[],
+): Promise<void> {
+  const start = Date.now();
+  const busy = new Set<string>();
+  const running = schedule.map(async (fault) => {
+    await sleep(Math.max(0, start + fault.at - Date.now()));
+    await runFault(fleet, record, { fault, busy });
+  });
+  await Promise.all(running);
+}
+
+async function runFault(
+  fleet: SoakFleet,
+  record: SoakRecord,
+  options: { fault: IScheduledFault; busy: Set<string> },
+): Promise<void> {
+  const { fault, busy } = options;
+  const instances = fleet.fleet.instances;
+  const instance = instances[fault.choice % instances.length];
+  const engine = fleet.engines[fault.choice % fleet.engines.length];
+  const onInstance = /instance|voter/.test(fault.kind);
+  const subject = onInstance ? instance?.id : engine?.id;
+  // One fault at a time on the same instance or engine.
+  if (!instance || !engine || !subject || busy.has(subject)) return;
+  busy.add(subject);
+  record.disturbances.push({
+    what: `${fault.kind} ${subject}`,
+    at: Date.now(),
+  });
+  const relay = fleet.voterRelays.get(instance.id);
+  await match(fault.kind)
+    .with("kill-instance", () => killInstance(fleet, instance, fault))
+    .with("freeze-instance", () => freezeInstance(instance, fault))
+    .with("stop-instance", () => stopInstance(fleet, record, instance))
+    .with("isolate-voter", async () => {
+      relay?.isolate();
+      await sleep(fault.lasts);
+      relay?.heal();
+      relay?.resetOpenConnections();
+    })
+    .with("silence-voter-connections", () => {
+      relay?.silenceOpenConnections();
+      return Promise.resolve();
+    })
+    .with("cut-engine", async () => {
+      engine.relay.cut();
+      await sleep(fault.lasts);
+      engine.relay.heal();
+    })
+    .with("freeze-engine", () => {
+      engine.standin.freeze(fault.lasts);
+      return sleep(fault.lasts);
+    })
+    .with("silence-engine-streams", () => {
+      engine.relay.silenceOpenConnections();
+      return Promise.resolve();
+    })
+    .with("lose-answers-of-plain-service", async () => {
+      fleet.plain.dropsAnswers = true;
+      await sleep(fault.lasts);
+      fleet.plain.dropsAnswers = false;
+    })
+    .exhaustive();
+  busy.delete(subject);
+}
+
+async function killInstance(
+  fleet: SoakFleet,
+  instance: IFleetInstance,
+  fault: IScheduledFault,
+): Promise<void> {
+  await kill(instance.process, "SIGKILL");
+  await sleep(fault.lasts);
+  await fleet.fleet.restart(instance);
+}
+
+async function freezeInstance(
+  instance: IFleetInstance,
+  fault: IScheduledFault,
+): Promise<void> {
+  const frozen = instance.process;
+  frozen.kill("SIGSTOP");
+  await sleep(fault.lasts);
+  frozen.kill("SIGCONT");
+}
+
+async function stopInstance(
+  fleet: SoakFleet,
+  record: SoakRecord,
+  instance: IFleetInstance,
+): Promise<void> {
+  const stop = {
+    instance: instance.id,
+    beganAt: Date.now(),
+    endedAt: Number.POSITIVE_INFINITY,
+    exitCode: 0 as number | null,
+  };
+  record.plannedStops.push(stop);
+  stop.exitCode = await kill(instance.process, "SIGTERM");
+  stop.endedAt = Date.now();
+  await fleet.fleet.restart(instance);
+}
+
+/** Removes the data of a voter whose process is not running. */
+export async function loseData(instance: IFleetInstance): Promise<void> {
+  if (!instance.dataFolder) return;
+  await rm(instance.dataFolder, { recursive: true, force: true });
+}
--- /dev/null
+++ b/soak/live_load.ts
@@ -0,0 +1,111 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { expectedText } from "../testing/engine_standin.ts";
+import { type Fleet, STATION_KEY } from "../testing/fleet.ts";
+import type { SeededRandom } from "../testing/seeded_random.ts";
+import type { IRequestRecord, RequestEnd, SoakRecord } from "./record.ts";
+
+/** Longest wait for an answer, in milliseconds. */
+const ANSWER_TIMEOUT_MILLISECONDS = 20_000;
+
+/** Pause of a caller between two requests, in milliseconds. */
+const MAXIMUM_PAUSE_MILLISECONDS = 60;
+
+/** How often a client sends a request again that it knows nothing of. */
+const MAXIMUM_RESENDS = 2;
+
+/** Sends live and plain requests until the signal is aborted. */
+export async function runCaller(
+  fleet: Fleet,
+  record: SoakRecord,
+  options: { name: string; random: SeededRandom; signal: AbortSignal },
+): Promise<void> {
+  const { random, name, signal } = options;
+  for (let count = 0; !signal.aborted; count++) {
+    const prompt = `${name} request ${count}`;
+    const kind = random.pick(
+      ["live", "live", "live", "once", "plain"] as const,
+    );
+    let resends = kind === "live" ? 0 : MAXIMUM_RESENDS;
+    for (;;) {
+      const instance = random.pick(fleet.instances);
+      const tokens = 4 + (count % 12);
+      const request: IRequestRecord = {
+        kind,
+        prompt,
+        expected: kind === "plain" ? prompt : expectedText(prompt, tokens),
+        instance: instance.id,
+        beganAt: Date.now(),
+        endedAt: 0,
+        end: undefined,
+      };
+      record.requests.push(request);
+      request.end = await send(instance.callers, request, { tokens });
+      request.endedAt = Date.now();
+      if (request.end.kind !== "broken" || resends-- === 0) break;
+      await sleep(random.integer(1, 500));
+    }
+    await sleep(random.integer(0, MAXIMUM_PAUSE_MILLISECONDS));
+  }
+}
+
+async function send(
+  url: string,
+  request: IRequestRecord,
+  options: { tokens: number },
+): Promise<RequestEnd> {
+  const headers: Record<string, string> = {
+    authorization: `Bearer ${STATION_KEY}`,
+  };
+  if (request.kind !== "live") {
+    headers["figroad-idempotent"] = "false";
+    headers["idempotency-key"] = request.prompt;
+  }
+  const path = request.kind === "plain"
+    ? "/plain/notices/send"
+    : "/v1/completions";
+  const body = request.kind === "plain" ? request.prompt : JSON.stringify({
+    model: "alert-writer",
+    prompt: request.prompt,
+    max_tokens: options.tokens,
+    stream: request.kind === "live",
+  });
+  let afterHead = false;
+  try {
+    const response = await fetch(url + path, {
+      method: "POST",
+      headers,
+      body,
+      signal: AbortSignal.timeout(ANSWER_TIMEOUT_MILLISECONDS),
+    });
+    afterHead = true;
+    const text = await response.text();
+    if (response.status !== 200) return refusal(response);
+    return readAnswer(request, text);
+  } catch {
+    return { kind: "broken", afterHead };
+  }
+}
+
+function refusal(response: Response): RequestEnd {
+  const verdict = response.headers.get("figroad-verdict");
+  return { kind: verdict === "not-run" ? "not-run" : "may-have-run" };
+}
+
+function readAnswer(request: IRequestRecord, text: string): RequestEnd {
+  if (request.kind === "plain") return { kind: "answer", text };
+  if (request.kind === "once") {
+    return { kind: "answer", text: JSON.parse(text).choices[0].text };
+  }
+  let whole = "";
+  for (const event of text.split("\n\n")) {
+    const data = event.replace(/^data: /, "");
+    if (data === "[DONE]") return { kind: "answer", text: whole };
+    if (data === "") break;
+    const parsed = JSON.parse(data);
+    if (parsed.error) {
+      return { kind: parsed.error.verdict };
+    }
+    whole += parsed.choices[0].text;
+  }
+  return { kind: "broken", afterHead: true };
+}
--- a/testing/engine_standin.ts
+++ b/testing/engine_standin.ts
@@ -72,6 +72,10 @@
 export class EngineStandin {
   /** How often generation began, by prompt; resumptions do not count. */
   readonly begun = new Map<string, number>();
+  /** Attempts by prompt, resumed ones included. */
+  readonly attempts = new Map<string, number>();
+  /** When the latest attempt began, in milliseconds since the Unix epoch. */
+  readonly lastBegun = new Map<string, number>();
   /** Streams whose connection closed before their last token. */
   cancelled = 0;
   tokensGenerated = 0;
@@ -170,6 +174,8 @@
     if (prompt.includes("[refuse]")) {
       return sendJson(response, 400, { error: { message: "refused" } });
     }
+    this.attempts.set(prompt, (this.attempts.get(prompt) ?? 0) + 1);
+    this.lastBegun.set(prompt, Date.now());
     if (!body.resume) {
       this.begun.set(prompt, (this.begun.get(prompt) ?? 0) + 1);
     }
@@ -315,6 +321,8 @@
   #counts(): object {
     return {
       begun: Object.fromEntries(this.begun),
+      attempts: Object.fromEntries(this.attempts),
+      lastBegun: Object.fromEntries(this.lastBegun),
       cancelled: this.cancelled,
       tokensGenerated: this.tokensGenerated,
       running: this.#running.length,
--- a/testing/fleet.ts
+++ b/testing/fleet.ts
@@ -8,6 +8,7 @@
 import { fileURLToPath } from "node:url";
 import { applyConfiguration, fetchJson } from "./http.ts";
 import { reservePorts } from "./ports.ts";
+import { Relay } from "./relay.ts";
 
 const DAEMON = fileURLToPath(
   new URL("../src/daemon/figroadd.js", import.meta.url),
@@ -42,6 +43,10 @@
   voters: number;
   engines: number;
   engineOptions?: object;
+  /** Ports of engines that run elsewhere, after those started here. */
+  enginePorts?: readonly number[];
+  /** Puts a relay before the port at which each voter is called. */
+  voterRelays?: boolean;
   /** Changes the generated configuration before it is applied. */
   // deno-lint-ignore no-explicit-any
   configure?: (document: any) => void;
@@ -58,6 +63,8 @@
   readonly folder: string;
   readonly instances: IFleetInstance[] = [];
   readonly engines: IFleetEngine[] = [];
+  /** Relays before the voters' ports, by instance. */
+  readonly voterRelays = new Map<string, Relay>();
 
   private constructor(folder: string) {
     this.folder = folder;
@@ -92,10 +99,12 @@
     }
   }
 
-  /** Ends every process and removes the files. */
-  async stop(): Promise<void> {
+  /** Ends every process and removes the files, unless they are to be kept. */
+  async stop(options = { keepFiles: false }): Promise<void> {
     const children = [...this.instances, ...this.engines];
     await Promise.all(children.map(({ process }) => kill(process, "SIGKILL")));
+    this.voterRelays.forEach((relay) => relay.dispose());
+    if (options.keepFiles) return;
     await rm(this.folder, { recursive: true, force: true });
   }
 
@@ -114,12 +123,18 @@
   async #startInstances(options: IFleetOptions): Promise<void> {
     const ports = await reservePorts(options.instances * 3);
     const port = (index: number, kind: number) => ports[index * 3 + kind] ?? 0;
-    const voters = Array.from({ length: options.voters }, (_, index) => ({
-      id: `instance-${index}`,
-      address: "127.0.0.1",
-      port: port(index, 1),
-      failureDomain: `domain-${index % 3}`,
-    }));
+    const voters = [];
+    for (let index = 0; index < options.voters; index++) {
+      const id = `instance-${index}`;
+      voters.push({
+        id,
+        address: "127.0.0.1",
+        port: options.voterRelays
+          ? await this.#relay(id, port(index, 1))
+          : port(index, 1),
+        failureDomain: `domain-${index % 3}`,
+      });
+    }
     for (let index = 0; index < options.instances; index++) {
       const id = `instance-${index}`;
       const dataFolder = index < options.voters
@@ -152,6 +167,12 @@
     }
   }
 
+  async #relay(id: string, port: number): Promise<number> {
+    const relay = new Relay(port);
+    this.voterRelays.set(id, relay);
+    return await relay.listen();
+  }
+
   async #spawnDaemon(settingsPath: string): Promise<ChildProcess> {
     const log = await open(`${settingsPath}.log`, "a");
     const child = spawn(process.execPath, [
@@ -178,8 +199,11 @@
         failureDomains: ["domain-0", "domain-1", "domain-2"],
       }],
       services: [{ name: "alerts", model: "alert-writer" }],
-      engines: this.engines.map(({ id, port }, index) => ({
-        id,
+      engines: [
+        ...this.engines.map(({ port }) => port),
+        ...options.enginePorts ?? [],
+      ].map((port, index) => ({
+        id: `engine-${index}`,
         service: "alerts",
         address: "127.0.0.1",
         port,
--- /dev/null
+++ b/testing/relay.ts
@@ -0,0 +1,99 @@
+import { connect, createServer, type Server, type Socket } from "node:net";
+
+/** One connection through a relay. */
+interface IPair {
+  readonly near: Socket;
+  readonly far: Socket;
+  silent: boolean;
+}
+
+/** TCP relay on loopback whose connections a test can disturb. */
+export class Relay {
+  #targetPort: number;
+  #server: Server;
+  #pairs = new Set<IPair>();
+  #refusing = false;
+  #silentForNew = false;
+
+  constructor(targetPort: number) {
+    this.#targetPort = targetPort;
+    this.#server = createServer((near) => this.#accept(near));
+  }
+
+  /** Starts to relay and resolves with the port. */
+  listen(port = 0): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, "127.0.0.1", () => {
+        resolve((this.#server.address() as { port: number }).port);
+      });
+    });
+  }
+
+  /** Resets open connections and refuses new ones until `heal`. */
+  cut(): void {
+    this.#refusing = true;
+    this.resetOpenConnections();
+  }
+
+  /** Resets open connections; new ones work. */
+  resetOpenConnections(): void {
+    for (const { near, far } of this.#pairs) {
+      near.resetAndDestroy();
+      far.resetAndDestroy();
+    }
+  }
+
+  /** Open connections carry nothing more, for good; new ones work. */
+  silenceOpenConnections(): void {
+    for (const pair of this.#pairs) pair.silent = true;
+  }
+
+  /** Nothing is carried, on open and on new connections, until `heal`. */
+  isolate(): void {
+    this.#silentForNew = true;
+    this.silenceOpenConnections();
+  }
+
+  /** New connections work again; silenced ones stay silent. */
+  heal(): void {
+    this.#refusing = false;
+    this.#silentForNew = false;
+  }
+
+  dispose(): void {
+    this.#server.close();
+    for (const { near, far } of this.#pairs) {
+      near.destroy();
+      far.destroy();
+    }
+  }
+
+  #accept(near: Socket): void {
+    near.on("error", () => {});
+    if (this.#refusing) {
+      near.resetAndDestroy();
+      return;
+    }
+    const far = connect({ host: "127.0.0.1", port: this.#targetPort });
+    far.on("error", () => near.destroy());
+    const pair = { near, far, silent: this.#silentForNew };
+    this.#pairs.add(pair);
+    this.#carry(pair, near, far);
+    this.#carry(pair, far, near);
+  }
+
+  /** Copies bytes and the close; a silent pair copies neither. */
+  #carry(pair: IPair, from: Socket, to: Socket): void {
+    from.setNoDelay(true);
+    from.on("data", (bytes) => {
+      if (!pair.silent && !to.write(bytes)) from.pause();
+    });
+    to.on("drain", () => from.resume());
+    from.on("close", () => {
+      if (pair.silent) return;
+      this.#pairs.delete(pair);
+      to.destroy();
+    });
+  }
+}
