--- /dev/null
+++ b/measure/capacity_configuration.ts
@@ -0,0 +1,78 @@
+import process from "node:process";
+import {
+  configurationSchema,
+  ConfigurationView,
+} from "../src/configuration/mod.ts";
+import { letterConfiguration } from "./letter_configuration.ts";
+import { fitLine, median } from "./statistics.ts";
+
+const SHARES = [0.25, 0.5, 1];
+const RUNS = 9;
+
+/** Changes of configuration a day that letter 1 names. */
+const LETTER_CHANGES_PER_DAY = 1_800;
+const SECONDS_PER_DAY = 86_400;
+
+/** Measures what one configuration change costs an instance. */
+export function measureConfiguration(): void {
+  const points = SHARES.map((share) => ({ share, ...measureShare(share) }));
+  console.log("configuration: cost of one change at an instance");
+  console.table(points.map((point) => ({
+    "share of the letter's size": point.share,
+    "document (KB)": (point.bytes / 1_024).toFixed(1),
+    "parse and check (ms)": point.checkMilliseconds.toFixed(2),
+    "index (ms)": point.indexMilliseconds.toFixed(2),
+    "heap (MB)": point.heapMegabytes.toFixed(2),
+  })));
+  const whole = points.at(-1);
+  if (!whole) return;
+  const perSecond = LETTER_CHANGES_PER_DAY / SECONDS_PER_DAY;
+  const milliseconds = whole.checkMilliseconds + whole.indexMilliseconds;
+  const line = fitLine(points.map(({ share, bytes }) => ({
+    x: share,
+    y: bytes / 1_024,
+  })));
+  console.log(
+    `slope ${line.slope.toFixed(1)} KB per letter size, spread ${
+      line.spread.toFixed(1)
+    } KB`,
+  );
+  console.log(
+    `${LETTER_CHANGES_PER_DAY} whole documents a day: ${
+      (whole.bytes / 1_024 * perSecond).toFixed(2)
+    } KB/s and ${(milliseconds * perSecond / 10).toFixed(3)}% of a core`,
+  );
+}
+
+function measureShare(share: number) {
+  const text = JSON.stringify(letterConfiguration(share));
+  const checks: number[] = [];
+  const indexes: number[] = [];
+  const views: ConfigurationView[] = [];
+  globalThis.gc?.();
+  const heapBefore = process.memoryUsage().heapUsed;
+  for (let run = 0; run < RUNS; run++) {
+    const started = performance.now();
+    const document = configurationSchema.parse(JSON.parse(text));
+    const checked = performance.now();
+    views.push(
+      new ConfigurationView({
+        version: 1,
+        changeId: "measure",
+        operator: "measure",
+        acceptedAt: 0,
+        document,
+      }),
+    );
+    checks.push(checked - started);
+    indexes.push(performance.now() - checked);
+  }
+  globalThis.gc?.();
+  const heap = process.memoryUsage().heapUsed - heapBefore;
+  return {
+    bytes: text.length,
+    checkMilliseconds: median(checks),
+    indexMilliseconds: median(indexes),
+    heapMegabytes: heap / views.length / 1_048_576,
+  };
+}
--- /dev/null
+++ b/measure/letter_configuration.ts
@@ -0,0 +1,52 @@
+import { createHash } from "node:crypto";
+
+/** Size of the configuration that letter 1 names. */
+export const LETTER_ENGINES = 1_800;
+export const LETTER_CALLERS = 970;
+export const LETTER_SERVICES = 28;
+export const LETTER_FAILURE_DOMAINS = 19;
+export const LETTER_REGIONS = 5;
+
+/** Builds an inventory and rules of a given share of the letter's size. */
+export function letterConfiguration(share = 1) {
+  const count = (whole: number) => Math.max(1, Math.round(whole * share));
+  const services = range(count(LETTER_SERVICES), (index) => ({
+    name: `service-${index}`,
+    model: `model-${index}`,
+  }));
+  const domains = range(LETTER_FAILURE_DOMAINS, (index) => `domain-${index}`);
+  const callers = range(count(LETTER_CALLERS), (index) => ({
+    name: `workspace-${index}`,
+    group: `group-${index % 12}`,
+    keySha256: createHash("sha256").update(`key-${index}`).digest("hex"),
+    limits: { requestsPerSecond: 50 },
+  }));
+  return {
+    places: range(LETTER_REGIONS, (region) => ({
+      region: `region-${region}`,
+      failureDomains: domains.filter((_, index) =>
+        index % LETTER_REGIONS === region
+      ),
+    })),
+    services,
+    engines: range(count(LETTER_ENGINES), (index) => ({
+      id: `engine-${index}`,
+      service: `service-${index % services.length}`,
+      address: `10.0.${Math.floor(index / 250)}.${index % 250 + 1}`,
+      port: 8_000,
+      failureDomain: domains[index % domains.length] ?? "",
+    })),
+    callers,
+    rules: range(services.length, (index) => ({
+      callers: callers
+        .filter((_, position) => position % services.length === index)
+        .map(({ name }) => name),
+      services: [`service-${index}`],
+      batch: index % 2 === 0,
+    })).filter((rule) => rule.callers.length > 0),
+  };
+}
+
+function range<T>(count: number, build: (index: number) => T): T[] {
+  return Array.from({ length: count }, (_, index) => build(index));
+}
