Target availability from every instance's platform list; member deltas

Cause: the platform's list lags, and it may lag at one instance alone; the member list went whole to every instance at every change. Ruled out: a newest list by revision (the platform promises no revision) and a majority of lists (the newest list is alone at first). A union of what the lists call leaving is right as soon as one list is; a minority that says so for two minutes is doubted. Now: heartbeats are held by the leader until there is news or a second has passed; members travel as changes; a new leader begins with its own copy. Configuration travels as patches; GET /configuration/rollout; changes are accepted only while the leader hears more than half of the instances. Shown to fail: without the fleet's leaving targets 'late list at one instance' said 'never: leaving everywhere'; without the copy 'new leader keeps members and leaving targets' failed.

--- a/src/configuration/configuration_handlers.ts
+++ b/src/configuration/configuration_handlers.ts
@@ -1,28 +1,89 @@
-import type { IDisposable } from "../common/mod.ts";
-import { DisposableStore } from "../common/mod.ts";
+import { err, ok, type Result } from "neverthrow";
+import type { Deadline, Failure, IDisposable } from "../common/mod.ts";
+import { DisposableStore, mayHaveRun, notRun } from "../common/mod.ts";
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
+import { ConfigurationPatches } from "./configuration_patches.ts";
 import type { ConfigurationSection } from "./configuration_section.ts";
 import {
+  type ApplyCommand,
+  applyConfigurationMethod,
+  type ApplyOutput,
+  applyOutputSchema,
   configurationHistoryMethod,
+  configurationSection,
   fetchConfigurationMethod,
+  fetchFromPeerMethod,
+  rolloutMethod,
 } from "./messages.ts";
+import { rolloutOf } from "./rollout.ts";
+import type { IAudience, IConfigurationSource } from "./types.ts";
+
+/** Seconds after which a change refused for want of a majority may return. */
+const RETRY_AFTER_SECONDS = 2;
 
 /** Answers questions about the configuration, on the log's leader. */
 export function handleConfiguration(
   server: IRpcServer,
   log: IReplicatedLog,
-  options: { section: ConfigurationSection },
+  options: { section: ConfigurationSection; audience: IAudience },
 ): IDisposable {
-  const { section } = options;
+  const { section, audience } = options;
   const store = new DisposableStore();
-  store.add(server.handle(fetchConfigurationMethod, async (_, context) => {
+  const patches = new ConfigurationPatches();
+  if (section.current) patches.remember(section.current);
+  store.add(section.onAccepted((accepted) => patches.remember(accepted)));
+  store.add(server.handle(fetchConfigurationMethod, async (params, context) => {
     const barrier = await log.barrier(context);
-    return barrier.map(() => ({ accepted: section.current }));
+    return barrier.map(() => {
+      const { have } = params;
+      const patch = have === undefined ? undefined : patches.patchFrom(have);
+      return patch ? { patch } : { accepted: section.current };
+    });
   }));
   store.add(server.handle(configurationHistoryMethod, async (params, at) => {
     const barrier = await log.barrier(at);
     return barrier.map(() => ({ records: section.history(params.limit) }));
   }));
+  store.add(server.handle(applyConfigurationMethod, async (command, at) => {
+    const barrier = await log.barrier(at);
+    if (barrier.isErr()) return err(barrier.error);
+    const isRepeated = section.hasChange(command.changeId);
+    if (!isRepeated && !audience.hearsMajority) {
+      const reason = "fewer than half of the instances can be reached";
+      const retryAfterSeconds = RETRY_AFTER_SECONDS;
+      return err(notRun("unavailable", reason, { retryAfterSeconds }));
+    }
+    return await propose(log, command, at);
+  }));
+  store.add(server.handle(rolloutMethod, async ({ version }, at) => {
+    const barrier = await log.barrier(at);
+    return barrier.map(() => rolloutOf(version, audience));
+  }));
   return store;
 }
+
+/** Shows other instances the configuration that this one has in force. */
+export function handlePeerFetches(
+  server: IRpcServer,
+  holder: IConfigurationSource,
+): IDisposable {
+  return server.handle(fetchFromPeerMethod, ({ have }) => {
+    const { accepted } = holder;
+    const version = accepted?.version ?? 0;
+    const newer = version > have ? accepted : undefined;
+    return Promise.resolve(ok({ version, accepted: newer }));
+  });
+}
+
+async function propose(
+  log: IReplicatedLog,
+  command: ApplyCommand,
+  options: { deadline: Deadline },
+): Promise<Result<ApplyOutput, Failure>> {
+  const answer = await log.propose(configurationSection.name, command, options);
+  if (answer.isErr()) return err(answer.error);
+  const output = applyOutputSchema.safeParse(answer.value);
+  if (output.success) return ok(output.data);
+  return err(mayHaveRun("internal", output.error.message));
+}
--- a/src/configuration/configuration_holder.ts
+++ b/src/configuration/configuration_holder.ts
@@ -1,4 +1,4 @@
-import { Emitter } from "../common/mod.ts";
+import { Emitter, invariant } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import { ConfigurationView } from "./configuration_view.ts";
 import { configurationInForce, configurationOlderIgnored } from "./events.ts";
@@ -9,6 +9,7 @@
 export class ConfigurationHolder implements IConfigurationSource {
   #events: IEventLog;
   #current: ConfigurationView | undefined;
+  #accepted: AcceptedConfiguration | undefined;
   #change = new Emitter<IConfigurationView>();
   readonly onChange = this.#change.event;
 
@@ -20,6 +21,10 @@
     return this.#current;
   }
 
+  get accepted(): AcceptedConfiguration | undefined {
+    return this.#accepted;
+  }
+
   offer(accepted: AcceptedConfiguration): void {
     const inForce = this.#current?.version ?? 0;
     if (accepted.version === inForce) return;
@@ -29,6 +34,8 @@
       return;
     }
     this.#current = new ConfigurationView(accepted);
+    this.#accepted = accepted;
+    invariant(this.#current.version > inForce, "configuration went back");
     const { version, changeId } = accepted;
     this.#events.emit(configurationInForce, { version, changeId });
     this.#change.fire(this.#current);
--- a/src/configuration/configuration_section.ts
+++ b/src/configuration/configuration_section.ts
@@ -4,6 +4,7 @@
   SectionSnapshot,
 } from "../consensus/mod.ts";
 import { z } from "zod";
+import { Emitter } from "../common/mod.ts";
 import {
   type AcceptedConfiguration,
   acceptedConfigurationSchema,
@@ -32,12 +33,20 @@
   #current: AcceptedConfiguration | undefined;
   #history: ChangeRecord[] = [];
   #byChangeId = new Map<string, ChangeRecord>();
+  #accepted = new Emitter<AcceptedConfiguration>();
+  /** Fires after another configuration was accepted or restored. */
+  readonly onAccepted = this.#accepted.event;
 
   /** The configuration that is in force. */
   get current(): AcceptedConfiguration | undefined {
     return this.#current;
   }
 
+  /** Whether a change of this identifier was accepted and is remembered. */
+  hasChange(changeId: string): boolean {
+    return this.#byChangeId.has(changeId);
+  }
+
   /** Returns the latest changes, newest first. */
   history(limit: number): ChangeRecord[] {
     return this.#history.slice(-limit).reverse();
@@ -58,6 +67,7 @@
     };
     this.#current = { ...record, document: command.document };
     this.#remember(record);
+    this.#accepted.fire(this.#current);
     return { kind: "accepted", record };
   }
 
@@ -73,6 +83,7 @@
     for (const record of state.history) {
       this.#remember(record);
     }
+    if (this.#current) this.#accepted.fire(this.#current);
   }
 
   reset(): Promise<void> {
--- a/src/configuration/messages.ts
+++ b/src/configuration/messages.ts
@@ -51,10 +51,78 @@
   output: applyOutputSchema,
 } satisfies ISectionDefinition;
 
+/** A section of a list in a document that is replaced by other elements. */
+export const listChangeSchema = z.object({
+  /** Field of the document that holds the list. */
+  field: z.string(),
+  start: z.int().min(0),
+  deleteCount: z.int().min(0),
+  insert: z.array(z.unknown()),
+});
+export type ListChange = z.infer<typeof listChangeSchema>;
+
+/** Difference between two accepted configurations. */
+export const configurationPatchSchema = z.object({
+  /** Version that the patch applies to. */
+  from: z.number(),
+  record: changeRecordSchema,
+  lists: z.array(listChangeSchema),
+  /** Other fields that have new values; null removes a field. */
+  fields: z.record(z.string(), z.unknown()),
+  /** SHA-256 of the resulting document as JSON. */
+  digest: z.string(),
+});
+export type ConfigurationPatch = z.infer<typeof configurationPatchSchema>;
+
+/** Answer to a request for a configuration: whole, or as a patch. */
+export const fetchedConfigurationSchema = z.object({
+  accepted: acceptedConfigurationSchema.optional(),
+  patch: configurationPatchSchema.optional(),
+});
+export type FetchedConfiguration = z.infer<typeof fetchedConfigurationSchema>;
+
 /** Fetches the newest configuration that the leader has applied. */
 export const fetchConfigurationMethod = defineMethod("configuration.fetch", {
-  params: z.object({}),
-  result: z.object({ accepted: acceptedConfigurationSchema.optional() }),
+  params: z.object({
+    /** Version that the instance has; the answer may be a patch to it. */
+    have: z.number().optional(),
+  }),
+  result: fetchedConfigurationSchema,
+});
+
+/** Fetches the configuration that any instance has in force. */
+export const fetchFromPeerMethod = defineMethod("configuration.fetch-peer", {
+  params: z.object({ have: z.number() }),
+  result: z.object({
+    /** Version in force at the peer. */
+    version: z.number(),
+    /** Present when the peer's version is higher. */
+    accepted: acceptedConfigurationSchema.optional(),
+  }),
+});
+
+/** Applies a change; answered by the log's leader only. */
+export const applyConfigurationMethod = defineMethod("configuration.apply", {
+  params: applyCommandSchema,
+  result: applyOutputSchema,
+});
+
+/** Which instances have a version in force, as the log's leader knows. */
+export const rolloutSchema = z.object({
+  version: z.number(),
+  /** Instances that have the version or a newer one. */
+  inForce: z.array(z.string()),
+  /** Instances that may serve callers by an older version. */
+  missing: z.array(z.object({ id: z.string(), reason: z.string() })),
+  /** Instances that were not heard for so long that they do not serve. */
+  lost: z.array(z.string()),
+});
+export type Rollout = z.infer<typeof rolloutSchema>;
+
+/** Tells how far a version has been rolled out. */
+export const rolloutMethod = defineMethod("configuration.rollout", {
+  params: z.object({ version: z.number() }),
+  result: rolloutSchema,
 });
 
 /** Lists the latest changes, newest first. */
--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -1,5 +1,7 @@
+export * from "./configuration_fetcher.ts";
 export * from "./configuration_handlers.ts";
 export * from "./configuration_holder.ts";
+export * from "./configuration_patches.ts";
 export * from "./configuration_section.ts";
 export * from "./configuration_view.ts";
 export * from "./messages.ts";
--- a/src/configuration/types.ts
+++ b/src/configuration/types.ts
@@ -30,10 +30,29 @@
   enginesOf(service: string): readonly Engine[];
 }
 
+/** An instance as the leader knows it, for the rollout of a version. */
+export interface IRolloutInstance {
+  readonly id: string;
+  readonly configurationVersion: number;
+  readonly health: "live" | "suspect" | "lost";
+  readonly state: "starting" | "serving" | "leaving";
+}
+
+/** The instances that a change has to reach. */
+export interface IAudience {
+  readonly members: readonly IRolloutInstance[];
+  /** Whether more than half of the known instances were heard recently. */
+  readonly hearsMajority: boolean;
+  /** Seconds since an instance was heard. */
+  silenceOf(id: string): number;
+}
+
 /** The configuration that this instance has in force. */
 export interface IConfigurationSource {
   /** Undefined until the first configuration has arrived. */
   readonly current: IConfigurationView | undefined;
+  /** The configuration in force, as it was accepted. */
+  readonly accepted: AcceptedConfiguration | undefined;
   readonly onChange: IEvent<IConfigurationView>;
   /** Takes a configuration unless it is older than the one in force. */
   offer(accepted: AcceptedConfiguration): void;
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -2,9 +2,11 @@
 import { join } from "node:path";
 import { DisposableStore, SystemClock } from "../common/mod.ts";
 import {
+  ConfigurationFetcher,
   ConfigurationHolder,
   ConfigurationSection,
   handleConfiguration,
+  handlePeerFetches,
 } from "../configuration/mod.ts";
 import {
   ControlClient,
@@ -29,7 +31,12 @@
   JobsSection,
   LeaseManager,
 } from "../jobs/mod.ts";
-import { Heartbeat, MemberRegistry } from "../membership/mod.ts";
+import {
+  Heartbeat,
+  HttpPlatformAdapter,
+  MemberRegistry,
+  TargetAvailability,
+} from "../membership/mod.ts";
 import {
   configurationRoutes,
   OperatorsServer,
@@ -64,24 +71,14 @@
   );
   const control = new ControlClient(() => voters, rpc, { clock });
 
-  let log: SingleVoterLog | undefined;
-  if (settings.control) {
-    const configuration = new ConfigurationSection();
-    const jobs = new JobsSection(join(settings.control.dataFolder, "jobs"));
-    log = new SingleVoterLog(self, [configuration, jobs], { clock });
-    await log.start(join(settings.control.dataFolder, "log"));
-    const replica = log;
-    server.handle(proposeMethod, async ({ section, command }) => {
-      const output = await replica.propose(section, command);
-      return output.map((output) => ({ output }));
-    });
-    store.add(handleConfiguration(server, log, { section: configuration }));
-    store.add(handleJobs(server, log, { section: jobs }));
-    store.add(new LeaseManager(log, jobs, { clock, server }));
-    store.add(new MemberRegistry(log, configuration, { clock, server }));
-  }
-
   const configuration = new ConfigurationHolder(events);
+  store.add(handlePeerFetches(server, configuration));
+  const fetcher = new ConfigurationFetcher(control, rpc, {
+    holder: configuration,
+    clock,
+  });
+  const platform = settings.platform &&
+    store.add(new HttpPlatformAdapter(settings.platform, clock, { events }));
   const heartbeat = store.add(
     new Heartbeat(
       {
@@ -93,13 +90,40 @@
         configurationVersion: 0,
       },
       control,
-      { configuration, clock },
+      { configuration, fetcher, clock, platform },
     ),
   );
+  const availability = store.add(new TargetAvailability(platform, heartbeat));
+
+  let log: SingleVoterLog | undefined;
+  if (settings.control) {
+    const section = new ConfigurationSection();
+    const jobs = new JobsSection(join(settings.control.dataFolder, "jobs"));
+    log = new SingleVoterLog(self, [section, jobs], { clock });
+    await log.start(join(settings.control.dataFolder, "log"));
+    const replica = log;
+    server.handle(proposeMethod, async ({ section, command }) => {
+      const output = await replica.propose(section, command);
+      return output.map((output) => ({ output }));
+    });
+    const registry = store.add(
+      new MemberRegistry(log, section, {
+        clock,
+        server,
+        events,
+        copy: () => heartbeat,
+      }),
+    );
+    store.add(
+      handleConfiguration(server, log, { section, audience: registry }),
+    );
+    store.add(handleJobs(server, log, { section: jobs }));
+    store.add(new LeaseManager(log, jobs, { clock, server }));
+  }
 
   const engines = store.add(new HttpEngineAdapter(clock));
   const plainTargets = store.add(new HttpPlainAdapter(clock));
-  const selector = new LeastLoadedSelector(configuration);
+  const selector = new LeastLoadedSelector(configuration, availability);
   const dispatcher = new Dispatcher(selector, engines, { clock });
   const jobs = new JobGateway(control);
   const items = new ItemRunner(dispatcher, configuration, { clock });
@@ -128,6 +152,7 @@
     ]),
   );
 
+  platform?.start();
   heartbeat.start();
   runner.start();
   const ports = {
@@ -145,7 +170,7 @@
     ports,
     async stop() {
       stopping = true;
-      heartbeat.setState("leaving");
+      await heartbeat.setState("leaving");
       await callers.drain();
       runner.dispose();
       await log?.stop();
--- /dev/null
+++ b/src/membership/membership_test.ts
@@ -0,0 +1,151 @@
+import test from "ava";
+import { SystemClock } from "../common/mod.ts";
+import { SilentEventLog } from "../events/mod.ts";
+import { ControlLeader, ControlMember } from "../../testing/control_parts.ts";
+import { eventually } from "../../testing/eventually.ts";
+import { PlatformStandin } from "../../testing/platform_standin.ts";
+import { HttpPlatformAdapter } from "./http_platform_adapter.ts";
+import { LeavingTargets } from "./leaving_targets.ts";
+import { applyMemberChanges, MemberList } from "./member_list.ts";
+import type { Member } from "./messages.ts";
+import { TargetAvailability } from "./target_availability.ts";
+
+const clock = new SystemClock();
+
+async function poll(platform: PlatformStandin): Promise<HttpPlatformAdapter> {
+  const port = await platform.listen();
+  const address = { address: "127.0.0.1", port };
+  const events = new SilentEventLog();
+  const adapter = new HttpPlatformAdapter(address, clock, { events });
+  adapter.start();
+  return adapter;
+}
+
+test("late list at one instance", async (t) => {
+  const prompt = new PlatformStandin();
+  const late = new PlatformStandin();
+  const live = [{ id: "engine-0", state: "live" as const }];
+  for (const platform of [prompt, late]) platform.set(live);
+  const leader = new ControlLeader();
+  const address = await leader.listen();
+  const members = await Promise.all([prompt, late].map(async (platform, at) => {
+    const adapter = await poll(platform);
+    const member = new ControlMember(`member-${at}`, () => [address], adapter);
+    const availability = new TargetAvailability(adapter, member.heartbeat);
+    member.store.add(adapter);
+    member.heartbeat.start();
+    return { member, availability };
+  }));
+  t.teardown(() => {
+    for (const { member } of members) member.store.dispose();
+    leader.store.dispose();
+    for (const platform of [prompt, late]) platform.stop();
+  });
+  const everywhere = (state: string) => () =>
+    members.every(({ availability }) =>
+      availability.stateOf("engine-0") === state
+    );
+  await eventually("live everywhere", everywhere("live"));
+  late.frozen = true;
+  prompt.set([{ id: "engine-0", state: "leaving" }]);
+  await eventually("leaving everywhere", everywhere("leaving"));
+  prompt.set(live);
+  await eventually("live again", everywhere("live"));
+  t.pass();
+});
+
+test("new leader keeps members and leaving targets", async (t) => {
+  const first = new ControlLeader();
+  const address = await first.listen();
+  let voter = address;
+  const platform = new PlatformStandin();
+  platform.set([{ id: "engine-0", state: "leaving" }]);
+  const adapter = await poll(platform);
+  const member = new ControlMember("member-0", () => [voter], adapter);
+  const other = new ControlMember("member-1", () => [voter]);
+  t.teardown(() => {
+    for (const { store } of [member, other, first, second]) store.dispose();
+    adapter.dispose();
+    platform.stop();
+  });
+  for (const { heartbeat } of [member, other]) heartbeat.start();
+  await eventually(
+    "both know both",
+    () =>
+      [member, other].every(({ heartbeat }) =>
+        heartbeat.members.length === 2 && heartbeat.leavingTargets.size === 1
+      ),
+  );
+  const sizes: number[] = [];
+  other.heartbeat.onChange((members) => sizes.push(members.length));
+  other.heartbeat.onLeavingTargetsChange((targets) => sizes.push(targets.size));
+  const second = new ControlLeader(() => other.heartbeat);
+  voter = { ...await second.listen(), id: "voter-1" };
+  member.store.dispose();
+  second.log.lead(2, true);
+  first.log.lead(2, false);
+  await eventually(
+    "heard by the second",
+    () => second.registry.members.some(({ health }) => health === "live"),
+  );
+  await eventually("answered by the second", () => sizes.length >= 2);
+  t.deepEqual([...new Set(sizes)].sort(), [1, 2]);
+  t.is(sizes.at(-1), 1);
+  t.is(second.registry.members.length, 2);
+  t.false(second.registry.hearsMajority);
+});
+
+test("target called leaving by few for long", (t) => {
+  let now = 0;
+  const fake = Object.create(clock, { monotonic: { value: () => now } });
+  const leaving = new LeavingTargets(fake);
+  leaving.hear("member-0", { leaving: ["engine-0", "engine-1"] });
+  leaving.hear("member-1", { leaving: ["engine-1"] });
+  leaving.hear("member-2", { leaving: [] });
+  t.deepEqual(leaving.targets, ["engine-0", "engine-1"]);
+  now = 119_000;
+  t.deepEqual(leaving.doubt(), []);
+  now = 121_000;
+  t.deepEqual(leaving.doubt(), [{ target: "engine-0", reporters: 1 }]);
+  t.deepEqual(leaving.targets, ["engine-1"]);
+  leaving.hear("member-2", { leaving: ["engine-0"] });
+  leaving.doubt();
+  t.deepEqual(leaving.targets, ["engine-0", "engine-1"]);
+});
+
+test("member changes", (t) => {
+  const member = (id: string, health: Member["health"]): Member => ({
+    id,
+    address: "127.0.0.1",
+    port: 1,
+    region: "test",
+    failureDomain: "domain-0",
+    state: "serving",
+    incarnation: "1",
+    configurationVersion: 0,
+    health,
+  });
+  const list = new MemberList();
+  let copy: readonly Member[] = [];
+  let revision = 0;
+  const follow = () => {
+    const changes = list.changesSince(revision);
+    if (changes) copy = applyMemberChanges(copy, changes);
+    revision = list.revision;
+    return changes;
+  };
+  list.put(member("a", "live"));
+  list.put(member("b", "live"));
+  t.true(follow()?.whole);
+  list.put(member("a", "suspect"));
+  list.put(member("c", "live"));
+  list.remove("b");
+  t.deepEqual(follow()?.put.map(({ id }) => id), ["a", "c"]);
+  t.deepEqual([...copy], [...list.members]);
+  list.put({ ...member("c", "live"), configurationVersion: 7 });
+  t.is(follow(), undefined);
+  list.remove("c");
+  list.put(member("c", "live"));
+  t.deepEqual(follow()?.removed, []);
+  t.deepEqual([...copy].map(({ id }) => id).sort(), ["a", "c"]);
+});
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -12,7 +12,11 @@
   state: z.enum(["starting", "serving", "leaving"]),
   /** Differs after every start of the process. */
   incarnation: z.string(),
-  /** Configuration version in force there; 0 before the first. */
+  /**
+   * Configuration version in force there; 0 before the first. The leader
+   * knows it from the latest heartbeat; in the list that other instances
+   * have it may be old, because a new version alone does not renew the list.
+   */
   configurationVersion: z.number(),
 });
 export type Instance = z.infer<typeof instanceSchema>;
@@ -23,17 +27,57 @@
 });
 export type Member = z.infer<typeof memberSchema>;
 
-/** Tells the leader that an instance lives; the answer tells it the fleet. */
+/** Version of the leader's soft state; comparable within one epoch only. */
+export const fleetRevisionSchema = z.object({
+  /** Differs after every change of leader. */
+  epoch: z.string(),
+  members: z.number(),
+  leavingTargets: z.number(),
+});
+export type FleetRevision = z.infer<typeof fleetRevisionSchema>;
+
+/** What an instance sends in place of a revision before the first answer. */
+export const NO_REVISION: FleetRevision = {
+  epoch: "",
+  members: 0,
+  leavingTargets: 0,
+};
+
+/** A change of the member list since the revision that an instance has. */
+export const memberChangesSchema = z.object({
+  /** Whether `put` is the whole list instead of a change. */
+  whole: z.boolean(),
+  put: z.array(memberSchema),
+  removed: z.array(z.string()),
+});
+export type MemberChanges = z.infer<typeof memberChangesSchema>;
+
+/** The platform's list as one instance has it. */
+export const platformReportSchema = z.object({
+  /** Targets that the list says are leaving. */
+  leaving: z.array(z.string()),
+});
+export type PlatformReport = z.infer<typeof platformReportSchema>;
+
+/**
+ * Tells the leader that an instance lives; the answer tells it the fleet.
+ *
+ * The leader holds the answer back for a while unless there is news for the
+ * instance, so news arrives at once and the number of calls stays the same.
+ */
 export const heartbeatMethod = defineMethod("membership.heartbeat", {
   params: z.object({
     instance: instanceSchema,
-    /** Revision of the member list that the instance has. */
-    membersRevision: z.string(),
+    revision: fleetRevisionSchema,
+    /** Present when it differs from what the leader has been told. */
+    platform: platformReportSchema.optional(),
   }),
   result: z.object({
     configurationVersion: z.number(),
-    membersRevision: z.string(),
-    /** Present when the instance has another revision. */
-    members: z.array(memberSchema).optional(),
+    revision: fleetRevisionSchema,
+    /** Present when the instance has another revision of the members. */
+    members: memberChangesSchema.optional(),
+    /** Present when the instance has another revision of them. */
+    leavingTargets: z.array(z.string()).optional(),
   }),
 });
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -1,4 +1,4 @@
-import type { IEvent } from "../common/mod.ts";
+import type { Deadline, IEvent } from "../common/mod.ts";
 import type { Instance, Member } from "./messages.ts";
 
 /** The fleet as this instance knows it. */
@@ -19,3 +19,18 @@
   /** Fires with the target's id when its state changes. */
   readonly onChange: IEvent<string>;
 }
+
+/** Targets that the fleet's instances know to be leaving. */
+export interface IFleetTargets {
+  readonly leavingTargets: ReadonlySet<string>;
+  readonly onLeavingTargetsChange: IEvent<ReadonlySet<string>>;
+}
+
+/** Proof that this instance has the newest configuration. */
+export interface IFreshness {
+  /**
+   * Point at which a call began whose answer showed that no newer
+   * configuration than the one in force here had been accepted.
+   */
+  readonly onConfirmed: IEvent<Deadline>;
+}
--- a/src/operators/configuration_routes.ts
+++ b/src/operators/configuration_routes.ts
@@ -1,8 +1,9 @@
-import type { IClock } from "../common/mod.ts";
+import { type IClock, notRun } from "../common/mod.ts";
 import {
+  applyConfigurationMethod,
   configurationHistoryMethod,
-  configurationSection,
   fetchConfigurationMethod,
+  rolloutMethod,
 } from "../configuration/mod.ts";
 import type { IControlClient } from "../consensus/mod.ts";
 import { readJsonBody } from "../entry/read_body.ts";
@@ -54,8 +55,8 @@
     const body = await readJsonBody(message, applyRequestSchema);
     if (body.isErr()) return sendFailure(response, body.error);
     const command = { kind: "apply" as const, ...body.value };
-    const answer = await control.propose(
-      configurationSection,
+    const answer = await control.call(
+      applyConfigurationMethod,
       command,
       options(),
     );
@@ -65,9 +66,22 @@
       (failure) => sendFailure(response, failure),
     );
   };
+  const rollout = async ({ url, response }: IOperatorRequest) => {
+    const version = Number(url.searchParams.get("version"));
+    if (!Number.isSafeInteger(version) || version < 1) {
+      const reason = "version: a whole number from 1";
+      return sendFailure(response, notRun("bad-request", reason));
+    }
+    const answer = await control.call(rolloutMethod, { version }, options());
+    answer.match(
+      (found) => sendJson(response, 200, found),
+      (failure) => sendFailure(response, failure),
+    );
+  };
   return [
     { method: "GET", path: /^\/configuration$/, handle: show },
     { method: "GET", path: /^\/configuration\/history$/, handle: history },
+    { method: "GET", path: /^\/configuration\/rollout$/, handle: rollout },
     { method: "POST", path: /^\/configuration$/, handle: apply },
   ];
 }
--- a/src/routing/least_loaded_selector.ts
+++ b/src/routing/least_loaded_selector.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { type Failure, notRun } from "../common/mod.ts";
 import type { Engine, IConfigurationSource } from "../configuration/mod.ts";
+import type { ITargetAvailability } from "../membership/mod.ts";
 import type {
   IEngineReservation,
   IEngineSelector,
@@ -13,16 +14,23 @@
 /** Chooses the engine with the fewest streams of this instance. */
 export class LeastLoadedSelector implements IEngineSelector {
   #configuration: IConfigurationSource;
+  #availability: ITargetAvailability;
   #streams = new Map<string, number>();
 
-  constructor(configuration: IConfigurationSource) {
+  constructor(
+    configuration: IConfigurationSource,
+    availability: ITargetAvailability,
+  ) {
     this.#configuration = configuration;
+    this.#availability = availability;
   }
 
   select(request: ISelectionRequest): Result<IEngineReservation, Failure> {
     const engines = this.#configuration.current?.enginesOf(request.service);
     const candidates = (engines ?? []).filter(
-      (engine) => !request.exclude.has(engine.id),
+      ({ id }) =>
+        !request.exclude.has(id) &&
+        this.#availability.stateOf(id) !== "leaving",
     );
     const engine = candidates.reduce<Engine | undefined>(
       (best, next) =>
--- /dev/null
+++ b/testing/control_parts.ts
@@ -0,0 +1,109 @@
+import { DisposableStore, SystemClock } from "../src/common/mod.ts";
+import {
+  ConfigurationFetcher,
+  ConfigurationHolder,
+  ConfigurationSection,
+  handleConfiguration,
+  handlePeerFetches,
+} from "../src/configuration/mod.ts";
+import { ControlClient } from "../src/consensus/mod.ts";
+import { SilentEventLog } from "../src/events/mod.ts";
+import { Heartbeat, MemberRegistry } from "../src/membership/mod.ts";
+import { type PeerAddress, RpcClient, RpcServer } from "../src/rpc/mod.ts";
+import type { IPlatformAdapter } from "../src/targets/mod.ts";
+import { FakeLog } from "./fake_log.ts";
+
+const clock = new SystemClock();
+const events = new SilentEventLog();
+
+/** A leader's control services behind a real listener. */
+export class ControlLeader {
+  readonly store = new DisposableStore();
+  readonly section = new ConfigurationSection();
+  readonly log = new FakeLog([this.section]);
+  readonly server = this.store.add(new RpcServer(clock, events));
+  readonly registry: MemberRegistry;
+  address!: PeerAddress;
+
+  constructor(copy?: () => Heartbeat) {
+    this.registry = this.store.add(
+      new MemberRegistry(this.log, this.section, {
+        clock,
+        server: this.server,
+        events,
+        copy: copy ?? (() => ({ members: [], leavingTargets: new Set() })),
+      }),
+    );
+    const options = { section: this.section, audience: this.registry };
+    this.store.add(handleConfiguration(this.server, this.log, options));
+  }
+
+  async listen(): Promise<PeerAddress> {
+    const port = await this.server.listen("127.0.0.1", 0);
+    this.address = { id: "voter-0", address: "127.0.0.1", port };
+    return this.address;
+  }
+}
+
+/** An instance's control services, without callers and targets. */
+export class ControlMember {
+  readonly store = new DisposableStore();
+  readonly holder = new ConfigurationHolder(events);
+  readonly server = this.store.add(new RpcServer(clock, events));
+  readonly rpc: RpcClient;
+  readonly control: ControlClient;
+  readonly fetcher: ConfigurationFetcher;
+  readonly heartbeat: Heartbeat;
+
+  constructor(
+    id: string,
+    voters: () => readonly PeerAddress[],
+    platform?: IPlatformAdapter,
+  ) {
+    this.rpc = this.store.add(new RpcClient(id, clock, { events }));
+    this.control = new ControlClient(voters, this.rpc, { clock });
+    this.fetcher = new ConfigurationFetcher(this.control, this.rpc, {
+      holder: this.holder,
+      clock,
+    });
+    this.store.add(handlePeerFetches(this.server, this.holder));
+    this.heartbeat = this.store.add(
+      new Heartbeat(
+        {
+          id,
+          address: "127.0.0.1",
+          port: 1,
+          region: "test",
+          failureDomain: "domain-0",
+          state: "serving",
+          incarnation: `${id}-1`,
+          configurationVersion: 0,
+        },
+        this.control,
+        {
+          configuration: this.holder,
+          fetcher: this.fetcher,
+          clock,
+          platform,
+        },
+      ),
+    );
+  }
+}
+
+/** A configuration document that differs with the seed. */
+export function testDocument(seed: number, engines = 3): object {
+  return {
+    places: [{ region: "test", failureDomains: ["domain-0"] }],
+    services: [{ name: "alerts", model: `model-${seed}` }],
+    engines: Array.from({ length: engines }, (_, index) => ({
+      id: `engine-${index}`,
+      service: "alerts",
+      address: "127.0.0.1",
+      port: 1_000 + index,
+      failureDomain: "domain-0",
+    })),
+    callers: [],
+    rules: [],
+  };
+}
--- /dev/null
+++ b/testing/fake_log.ts
@@ -0,0 +1,77 @@
+import { err, ok, type Result } from "neverthrow";
+import {
+  type Deadline,
+  Emitter,
+  type Failure,
+  notRun,
+} from "../src/common/mod.ts";
+import type {
+  ILeadership,
+  IReplicatedLog,
+  IStateSection,
+  LogStatus,
+} from "../src/consensus/mod.ts";
+
+/** Log without a disk whose leadership the test decides. */
+export class FakeLog implements IReplicatedLog {
+  leadership: ILeadership = { term: 1, leader: "voter-0", isLeader: true };
+  leaseUntil: Deadline | undefined = Infinity as Deadline;
+  transfers = 0;
+  #change = new Emitter<ILeadership>();
+  readonly onLeadershipChange = this.#change.event;
+  #sections: readonly IStateSection[];
+  #index = 0;
+
+  constructor(sections: readonly IStateSection[] = []) {
+    this.#sections = sections;
+  }
+
+  /** Makes this replica the leader of a term, or another one. */
+  lead(term: number, isLeader: boolean): void {
+    const leader = isLeader ? "voter-0" : "voter-1";
+    this.leadership = { term, leader, isLeader };
+    this.leaseUntil = isLeader ? Infinity as Deadline : undefined;
+    this.#change.fire(this.leadership);
+  }
+
+  propose(
+    section: string,
+    command: unknown,
+  ): Promise<Result<unknown, Failure>> {
+    if (!this.leadership.isLeader) return Promise.resolve(err(notLeader()));
+    this.#index += 1;
+    const context = {
+      index: this.#index,
+      term: this.leadership.term,
+      proposedAt: Date.now(),
+    };
+    const state = this.#sections.find(({ definition }) =>
+      definition.name === section
+    );
+    return Promise.resolve(ok(state?.apply(command, context)));
+  }
+
+  barrier(): Promise<Result<void, Failure>> {
+    return Promise.resolve(
+      this.leadership.isLeader ? ok(undefined) : err(notLeader()),
+    );
+  }
+
+  status(): LogStatus {
+    throw new Error("the fake log has no status");
+  }
+
+  transferLeadership(): Promise<boolean> {
+    this.transfers += 1;
+    this.lead(this.leadership.term + 1, false);
+    return Promise.resolve(true);
+  }
+
+  stop(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+function notLeader(): Failure {
+  return notRun("not-leader", "another voter leads", { leader: "voter-1" });
+}
