Explain, metrics, burn: recorders with bounded memory, reports over RPC

Cause: operators could not ask what was done with a request, how the service level stands, or scrape an instance.

Now there: TraceRecorder (bounds by subjects and bytes, least recently extended subject dropped first), explain.read and GET /explain; Metrics over packed HDR histograms with bounded series and GET /metrics; ServiceLevelRecorder with minute and half-hour buckets, burn.read merged over instances and GET /burn; a catalogue of events that finds every slice's events.ts by itself, with docs/EVENTS.md written by `npm run events` and compared by a test. Nothing records live requests yet: the dispatch slice wires that in.

Ruled out: flat 32-bit HDR arrays (8.7 kB for two values; packed 0.3 kB); spendings per half hour (up to 236 MB in the worst case; per six hours about 5 MB, both worked out, not measured).

Before: none of the routes.

Each check with its mechanism off: without the shrink, "oldest subject dropped first" and "memory stays in bounds" fail; without reordering, "oldest subject dropped first"; without the step bound, "long subject keeps its latest steps"; with unbounded series, "series bounded, total kept" and "memory bounded"; merging without the first histogram, "merge equals the whole"; without dropping buckets, "memory bounded"; a page by one window, "alert needs both windows" and "windows". All restored.

Found on the way: fast-check draws at most 10 elements unless a minimum is given, so "memory stays in bounds" passed with the bound off at first; the arrays now have a minimum. "histogram buckets" found counts one step too low a bound (iterated-from is the previous value); mended.

--- /dev/null
+++ b/src/burn/burn_reporter.ts
@@ -0,0 +1,73 @@
+import { ok } from "neverthrow";
+import type { Deadline, IClock, IDisposable } from "../common/mod.ts";
+import {
+  type IConfigurationSource,
+  type Objective,
+  objectiveSchema,
+} from "../configuration/mod.ts";
+import type { IMembership } from "../membership/mod.ts";
+import { askMembers } from "../operators/ask_members.ts";
+import type { IRpcClient, IRpcServer } from "../rpc/mod.ts";
+import { burnEntry, type BurnReport } from "./burn_report.ts";
+import { mergeSeries } from "./merge_series.ts";
+import { readServiceLevelsMethod } from "./messages.ts";
+import type { IServiceLevelReader } from "./types.ts";
+
+/** Answers other instances with what this one has recorded. */
+export function handleServiceLevels(
+  server: IRpcServer,
+  recorder: IServiceLevelReader,
+): IDisposable {
+  return server.handle(
+    readServiceLevelsMethod,
+    () => Promise.resolve(ok({ series: recorder.read() })),
+  );
+}
+
+/** Puts together the burn report of the whole fleet. */
+export class BurnReporter {
+  #membership: IMembership;
+  #rpc: IRpcClient;
+  #configuration: IConfigurationSource;
+  #clock: IClock;
+
+  constructor(
+    membership: IMembership,
+    rpc: IRpcClient,
+    options: { configuration: IConfigurationSource; clock: IClock },
+  ) {
+    this.#membership = membership;
+    this.#rpc = rpc;
+    this.#configuration = options.configuration;
+    this.#clock = options.clock;
+  }
+
+  /** Asks every member; those that do not answer are named. */
+  async report(options: { deadline: Deadline }): Promise<BurnReport> {
+    const { answers, unanswered } = await askMembers(
+      this.#membership,
+      (member) =>
+        this.#rpc.call(member, readServiceLevelsMethod, {}, {
+          deadline: options.deadline,
+          lane: "bulk",
+        }),
+    );
+    const now = this.#clock.wall();
+    const series = mergeSeries(answers.flatMap(({ value }) => value.series));
+    return {
+      at: now,
+      entries: series.map((one) =>
+        burnEntry(one, this.#objectiveOf(one.service), now)
+      ),
+      answered: answers.map(({ id }) => id),
+      unanswered: [...unanswered],
+    };
+  }
+
+  /** A service that has left the inventory is held to the default. */
+  #objectiveOf(service: string): Objective {
+    const services = this.#configuration.current?.document.services ?? [];
+    const found = services.find(({ name }) => name === service);
+    return found?.objective ?? objectiveSchema.parse({});
+  }
+}
--- /dev/null
+++ b/src/burn/burn_test.ts
@@ -0,0 +1,176 @@
+import test from "ava";
+import fc from "fast-check";
+import { SystemClock } from "../common/mod.ts";
+import { objectiveSchema } from "../configuration/mod.ts";
+import { alertOf, burnEntry, burnRate } from "./burn_report.ts";
+import { judgeOutcome } from "./judge_outcome.ts";
+import { mergeSeries } from "./merge_series.ts";
+import {
+  MAXIMUM_SERIES,
+  OVERFLOW_GROUP,
+  ServiceLevelRecorder,
+} from "./service_level_recorder.ts";
+import type { IServiceLevelSample, ServiceLevelOutcome } from "./types.ts";
+
+const MINUTE = 60_000;
+const DAY = 24 * 60 * MINUTE;
+const START = Date.UTC(2026, 0, 5);
+const OUTCOMES: ServiceLevelOutcome[] = ["good", "late", "refused", "failed"];
+
+/** Clock whose wall time the test sets. */
+class SetClock extends SystemClock {
+  now = START;
+
+  override wall(): number {
+    return this.now;
+  }
+}
+
+function sample(
+  outcome: ServiceLevelOutcome,
+  details: Partial<IServiceLevelSample> = {},
+): IServiceLevelSample {
+  return {
+    service: "alerts",
+    callerGroup: "porters",
+    outcome,
+    target: "engine-1",
+    failureDomain: "west-1",
+    firstTokenMilliseconds: 100,
+    betweenTokensMilliseconds: 10,
+    ...details,
+  };
+}
+
+const objective = objectiveSchema.parse({});
+
+test("burn rate", (t) => {
+  const counts = { good: 90, late: 5, refused: 3, failed: 2 };
+  t.is(Math.round(burnRate(counts, objective) * 1e6) / 1e6, 2);
+  t.is(burnRate({ good: 0, late: 0, refused: 0, failed: 0 }, objective), 0);
+});
+
+test("windows", (t) => {
+  const clock = new SetClock();
+  const recorder = new ServiceLevelRecorder(clock);
+  for (let index = 0; index < 10; index++) recorder.record(sample("failed"));
+  clock.now = START + 30 * MINUTE;
+  for (let index = 0; index < 10; index++) recorder.record(sample("good"));
+  const read = () => {
+    const [series] = recorder.read();
+    if (!series) throw new Error("no series");
+    return burnEntry(series, objective, clock.now);
+  };
+  const now = read();
+  t.is(now.burnRates.fiveMinutes, 0);
+  t.is(Math.round(now.burnRates.oneHour), 10);
+  t.is(Math.round(now.budgetSpent), 10);
+  t.is(now.alert, "ticket");
+  t.is(now.firstToken.count, 20);
+  clock.now = START + 2 * DAY;
+  const later = read();
+  t.deepEqual(later.counts, { good: 0, late: 0, refused: 0, failed: 0 });
+  t.deepEqual(later.spending, []);
+  t.is(later.firstToken.count, 0);
+});
+
+test("alert needs both windows", (t) => {
+  const rates = { fiveMinutes: 0, oneHour: 0, sixHours: 0, oneDay: 0 };
+  t.is(alertOf({ ...rates, fiveMinutes: 20 }), "none");
+  t.is(alertOf({ ...rates, oneHour: 20 }), "none");
+  t.is(alertOf({ ...rates, fiveMinutes: 6, oneHour: 6 }), "page");
+  t.is(alertOf({ ...rates, oneHour: 2, sixHours: 2 }), "ticket");
+});
+
+test("what spent it", (t) => {
+  const recorder = new ServiceLevelRecorder(new SetClock());
+  recorder.record(sample("good"));
+  recorder.record(sample("late"));
+  recorder.record(sample("late"));
+  recorder.record(
+    sample("refused", { target: undefined, failureDomain: undefined }),
+  );
+  t.like(recorder.read()[0]?.spending, [
+    { outcome: "late", target: "engine-1", failureDomain: "west-1", count: 2 },
+    { outcome: "refused", count: 1 },
+  ]);
+});
+
+test("merge equals the whole", (t) => {
+  const request = fc.record({
+    instance: fc.nat(2),
+    outcome: fc.constantFrom(...OUTCOMES),
+    callerGroup: fc.constantFrom("porters", "drivers"),
+    target: fc.constantFrom("engine-1", "engine-2", "engine-3"),
+    firstTokenMilliseconds: fc.double({ min: 0, max: 1e5, noNaN: true }),
+    wait: fc.nat(20 * MINUTE),
+  });
+  fc.assert(
+    fc.property(
+      fc.array(request, { minLength: 50, maxLength: 200 }),
+      (requests) => {
+        const clock = new SetClock();
+        const whole = new ServiceLevelRecorder(clock);
+        const parts = [0, 1, 2].map(() => new ServiceLevelRecorder(clock));
+        for (const { instance, wait, outcome, ...details } of requests) {
+          clock.now += wait;
+          whole.record(sample(outcome, details));
+          parts[instance]?.record(sample(outcome, details));
+        }
+        const merged = mergeSeries(parts.flatMap((part) => part.read()));
+        const entries = (series: typeof merged) =>
+          series.map((one) => burnEntry(one, objective, clock.now));
+        t.deepEqual(entries(merged), entries(mergeSeries(whole.read())));
+      },
+    ),
+    { seed: 3, numRuns: 30 },
+  );
+});
+
+test("memory bounded", (t) => {
+  const clock = new SetClock();
+  const recorder = new ServiceLevelRecorder(clock);
+  for (let index = 0; index < 2_000; index++) {
+    clock.now += 10 * MINUTE;
+    recorder.record(
+      sample("failed", { callerGroup: `${index}`, target: `${index}` }),
+    );
+  }
+  const series = recorder.read();
+  t.is(series.length, MAXIMUM_SERIES + 1);
+  const overflow = series.find(({ callerGroup }) =>
+    callerGroup === OVERFLOW_GROUP
+  );
+  t.true((overflow?.minutes.length ?? 0) <= 60);
+  t.is(overflow?.halfHours.length, 48);
+  t.true((overflow?.spending.length ?? 0) <= 4 * 17);
+});
+
+test("judged outcomes", (t) => {
+  const request = {
+    failure: undefined,
+    firstTokenMilliseconds: 1_100,
+    betweenTokensMilliseconds: 30,
+  };
+  t.is(judgeOutcome(objective, request), "good");
+  t.is(
+    judgeOutcome(objective, { ...request, firstTokenMilliseconds: 1_101 }),
+    "late",
+  );
+  t.is(
+    judgeOutcome(objective, { ...request, betweenTokensMilliseconds: 31 }),
+    "late",
+  );
+  t.is(
+    judgeOutcome(objective, { ...request, failure: "overloaded" }),
+    "refused",
+  );
+  t.is(
+    judgeOutcome(objective, { ...request, failure: "cancelled" }),
+    undefined,
+  );
+  t.is(
+    judgeOutcome(objective, { ...request, failure: "target-error" }),
+    "failed",
+  );
+});
--- /dev/null
+++ b/src/burn/merge_series.ts
@@ -0,0 +1,51 @@
+import { LatencyHistogram } from "../metrics/mod.ts";
+import type { OutcomeBucket, ServiceLevelSeries } from "./messages.ts";
+import { addCounts, emptyCounts } from "./outcome_buckets.ts";
+import { mergeSpendings } from "./spending_ledger.ts";
+
+/** Merges series of several instances, one for each service and group. */
+export function mergeSeries(
+  series: Iterable<ServiceLevelSeries>,
+): ServiceLevelSeries[] {
+  const groups = new Map<string, ServiceLevelSeries[]>();
+  for (const one of series) {
+    const key = JSON.stringify([one.service, one.callerGroup]);
+    const group = groups.get(key) ?? [];
+    group.push(one);
+    groups.set(key, group);
+  }
+  return [...groups.entries()]
+    .sort(([first], [second]) => first < second ? -1 : 1)
+    .map(([, group]) => mergeGroup(group));
+}
+
+function mergeGroup(group: ServiceLevelSeries[]): ServiceLevelSeries {
+  const [{ service, callerGroup }] = group as [ServiceLevelSeries];
+  return {
+    service,
+    callerGroup,
+    minutes: mergeBuckets(group.flatMap(({ minutes }) => minutes)),
+    halfHours: mergeBuckets(group.flatMap(({ halfHours }) => halfHours)),
+    spending: mergeSpendings(group.flatMap(({ spending }) => spending)),
+    firstToken: mergeLatencies(group.map(({ firstToken }) => firstToken)),
+    betweenTokens: mergeLatencies(
+      group.map(({ betweenTokens }) => betweenTokens),
+    ),
+  };
+}
+
+function mergeBuckets(buckets: OutcomeBucket[]): OutcomeBucket[] {
+  const merged = new Map<number, OutcomeBucket>();
+  for (const { at, counts } of buckets) {
+    const bucket = merged.get(at) ?? { at, counts: emptyCounts() };
+    addCounts(bucket.counts, counts);
+    merged.set(at, bucket);
+  }
+  return [...merged.values()].sort((first, second) => first.at - second.at);
+}
+
+function mergeLatencies(encoded: string[]): string {
+  const merged = new LatencyHistogram();
+  for (const text of encoded) merged.add(LatencyHistogram.decode(text));
+  return merged.encode();
+}
--- /dev/null
+++ b/src/burn/service_level_recorder.ts
@@ -0,0 +1,153 @@
+import type { IClock } from "../common/mod.ts";
+import { LatencyHistogram } from "../metrics/mod.ts";
+import type { ServiceLevelSeries } from "./messages.ts";
+import { OutcomeBuckets } from "./outcome_buckets.ts";
+import { SpendingLedger } from "./spending_ledger.ts";
+import type { IServiceLevelReader, IServiceLevelSample } from "./types.ts";
+
+/** Length of a short span, in milliseconds. */
+export const MINUTE_MILLISECONDS = 60_000;
+
+/** Short spans that are kept. */
+const MINUTES_KEPT = 60;
+
+/** Length of a long span, in milliseconds. */
+export const HALF_HOUR_MILLISECONDS = 1_800_000;
+
+/** Long spans that are kept. */
+const HALF_HOURS_KEPT = 48;
+
+/** Length of a span of spendings and of histograms, in milliseconds. */
+const DETAIL_SPAN_MILLISECONDS = 6 * 3_600_000;
+
+/** Spans of spendings that are kept. */
+const SPENDING_SPANS_KEPT = 4;
+
+/** Pairs of a service and a caller group that are told apart. */
+export const MAXIMUM_SERIES = 128;
+
+/** Caller group of a service's requests beyond the bound on series. */
+export const OVERFLOW_GROUP = "(other groups)";
+
+/** Service of requests beyond the bound on services. */
+export const OVERFLOW_SERVICE = "(other services)";
+
+/**
+ * Counts finished live requests in bounded memory.
+ *
+ * What was recorded is lost when the process ends.
+ */
+export class ServiceLevelRecorder implements IServiceLevelReader {
+  #clock: IClock;
+  #series = new Map<string, Series>();
+
+  constructor(clock: IClock) {
+    this.#clock = clock;
+  }
+
+  record(sample: IServiceLevelSample): void {
+    this.#seriesOf(sample.service, sample.callerGroup)
+      .record(this.#clock.wall(), sample);
+  }
+
+  read(): ServiceLevelSeries[] {
+    const now = this.#clock.wall();
+    return [...this.#series.values()].map((series) => series.read(now));
+  }
+
+  #seriesOf(service: string, callerGroup: string): Series {
+    return this.#find(service, callerGroup, MAXIMUM_SERIES) ??
+      this.#find(service, OVERFLOW_GROUP, MAXIMUM_SERIES * 2) ??
+      this.#find(OVERFLOW_SERVICE, OVERFLOW_GROUP, Infinity) ??
+      this.#begin(OVERFLOW_SERVICE, OVERFLOW_GROUP);
+  }
+
+  /** Finds a series, or begins it while there are fewer than the maximum. */
+  #find(
+    service: string,
+    callerGroup: string,
+    maximum: number,
+  ): Series | undefined {
+    const existing = this.#series.get(seriesKey(service, callerGroup));
+    if (existing || this.#series.size >= maximum) return existing;
+    return this.#begin(service, callerGroup);
+  }
+
+  #begin(service: string, callerGroup: string): Series {
+    const series = new Series(service, callerGroup);
+    this.#series.set(seriesKey(service, callerGroup), series);
+    return series;
+  }
+}
+
+function seriesKey(service: string, callerGroup: string): string {
+  return JSON.stringify([service, callerGroup]);
+}
+
+/** Requests of one caller group to one service. */
+class Series {
+  #service: string;
+  #callerGroup: string;
+  #minutes = new OutcomeBuckets(MINUTE_MILLISECONDS, MINUTES_KEPT);
+  #halfHours = new OutcomeBuckets(HALF_HOUR_MILLISECONDS, HALF_HOURS_KEPT);
+  #spending = new SpendingLedger(
+    DETAIL_SPAN_MILLISECONDS,
+    SPENDING_SPANS_KEPT,
+  );
+  #firstToken = new RecentLatency();
+  #betweenTokens = new RecentLatency();
+
+  constructor(service: string, callerGroup: string) {
+    this.#service = service;
+    this.#callerGroup = callerGroup;
+  }
+
+  record(at: number, sample: IServiceLevelSample): void {
+    this.#minutes.record(at, sample.outcome);
+    this.#halfHours.record(at, sample.outcome);
+    this.#spending.record(at, sample);
+    this.#firstToken.record(at, sample.firstTokenMilliseconds);
+    this.#betweenTokens.record(at, sample.betweenTokensMilliseconds);
+  }
+
+  read(now: number): ServiceLevelSeries {
+    return {
+      service: this.#service,
+      callerGroup: this.#callerGroup,
+      minutes: this.#minutes.read(now),
+      halfHours: this.#halfHours.read(now),
+      spending: this.#spending.read(now),
+      firstToken: this.#firstToken.read(now).encode(),
+      betweenTokens: this.#betweenTokens.read(now).encode(),
+    };
+  }
+}
+
+/** Times of the present and the previous span. */
+class RecentLatency {
+  #span = 0;
+  #present = new LatencyHistogram();
+  #previous = new LatencyHistogram();
+
+  record(at: number, milliseconds: number | undefined): void {
+    this.#turn(at);
+    if (milliseconds !== undefined) this.#present.record(milliseconds);
+  }
+
+  read(now: number): LatencyHistogram {
+    this.#turn(now);
+    const both = new LatencyHistogram();
+    both.add(this.#previous);
+    both.add(this.#present);
+    return both;
+  }
+
+  #turn(at: number): void {
+    const span = Math.floor(at / DETAIL_SPAN_MILLISECONDS);
+    if (span === this.#span) return;
+    const follows = span === this.#span + 1;
+    this.#previous = follows ? this.#present : new LatencyHistogram();
+    this.#present = new LatencyHistogram();
+    this.#span = span;
+  }
+}
--- a/src/burn/types.ts
+++ b/src/burn/types.ts
@@ -1,3 +1,5 @@
+import type { ServiceLevelSeries } from "./messages.ts";
+
 /** How a live request counts against its service's objective. */
 export type ServiceLevelOutcome = "good" | "late" | "refused" | "failed";
 
@@ -19,3 +21,8 @@
 export interface IServiceLevelRecorder {
   record(sample: IServiceLevelSample): void;
 }
+
+/** A recorder that hands out what it holds. */
+export interface IServiceLevelReader extends IServiceLevelRecorder {
+  read(): ServiceLevelSeries[];
+}
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -1,5 +1,10 @@
 import { randomUUID } from "node:crypto";
 import { join } from "node:path";
+import {
+  BurnReporter,
+  handleServiceLevels,
+  ServiceLevelRecorder,
+} from "../burn/mod.ts";
 import { DisposableStore, SystemClock } from "../common/mod.ts";
 import {
   ConfigurationHolder,
@@ -21,6 +26,11 @@
   PlainEndpoint,
 } from "../entry/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
+import {
+  ExplainCollector,
+  handleExplain,
+  TraceRecorder,
+} from "../explain/mod.ts";
 import {
   handleJobs,
   ItemRunner,
@@ -30,9 +40,15 @@
   LeaseManager,
 } from "../jobs/mod.ts";
 import { Heartbeat, MemberRegistry } from "../membership/mod.ts";
+import {
+  CountingEventLog,
+  defineProcessMetrics,
+  Metrics,
+} from "../metrics/mod.ts";
 import {
   configurationRoutes,
   OperatorsServer,
+  reportRoutes,
   statusRoutes,
 } from "../operators/mod.ts";
 import { LeastLoadedSelector } from "../routing/mod.ts";
@@ -44,10 +60,15 @@
 /** Wires the parts of a daemon; nothing else chooses implementations. */
 export async function startDaemon(
   settings: Settings,
-  events: IEventLog,
+  eventLog: IEventLog,
 ): Promise<IDaemon> {
   const clock = new SystemClock();
   const store = new DisposableStore();
+  const metrics = new Metrics();
+  const events = new CountingEventLog(eventLog, metrics);
+  store.add(defineProcessMetrics(metrics));
+  const traces = new TraceRecorder(settings.instance.id, clock);
+  const serviceLevels = new ServiceLevelRecorder(clock);
   const server = store.add(new RpcServer(clock, events));
   const peerPort = await server.listen(
     settings.peers.address,
@@ -97,6 +118,9 @@
     ),
   );
 
+  store.add(handleExplain(server, traces));
+  store.add(handleServiceLevels(server, serviceLevels));
+
   const engines = store.add(new HttpEngineAdapter(clock));
   const plainTargets = store.add(new HttpPlainAdapter(clock));
   const selector = new LeastLoadedSelector(configuration);
@@ -125,6 +149,12 @@
         isReady: () => !stopping && configuration.current !== undefined,
       }),
       ...configurationRoutes(control, clock),
+      ...reportRoutes({
+        explain: new ExplainCollector(heartbeat, rpc),
+        burn: new BurnReporter(heartbeat, rpc, { configuration, clock }),
+        metrics,
+        clock,
+      }),
     ]),
   );
 
--- /dev/null
+++ b/src/events/catalogue.ts
@@ -0,0 +1,79 @@
+import { existsSync } from "node:fs";
+import { readdir } from "node:fs/promises";
+import type { IEventDefinition } from "./types.ts";
+
+/** Numbers that a slice may give to its events. */
+interface INumberRange {
+  readonly slice: string;
+  readonly first: number;
+  readonly last: number;
+}
+
+/** Ranges of event numbers; a slice without a range defines no events. */
+export const EVENT_NUMBER_RANGES: readonly INumberRange[] = [
+  { slice: "daemon", first: 100, last: 199 },
+  { slice: "configuration", first: 200, last: 299 },
+  { slice: "rpc", first: 300, last: 399 },
+  { slice: "consensus", first: 400, last: 499 },
+  { slice: "membership", first: 500, last: 599 },
+  { slice: "orders", first: 600, last: 649 },
+  { slice: "allotment", first: 650, last: 699 },
+  { slice: "entry", first: 700, last: 799 },
+  { slice: "dispatch", first: 700, last: 799 },
+  { slice: "routing", first: 700, last: 799 },
+  { slice: "admission", first: 700, last: 799 },
+  { slice: "targets", first: 700, last: 799 },
+  { slice: "jobs", first: 800, last: 899 },
+  { slice: "operations", first: 900, last: 949 },
+  { slice: "explain", first: 950, last: 999 },
+  { slice: "burn", first: 950, last: 999 },
+  { slice: "metrics", first: 950, last: 999 },
+];
+
+/** Folder that holds the slices, of the sources or of the build. */
+const SLICES_FOLDER = new URL("../", import.meta.url);
+
+/** An event with the slice that defines it. */
+export interface ICatalogueEntry {
+  readonly slice: string;
+  readonly event: IEventDefinition;
+}
+
+/** Reads the events of every slice that has any, ordered by number. */
+export async function loadCatalogue(): Promise<ICatalogueEntry[]> {
+  const entries: ICatalogueEntry[] = [];
+  for (const slice of await readdir(SLICES_FOLDER)) {
+    const module = new URL(`${slice}/events.js`, SLICES_FOLDER);
+    if (!existsSync(module)) continue;
+    const definitions = Object.values(await import(module.href));
+    entries.push(
+      ...definitions.filter(isEvent).map((event) => ({ slice, event })),
+    );
+  }
+  return entries.sort((first, second) =>
+    first.event.number - second.event.number
+  );
+}
+
+/** Lists what is wrong with numbers and names; empty when all is well. */
+export function catalogueFaults(entries: readonly ICatalogueEntry[]): string[] {
+  const faults: string[] = [];
+  const numbers = new Set<number>();
+  const names = new Set<string>();
+  for (const { slice, event } of entries) {
+    const { number, name } = event;
+    if (numbers.has(number)) faults.push(`${number} is given twice`);
+    if (names.has(name)) faults.push(`${name} is given twice`);
+    numbers.add(number);
+    names.add(name);
+    const range = EVENT_NUMBER_RANGES.find((range) => range.slice === slice);
+    const inside = range && number >= range.first && number <= range.last;
+    if (!inside) faults.push(`${number} is not in the range of ${slice}`);
+  }
+  return faults;
+}
+
+function isEvent(value: unknown): value is IEventDefinition {
+  return typeof value === "object" && value !== null &&
+    "number" in value && "help" in value && "fields" in value;
+}
--- /dev/null
+++ b/src/events/catalogue_test.ts
@@ -0,0 +1,42 @@
+import { existsSync } from "node:fs";
+import { readdir, readFile } from "node:fs/promises";
+import { join } from "node:path";
+import test from "ava";
+import { catalogueFaults, loadCatalogue } from "./catalogue.ts";
+import { isSamePage, renderEventsPage } from "./events_page.ts";
+
+test("numbers unique and in range", async (t) => {
+  t.deepEqual(catalogueFaults(await loadCatalogue()), []);
+});
+
+test("every slice's events found", async (t) => {
+  const found = new Set((await loadCatalogue()).map(({ slice }) => slice));
+  const slices = (await readdir("src"))
+    .filter((slice) => existsSync(join("src", slice, "events.ts")));
+  t.deepEqual([...found].sort(), slices.sort());
+});
+
+test("events only in events.ts", async (t) => {
+  const files = await readdir("src", { recursive: true });
+  for (const file of files.filter((file) => file.endsWith(".ts"))) {
+    if (/(^|\/)(events|define_event|.*_test)\.ts$/.test(file)) continue;
+    const text = await readFile(join("src", file), "utf8");
+    t.false(/\bdefineEvent\(/.test(text), file);
+  }
+});
+
+test("docs/EVENTS.md up to date", async (t) => {
+  const page = await readFile("docs/EVENTS.md", "utf8");
+  const fresh = renderEventsPage(await loadCatalogue());
+  t.true(isSamePage(page, fresh), "run `npm run events`");
+});
+
+test("faults are told", async (t) => {
+  const [first] = await loadCatalogue();
+  if (!first) return t.fail();
+  t.deepEqual(catalogueFaults([first, { ...first, slice: "jobs" }]), [
+    "100 is given twice",
+    "daemon-started is given twice",
+    "100 is not in the range of jobs",
+  ]);
+});
--- /dev/null
+++ b/src/events/events_page.ts
@@ -0,0 +1,41 @@
+import type { ICatalogueEntry } from "./catalogue.ts";
+
+/** Text before the events. */
+const HEADING = `# Events
+
+Every line that \`figroadd\` logs is one JSON object with the time (\`at\`), the
+\`instance\`, the number of the \`event\`, its \`name\`, its \`level\` and the
+fields listed here. Numbers are stable and never given to another event.
+\`figroad logs explain NUMBER\` prints the same text, and \`/metrics\` counts
+events by number as \`figroad_events_total\`.
+
+\`npm run events\` writes this page from the code; a test compares both.`;
+
+/** Renders docs/EVENTS.md, not yet wrapped by the formatter. */
+export function renderEventsPage(entries: readonly ICatalogueEntry[]): string {
+  const sections: string[] = [HEADING];
+  for (const slice of new Set(entries.map(({ slice }) => slice))) {
+    sections.push(`## ${slice}`);
+    const own = entries.filter((entry) => entry.slice === slice);
+    sections.push(...own.flatMap(renderEvent));
+  }
+  return `${sections.join("\n\n")}\n`;
+}
+
+/** Whether two pages differ in more than the formatter's line breaks. */
+export function isSamePage(first: string, second: string): boolean {
+  const words = (page: string) => page.split(/\s+/).filter(Boolean).join(" ");
+  return words(first) === words(second);
+}
+
+function renderEvent({ event }: ICatalogueEntry): string[] {
+  const names = Object.keys(event.fields.shape);
+  const fields = names.length === 0
+    ? "none"
+    : names.map((name) => `\`${name}\``).join(", ");
+  return [
+    `### ${event.number} ${event.name}`,
+    `Level ${event.level}. Fields: ${fields}.`,
+    event.help,
+  ];
+}
--- /dev/null
+++ b/src/events/write_events_page.ts
@@ -0,0 +1,7 @@
+// Writes docs/EVENTS.md from the events that the slices define.
+import { writeFile } from "node:fs/promises";
+import { loadCatalogue } from "./catalogue.ts";
+import { renderEventsPage } from "./events_page.ts";
+
+const page = renderEventsPage(await loadCatalogue());
+await writeFile("docs/EVENTS.md", page);
--- /dev/null
+++ b/src/explain/explain_collector.ts
@@ -0,0 +1,53 @@
+import { ok } from "neverthrow";
+import type { Deadline, IDisposable } from "../common/mod.ts";
+import type { IMembership } from "../membership/mod.ts";
+import { askMembers } from "../operators/ask_members.ts";
+import type { IRpcClient, IRpcServer } from "../rpc/mod.ts";
+import { readTraceMethod } from "./messages.ts";
+import type { Explanation, ITraceReader } from "./types.ts";
+
+/** Answers other instances with the steps that this one keeps. */
+export function handleExplain(
+  server: IRpcServer,
+  traces: ITraceReader,
+): IDisposable {
+  return server.handle(
+    readTraceMethod,
+    ({ subject }) => Promise.resolve(ok(traces.trace(subject))),
+  );
+}
+
+/** Puts together what all instances know of a request or item. */
+export class ExplainCollector {
+  #membership: IMembership;
+  #rpc: IRpcClient;
+
+  constructor(membership: IMembership, rpc: IRpcClient) {
+    this.#membership = membership;
+    this.#rpc = rpc;
+  }
+
+  /** Asks every member; those that do not answer are named. */
+  async explain(
+    subject: string,
+    options: { deadline: Deadline },
+  ): Promise<Explanation> {
+    const { answers, unanswered } = await askMembers(
+      this.#membership,
+      (member) => this.#rpc.call(member, readTraceMethod, { subject }, options),
+    );
+    const traces = answers.map(({ value }) => value);
+    return {
+      subject,
+      steps: traces.flatMap(({ steps }) => steps)
+        .sort((first, second) => first.at - second.at),
+      droppedSteps: traces.reduce(
+        (total, { droppedSteps }) => total + droppedSteps,
+        0,
+      ),
+      keptSince: Math.max(0, ...traces.map(({ keptSince }) => keptSince)),
+      answered: answers.map(({ id }) => id),
+      unanswered: [...unanswered],
+    };
+  }
+}
--- /dev/null
+++ b/src/metrics/process_metrics.ts
@@ -0,0 +1,76 @@
+import {
+  type EventLoopUtilization,
+  monitorEventLoopDelay,
+  performance,
+} from "node:perf_hooks";
+import process from "node:process";
+import type { IDisposable } from "../common/mod.ts";
+import type { IMetrics } from "./types.ts";
+
+/** Microseconds in one second. */
+const MICROSECONDS_PER_SECOND = 1_000_000;
+
+/** Nanoseconds in one millisecond. */
+const NANOSECONDS_PER_MILLISECOND = 1_000_000;
+
+/** How often the delay of the event loop is sampled, in milliseconds. */
+const EVENT_LOOP_RESOLUTION_MILLISECONDS = 20;
+
+/** Defines metrics of the process; disposing of the result stops sampling. */
+export function defineProcessMetrics(metrics: IMetrics): IDisposable {
+  metrics.gauge(
+    "process_cpu_seconds_total",
+    "Processor time of the process, in seconds.",
+    () => {
+      const { user, system } = process.cpuUsage();
+      return [{ value: (user + system) / MICROSECONDS_PER_SECOND }];
+    },
+  );
+  metrics.gauge(
+    "process_resident_memory_bytes",
+    "Resident memory of the process, in bytes.",
+    () => [{ value: process.memoryUsage.rss() }],
+  );
+  metrics.gauge(
+    "process_heap_used_bytes",
+    "Memory in use on the JavaScript heap, in bytes.",
+    () => [{ value: process.memoryUsage().heapUsed }],
+  );
+  metrics.gauge(
+    "process_uptime_seconds",
+    "Time since the process started, in seconds.",
+    () => [{ value: process.uptime() }],
+  );
+  return defineEventLoopMetrics(metrics);
+}
+
+function defineEventLoopMetrics(metrics: IMetrics): IDisposable {
+  const delay = monitorEventLoopDelay({
+    resolution: EVENT_LOOP_RESOLUTION_MILLISECONDS,
+  });
+  delay.enable();
+  let last: EventLoopUtilization = performance.eventLoopUtilization();
+  metrics.gauge(
+    "process_event_loop_delay_milliseconds",
+    "Delay of the event loop since metrics were last read, by quantile.",
+    () => {
+      const readings = [50, 99, 100].map((percentage) => ({
+        value: delay.percentile(percentage) / NANOSECONDS_PER_MILLISECOND,
+        labels: { quantile: String(percentage / 100) },
+      }));
+      delay.reset();
+      return readings;
+    },
+  );
+  metrics.gauge(
+    "process_event_loop_utilization",
+    "Share of time since metrics were last read in which the loop was busy.",
+    () => {
+      const now = performance.eventLoopUtilization();
+      const { utilization } = performance.eventLoopUtilization(now, last);
+      last = now;
+      return [{ value: utilization }];
+    },
+  );
+  return { dispose: () => delay.disable() };
+}
--- /dev/null
+++ b/src/operators/ask_members.ts
@@ -0,0 +1,72 @@
+import type { Result } from "neverthrow";
+import { z } from "zod";
+import type { Failure } from "../common/mod.ts";
+import type { IMembership, Instance, Member } from "../membership/mod.ts";
+
+/** Members that are asked at the same time. */
+const PARALLEL_QUESTIONS = 32;
+
+/** An instance that gave no answer. */
+export const unansweredSchema = z.object({
+  id: z.string(),
+  reason: z.string(),
+});
+export type Unanswered = z.infer<typeof unansweredSchema>;
+
+/** The answer of one instance. */
+export interface IMemberAnswer<T> {
+  readonly id: string;
+  readonly value: T;
+}
+
+/** Answers of the fleet to one question. */
+export interface IMemberAnswers<T> {
+  readonly answers: readonly IMemberAnswer<T>[];
+  readonly unanswered: readonly Unanswered[];
+}
+
+/**
+ * Asks every known instance but the lost ones, which count as unanswered.
+ *
+ * Instances that the member list has forgotten are neither asked nor named.
+ */
+export async function askMembers<T>(
+  membership: IMembership,
+  ask: (instance: Instance) => Promise<Result<T, Failure>>,
+): Promise<IMemberAnswers<T>> {
+  const answers: IMemberAnswer<T>[] = [];
+  const unanswered: Unanswered[] = [];
+  const waiting = [...instancesOf(membership)];
+  const work = async () => {
+    for (let next = waiting.shift(); next; next = waiting.shift()) {
+      const { id } = next;
+      if (isLost(next)) {
+        unanswered.push({ id, reason: "lost: sends no heartbeats" });
+        continue;
+      }
+      (await ask(next)).match(
+        (value) => answers.push({ id, value }),
+        ({ message }) => unanswered.push({ id, reason: message }),
+      );
+    }
+  };
+  await Promise.all(Array.from({ length: PARALLEL_QUESTIONS }, work));
+  answers.sort(byId);
+  unanswered.sort(byId);
+  return { answers, unanswered };
+}
+
+/** All members; this instance as well before the first member list. */
+function instancesOf(membership: IMembership): (Instance | Member)[] {
+  const { members, self } = membership;
+  const listed = members.some(({ id }) => id === self.id);
+  return listed ? [...members] : [...members, self];
+}
+
+function isLost(instance: Instance | Member): boolean {
+  return "health" in instance && instance.health === "lost";
+}
+
+function byId(first: { id: string }, second: { id: string }): number {
+  return first.id < second.id ? -1 : 1;
+}
--- /dev/null
+++ b/src/operators/report_routes.ts
@@ -0,0 +1,60 @@
+import type { BurnReporter } from "../burn/mod.ts";
+import { type IClock, notRun } from "../common/mod.ts";
+import { sendFailure, sendJson } from "../entry/respond.ts";
+import type { ExplainCollector } from "../explain/mod.ts";
+import type { IMetrics } from "../metrics/mod.ts";
+import type { IOperatorRoute } from "./types.ts";
+
+/** Time that instances have to answer a report, in milliseconds. */
+const REPORT_TIMEOUT_MILLISECONDS = 3_000;
+
+/** Longest identifier of a request or item, in characters. */
+const MAXIMUM_SUBJECT_CHARACTERS = 256;
+
+/** What the report routes tell about. */
+export interface IReportSources {
+  readonly explain: ExplainCollector;
+  readonly burn: BurnReporter;
+  readonly metrics: IMetrics;
+  readonly clock: IClock;
+}
+
+/** Routes that tell what the fleet did and how well. */
+export function reportRoutes(sources: IReportSources): IOperatorRoute[] {
+  const options = () => ({
+    deadline: sources.clock.deadlineIn(REPORT_TIMEOUT_MILLISECONDS),
+  });
+  return [
+    {
+      method: "GET",
+      path: /^\/explain$/,
+      async handle({ url, response }) {
+        const subject = url.searchParams.get("id") ?? "";
+        if (subject === "" || subject.length > MAXIMUM_SUBJECT_CHARACTERS) {
+          const reason = "id: the identifier of a request or item";
+          return sendFailure(response, notRun("bad-request", reason));
+        }
+        const explanation = await sources.explain.explain(subject, options());
+        sendJson(response, 200, explanation);
+      },
+    },
+    {
+      method: "GET",
+      path: /^\/burn$/,
+      async handle({ response }) {
+        sendJson(response, 200, await sources.burn.report(options()));
+      },
+    },
+    {
+      method: "GET",
+      path: /^\/metrics$/,
+      handle({ response }) {
+        response.writeHead(200, {
+          "content-type": "text/plain; version=0.0.4; charset=utf-8",
+        });
+        response.end(sources.metrics.render());
+        return Promise.resolve();
+      },
+    },
+  ];
+}
