--- /dev/null
+++ b/measure/capacity_processes.ts
@@ -0,0 +1,132 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Fleet } from "../testing/fleet.ts";
+import { readUsage } from "./process_usage.ts";
+import { fitLine, median } from "./statistics.ts";
+
+/** Sizes of the idle fleets that are compared. */
+const FLEET_SIZES = [4, 8, 16];
+const VOTERS = 3;
+
+/** Time before usage is read, in milliseconds. */
+const WARM_UP_MILLISECONDS = 4_000;
+
+/** Time over which usage is measured, in milliseconds. */
+const MEASURED_MILLISECONDS = 15_000;
+
+interface IIdleUsage {
+  readonly coreShare: number;
+  readonly megabytes: number;
+  readonly kilobytesPerSecond: number;
+}
+
+/** Measures what idle instances cost, over the size of the fleet. */
+export async function measureProcesses(): Promise<void> {
+  const bare = await measureBare();
+  console.log(
+    `bare Node.js process: ${bare.megabytes.toFixed(1)} MB anonymous memory, ` +
+      `${(bare.coreShare * 100).toFixed(2)}% of a core`,
+  );
+  const rows = [];
+  for (const instances of FLEET_SIZES) {
+    const { entry, voter, leader } = await measureFleet(instances);
+    rows.push({ instances, entry, voter, leader });
+  }
+  console.log("idle fleets: figures of one process, median over processes");
+  console.table(
+    rows.flatMap(({ instances, ...roles }) =>
+      Object.entries(roles).map(([role, usage]) => ({
+        instances,
+        role,
+        "core (%)": (usage.coreShare * 100).toFixed(2),
+        "memory (MB)": usage.megabytes.toFixed(1),
+        "above bare (MB)": (usage.megabytes - bare.megabytes).toFixed(1),
+        "calls' traffic (KB/s)": usage.kilobytesPerSecond.toFixed(2),
+      }))
+    ),
+  );
+  for (const role of ["entry", "voter", "leader"] as const) {
+    const line = fitLine(rows.map(({ instances, ...roles }) => ({
+      x: instances,
+      y: roles[role].coreShare * 100,
+    })));
+    console.log(
+      `${role}: ${line.offset.toFixed(3)}% + ${line.slope.toFixed(4)}% per ` +
+        `instance, spread ${line.spread.toFixed(3)}%`,
+    );
+  }
+}
+
+async function measureBare(): Promise<IIdleUsage> {
+  const child = spawn(process.execPath, ["-e", "setInterval(() => {}, 1000)"]);
+  await sleep(WARM_UP_MILLISECONDS);
+  const usage = await usageOver([{ process: child }], MEASURED_MILLISECONDS);
+  child.kill("SIGKILL");
+  return usage[0] ?? { coreShare: 0, megabytes: 0, kilobytesPerSecond: 0 };
+}
+
+async function measureFleet(instances: number) {
+  const fleet = await Fleet.start({ instances, voters: VOTERS, engines: 2 });
+  try {
+    await sleep(WARM_UP_MILLISECONDS);
+    const status = await fetch(`${fleet.instances[0]?.operators}/status`);
+    const { log } = await status.json() as { log?: { leader?: string } };
+    const leaderId = log?.leader;
+    const usages = await usageOver(fleet.instances, MEASURED_MILLISECONDS);
+    const isVoter = (index: number) => index < VOTERS;
+    const isLeader = (index: number) => fleet.instances[index]?.id === leaderId;
+    return {
+      entry: middle(usages.filter((_, index) => !isVoter(index))),
+      voter: middle(
+        usages.filter((_, index) => isVoter(index) && !isLeader(index)),
+      ),
+      leader: middle(usages.filter((_, index) => isLeader(index))),
+    };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function usageOver(
+  instances: readonly { process: ChildProcess; operators?: string }[],
+  milliseconds: number,
+): Promise<IIdleUsage[]> {
+  const read = () =>
+    Promise.all(instances.map(async (instance) => ({
+      ...await readUsage(instance.process.pid ?? 0),
+      bytes: await callBytes(instance.operators),
+    })));
+  const before = await read();
+  await sleep(milliseconds);
+  const after = await read();
+  return after.map((usage, index) => {
+    const { processorMilliseconds = 0, bytes = 0 } = before[index] ?? {};
+    const spent = usage.processorMilliseconds - processorMilliseconds;
+    return {
+      coreShare: spent / milliseconds,
+      megabytes: usage.anonymousMegabytes,
+      kilobytesPerSecond: (usage.bytes - bytes) / 1.024 / milliseconds,
+    };
+  });
+}
+
+/** Bytes of calls between instances, both ways, from the metrics page. */
+async function callBytes(operators: string | undefined): Promise<number> {
+  if (operators === undefined) return 0;
+  const text = await (await fetch(`${operators}/metrics`)).text();
+  const lines = text.split("\n").filter((line) =>
+    /^figroad_rpc_bytes/.test(line)
+  );
+  return lines.reduce((sum, line) => sum + Number(line.split(" ").at(-1)), 0);
+}
+
+function middle(usages: readonly IIdleUsage[]): IIdleUsage {
+  return {
+    coreShare: median(usages.map(({ coreShare }) => coreShare)),
+    megabytes: median(usages.map(({ megabytes }) => megabytes)),
+    kilobytesPerSecond: median(
+      usages.map(({ kilobytesPerSecond }) => kilobytesPerSecond),
+    ),
+  };
+}
