--- /dev/null
+++ b/src/admission/caller_limits.ts
@@ -0,0 +1,158 @@
+import { err, ok, type Result } from "neverthrow";
+import {
+  type Deadline,
+  type Failure,
+  type IClock,
+  type IDisposable,
+  notRun,
+} from "../common/mod.ts";
+import type { CallerRecord } from "../configuration/mod.ts";
+import { LOAN_MILLISECONDS } from "./limit_lender.ts";
+import { divideLimits } from "./limit_parts.ts";
+import { TokenBucket } from "./token_bucket.ts";
+import type { ILimitOwners } from "./types.ts";
+
+/** Pause between two loans while the last one gave too little. */
+const BORROW_PAUSE_MILLISECONDS = 250;
+
+/** Age at which a loan of slots in use is renewed, in milliseconds. */
+const RENEW_AFTER_MILLISECONDS = 1_000;
+
+/** Seconds after which a caller at its limit may come back. */
+const RETRY_AFTER_SECONDS = 1;
+
+/** One caller's limits on this instance. */
+export class CallerLimits {
+  #owners: ILimitOwners;
+  #clock: IClock;
+  #caller: CallerRecord;
+  #own: TokenBucket;
+  #borrowedRequests = 0;
+  #used = 0;
+  #waiting = 0;
+  #fixedSlots = 0;
+  #borrowedSlots = 0;
+  #loanUntil: Deadline | undefined;
+  #renewFrom: Deadline | undefined;
+  #pauseUntil: Deadline | undefined;
+  #borrowing: Promise<void> | undefined;
+
+  constructor(caller: CallerRecord, owners: ILimitOwners, clock: IClock) {
+    this.#caller = caller;
+    this.#owners = owners;
+    this.#clock = clock;
+    this.#own = new TokenBucket(clock);
+  }
+
+  /** Requests in progress on this instance. */
+  get used(): number {
+    return this.#used;
+  }
+
+  /** Whether nothing would be lost by forgetting this object. */
+  get isIdle(): boolean {
+    return this.#used === 0 && this.#waiting === 0;
+  }
+
+  /** Takes one request, borrowing once if the own part is used up. */
+  async admit(caller: CallerRecord): Promise<Result<IDisposable, Failure>> {
+    this.#caller = caller;
+    this.#divide();
+    if (this.#take()) return ok(this.#ticket());
+    this.#waiting += 1;
+    try {
+      await this.#borrow();
+    } finally {
+      this.#waiting -= 1;
+    }
+    return this.#take() ? ok(this.#ticket()) : err(this.#refusal());
+  }
+
+  /** Renews the loan of slots in use before it ends. */
+  async renew(): Promise<void> {
+    if (this.#renewFrom === undefined) return;
+    if (!this.#clock.isPast(this.#renewFrom)) return;
+    if (this.#used > this.#fixedSlots) await this.#borrow();
+    else this.#renewFrom = undefined;
+  }
+
+  #divide(): void {
+    const parts = divideLimits(this.#caller, this.#owners.instances);
+    this.#fixedSlots = parts.slots.fixed;
+    this.#own.setRate(parts.requestsPerSecond.fixed);
+  }
+
+  get #slots(): number {
+    const isLent = this.#loanUntil !== undefined &&
+      !this.#clock.isPast(this.#loanUntil);
+    return this.#fixedSlots + (isLent ? this.#borrowedSlots : 0);
+  }
+
+  #take(): boolean {
+    if (this.#used >= this.#slots) return false;
+    if (this.#own.take(1) === 0) {
+      if (this.#borrowedRequests < 1) return false;
+      this.#borrowedRequests -= 1;
+    }
+    this.#used += 1;
+    return true;
+  }
+
+  #ticket(): IDisposable {
+    let held = true;
+    return {
+      dispose: () => {
+        if (held) this.#used -= 1;
+        held = false;
+      },
+    };
+  }
+
+  /** All requests that wait share one call. */
+  #borrow(): Promise<void> {
+    if (this.#borrowing) return this.#borrowing;
+    if (this.#pauseUntil && !this.#clock.isPast(this.#pauseUntil)) {
+      return Promise.resolve();
+    }
+    this.#borrowing = this.#ask().finally(() => this.#borrowing = undefined);
+    return this.#borrowing;
+  }
+
+  async #ask(): Promise<void> {
+    // Requests that arrive in the same turn of the event loop join the call.
+    await Promise.resolve();
+    const loanUntil = this.#clock.deadlineIn(LOAN_MILLISECONDS);
+    const renewFrom = this.#clock.deadlineIn(RENEW_AFTER_MILLISECONDS);
+    const wanted = this.#used + this.#waiting - this.#fixedSlots;
+    const held = this.#own.available + this.#borrowedRequests;
+    const asked = held < this.#waiting ? this.#waiting : 0;
+    const loan = await this.#owners.borrow({
+      caller: this.#caller.name,
+      instances: this.#owners.instances,
+      requests: asked,
+      slots: Math.max(0, wanted),
+    });
+    if (loan.isErr()) return this.#pause();
+    this.#borrowedRequests += loan.value.requests;
+    this.#borrowedSlots = loan.value.slots;
+    this.#loanUntil = loanUntil;
+    this.#renewFrom = renewFrom;
+    const short = loan.value.requests < asked || loan.value.slots < wanted;
+    if (short) this.#pause();
+  }
+
+  #pause(): void {
+    this.#pauseUntil = this.#clock.deadlineIn(BORROW_PAUSE_MILLISECONDS);
+  }
+
+  #refusal(): Failure {
+    const { name, limits } = this.#caller;
+    const isFull = this.#used >= this.#slots;
+    const reason = isFull
+      ? `${name} has ${limits.concurrentRequests} requests in progress`
+      : `${name} sends more than ${limits.requestsPerSecond} requests a second`;
+    return notRun("limit-exceeded", reason, {
+      retryAfterSeconds: RETRY_AFTER_SECONDS,
+    });
+  }
+}
--- /dev/null
+++ b/src/admission/fleet_admission.ts
@@ -0,0 +1,125 @@
+import { err, type Result } from "neverthrow";
+import type { Failure, IClock, IDisposable } from "../common/mod.ts";
+import type { CallerRecord } from "../configuration/mod.ts";
+import { CallerLimits } from "./caller_limits.ts";
+import type { IServiceUse, ServiceGate } from "./service_gate.ts";
+import type { IAdmission, IAdmissionRequest, ILimitOwners } from "./types.ts";
+
+/** How often loans in use are looked at, in milliseconds. */
+const RENEWAL_INTERVAL_MILLISECONDS = 500;
+
+/** Time without requests after which a caller is forgotten. */
+const FORGET_INTERVAL_MILLISECONDS = 60_000;
+
+/** Collaborators of the admission. */
+export interface IFleetAdmissionOptions {
+  readonly clock: IClock;
+  readonly owners: ILimitOwners;
+  readonly gate: ServiceGate;
+}
+
+/** Requests in progress by caller. */
+type ServiceCounts = Map<string, number>;
+
+/** Admits live requests by callers' limits and by what can be answered. */
+export class FleetAdmission implements IAdmission, IDisposable {
+  #options: IFleetAdmissionOptions;
+  #callers = new Map<string, CallerLimits>();
+  #services = new Map<string, ServiceCounts>();
+  #stop = new AbortController();
+
+  constructor(options: IFleetAdmissionOptions) {
+    this.#options = options;
+  }
+
+  async admit(
+    request: IAdmissionRequest,
+  ): Promise<Result<IDisposable, Failure>> {
+    const service = request.grant.service.name;
+    const use = this.#use(service, request.caller.name);
+    const checked = this.#options.gate.check(request, use);
+    if (checked.isErr()) return err(checked.error);
+    const ticket = await this.admitCaller(request.caller);
+    return ticket.map((held) => this.#count(service, request.caller, held));
+  }
+
+  async admitCaller(
+    caller: CallerRecord,
+  ): Promise<Result<IDisposable, Failure>> {
+    return await this.#limitsOf(caller).admit(caller);
+  }
+
+  /** Starts the tasks that renew loans and forget callers. */
+  start(): void {
+    void this.#every(RENEWAL_INTERVAL_MILLISECONDS, () => this.#renew());
+    void this.#every(FORGET_INTERVAL_MILLISECONDS, () => this.#forget());
+  }
+
+  dispose(): void {
+    this.#stop.abort();
+  }
+
+  async #every(interval: number, step: () => Promise<void>): Promise<void> {
+    const { clock } = this.#options;
+    const { signal } = this.#stop;
+    while (!signal.aborted) {
+      await clock.sleepUntil(clock.deadlineIn(interval), signal);
+      await step();
+    }
+  }
+
+  async #renew(): Promise<void> {
+    const limits = [...this.#callers.values()];
+    await Promise.all(limits.map((caller) => caller.renew()));
+  }
+
+  #forget(): Promise<void> {
+    for (const [name, limits] of this.#callers) {
+      if (limits.isIdle) this.#callers.delete(name);
+    }
+    return Promise.resolve();
+  }
+
+  #limitsOf(caller: CallerRecord): CallerLimits {
+    const known = this.#callers.get(caller.name);
+    if (known) return known;
+    const { owners, clock } = this.#options;
+    const limits = new CallerLimits(caller, owners, clock);
+    this.#callers.set(caller.name, limits);
+    return limits;
+  }
+
+  #use(service: string, caller: string): IServiceUse {
+    const counts = this.#services.get(service);
+    const byCaller = counts?.get(caller) ?? 0;
+    const present = counts?.size ?? 0;
+    let total = 0;
+    for (const count of counts?.values() ?? []) total += count;
+    const callers = byCaller > 0 ? present : present + 1;
+    return { byCaller, total, callers };
+  }
+
+  #count(
+    service: string,
+    caller: CallerRecord,
+    ticket: IDisposable,
+  ): IDisposable {
+    const counts = this.#services.get(service) ?? new Map<string, number>();
+    this.#services.set(service, counts);
+    add(counts, caller.name, 1);
+    let held = true;
+    return {
+      dispose: () => {
+        if (held) add(counts, caller.name, -1);
+        held = false;
+        ticket.dispose();
+      },
+    };
+  }
+}
+
+function add(counts: ServiceCounts, caller: string, difference: number): void {
+  const count = (counts.get(caller) ?? 0) + difference;
+  if (count === 0) counts.delete(caller);
+  else counts.set(caller, count);
+}
--- /dev/null
+++ b/src/admission/latency_estimates.ts
@@ -0,0 +1,55 @@
+import type { Deadline, IClock } from "../common/mod.ts";
+import type { ILatencyEstimate, ILatencyEstimates } from "./types.ts";
+
+/** Weight of the newest observation in an average. */
+const NEWEST_WEIGHT = 0.1;
+
+/** Time without observations after which an estimate is forgotten. */
+const FORGET_AFTER_MILLISECONDS = 10_000;
+
+interface IAverages {
+  firstTokenMilliseconds: number;
+  tokenMilliseconds: number;
+  tokensPerAnswer: number;
+  validUntil: Deadline;
+}
+
+/** Moving averages of what live streams experienced, by service. */
+export class LatencyEstimates implements ILatencyEstimates {
+  #services = new Map<string, IAverages>();
+  #clock: IClock;
+
+  constructor(clock: IClock) {
+    this.#clock = clock;
+  }
+
+  of(service: string): ILatencyEstimate | undefined {
+    const averages = this.#services.get(service);
+    if (!averages) return undefined;
+    // Without this, one slow spell could refuse requests for ever, since
+    // refused requests teach nothing.
+    if (!this.#clock.isPast(averages.validUntil)) return averages;
+    this.#services.delete(service);
+    return undefined;
+  }
+
+  observe(service: string, observed: ILatencyEstimate): void {
+    const known = this.of(service) ?? observed;
+    this.#services.set(service, {
+      firstTokenMilliseconds: blend(
+        known.firstTokenMilliseconds,
+        observed.firstTokenMilliseconds,
+      ),
+      tokenMilliseconds: blend(
+        known.tokenMilliseconds,
+        observed.tokenMilliseconds,
+      ),
+      tokensPerAnswer: blend(known.tokensPerAnswer, observed.tokensPerAnswer),
+      validUntil: this.#clock.deadlineIn(FORGET_AFTER_MILLISECONDS),
+    });
+  }
+}
+
+function blend(known: number, observed: number): number {
+  return known + NEWEST_WEIGHT * (observed - known);
+}
--- /dev/null
+++ b/src/admission/service_gate.ts
@@ -0,0 +1,105 @@
+import { err, ok, type Result } from "neverthrow";
+import type { IEngineLoadView } from "../allotment/mod.ts";
+import { type Failure, type IClock, notRun } from "../common/mod.ts";
+import type { Engine, IConfigurationSource } from "../configuration/mod.ts";
+import type { ITargetAvailability } from "../membership/mod.ts";
+import type { ITargetHealth } from "../routing/mod.ts";
+import type { IAdmissionRequest, ILatencyEstimates } from "./types.ts";
+
+/** Milliseconds in one second. */
+const SECOND_MILLISECONDS = 1_000;
+
+/** Collaborators of the gate. */
+export interface IServiceGateOptions {
+  readonly clock: IClock;
+  readonly configuration: IConfigurationSource;
+  readonly load: IEngineLoadView;
+  readonly health: ITargetHealth;
+  readonly availability: ITargetAvailability;
+  readonly estimates: ILatencyEstimates;
+}
+
+/** Requests in progress on this instance, for one service. */
+export interface IServiceUse {
+  /** Of the caller that asks. */
+  readonly byCaller: number;
+  readonly total: number;
+  /** Callers with at least one, the asking one included. */
+  readonly callers: number;
+}
+
+/** Refuses what a service cannot answer in time. */
+export class ServiceGate {
+  #options: IServiceGateOptions;
+
+  constructor(options: IServiceGateOptions) {
+    this.#options = options;
+  }
+
+  check(
+    request: IAdmissionRequest,
+    use: IServiceUse,
+  ): Result<void, Failure> {
+    const service = request.grant.service.name;
+    const engines = this.#engines(service);
+    const capacity = sum(engines.map(({ maximumStreams }) => maximumStreams));
+    const streams = sum(engines.map(({ id }) => this.#liveStreams(id)));
+    if (capacity === 0) return ok(undefined);
+    const late = this.#lateBy(request, { capacity, streams });
+    if (late > 0) {
+      return err(refusal(`${service} cannot answer in time`, late));
+    }
+    // With no engine free, callers above an equal part make room for others.
+    const isAbovePart = use.byCaller > use.total / use.callers;
+    if (streams < capacity || use.callers < 2 || !isAbovePart) {
+      return ok(undefined);
+    }
+    return err(refusal(`${service} is busy with other callers`, 0));
+  }
+
+  #engines(service: string): Engine[] {
+    const { configuration, health, availability } = this.#options;
+    const engines = configuration.current?.enginesOf(service) ?? [];
+    return engines.filter(({ id }) =>
+      availability.stateOf(id) !== "leaving" && health.stateOf(id) !== "ejected"
+    );
+  }
+
+  #liveStreams(engineId: string): number {
+    const { ownLive, otherLive } = this.#options.load.loadOf(engineId);
+    return ownLive + otherLive;
+  }
+
+  /** Milliseconds by which the answer is expected to miss the deadline. */
+  #lateBy(
+    request: IAdmissionRequest,
+    state: { capacity: number; streams: number },
+  ): number {
+    const { estimates, clock } = this.#options;
+    const usual = estimates.of(request.grant.service.name);
+    if (!usual) return 0;
+    const { firstTokenMilliseconds, tokenMilliseconds } = usual;
+    const tokens = Math.min(
+      usual.tokensPerAnswer,
+      request.maximumTokens ?? Infinity,
+    );
+    const usualDuration = firstTokenMilliseconds +
+      usual.tokensPerAnswer * tokenMilliseconds;
+    const queued = Math.max(0, state.streams - state.capacity + 1);
+    const wait = queued * usualDuration / state.capacity;
+    const expected = Math.max(firstTokenMilliseconds, wait) +
+      tokens * tokenMilliseconds;
+    return expected - clock.remaining(request.deadline);
+  }
+}
+
+function refusal(reason: string, lateMilliseconds: number): Failure {
+  const seconds = Math.ceil(lateMilliseconds / SECOND_MILLISECONDS);
+  return notRun("overloaded", reason, {
+    retryAfterSeconds: Math.max(1, seconds),
+  });
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- /dev/null
+++ b/src/admission/token_bucket.ts
@@ -0,0 +1,60 @@
+import type { Deadline, IClock } from "../common/mod.ts";
+
+/** Milliseconds in one second. */
+const SECOND_MILLISECONDS = 1_000;
+
+/** Tokens that refill at a rate, up to one second's worth, at least one. */
+export class TokenBucket {
+  #clock: IClock;
+  #perSecond = 0;
+  #tokens = 0;
+  #filledAt: Deadline | undefined;
+
+  constructor(clock: IClock) {
+    this.#clock = clock;
+  }
+
+  /** Tokens that can be taken now. */
+  get available(): number {
+    this.#refill();
+    return Math.floor(this.#tokens);
+  }
+
+  /** Sets the rate; a new bucket is full. */
+  setRate(perSecond: number): void {
+    this.#refill();
+    this.#perSecond = perSecond;
+    if (this.#filledAt === undefined) {
+      this.#tokens = this.#capacity;
+      this.#filledAt = this.#clock.monotonic();
+    }
+    this.#tokens = Math.min(this.#tokens, this.#capacity);
+  }
+
+  /** Takes up to the given number and returns how many. */
+  take(count: number): number {
+    const taken = Math.min(count, this.available);
+    this.#tokens -= taken;
+    return taken;
+  }
+
+  /** Seconds until there is a whole token. */
+  get secondsToNext(): number {
+    this.#refill();
+    if (this.#perSecond === 0) return 1;
+    return Math.max(0, 1 - this.#tokens) / this.#perSecond;
+  }
+
+  get #capacity(): number {
+    return this.#perSecond > 0 ? Math.max(1, this.#perSecond) : 0;
+  }
+
+  #refill(): void {
+    if (this.#filledAt === undefined) return;
+    const now = this.#clock.monotonic();
+    const seconds = (now - this.#filledAt) / SECOND_MILLISECONDS;
+    const tokens = this.#tokens + seconds * this.#perSecond;
+    this.#tokens = Math.min(this.#capacity, tokens);
+    this.#filledAt = now;
+  }
+}
--- /dev/null
+++ b/src/allotment/local_load_view.ts
@@ -0,0 +1,20 @@
+import type { IEngineLoad, IEngineLoadView, ILiveActivity } from "./types.ts";
+
+/** Load as far as this instance alone knows it. */
+export class LocalLoadView implements IEngineLoadView {
+  #activity: ILiveActivity;
+
+  constructor(activity: ILiveActivity) {
+    this.#activity = activity;
+  }
+
+  loadOf(engineId: string): IEngineLoad {
+    return {
+      ownLive: this.#activity.liveStreams(engineId),
+      otherLive: 0,
+      batch: 0,
+      heardAt: undefined,
+      reported: undefined,
+    };
+  }
+}
--- /dev/null
+++ b/src/burn/no_service_levels.ts
@@ -0,0 +1,6 @@
+import type { IServiceLevelRecorder } from "./types.ts";
+
+/** Keeps no outcomes. */
+export class NoServiceLevels implements IServiceLevelRecorder {
+  record(): void {}
+}
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -1,5 +1,14 @@
-import { randomUUID } from "node:crypto";
+import { randomInt, randomUUID } from "node:crypto";
 import { join } from "node:path";
+import {
+  FleetAdmission,
+  LatencyEstimates,
+  LimitOwners,
+  RetryBudget,
+  ServiceGate,
+} from "../admission/mod.ts";
+import { LiveActivity, LocalLoadView } from "../allotment/mod.ts";
+import { NoServiceLevels } from "../burn/no_service_levels.ts";
 import { DisposableStore, SystemClock } from "../common/mod.ts";
 import {
   ConfigurationHolder,
@@ -11,16 +20,18 @@
   proposeMethod,
   SingleVoterLog,
 } from "../consensus/mod.ts";
-import { Dispatcher } from "../dispatch/mod.ts";
+import { Dispatcher, PlainDispatcher } from "../dispatch/mod.ts";
 import {
   BatchesEndpoint,
   CallersServer,
   FilesEndpoint,
   GenerationEndpoint,
+  LiveRecorder,
   ModelsEndpoint,
   PlainEndpoint,
 } from "../entry/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
+import { NoTrace } from "../explain/no_trace.ts";
 import {
   handleJobs,
   ItemRunner,
@@ -29,18 +40,32 @@
   JobsSection,
   LeaseManager,
 } from "../jobs/mod.ts";
-import { Heartbeat, MemberRegistry } from "../membership/mod.ts";
+import {
+  AlwaysAvailable,
+  Heartbeat,
+  MemberRegistry,
+} from "../membership/mod.ts";
+import { NoMetrics } from "../metrics/no_metrics.ts";
+import { OperationLedger, OperationsSection } from "../operations/mod.ts";
 import {
   configurationRoutes,
   OperatorsServer,
   statusRoutes,
 } from "../operators/mod.ts";
-import { LeastLoadedSelector } from "../routing/mod.ts";
+import {
+  BalancedSelector,
+  LoadReportPoller,
+  SeededRandom,
+  TargetHealth,
+} from "../routing/mod.ts";
 import { RpcClient, RpcServer } from "../rpc/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { HttpEngineAdapter, HttpPlainAdapter } from "../targets/mod.ts";
 import type { IDaemon } from "./types.ts";
 
+/** Bound of the seeds of random choices. */
+const MAXIMUM_SEED = 0x7fffffff;
+
 /** Wires the parts of a daemon; nothing else chooses implementations. */
 export async function startDaemon(
   settings: Settings,
@@ -68,7 +93,9 @@
   if (settings.control) {
     const configuration = new ConfigurationSection();
     const jobs = new JobsSection(join(settings.control.dataFolder, "jobs"));
-    log = new SingleVoterLog(self, [configuration, jobs], { clock });
+    const operations = new OperationsSection();
+    const sections = [configuration, jobs, operations];
+    log = new SingleVoterLog(self, sections, { clock });
     await log.start(join(settings.control.dataFolder, "log"));
     const replica = log;
     server.handle(proposeMethod, async ({ section, command }) => {
@@ -97,10 +124,72 @@
     ),
   );
 
+  const { failureDomain } = settings.instance;
+  const random = new SeededRandom(randomInt(MAXIMUM_SEED));
   const engines = store.add(new HttpEngineAdapter(clock));
   const plainTargets = store.add(new HttpPlainAdapter(clock));
-  const selector = new LeastLoadedSelector(configuration);
-  const dispatcher = new Dispatcher(selector, engines, { clock });
+  const trace = new NoTrace();
+  const availability = new AlwaysAvailable();
+  const health = new TargetHealth({ clock, random, events });
+  const activity = store.add(new LiveActivity());
+  const load = new LocalLoadView(activity);
+  const reports = store.add(
+    new LoadReportPoller(engines, configuration, { clock }),
+  );
+  const estimates = new LatencyEstimates(clock);
+  const budgets = { live: new RetryBudget(), batch: new RetryBudget() };
+  const selector = new BalancedSelector(configuration, {
+    clock,
+    random,
+    failureDomain,
+    activity,
+    load,
+    reports,
+    health,
+    availability,
+  });
+  const dispatcher = new Dispatcher({
+    selector,
+    engines,
+    clock,
+    budgets,
+    estimates,
+    trace,
+    random,
+  });
+  const plainDispatcher = new PlainDispatcher({
+    targets: plainTargets,
+    clock,
+    random,
+    failureDomain,
+    health,
+    availability,
+    budget: budgets.live,
+    trace,
+  });
+  const owners = store.add(
+    new LimitOwners(rpc, server, {
+      clock,
+      configuration,
+      membership: heartbeat,
+    }),
+  );
+  const gate = new ServiceGate({
+    clock,
+    configuration,
+    load,
+    health,
+    availability,
+    estimates,
+  });
+  const admission = store.add(new FleetAdmission({ clock, owners, gate }));
+  const operations = new OperationLedger(control, { clock, events });
+  const recorder = new LiveRecorder({
+    clock,
+    trace,
+    serviceLevels: new NoServiceLevels(),
+    metrics: new NoMetrics(),
+  });
   const jobs = new JobGateway(control);
   const items = new ItemRunner(dispatcher, configuration, { clock });
   const runner = store.add(
@@ -109,11 +198,16 @@
 
   const callers = store.add(
     new CallersServer(configuration, [
-      new GenerationEndpoint(dispatcher, clock),
+      new GenerationEndpoint(dispatcher, {
+        clock,
+        admission,
+        operations,
+        recorder,
+      }),
       new ModelsEndpoint(),
       new FilesEndpoint(jobs, clock),
       new BatchesEndpoint(jobs, clock),
-      new PlainEndpoint(plainTargets, clock),
+      new PlainEndpoint(plainDispatcher, { clock, admission, operations }),
     ], { events }),
   );
   let stopping = false;
@@ -129,6 +223,8 @@
   );
 
   heartbeat.start();
+  reports.start();
+  admission.start();
   runner.start();
   const ports = {
     callers: await callers.listen(
--- /dev/null
+++ b/src/dispatch/attempt_timeouts.ts
@@ -0,0 +1,107 @@
+import type { ILatencyEstimates } from "../admission/mod.ts";
+import type { Deadline, IClock } from "../common/mod.ts";
+import type { IDispatchRequest } from "./types.ts";
+
+/** Multiple of the usual first-token time that an attempt may take. */
+const FIRST_TOKEN_FACTOR = 6;
+
+/** Bounds of an attempt's first-token time, in milliseconds. */
+const SHORTEST_FIRST_TOKEN_MILLISECONDS = 800;
+const LONGEST_FIRST_TOKEN_MILLISECONDS = 5_000;
+
+/** First-token time while nothing is known, in milliseconds. */
+const DEFAULT_FIRST_TOKEN_MILLISECONDS = 2_000;
+
+/** Share of the time left that one attempt's first token may take. */
+const FIRST_TOKEN_SHARE = 1 / 3;
+
+/** Multiple of the usual time between tokens that a silence may last. */
+const SILENCE_FACTOR = 40;
+
+/** Bounds of a live stream's silence, in milliseconds. */
+const SHORTEST_SILENCE_MILLISECONDS = 600;
+const LONGEST_SILENCE_MILLISECONDS = 3_000;
+
+/** Silence while nothing is known, in milliseconds. */
+const DEFAULT_SILENCE_MILLISECONDS = 1_500;
+
+/** Time limits of batch streams, in milliseconds. */
+const BATCH_FIRST_TOKEN_MILLISECONDS = 15_000;
+const BATCH_SILENCE_MILLISECONDS = 5_000;
+
+/** Limits after which an attempt is given up for another engine. */
+export interface IAttemptLimits {
+  readonly firstTokenDeadline: Deadline;
+  readonly silenceMilliseconds: number;
+  /** Whether the request's own deadline is what makes the limits short. */
+  readonly isShortened: boolean;
+}
+
+/** Derives an attempt's time limits from what streams usually take. */
+export class AttemptTimeouts {
+  #estimates: ILatencyEstimates;
+  #clock: IClock;
+
+  constructor(estimates: ILatencyEstimates, clock: IClock) {
+    this.#estimates = estimates;
+    this.#clock = clock;
+  }
+
+  /** Limits of an attempt; the last one has the request's own. */
+  limitsOf(
+    request: IDispatchRequest,
+    options: { isLast: boolean },
+  ): IAttemptLimits {
+    const remaining = this.#clock.remaining(request.deadline);
+    if (options.isLast) {
+      return {
+        firstTokenDeadline: request.deadline,
+        silenceMilliseconds: remaining,
+        isShortened: true,
+      };
+    }
+    const { firstToken, silence } = this.#durations(request);
+    const longest = remaining * FIRST_TOKEN_SHARE;
+    return {
+      firstTokenDeadline: this.#clock.deadlineIn(
+        Math.min(firstToken, longest),
+      ),
+      silenceMilliseconds: silence,
+      isShortened: longest < firstToken,
+    };
+  }
+
+  #durations(
+    request: IDispatchRequest,
+  ): { firstToken: number; silence: number } {
+    if (request.kind === "batch") {
+      return {
+        firstToken: BATCH_FIRST_TOKEN_MILLISECONDS,
+        silence: BATCH_SILENCE_MILLISECONDS,
+      };
+    }
+    const usual = this.#estimates.of(request.service);
+    if (!usual) {
+      return {
+        firstToken: DEFAULT_FIRST_TOKEN_MILLISECONDS,
+        silence: DEFAULT_SILENCE_MILLISECONDS,
+      };
+    }
+    return {
+      firstToken: clamp(
+        FIRST_TOKEN_FACTOR * usual.firstTokenMilliseconds,
+        SHORTEST_FIRST_TOKEN_MILLISECONDS,
+        LONGEST_FIRST_TOKEN_MILLISECONDS,
+      ),
+      silence: clamp(
+        SILENCE_FACTOR * usual.tokenMilliseconds,
+        SHORTEST_SILENCE_MILLISECONDS,
+        LONGEST_SILENCE_MILLISECONDS,
+      ),
+    };
+  }
+}
+
+function clamp(value: number, least: number, most: number): number {
+  return Math.min(most, Math.max(least, value));
+}
--- /dev/null
+++ b/src/dispatch/generation_run.ts
@@ -0,0 +1,199 @@
+import { match } from "ts-pattern";
+import { type Failure, type IDisposable } from "../common/mod.ts";
+import type { IEngineReservation } from "../routing/mod.ts";
+import { type GenerationChunk, GenerationError } from "../targets/mod.ts";
+import { AttemptTimeouts, type IAttemptLimits } from "./attempt_timeouts.ts";
+import { promptText } from "./prompt_text.ts";
+import { RequestScope } from "./request_scope.ts";
+import { StreamTiming } from "./stream_timing.ts";
+import type { IDispatcherOptions, IDispatchRequest } from "./types.ts";
+
+/** Attempts at one generation. */
+const MAXIMUM_ATTEMPTS = 4;
+
+/** Pause before engines that failed are tried again, in milliseconds. */
+const SECOND_ROUND_PAUSE_MILLISECONDS = 100;
+
+/** Progress of one generation over its attempts. */
+export class GenerationRun implements IDisposable {
+  #request: IDispatchRequest;
+  #options: IDispatcherOptions;
+  #scope: RequestScope;
+  #timing: StreamTiming;
+  #timeouts: AttemptTimeouts;
+  #prompt: string;
+  #parts: string[];
+  #tokens: number;
+  #exclude = new Set<string>();
+  #attempts = 0;
+  #failure: Failure | undefined;
+  #reservation: IEngineReservation | undefined;
+  #attemptHasToken = false;
+  #limits: IAttemptLimits | undefined;
+
+  constructor(request: IDispatchRequest, options: IDispatcherOptions) {
+    this.#request = request;
+    this.#options = options;
+    this.#scope = new RequestScope(request, options.clock);
+    this.#timing = new StreamTiming(options.clock);
+    this.#timeouts = new AttemptTimeouts(options.estimates, options.clock);
+    this.#prompt = promptText(request.generation);
+    this.#parts = request.resume ? [request.resume.text] : [];
+    this.#tokens = request.resume?.tokens ?? 0;
+    this.#budget.deposit();
+  }
+
+  /**
+   * Opens the next attempt.
+   *
+   * @throws GenerationError when no engine may be tried.
+   */
+  async open(): Promise<AsyncGenerator<GenerationChunk, void>> {
+    const reservation = await this.#reserve();
+    this.#reservation = reservation;
+    this.#attempts += 1;
+    this.#attemptHasToken = false;
+    const { engine } = reservation;
+    this.#request.onAttempt?.(engine);
+    this.#trace(this.#tokens > 0 ? "resumed" : "attempt", engine.id);
+    this.#limits = this.#timeouts.limitsOf(this.#request, {
+      isLast: !this.#request.idempotent || this.#budget.isSpent ||
+        this.#attempts >= MAXIMUM_ATTEMPTS,
+    });
+    return this.#options.engines.generate(engine, this.#request.generation, {
+      firstTokenDeadline: this.#limits.firstTokenDeadline,
+      silenceMilliseconds: this.#limits.silenceMilliseconds,
+      deadline: this.#request.deadline,
+      signal: this.#scope.signal,
+      freshConnection: !this.#request.idempotent,
+      resume: this.#tokens > 0
+        ? { text: this.#parts.join(""), tokens: this.#tokens }
+        : undefined,
+    });
+  }
+
+  /** Takes note of a chunk that is passed on. */
+  accept(chunk: GenerationChunk): void {
+    if (chunk.kind === "end") {
+      this.#learn();
+      return;
+    }
+    if (!this.#attemptHasToken) this.#reservation?.reportFirstToken();
+    this.#attemptHasToken = true;
+    this.#parts.push(chunk.text);
+    this.#tokens += chunk.tokens;
+    this.#timing.tokens(chunk.tokens);
+  }
+
+  /**
+   * Takes note of a failed attempt; returns when another may follow.
+   *
+   * @throws GenerationError with the verdict of all attempts.
+   */
+  fail(error: unknown): void {
+    if (!(error instanceof GenerationError)) throw error;
+    const { failure } = error;
+    const engine = this.#reservation?.engine.id;
+    if (engine !== undefined) this.#exclude.add(engine);
+    if (engine !== undefined) this.#trace("failed", engine, failure.message);
+    this.#failure = mergeFailures(this.#failure, this.#explain(failure));
+    if (this.#isEngineFault(failure)) this.#reservation?.reportFailure();
+    if (!this.#mayTryAgain(failure)) throw new GenerationError(this.#failure);
+    if (this.#budget.withdraw()) return;
+    this.#trace("gave-up", engine, "retry budget spent");
+    throw new GenerationError(this.#failure);
+  }
+
+  /** Ends the count of the present attempt. */
+  closeAttempt(): void {
+    this.#reservation?.dispose();
+    this.#reservation = undefined;
+  }
+
+  dispose(): void {
+    this.closeAttempt();
+    this.#scope.dispose();
+  }
+
+  get #budget() {
+    return this.#options.budgets[this.#request.kind];
+  }
+
+  /** After every engine has failed, all are tried again, a little later. */
+  async #reserve(): Promise<IEngineReservation> {
+    let selected = this.#select();
+    if (selected.isErr() && this.#exclude.size > 0) {
+      this.#exclude.clear();
+      await this.#pause();
+      selected = this.#select();
+    }
+    if (selected.isOk()) return selected.value;
+    throw new GenerationError(this.#failure ?? selected.error);
+  }
+
+  #select() {
+    return this.#options.selector.select({
+      service: this.#request.service,
+      kind: this.#request.kind,
+      prompt: this.#prompt,
+      exclude: this.#exclude,
+      mayProbe: this.#request.idempotent,
+    });
+  }
+
+  async #pause(): Promise<void> {
+    const { clock, random } = this.#options;
+    const longest = SECOND_ROUND_PAUSE_MILLISECONDS * this.#attempts;
+    const pause = longest / 2 + random.below(longest) / 2;
+    await clock.sleepUntil(clock.deadlineIn(pause), this.#scope.signal);
+  }
+
+  get #isOver(): boolean {
+    return this.#scope.ended !== undefined ||
+      this.#options.clock.isPast(this.#request.deadline);
+  }
+
+  /** A caller with a short deadline must not get engines ejected. */
+  #isEngineFault(failure: Failure): boolean {
+    if (this.#isOver) return false;
+    return match(failure.code)
+      .with("unavailable", "target-error", () => true)
+      .with("deadline-exceeded", () => this.#limits?.isShortened === false)
+      .otherwise(() => false);
+  }
+
+  #mayTryAgain(failure: Failure): boolean {
+    if (this.#isOver || this.#attempts >= MAXIMUM_ATTEMPTS) return false;
+    if (failure.code === "bad-request") return false;
+    return this.#request.idempotent || failure.verdict === "not-run";
+  }
+
+  /** A cancelled stream fails for the reason that its scope ended. */
+  #explain(failure: Failure): Failure {
+    if (!this.#isOver || this.#scope.ended === "cancelled") return failure;
+    return {
+      ...failure,
+      code: "deadline-exceeded",
+      message: "the request's deadline was reached",
+    };
+  }
+
+  #learn(): void {
+    const { observed } = this.#timing;
+    if (this.#request.kind !== "live" || !observed) return;
+    this.#options.estimates.observe(this.#request.service, observed);
+  }
+
+  #trace(step: string, target?: string, reason?: string): void {
+    this.#options.trace.record(this.#request.id, step, { target, reason });
+  }
+}
+
+/** The verdict over several attempts: one that may have run is enough. */
+export function mergeFailures(
+  earlier: Failure | undefined,
+  last: Failure,
+): Failure {
+  if (earlier?.verdict !== "may-have-run") return last;
+  return { ...last, verdict: "may-have-run" };
+}
--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -1,8 +1,15 @@
-import type { Deadline } from "../common/mod.ts";
-import type { WorkKind } from "../routing/mod.ts";
+import type { Result } from "neverthrow";
+import type { ILatencyEstimates, IRetryBudget } from "../admission/mod.ts";
+import type { Deadline, Failure, IClock } from "../common/mod.ts";
+import type { Engine, PlainService } from "../configuration/mod.ts";
+import type { ITraceRecorder } from "../explain/types.ts";
+import type { IEngineSelector, IRandom, WorkKind } from "../routing/mod.ts";
 import type {
   Generation,
   GenerationChunk,
+  IEngineAdapter,
+  IPlainRequest,
+  IPlainResponse,
   IResumePoint,
 } from "../targets/mod.ts";
 
@@ -20,6 +27,8 @@
   readonly signal: AbortSignal;
   /** Output that the caller already has. */
   readonly resume?: IResumePoint;
+  /** Called with the engine of each attempt before it begins. */
+  readonly onAttempt?: (engine: Engine) => void;
 }
 
 /** Runs generations with retries and resumption. */
@@ -31,3 +40,38 @@
    */
   run(request: IDispatchRequest): AsyncGenerator<GenerationChunk, void>;
 }
+
+/** Retry budgets of live and batch streams, kept apart. */
+export interface IRetryBudgets {
+  readonly live: IRetryBudget;
+  readonly batch: IRetryBudget;
+}
+
+/** Collaborators of a dispatcher. */
+export interface IDispatcherOptions {
+  readonly selector: IEngineSelector;
+  readonly engines: IEngineAdapter;
+  readonly clock: IClock;
+  readonly budgets: IRetryBudgets;
+  readonly estimates: ILatencyEstimates;
+  readonly trace: ITraceRecorder;
+  readonly random: IRandom;
+}
+
+/** A call of a plain service. */
+export interface IPlainCall {
+  /** Identifier for `figroad explain`. */
+  readonly id: string;
+  readonly service: PlainService;
+  readonly deadline: Deadline;
+  readonly signal: AbortSignal;
+}
+
+/** Calls plain services. */
+export interface IPlainDispatcher {
+  /** The body of the answer must be read to its end or returned. */
+  call(
+    call: IPlainCall,
+    request: IPlainRequest,
+  ): Promise<Result<IPlainResponse, Failure>>;
+}
--- /dev/null
+++ b/src/entry/generation_answer.ts
@@ -0,0 +1,68 @@
+import type { GenerationChunk } from "../targets/mod.ts";
+import type { IGenerationRequest } from "./generation_request.ts";
+
+/** Formats one answer as OpenAI clients read it. */
+export class GenerationAnswer {
+  #chat: boolean;
+  #envelope: object;
+  /** Text before and after the content of a chunk, the same for each. */
+  #prefix: string;
+  #suffix: string;
+
+  constructor(requestId: string, live: IGenerationRequest) {
+    this.#chat = live.generation.endpoint === "/v1/chat/completions";
+    this.#envelope = {
+      id: requestId,
+      created: Math.floor(Date.now() / 1_000),
+      model: live.generation.model,
+    };
+    const object = this.#chat ? "chat.completion.chunk" : "text_completion";
+    const head = JSON.stringify({ ...this.#envelope, object }).slice(0, -1);
+    const field = this.#chat ? `"delta":{"content":` : `"text":`;
+    this.#prefix = `data: ${head},"choices":[{"index":0,${field}`;
+    this.#suffix = `${this.#chat ? "}" : ""},"finish_reason":null}]}\n\n`;
+  }
+
+  /** A chunk as a server-sent event. */
+  event(chunk: GenerationChunk): string {
+    if (chunk.kind === "tokens") {
+      // Every token passes here; to stringify the envelope each time would
+      // cost more than the rest of its way.
+      return this.#prefix + JSON.stringify(chunk.text) + this.#suffix;
+    }
+    const content = this.#chat ? { delta: {} } : { text: "" };
+    const choice = { index: 0, ...content, finish_reason: chunk.finishReason };
+    const object = this.#chat ? "chat.completion.chunk" : "text_completion";
+    const data = { ...this.#envelope, object, choices: [choice] };
+    return `data: ${JSON.stringify(data)}\n\n`;
+  }
+
+  /** A whole answer. */
+  async whole(chunks: AsyncIterable<GenerationChunk>): Promise<string> {
+    const parts: string[] = [];
+    let tokens = 0;
+    let finishReason = "stop";
+    for await (const chunk of chunks) {
+      if (chunk.kind === "tokens") {
+        parts.push(chunk.text);
+        tokens += chunk.tokens;
+      } else {
+        finishReason = chunk.finishReason;
+      }
+    }
+    const text = parts.join("");
+    const content = this.#chat
+      ? { message: { role: "assistant", content: text } }
+      : { text };
+    return JSON.stringify({
+      ...this.#envelope,
+      object: this.#chat ? "chat.completion" : "text_completion",
+      choices: [{ index: 0, ...content, finish_reason: finishReason }],
+      usage: {
+        prompt_tokens: 0,
+        completion_tokens: tokens,
+        total_tokens: tokens,
+      },
+    });
+  }
+}
--- a/src/entry/generation_endpoint.ts
+++ b/src/entry/generation_endpoint.ts
@@ -1,25 +1,55 @@
+import type { IAdmission } from "../admission/mod.ts";
 import type { IClock } from "../common/mod.ts";
 import type { IDispatcher } from "../dispatch/mod.ts";
-import { type GenerationChunk, GenerationError } from "../targets/mod.ts";
+import type { IOperationLedger } from "../operations/mod.ts";
+import { GenerationError } from "../targets/mod.ts";
+import { AnswerWriter } from "./answer_writer.ts";
+import { GenerationAnswer } from "./generation_answer.ts";
 import {
   generationBodySchema,
   type IGenerationRequest,
   openGeneration,
 } from "./generation_request.ts";
-import { readJsonBody } from "./read_body.ts";
-import { errorBody, sendFailure, sendJson } from "./respond.ts";
+import type { LiveRecord, LiveRecorder } from "./live_recorder.ts";
+import {
+  openOperation,
+  type OperationSession,
+  sendReplay,
+} from "./operation_session.ts";
+import { parseJsonBody, readRequestBody } from "./read_body.ts";
+import { sendFailure } from "./respond.ts";
 import type { ICallerRequest, IEndpoint } from "./types.ts";
 
 const PATHS = ["/v1/chat/completions", "/v1/completions"];
 
+const STREAM_HEADERS = { "cache-control": "no-cache" };
+
+/** Collaborators of the endpoint for live generations. */
+export interface IGenerationEndpointOptions {
+  readonly clock: IClock;
+  readonly admission: IAdmission;
+  readonly operations: IOperationLedger;
+  readonly recorder: LiveRecorder;
+}
+
+/** One request on its way. */
+interface IServing {
+  readonly request: ICallerRequest;
+  readonly live: IGenerationRequest;
+  readonly record: LiveRecord;
+  /** Present for non-idempotent requests. */
+  readonly session: OperationSession | undefined;
+  readonly writer: AnswerWriter;
+}
+
 /** Live generations, streamed or whole. */
 export class GenerationEndpoint implements IEndpoint {
   #dispatcher: IDispatcher;
-  #clock: IClock;
+  #options: IGenerationEndpointOptions;
 
-  constructor(dispatcher: IDispatcher, clock: IClock) {
+  constructor(dispatcher: IDispatcher, options: IGenerationEndpointOptions) {
     this.#dispatcher = dispatcher;
-    this.#clock = clock;
+    this.#options = options;
   }
 
   matches(method: string, path: string): boolean {
@@ -27,122 +57,111 @@
   }
 
   async handle(request: ICallerRequest): Promise<void> {
-    const body = await readJsonBody(request.message, generationBodySchema);
-    if (body.isErr()) return sendFailure(request.response, body.error);
-    const clock = this.#clock;
-    const opened = openGeneration(request, body.value, { clock });
+    const bytes = await readRequestBody(request.message);
+    if (bytes.isErr()) return sendFailure(request.response, bytes.error);
+    const { clock } = this.#options;
+    const opened = parseJsonBody(bytes.value, generationBodySchema)
+      .andThen((body) => openGeneration(request, body, { clock }));
     if (opened.isErr()) return sendFailure(request.response, opened.error);
     const live = opened.value;
-    const chunks = this.#dispatcher.run({
-      id: request.id,
-      caller: request.caller.name,
-      service: live.grant.service.name,
-      kind: "live",
-      generation: live.generation,
-      idempotent: live.idempotent,
+    const record = this.#options.recorder.begin(request, live);
+    const ticket = await this.#admit(request, live);
+    if (ticket.isErr()) {
+      record.finish(ticket.error);
+      return sendFailure(request.response, ticket.error);
+    }
+    try {
+      await this.#serve(request, { live, record, body: bytes.value });
+    } finally {
+      ticket.value.dispose();
+    }
+  }
+
+  #admit(request: ICallerRequest, live: IGenerationRequest) {
+    return this.#options.admission.admit({
+      caller: request.caller,
+      grant: live.grant,
+      deadline: live.deadline,
+      maximumTokens: live.maximumTokens,
+    });
+  }
+
+  async #serve(
+    request: ICallerRequest,
+    options: { live: IGenerationRequest; record: LiveRecord; body: Uint8Array },
+  ): Promise<void> {
+    const { live, record, body } = options;
+    if (live.idempotent) return await this.#answer({ request, live, record });
+    const opened = await openOperation(request, {
+      ledger: this.#options.operations,
+      clock: this.#options.clock,
       deadline: live.deadline,
-      signal: request.signal,
+      body,
+    });
+    if (opened.isErr()) {
+      record.finish(opened.error);
+      return sendFailure(request.response, opened.error);
+    }
+    if (opened.value.kind === "replay") {
+      return sendReplay(request, opened.value.answer);
+    }
+    const { session } = opened.value;
+    await this.#answer({ request, live, record, session });
+  }
+
+  async #answer(
+    parts: Omit<IServing, "writer" | "session"> & {
+      session?: OperationSession;
+    },
+  ): Promise<void> {
+    const { request, live, record, session } = parts;
+    const writer = new AnswerWriter(request.response, {
+      clock: this.#options.clock,
+      deadline: live.deadline,
+      copy: session?.copy,
     });
     try {
-      if (live.stream) await sendStream(request, live, chunks);
-      else await sendWhole(request, live, chunks);
+      const last = await this.#produce({ ...parts, session, writer });
+      await session?.finish(last);
+      writer.end(last);
+      record.finish();
     } catch (error) {
       if (!(error instanceof GenerationError)) throw error;
-      endWithFailure(request, error);
+      await session?.fail(error.failure);
+      writer.fail(error.failure);
+      record.finish(error.failure);
     }
   }
-}
 
-async function sendStream(
-  request: ICallerRequest,
-  live: IGenerationRequest,
-  chunks: AsyncIterable<GenerationChunk>,
-): Promise<void> {
-  const { response } = request;
-  for await (const chunk of chunks) {
-    if (!response.headersSent) {
-      response.writeHead(200, {
-        "content-type": "text/event-stream",
-        "cache-control": "no-cache",
-      });
+  /** Writes all but the last part of the answer, which it returns. */
+  async #produce(serving: IServing): Promise<string> {
+    const { request, live, writer, record } = serving;
+    const answer = new GenerationAnswer(request.id, live);
+    const chunks = this.#chunks(serving);
+    if (!live.stream) {
+      const whole = await answer.whole(chunks);
+      writer.begin(200, "application/json");
+      return whole;
     }
-    const data = JSON.stringify(streamChunk(request, live, chunk));
-    if (!response.write(`data: ${data}\n\n`)) await drained(request);
-  }
-  response.end("data: [DONE]\n\n");
-}
-
-async function sendWhole(
-  request: ICallerRequest,
-  live: IGenerationRequest,
-  chunks: AsyncIterable<GenerationChunk>,
-): Promise<void> {
-  let text = "";
-  let tokens = 0;
-  let finishReason = "stop";
-  for await (const chunk of chunks) {
-    if (chunk.kind === "tokens") {
-      text += chunk.text;
-      tokens += chunk.tokens;
-    } else {
-      finishReason = chunk.finishReason;
+    for await (const chunk of chunks) {
+      if (chunk.kind === "tokens") record.timing.tokens(chunk.tokens);
+      writer.begin(200, "text/event-stream", STREAM_HEADERS);
+      await writer.write(answer.event(chunk));
     }
+    return "data: [DONE]\n\n";
   }
-  const chat = live.generation.endpoint === "/v1/chat/completions";
-  const content = chat
-    ? { message: { role: "assistant", content: text } }
-    : { text };
-  sendJson(request.response, 200, {
-    ...envelope(request, live, chat ? "chat.completion" : "text_completion"),
-    choices: [{ index: 0, ...content, finish_reason: finishReason }],
-    usage: {
-      prompt_tokens: 0,
-      completion_tokens: tokens,
-      total_tokens: tokens,
-    },
-  });
-}
-
-function streamChunk(
-  request: ICallerRequest,
-  live: IGenerationRequest,
-  chunk: GenerationChunk,
-): object {
-  const chat = live.generation.endpoint === "/v1/chat/completions";
-  const text = chunk.kind === "tokens" ? chunk.text : "";
-  const finishReason = chunk.kind === "end" ? chunk.finishReason : null;
-  const delta = chunk.kind === "tokens" ? { content: text } : {};
-  const content = chat ? { delta } : { text };
-  return {
-    ...envelope(
-      request,
-      live,
-      chat ? "chat.completion.chunk" : "text_completion",
-    ),
-    choices: [{ index: 0, ...content, finish_reason: finishReason }],
-  };
-}
-
-function envelope(
-  request: ICallerRequest,
-  live: IGenerationRequest,
-  object: string,
-): object {
-  const created = Math.floor(Date.now() / 1_000);
-  return { id: request.id, object, created, model: live.generation.model };
-}
-
-/** Waits until a slow caller has taken what was written. */
-function drained(request: ICallerRequest): Promise<void> {
-  return new Promise((resolve) => {
-    request.response.once("drain", resolve);
-    request.signal.addEventListener("abort", () => resolve(), { once: true });
-  });
-}
 
-/** After the stream has begun, the failure is its last event. */
-function endWithFailure(request: ICallerRequest, error: GenerationError): void {
-  const { response } = request;
-  if (!response.headersSent) return sendFailure(response, error.failure);
-  response.end(`data: ${JSON.stringify(errorBody(error.failure))}\n\n`);
+  #chunks({ request, live, record, session }: IServing) {
+    return this.#dispatcher.run({
+      id: request.id,
+      caller: request.caller.name,
+      service: live.grant.service.name,
+      kind: "live",
+      generation: live.generation,
+      idempotent: live.idempotent,
+      deadline: live.deadline,
+      signal: session?.signal ?? request.signal,
+      onAttempt: (engine) => record.engine = engine,
+    });
+  }
 }
--- a/src/entry/generation_request.ts
+++ b/src/entry/generation_request.ts
@@ -8,6 +8,7 @@
 } from "../common/mod.ts";
 import type { IServiceGrant } from "../configuration/mod.ts";
 import type { Generation } from "../targets/mod.ts";
+import { LONGEST_OPERATION_MILLISECONDS } from "./operation_session.ts";
 import type { ICallerRequest } from "./types.ts";
 
 /** Header with the milliseconds that the caller waits for the answer. */
@@ -16,12 +17,22 @@
 /** Header that marks a request as non-idempotent with the value `false`. */
 const IDEMPOTENT_HEADER = "figroad-idempotent";
 
+/** Longest time that a caller may wait for an answer, in milliseconds. */
+const MAXIMUM_TIMEOUT_MILLISECONDS = 86_400_000;
+
 const bodySchema = z.looseObject({
   model: z.string(),
   stream: z.boolean().nullish(),
   messages: z.array(z.looseObject({ role: z.string() })).min(1).optional(),
   prompt: z.union([z.string(), z.array(z.unknown())]).optional(),
   max_tokens: z.int().positive().nullish(),
+  max_completion_tokens: z.int().positive().nullish(),
+  n: z.literal(1, "one choice per request").nullish(),
+  best_of: z.literal(1, "one choice per request").nullish(),
+  echo: z.literal(false, "not supported").nullish(),
+  suffix: z.null("not supported").optional(),
+  logprobs: z.literal(false, "not supported").nullish(),
+  tools: z.array(z.unknown()).max(0, "not supported").nullish(),
 });
 
 /** A live request, checked and with its deadline. */
@@ -30,9 +41,9 @@
   readonly generation: Generation;
   readonly stream: boolean;
   readonly idempotent: boolean;
-  /** The caller's key for this request, if it gave one. */
-  readonly idempotencyKey: string | undefined;
   readonly deadline: Deadline;
+  /** Most tokens that the answer may have, if the caller said so. */
+  readonly maximumTokens: number | undefined;
 }
 
 /** Schema of the bodies that the generation endpoints take. */
@@ -49,6 +60,9 @@
   if (body[wanted] === undefined) {
     return err(notRun("bad-request", `${wanted}: required`));
   }
+  if (Array.isArray(body.prompt) && typeof body.prompt[0] === "string") {
+    return err(notRun("bad-request", "prompt: one prompt per request"));
+  }
   const { configuration, caller } = request;
   const grant = configuration.grantByModel(caller.name, body.model);
   if (!grant) {
@@ -58,14 +72,15 @@
   const timeout = readTimeout(request, grant.rule.deadlineMilliseconds);
   if (timeout.isErr()) return err(timeout.error);
   const { stream, ...rest } = body;
-  const key = request.message.headers["idempotency-key"];
+  const idempotent = request.message.headers[IDEMPOTENT_HEADER] !== "false";
+  const longest = idempotent ? Infinity : LONGEST_OPERATION_MILLISECONDS;
   return ok({
     grant,
     generation: { model: body.model, endpoint, body: rest },
     stream: stream === true,
-    idempotent: request.message.headers[IDEMPOTENT_HEADER] !== "false",
-    idempotencyKey: typeof key === "string" ? key : undefined,
-    deadline: options.clock.deadlineIn(timeout.value),
+    idempotent,
+    deadline: options.clock.deadlineIn(Math.min(timeout.value, longest)),
+    maximumTokens: body.max_completion_tokens ?? body.max_tokens ?? undefined,
   });
 }
 
@@ -76,9 +91,9 @@
   const header = request.message.headers[TIMEOUT_HEADER];
   if (header === undefined) return ok(fallback);
   const milliseconds = Number(header);
-  if (Number.isFinite(milliseconds) && milliseconds > 0) {
+  if (milliseconds > 0 && milliseconds <= MAXIMUM_TIMEOUT_MILLISECONDS) {
     return ok(milliseconds);
   }
-  const reason = `${TIMEOUT_HEADER}: a positive number of milliseconds`;
+  const reason = `${TIMEOUT_HEADER}: 1 to ${MAXIMUM_TIMEOUT_MILLISECONDS}`;
   return err(notRun("bad-request", reason));
 }
--- /dev/null
+++ b/src/entry/live_recorder.ts
@@ -0,0 +1,133 @@
+import { match } from "ts-pattern";
+import type {
+  IServiceLevelRecorder,
+  ServiceLevelOutcome,
+} from "../burn/types.ts";
+import type { Failure, FailureCode, IClock } from "../common/mod.ts";
+import type { Engine, Objective } from "../configuration/mod.ts";
+import { StreamTiming } from "../dispatch/mod.ts";
+import type { ITraceRecorder } from "../explain/types.ts";
+import type { ICounter, IHistogram, IMetrics } from "../metrics/types.ts";
+import type { IGenerationRequest } from "./generation_request.ts";
+import type { ICallerRequest } from "./types.ts";
+
+/** Where live requests are recorded. */
+export interface ILiveRecorderOptions {
+  readonly clock: IClock;
+  readonly trace: ITraceRecorder;
+  readonly serviceLevels: IServiceLevelRecorder;
+  readonly metrics: IMetrics;
+}
+
+/** Records what became of live requests. */
+export class LiveRecorder {
+  readonly trace: ITraceRecorder;
+  readonly serviceLevels: IServiceLevelRecorder;
+  readonly clock: IClock;
+  readonly requests: ICounter;
+  readonly firstToken: IHistogram;
+  readonly betweenTokens: IHistogram;
+
+  constructor(options: ILiveRecorderOptions) {
+    this.trace = options.trace;
+    this.serviceLevels = options.serviceLevels;
+    this.clock = options.clock;
+    this.requests = options.metrics.counter(
+      "figroad_live_requests_total",
+      "Live requests by service and result",
+    );
+    this.firstToken = options.metrics.histogram(
+      "figroad_live_first_token_milliseconds",
+      "Time to the first token of live requests",
+    );
+    this.betweenTokens = options.metrics.histogram(
+      "figroad_live_longest_gap_milliseconds",
+      "Longest gap between two tokens of a live request",
+    );
+  }
+
+  /** Begins the record of one request. */
+  begin(request: ICallerRequest, live: IGenerationRequest): LiveRecord {
+    return new LiveRecord(this, request, live);
+  }
+}
+
+/** Record of one live request. */
+export class LiveRecord {
+  /** Engine of the latest attempt. */
+  engine: Engine | undefined;
+  readonly timing: StreamTiming;
+  #recorder: LiveRecorder;
+  #request: ICallerRequest;
+  #live: IGenerationRequest;
+
+  constructor(
+    recorder: LiveRecorder,
+    request: ICallerRequest,
+    live: IGenerationRequest,
+  ) {
+    this.timing = new StreamTiming(recorder.clock);
+    this.#recorder = recorder;
+    this.#request = request;
+    this.#live = live;
+  }
+
+  /** Records the end of the request; without a failure it was answered. */
+  finish(failure?: Failure): void {
+    const { trace, requests, firstToken, betweenTokens } = this.#recorder;
+    const result = failure?.code ?? "done";
+    trace.record(this.#request.id, failure ? "refused" : "done", {
+      target: this.engine?.id,
+      reason: failure?.message,
+    });
+    const service = this.#live.grant.service.name;
+    requests.add(1, { service, result });
+    const first = this.timing.firstTokenMilliseconds;
+    const gap = this.timing.longestGapMilliseconds;
+    if (first !== undefined) firstToken.record(first, { service });
+    if (gap !== undefined) betweenTokens.record(gap, { service });
+    this.#recordLevel(failure?.code);
+  }
+
+  #recordLevel(code: FailureCode | undefined): void {
+    const { service } = this.#live.grant;
+    const outcome = judge(service.objective, code, this.timing);
+    if (!outcome) return;
+    this.#recorder.serviceLevels.record({
+      service: service.name,
+      callerGroup: this.#request.caller.group,
+      outcome,
+      target: this.engine?.id,
+      failureDomain: this.engine?.failureDomain,
+      firstTokenMilliseconds: this.timing.firstTokenMilliseconds,
+      betweenTokensMilliseconds: this.timing.longestGapMilliseconds,
+    });
+  }
+}
+
+/** Undefined when the caller alone decided the outcome. */
+function judge(
+  objective: Objective,
+  code: FailureCode | undefined,
+  timing: StreamTiming,
+): ServiceLevelOutcome | undefined {
+  if (code === undefined) {
+    const first = timing.firstTokenMilliseconds ?? 0;
+    const gap = timing.longestGapMilliseconds ?? 0;
+    const isLate = first > objective.firstTokenMilliseconds ||
+      gap > objective.betweenTokensMilliseconds;
+    return isLate ? "late" : "good";
+  }
+  return match(code)
+    .with("overloaded", "limit-exceeded", () => "refused" as const)
+    .with("deadline-exceeded", () => "late" as const)
+    .with(
+      "unavailable",
+      "not-leader",
+      "target-error",
+      "storage-error",
+      "internal",
+      () => "failed" as const,
+    )
+    .otherwise(() => undefined);
+}
--- /dev/null
+++ b/src/entry/operation_session.ts
@@ -0,0 +1,199 @@
+import { createHash } from "node:crypto";
+import { Buffer } from "node:buffer";
+import { err, ok, type Result } from "neverthrow";
+import { match, P } from "ts-pattern";
+import {
+  type Deadline,
+  earlierDeadline,
+  type Failure,
+  type IClock,
+  mayHaveRun,
+  notRun,
+} from "../common/mod.ts";
+import type {
+  IOperation,
+  IOperationAnswer,
+  IOperationLedger,
+} from "../operations/mod.ts";
+import { AnswerCopy } from "./answer_copy.ts";
+import type { ICallerRequest } from "./types.ts";
+
+/** Header that names a request, so that repeating it does not run it again. */
+export const IDEMPOTENCY_KEY_HEADER = "idempotency-key";
+
+/** Header on an answer that was recorded for an earlier request. */
+const REPLAYED_HEADER = "idempotent-replayed";
+
+/** Longest idempotency key, in characters. */
+const MAXIMUM_KEY_CHARACTERS = 255;
+
+/** Time to record that a request begins, in milliseconds. */
+const BEGIN_TIMEOUT_MILLISECONDS = 5_000;
+
+/** Time to record an outcome, in milliseconds. */
+const RECORD_TIMEOUT_MILLISECONDS = 5_000;
+
+/**
+ * Longest run of a non-idempotent request, in milliseconds. It is far shorter
+ * than the time for which its record is kept.
+ */
+export const LONGEST_OPERATION_MILLISECONDS = 600_000;
+
+/** What opening a session needs. */
+export interface IOperationOptions {
+  readonly ledger: IOperationLedger;
+  readonly clock: IClock;
+  readonly deadline: Deadline;
+  /** Body whose hash, with method and path, tells requests apart. */
+  readonly body: Uint8Array;
+}
+
+/** A non-idempotent request that may run, once. */
+export class OperationSession {
+  readonly copy = new AnswerCopy();
+  /**
+   * Never aborted. A run that cannot be repeated goes on when its caller
+   * hangs up, so that the caller finds the answer under the same key.
+   */
+  readonly signal = new AbortController().signal;
+  #operation: IOperation;
+  #options: IOperationOptions;
+
+  constructor(operation: IOperation, options: IOperationOptions) {
+    this.#operation = operation;
+    this.#options = options;
+  }
+
+  /** Records the answer, with a last part that the caller does not have yet. */
+  async finish(last: string | Uint8Array): Promise<void> {
+    this.copy.add(last);
+    await this.#complete();
+  }
+
+  /** Records a failure: takes the beginning back only if nothing ran. */
+  async fail(failure: Failure): Promise<void> {
+    if (failure.verdict === "not-run") {
+      const { ledger } = this.#options;
+      await ledger.abandon(this.#operation, this.#recordDeadline());
+      return;
+    }
+    this.copy.fail(failure);
+    await this.#complete();
+  }
+
+  async #complete(): Promise<void> {
+    const { ledger } = this.#options;
+    const { answer } = this.copy;
+    await ledger.complete(this.#operation, answer, this.#recordDeadline());
+  }
+
+  #recordDeadline() {
+    const { clock } = this.#options;
+    return { deadline: clock.deadlineIn(RECORD_TIMEOUT_MILLISECONDS) };
+  }
+}
+
+/** Either a session that may run, or the answer of an earlier request. */
+export type OpenedOperation =
+  | { readonly kind: "session"; readonly session: OperationSession }
+  | { readonly kind: "replay"; readonly answer: IOperationAnswer };
+
+/** Records that a non-idempotent request begins. */
+export async function openOperation(
+  request: ICallerRequest,
+  options: IOperationOptions,
+): Promise<Result<OpenedOperation, Failure>> {
+  const key = readKey(request);
+  if (key.isErr()) return err(key.error);
+  request.response.setHeader(IDEMPOTENCY_KEY_HEADER, key.value);
+  const caller = request.caller.name;
+  const operation = { caller, key: key.value, attempt: request.id };
+  const { clock, ledger } = options;
+  const timeout = clock.deadlineIn(BEGIN_TIMEOUT_MILLISECONDS);
+  const begun = await ledger.begin(operation, {
+    deadline: earlierDeadline(options.deadline, timeout),
+    fingerprint: fingerprintOf(request, options.body),
+  });
+  if (begun.isErr()) {
+    takeBack(operation, options, begun.error);
+    // It was not run and is not going to be, whatever became of its record.
+    return err({ ...begun.error, verdict: "not-run" });
+  }
+  return match(begun.value)
+    .with({ kind: "begun" }, () => {
+      const session = new OperationSession(operation, options);
+      return ok({ kind: "session" as const, session });
+    })
+    .with(
+      { kind: "completed" },
+      ({ answer }) => ok({ kind: "replay" as const, answer }),
+    )
+    .with(
+      { kind: P.union("in-progress", "answer-dropped") },
+      ({ kind }) => err(alreadyBegun(kind)),
+    )
+    .exhaustive();
+}
+
+/** Answers with what was recorded for an earlier request. */
+export function sendReplay(
+  request: ICallerRequest,
+  answer: IOperationAnswer,
+): void {
+  const { response } = request;
+  if (response.destroyed) return;
+  const failed = answer.status >= 400 ? failedHeaders(answer) : {};
+  response.writeHead(answer.status, {
+    ...failed,
+    "content-type": answer.contentType,
+    [REPLAYED_HEADER]: "true",
+  });
+  response.end(Buffer.from(answer.body, "base64"));
+}
+
+/** A recorded failure may have run: others are not recorded. */
+function failedHeaders(answer: IOperationAnswer): Record<string, string> {
+  const isOwn = answer.contentType === "application/json";
+  if (!isOwn) return {};
+  return { "figroad-verdict": "may-have-run", "x-should-retry": "false" };
+}
+
+function readKey(request: ICallerRequest): Result<string, Failure> {
+  const header = request.message.headers[IDEMPOTENCY_KEY_HEADER];
+  if (header === undefined) return ok(request.id);
+  if (
+    typeof header === "string" && header !== "" &&
+    header.length <= MAXIMUM_KEY_CHARACTERS
+  ) return ok(header);
+  const reason = `${IDEMPOTENCY_KEY_HEADER}: 1 to ${MAXIMUM_KEY_CHARACTERS} ` +
+    "characters";
+  return err(notRun("bad-request", reason));
+}
+
+function fingerprintOf(request: ICallerRequest, body: Uint8Array): string {
+  return createHash("sha256")
+    .update(`${request.message.method} ${request.url.pathname}`)
+    .update(`${request.url.search}\n`)
+    .update(body)
+    .digest("hex");
+}
+
+/** Frees the key of a request that was not run, if its record exists. */
+function takeBack(
+  operation: IOperation,
+  options: IOperationOptions,
+  failure: Failure,
+): void {
+  if (failure.verdict === "not-run") return;
+  const { clock, ledger } = options;
+  const deadline = clock.deadlineIn(RECORD_TIMEOUT_MILLISECONDS);
+  void ledger.abandon(operation, { deadline });
+}
+
+function alreadyBegun(kind: "in-progress" | "answer-dropped"): Failure {
+  const reason = kind === "in-progress"
+    ? "a request with this idempotency key has begun; its outcome is not known"
+    : "a request with this idempotency key has completed; its answer was " +
+      "not kept";
+  return mayHaveRun("already-begun", reason);
+}
--- a/src/entry/read_body.ts
+++ b/src/entry/read_body.ts
@@ -7,22 +7,75 @@
 /** Longest JSON body of a request, in bytes. */
 export const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
 
-/** Reads a request body up to a limit. */
+/** Time for a whole body to arrive, in milliseconds. */
+const BODY_TIMEOUT_MILLISECONDS = 30_000;
+
+/** Options of reading a body. */
+export interface IBodyOptions {
+  readonly maximumBytes?: number;
+  readonly timeoutMilliseconds?: number;
+}
+
+/**
+ * Reads a request body, bounded in length and time.
+ *
+ * What is left of a refused body is read and dropped, so that the caller can
+ * finish writing and gets its answer.
+ */
 export async function readRequestBody(
   message: IncomingMessage,
-  maximumBytes = MAXIMUM_BODY_BYTES,
+  options: IBodyOptions = {},
 ): Promise<Result<Buffer, Failure>> {
-  const parts: Buffer[] = [];
-  let length = 0;
-  for await (const part of message) {
-    length += (part as Buffer).length;
-    if (length > maximumBytes) {
-      const reason = `the body is longer than ${maximumBytes} bytes`;
-      return err(notRun("too-large", reason));
-    }
-    parts.push(part as Buffer);
+  const maximumBytes = options.maximumBytes ?? MAXIMUM_BODY_BYTES;
+  if (Number(message.headers["content-length"] ?? 0) > maximumBytes) {
+    message.resume();
+    return err(tooLong(maximumBytes));
   }
-  return ok(Buffer.concat(parts));
+  const body = await collect(message, {
+    maximumBytes,
+    timeoutMilliseconds: options.timeoutMilliseconds ??
+      BODY_TIMEOUT_MILLISECONDS,
+  });
+  if (body.isErr()) message.resume();
+  return body;
+}
+
+function collect(
+  message: IncomingMessage,
+  options: Required<IBodyOptions>,
+): Promise<Result<Buffer, Failure>> {
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    let length = 0;
+    const finish = (result: Result<Buffer, Failure>) => {
+      clearTimeout(timer);
+      message.off("data", onData);
+      message.off("end", onEnd);
+      message.off("close", onClose);
+      resolve(result);
+    };
+    const onData = (part: Buffer) => {
+      length += part.length;
+      parts.push(part);
+      if (length <= options.maximumBytes) return;
+      finish(err(tooLong(options.maximumBytes)));
+    };
+    const onEnd = () => finish(ok(Buffer.concat(parts)));
+    const onClose = () =>
+      finish(err(notRun("cancelled", "the caller hung up")));
+    const timer = setTimeout(
+      () => finish(err(notRun("bad-request", "the body came too slowly"))),
+      options.timeoutMilliseconds,
+    );
+    message.on("error", () => {});
+    message.on("data", onData);
+    message.on("end", onEnd);
+    message.on("close", onClose);
+  });
+}
+
+function tooLong(maximumBytes: number): Failure {
+  return notRun("too-large", `the body is longer than ${maximumBytes} bytes`);
 }
 
 /** Reads a JSON body and checks it. */
@@ -31,10 +84,17 @@
   schema: S,
 ): Promise<Result<z.infer<S>, Failure>> {
   const body = await readRequestBody(message);
-  if (body.isErr()) return err(body.error);
+  return body.andThen((bytes) => parseJsonBody(bytes, schema));
+}
+
+/** Parses and checks a JSON body. */
+export function parseJsonBody<S extends z.ZodType>(
+  body: Buffer,
+  schema: S,
+): Result<z.infer<S>, Failure> {
   let value: unknown;
   try {
-    value = JSON.parse(body.value.toString("utf8"));
+    value = JSON.parse(body.toString("utf8"));
   } catch (error) {
     return err(notRun("bad-request", `the body is no JSON: ${error}`));
   }
--- /dev/null
+++ b/src/operations/events.ts
@@ -0,0 +1,24 @@
+import { z } from "zod";
+import { defineEvent } from "../events/mod.ts";
+
+export const operationsFull = defineEvent(900, "operations-full", {
+  level: "warn",
+  help: "A non-idempotent request was refused because the record of " +
+    "operations, or the caller's part of it, has no room. Records are kept " +
+    "for an hour. Ask the caller to mark requests as non-idempotent only " +
+    "where it is needed.",
+  fields: { caller: z.string() },
+});
+
+export const operationUnrecorded = defineEvent(901, "operation-unrecorded", {
+  level: "warn",
+  help: "The outcome of a non-idempotent request could not be recorded. " +
+    "Requests with the same key are answered with 409 until the record " +
+    "expires; the request itself is not run again. Check the control voters.",
+  fields: {
+    caller: z.string(),
+    key: z.string(),
+    kind: z.string(),
+    reason: z.string(),
+  },
+});
--- a/src/operations/types.ts
+++ b/src/operations/types.ts
@@ -1,6 +1,7 @@
 import type { Result } from "neverthrow";
 import type { Failure } from "../common/mod.ts";
 import type { IDeadlineOptions } from "../consensus/mod.ts";
+import type { OperationAnswer } from "./messages.ts";
 
 /** Names a non-idempotent request over the whole fleet. */
 export interface IOperationKey {
@@ -8,19 +9,23 @@
   readonly key: string;
 }
 
-/** Answer of a non-idempotent request, kept for repeated requests. */
-export interface IOperationAnswer {
-  readonly status: number;
-  readonly contentType: string;
-  readonly body: string;
+/** One request that wants to run the operation of its key. */
+export interface IOperation extends IOperationKey {
+  /** Differs for every request that an instance receives. */
+  readonly attempt: string;
 }
 
+/** Answer of a non-idempotent request, kept for repeated requests. */
+export type IOperationAnswer = OperationAnswer;
+
 /** Outcome of trying to begin a non-idempotent request. */
 export type OperationBeginning =
   /** This request may run, once. */
   | { readonly kind: "begun" }
   /** An earlier request with this key has completed. */
   | { readonly kind: "completed"; readonly answer: IOperationAnswer }
+  /** An earlier one has completed; its answer was not kept. */
+  | { readonly kind: "answer-dropped" }
   /** An earlier request with this key began; its outcome is not known. */
   | { readonly kind: "in-progress" };
 
@@ -28,22 +33,24 @@
 export interface IOperationLedger {
   /**
    * Records that a request begins, before its first byte goes to a target.
-   * After a failure with the verdict `may-have-run` the record may exist;
-   * the request must then not be run.
+   *
+   * Fails with `conflict` when the key was used for another request, and
+   * with `overloaded` when there is no room for another record. After any
+   * failure the request must not be run; the record may exist nevertheless.
    */
   begin(
-    key: IOperationKey,
+    operation: IOperation,
     options: IDeadlineOptions & { fingerprint: string },
   ): Promise<Result<OperationBeginning, Failure>>;
-  /** Records the answer of a request that began. */
+  /** Records the answer of a request that began; undefined if too long. */
   complete(
-    key: IOperationKey,
-    answer: IOperationAnswer,
+    operation: IOperation,
+    answer: IOperationAnswer | undefined,
     options: IDeadlineOptions,
   ): Promise<Result<void, Failure>>;
   /** Takes back a beginning whose request provably did not run. */
   abandon(
-    key: IOperationKey,
+    operation: IOperation,
     options: IDeadlineOptions,
   ): Promise<Result<void, Failure>>;
 }
--- /dev/null
+++ b/src/routing/balanced_selector.ts
@@ -0,0 +1,186 @@
+import { err, ok, type Result } from "neverthrow";
+import type { IEngineLoadView, ILiveActivity } from "../allotment/mod.ts";
+import { type Failure, type IClock, notRun } from "../common/mod.ts";
+import type { Engine, IConfigurationSource } from "../configuration/mod.ts";
+import type { ITargetAvailability } from "../membership/mod.ts";
+import { scoreEngine } from "./engine_score.ts";
+import { PrefixRanking } from "./prefix_ranking.ts";
+import type {
+  IEngineReservation,
+  IEngineSelector,
+  ILoadReports,
+  IRandom,
+  ISelectionRequest,
+  ITargetHealth,
+} from "./types.ts";
+
+/** Seconds after which a request for a service with no engine may return. */
+const RETRY_AFTER_SECONDS = 2;
+
+/** Engines drawn at random from the own failure domain, and from others. */
+const DRAWN_ENGINES = 2;
+
+/** Collaborators of a selector. */
+export interface ISelectorOptions {
+  readonly clock: IClock;
+  readonly random: IRandom;
+  /** Failure domain of this instance. */
+  readonly failureDomain: string;
+  readonly activity: ILiveActivity;
+  readonly load: IEngineLoadView;
+  readonly reports: ILoadReports;
+  readonly health: ITargetHealth;
+  readonly availability: ITargetAvailability;
+}
+
+/**
+ * Chooses the least loaded of a few engines drawn at random.
+ *
+ * Many instances decide at once on counts that are a little old. If each took
+ * the least loaded of all, they would all take the same one; drawing first
+ * keeps them apart.
+ */
+export class BalancedSelector implements IEngineSelector {
+  #configuration: IConfigurationSource;
+  #options: ISelectorOptions;
+  #ranking = new PrefixRanking();
+  #batchStreams = new Map<string, number>();
+
+  constructor(configuration: IConfigurationSource, options: ISelectorOptions) {
+    this.#configuration = configuration;
+    this.#options = options;
+  }
+
+  select(request: ISelectionRequest): Result<IEngineReservation, Failure> {
+    this.#options.reports.touch(request.service);
+    const engines = this.#configuration.current?.enginesOf(request.service);
+    const candidates = this.#candidates(engines ?? [], request);
+    const probed = request.mayProbe
+      ? candidates.find(({ id }) => this.#state(id) === "probe")
+      : undefined;
+    const engine = probed ??
+      this.#best(this.#draw(candidates, engines ?? [], request), request);
+    if (engine) return ok(this.#reserve(engine, request));
+    const reason = `no engine of ${request.service} is available`;
+    return err(notRun("unavailable", reason, {
+      retryAfterSeconds: RETRY_AFTER_SECONDS,
+    }));
+  }
+
+  /** Engines that may be used; ejected ones only if there are no others. */
+  #candidates(
+    engines: readonly Engine[],
+    request: ISelectionRequest,
+  ): readonly Engine[] {
+    const { availability } = this.#options;
+    const usable = engines.filter(({ id }) =>
+      !request.exclude.has(id) && availability.stateOf(id) !== "leaving"
+    );
+    const wanted = request.mayProbe
+      ? usable.filter(({ id }) => this.#state(id) !== "ejected")
+      : usable.filter(({ id }) => this.#state(id) === "healthy");
+    return wanted.length > 0 ? wanted : usable;
+  }
+
+  #state(engineId: string) {
+    return this.#options.health.stateOf(engineId);
+  }
+
+  /** Draws engines near and far, and adds those with the prefix cached. */
+  #draw(
+    candidates: readonly Engine[],
+    engines: readonly Engine[],
+    request: ISelectionRequest,
+  ): { engine: Engine; prefers: boolean }[] {
+    const preferred = this.#ranking.preferred(request.prompt, engines);
+    const near = candidates.filter((engine) => this.#isNear(engine));
+    const far = candidates.filter((engine) => !this.#isNear(engine));
+    const drawn = new Set([
+      ...this.#sample(near),
+      ...this.#sample(far),
+      ...candidates.filter(({ id }) => preferred.includes(id)),
+    ]);
+    return [...drawn].map((engine) => ({
+      engine,
+      prefers: preferred.includes(engine.id),
+    }));
+  }
+
+  #isNear(engine: Engine): boolean {
+    return engine.failureDomain === this.#options.failureDomain;
+  }
+
+  #sample(engines: readonly Engine[]): Engine[] {
+    const rest = [...engines];
+    const drawn: Engine[] = [];
+    while (drawn.length < DRAWN_ENGINES && rest.length > 0) {
+      drawn.push(...rest.splice(this.#options.random.below(rest.length), 1));
+    }
+    return drawn;
+  }
+
+  #best(
+    drawn: readonly { engine: Engine; prefers: boolean }[],
+    request: ISelectionRequest,
+  ): Engine | undefined {
+    let best: Engine | undefined;
+    let bestScore = Infinity;
+    for (const { engine, prefers } of drawn) {
+      const score = this.#score(engine, request, prefers);
+      if (score >= bestScore) continue;
+      best = engine;
+      bestScore = score;
+    }
+    return best;
+  }
+
+  #score(
+    engine: Engine,
+    request: ISelectionRequest,
+    prefers: boolean,
+  ): number {
+    const load = this.#options.load.loadOf(engine.id);
+    const ownBatch = this.#batchStreams.get(engine.id) ?? 0;
+    return scoreEngine({
+      engine,
+      kind: request.kind,
+      load: { ...load, batch: Math.max(load.batch, ownBatch) },
+      report: this.#options.reports.reportOf(engine.id),
+      sameDomain: this.#isNear(engine),
+      prefers,
+      now: this.#options.clock.monotonic(),
+    });
+  }
+
+  #reserve(engine: Engine, request: ISelectionRequest): IEngineReservation {
+    const { health, activity } = this.#options;
+    const probe = health.beginProbe(engine.id);
+    const count = request.kind === "live"
+      ? activity.begin(engine.id)
+      : this.#countBatch(engine.id);
+    return {
+      engine,
+      reportFirstToken: () => health.reportSuccess(engine.id),
+      reportFailure: () => health.reportFailure(engine.id),
+      dispose: () => {
+        probe.dispose();
+        count.dispose();
+      },
+    };
+  }
+
+  #countBatch(engineId: string): { dispose(): void } {
+    const add = (difference: number) => {
+      const count = (this.#batchStreams.get(engineId) ?? 0) + difference;
+      this.#batchStreams.set(engineId, count);
+    };
+    add(1);
+    let held = true;
+    return {
+      dispose: () => {
+        if (held) add(-1);
+        held = false;
+      },
+    };
+  }
+}
--- /dev/null
+++ b/src/routing/engine_score.ts
@@ -0,0 +1,61 @@
+import type { IEngineLoad } from "../allotment/mod.ts";
+import type { Deadline } from "../common/mod.ts";
+import type { Engine } from "../configuration/mod.ts";
+import type { IReceivedLoadReport, WorkKind } from "./types.ts";
+
+/** Age at which a load report counts half, in milliseconds. */
+const REPORT_HALF_LIFE_MILLISECONDS = 500;
+
+/** Load that another failure domain counts for, as a share of capacity. */
+const OTHER_DOMAIN_PENALTY = 0.05;
+
+/** Load that a cached prefix is worth, as a share of capacity. */
+const PREFIX_BONUS = 0.08;
+
+/** Share of its capacity above which an engine gets nothing for its cache. */
+const PREFIX_LOAD_LIMIT = 0.75;
+
+/** Breaks ties for live streams in favour of engines without batch. */
+const BATCH_TIE_BREAK = 0.001;
+
+/** What is known of an engine when it is considered. */
+export interface IScoreInputs {
+  readonly engine: Engine;
+  readonly kind: WorkKind;
+  readonly load: IEngineLoad;
+  readonly report: IReceivedLoadReport | undefined;
+  readonly sameDomain: boolean;
+  /** Whether the engine probably has the prompt's prefix cached. */
+  readonly prefers: boolean;
+  readonly now: Deadline;
+}
+
+/** Expected load of an engine as a share of its capacity; less is better. */
+export function scoreEngine(inputs: IScoreInputs): number {
+  const { engine, load } = inputs;
+  const pressure = expectedStreams(inputs) / engine.maximumStreams;
+  const domain = inputs.sameDomain ? 0 : OTHER_DOMAIN_PENALTY;
+  const bonus = inputs.prefers && pressure < PREFIX_LOAD_LIMIT
+    ? PREFIX_BONUS
+    : 0;
+  const tie = inputs.kind === "live" ? load.batch * BATCH_TIE_BREAK : 0;
+  return pressure + domain - bonus + tie;
+}
+
+/**
+ * Streams counted by the instances, plus those that only the report shows.
+ *
+ * A report never lowers the count, so an engine that always reports no load
+ * gains nothing; what it adds halves with its age and is bounded.
+ */
+export function expectedStreams(inputs: IScoreInputs): number {
+  const { ownLive, otherLive, batch } = inputs.load;
+  const counted = ownLive + otherLive + batch;
+  const { report } = inputs;
+  if (!report) return counted;
+  const { running, waiting, ageMilliseconds } = report.report;
+  const age = Math.max(0, ageMilliseconds) + inputs.now - report.receivedAt;
+  const weight = 2 ** (-age / REPORT_HALF_LIFE_MILLISECONDS);
+  const unseen = Math.max(0, running + waiting - counted);
+  return counted + weight * Math.min(unseen, inputs.engine.maximumStreams);
+}
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -1,6 +1,7 @@
 import type { Result } from "neverthrow";
-import type { Failure, IDisposable } from "../common/mod.ts";
+import type { Deadline, Failure, IDisposable } from "../common/mod.ts";
 import type { Engine } from "../configuration/mod.ts";
+import type { LoadReport } from "../targets/mod.ts";
 
 /** Kind of work that a stream belongs to. */
 export type WorkKind = "live" | "batch";
@@ -13,6 +14,8 @@
   readonly prompt: string;
   /** Engines that already failed this request. */
   readonly exclude: ReadonlySet<string>;
+  /** Whether the request may try an engine that had been ejected. */
+  readonly mayProbe?: boolean;
 }
 
 /** An engine chosen for one stream; disposing of it ends its count. */
@@ -29,3 +32,32 @@
   /** Fails with `unavailable` when no engine may take the stream. */
   select(request: ISelectionRequest): Result<IEngineReservation, Failure>;
 }
+
+/** Source of pseudo-random numbers. */
+export interface IRandom {
+  /** A whole number from 0 up to, not including, the bound. */
+  below(bound: number): number;
+}
+
+/** Health of targets as this instance experienced it. */
+export interface ITargetHealth {
+  /** `probe`: ejected, and due for one request that tries it. */
+  stateOf(targetId: string): "healthy" | "probe" | "ejected";
+  /** Marks the request now sent to an ejected target as its only probe. */
+  beginProbe(targetId: string): IDisposable;
+  reportSuccess(targetId: string): void;
+  reportFailure(targetId: string): void;
+}
+
+/** A load report and when it arrived. */
+export interface IReceivedLoadReport {
+  readonly report: LoadReport;
+  readonly receivedAt: Deadline;
+}
+
+/** Latest load reports of the engines that this instance uses. */
+export interface ILoadReports {
+  reportOf(engineId: string): IReceivedLoadReport | undefined;
+  /** Notes that a service is in use, so that its engines are asked. */
+  touch(service: string): void;
+}
--- /dev/null
+++ b/src/targets/chunk_reader.ts
@@ -0,0 +1,191 @@
+import type { IncomingMessage } from "node:http";
+import { StringDecoder } from "node:string_decoder";
+import { z } from "zod";
+import {
+  type Deadline,
+  earlierDeadline,
+  type Failure,
+  type IClock,
+  type IDisposable,
+  mayHaveRun,
+} from "../common/mod.ts";
+import { GenerationError } from "./generation_error.ts";
+import { SseReader } from "./sse_reader.ts";
+import type { GenerationChunk, IGenerateOptions } from "./types.ts";
+
+/** Chunks that wait for a slow consumer before reading pauses. */
+const MAXIMUM_QUEUED_CHUNKS = 64;
+
+/** Time to read what follows the last chunk, in milliseconds. */
+const TRAILER_TIMEOUT_MILLISECONDS = 2_000;
+
+const eventSchema = z.object({
+  choices: z.array(z.object({
+    text: z.string().optional(),
+    delta: z.object({ content: z.string().nullish() }).optional(),
+    finish_reason: z.string().nullish(),
+  })).optional(),
+  error: z.object({ message: z.string() }).optional(),
+});
+
+/** Reads the chunks of one streamed response. */
+export class ChunkReader implements IDisposable {
+  #response: IncomingMessage;
+  #options: IGenerateOptions;
+  #clock: IClock;
+  #events = new SseReader();
+  #decoder = new StringDecoder("utf8");
+  #queue: GenerationChunk[] = [];
+  #wake: (() => void) | undefined;
+  #failure: Failure | undefined;
+  #begun = false;
+  #finished = false;
+  #waitUntil: Deadline | undefined;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    response: IncomingMessage,
+    options: IGenerateOptions,
+    clock: IClock,
+  ) {
+    this.#response = response;
+    this.#options = options;
+    this.#clock = clock;
+    response.on("data", this.#onData);
+    response.once("end", this.#onClose);
+    response.once("close", this.#onClose);
+    options.signal.addEventListener("abort", this.#onAbort, { once: true });
+    if (options.signal.aborted) this.#onAbort();
+  }
+
+  /**
+   * Resolves with the next chunk.
+   *
+   * @throws GenerationError when the stream breaks, goes silent or is
+   * cancelled.
+   */
+  async next(): Promise<GenerationChunk> {
+    for (;;) {
+      const chunk = this.#queue.shift();
+      if (chunk) return this.#deliver(chunk);
+      if (this.#failure) throw new GenerationError(this.#failure);
+      await this.#wait();
+    }
+  }
+
+  /** Lets go of the response; cancels the stream unless it has ended. */
+  dispose(): void {
+    clearTimeout(this.#timer);
+    this.#options.signal.removeEventListener("abort", this.#onAbort);
+    this.#response.off("data", this.#onData);
+    if (this.#finished) this.#readTrailer();
+    else this.#response.destroy();
+  }
+
+  #deliver(chunk: GenerationChunk): GenerationChunk {
+    this.#begun = true;
+    if (chunk.kind === "end") this.#finished = true;
+    if (this.#response.isPaused() && this.#queue.length === 0) {
+      this.#response.resume();
+    }
+    return chunk;
+  }
+
+  #onData = (bytes: Uint8Array): void => {
+    try {
+      for (const data of this.#events.push(this.#decoder.write(bytes))) {
+        if (data !== "[DONE]") this.#accept(data);
+      }
+    } catch (error) {
+      this.#fail(mayHaveRun("target-error", `unreadable event: ${error}`));
+    }
+    if (this.#queue.length > MAXIMUM_QUEUED_CHUNKS) this.#response.pause();
+    this.#wake?.();
+  };
+
+  #accept(data: string): void {
+    const event = eventSchema.parse(JSON.parse(data));
+    if (event.error) {
+      this.#fail(mayHaveRun("target-error", event.error.message));
+      return;
+    }
+    const choice = event.choices?.[0];
+    if (!choice) return;
+    const text = choice.text ?? choice.delta?.content ?? "";
+    if (text !== "") this.#queue.push({ kind: "tokens", text, tokens: 1 });
+    const finishReason = choice.finish_reason;
+    if (finishReason) this.#queue.push({ kind: "end", finishReason });
+  }
+
+  #onClose = (): void => {
+    this.#fail(mayHaveRun("target-error", "stream ended early"));
+  };
+
+  #onAbort = (): void => {
+    // What a cancelled request has queued is of no use to anyone.
+    this.#queue = [];
+    this.#fail(mayHaveRun("cancelled", "stream cancelled"));
+    this.#response.destroy();
+  };
+
+  #fail(failure: Failure): void {
+    this.#failure ??= failure;
+    this.#wake?.();
+  }
+
+  async #wait(): Promise<void> {
+    this.#waitUntil = this.#nextDeadline();
+    if (this.#timer === undefined) this.#arm(this.#waitUntil);
+    await new Promise<void>((resolve) => this.#wake = resolve);
+    this.#wake = undefined;
+    this.#waitUntil = undefined;
+  }
+
+  #nextDeadline(): Deadline {
+    const { firstTokenDeadline, silenceMilliseconds } = this.#options;
+    const silence = !this.#begun && firstTokenDeadline !== undefined
+      ? firstTokenDeadline
+      : this.#clock.deadlineIn(silenceMilliseconds);
+    return earlierDeadline(silence, this.#options.deadline);
+  }
+
+  /** One timer for the whole stream: to reset it for each token costs more. */
+  #arm(deadline: Deadline): void {
+    this.#timer = setTimeout(
+      this.#onTimer,
+      Math.ceil(this.#clock.remaining(deadline)),
+    );
+  }
+
+  #onTimer = (): void => {
+    const waitUntil = this.#waitUntil;
+    if (waitUntil === undefined) {
+      this.#arm(this.#nextDeadline());
+    } else if (this.#clock.isPast(waitUntil)) {
+      this.#fail(this.#silence());
+      this.#response.destroy();
+    } else {
+      this.#arm(waitUntil);
+    }
+  };
+
+  #silence(): Failure {
+    if (this.#clock.isPast(this.#options.deadline)) {
+      return mayHaveRun("deadline-exceeded", "deadline exceeded");
+    }
+    const what = this.#begun ? "stream went silent" : "no first token in time";
+    return mayHaveRun("deadline-exceeded", what);
+  }
+
+  /** Reads to the end, so that the connection can serve another request. */
+  #readTrailer(): void {
+    const response = this.#response;
+    if (response.readableEnded || response.destroyed) return;
+    const timer = setTimeout(
+      () => response.destroy(),
+      TRAILER_TIMEOUT_MILLISECONDS,
+    );
+    response.once("close", () => clearTimeout(timer));
+    response.resume();
+  }
+}
--- a/src/targets/http_engine_adapter.ts
+++ b/src/targets/http_engine_adapter.ts
@@ -1,6 +1,6 @@
 import { Agent, type IncomingMessage } from "node:http";
-import { StringDecoder } from "node:string_decoder";
 import { err, ok, type Result } from "neverthrow";
+import { match } from "ts-pattern";
 import { z } from "zod";
 import {
   type Deadline,
@@ -12,14 +12,15 @@
   notRun,
 } from "../common/mod.ts";
 import type { Engine } from "../configuration/mod.ts";
+import { ChunkReader } from "./chunk_reader.ts";
 import { GenerationError } from "./generation_error.ts";
 import {
   exchange,
   HttpExchangeError,
+  type IExchangeOptions,
   type IHttpRequest,
   readBody,
 } from "./http_exchange.ts";
-import { SseReader } from "./sse_reader.ts";
 import {
   type CacheEvent,
   cacheEventSchema,
@@ -40,13 +41,8 @@
 /** Seconds after which a refused request may be tried again. */
 const RETRY_AFTER_SECONDS = 1;
 
-const chunkSchema = z.object({
-  choices: z.array(z.object({
-    text: z.string().optional(),
-    delta: z.object({ content: z.string().nullish() }).optional(),
-    finish_reason: z.string().nullish(),
-  })),
-});
+/** Time for the body of a refusal to arrive, in milliseconds. */
+const REFUSAL_TIMEOUT_MILLISECONDS = 1_000;
 
 const cacheEventsSchema = z.object({ events: z.array(cacheEventSchema) });
 
@@ -74,21 +70,18 @@
     options: IGenerateOptions,
   ): AsyncGenerator<GenerationChunk, void> {
     const response = await this.#begin(engine, generation, options);
-    let ended = false;
+    const reader = new ChunkReader(response, options, this.#clock);
     try {
-      for await (const data of this.#events(response, options)) {
-        if (data === "[DONE]") break;
-        for (const chunk of parseChunk(data)) {
-          ended ||= chunk.kind === "end";
-          yield chunk;
-        }
-      }
+      let chunk: GenerationChunk;
+      do {
+        chunk = await reader.next();
+        yield chunk;
+      } while (chunk.kind !== "end");
+    } catch (error) {
+      if (!(error instanceof GenerationError)) throw error;
+      throw new GenerationError(atEngine(engine, error.failure));
     } finally {
-      if (!ended) response.destroy();
-    }
-    if (!ended) {
-      const reason = `engine ${engine.id} ended its stream early`;
-      throw new GenerationError(mayHaveRun("target-error", reason));
+      reader.dispose();
     }
   }
 
@@ -157,19 +150,41 @@
         method: "POST",
         path: generation.endpoint,
         body: JSON.stringify(body),
-      }, options);
+      }, {
+        deadline: options.firstTokenDeadline ?? options.deadline,
+        signal: options.signal,
+        freshConnection: options.freshConnection,
+      });
     } catch (error) {
       throw new GenerationError(failureOf(engine, error));
     }
     if (response.statusCode === 200) return response;
-    const text = (await readBody(response)).toString("utf8");
-    throw new GenerationError(refusal(engine, response.statusCode ?? 0, text));
+    throw new GenerationError(await this.#refusal(engine, response, options));
+  }
+
+  async #refusal(
+    engine: Engine,
+    response: IncomingMessage,
+    options: { deadline: Deadline },
+  ): Promise<Failure> {
+    const deadline = earlierDeadline(
+      options.deadline,
+      this.#clock.deadlineIn(REFUSAL_TIMEOUT_MILLISECONDS),
+    );
+    let text = "";
+    try {
+      const body = await readBody(response, { clock: this.#clock, deadline });
+      text = body.toString("utf8");
+    } catch {
+      response.destroy();
+    }
+    return refusal(engine, response.statusCode ?? 0, text);
   }
 
   #exchange(
     engine: Engine,
     request: Omit<IHttpRequest, "address" | "port">,
-    options: { deadline: Deadline; signal: AbortSignal },
+    options: Omit<IExchangeOptions, "clock" | "agent">,
   ): Promise<IncomingMessage> {
     const message = {
       ...request,
@@ -177,56 +192,13 @@
       port: engine.port,
       headers: { "content-type": "application/json" },
     };
-    const { deadline, signal } = options;
     return exchange(message, {
+      ...options,
       clock: this.#clock,
       agent: this.#agent,
-      deadline,
-      signal,
     });
   }
 
-  /** Yields event data until the stream ends, is cancelled or goes silent. */
-  async *#events(
-    response: IncomingMessage,
-    options: IGenerateOptions,
-  ): AsyncGenerator<string> {
-    const reader = new SseReader();
-    const decoder = new StringDecoder("utf8");
-    let failure: Failure | undefined;
-    const abort = (reason: Failure) => {
-      failure ??= reason;
-      response.destroy();
-    };
-    const cancel = () => abort(mayHaveRun("cancelled", "stream cancelled"));
-    if (options.signal.aborted) cancel();
-    options.signal.addEventListener("abort", cancel, { once: true });
-    const silence = mayHaveRun("target-error", "engine went silent");
-    let timer = this.#silenceTimer(options, () => abort(silence));
-    try {
-      for await (const bytes of response) {
-        clearTimeout(timer);
-        yield* reader.push(decoder.write(bytes));
-        timer = this.#silenceTimer(options, () => abort(silence));
-      }
-    } catch (error) {
-      failure ??= mayHaveRun("target-error", String(error));
-    } finally {
-      clearTimeout(timer);
-      options.signal.removeEventListener("abort", cancel);
-    }
-    if (failure) throw new GenerationError(failure);
-  }
-
-  #silenceTimer(
-    options: IGenerateOptions,
-    onSilence: () => void,
-  ): NodeJS.Timeout {
-    const limit = this.#clock.deadlineIn(options.silenceMilliseconds);
-    const deadline = earlierDeadline(limit, options.deadline);
-    return setTimeout(onSilence, this.#clock.remaining(deadline));
-  }
-
   async #json<S extends z.ZodType>(
     engine: Engine,
     request: Omit<IHttpRequest, "address" | "port">,
@@ -240,10 +212,14 @@
         deadline: options.deadline,
         signal,
       });
-      const text = (await readBody(response)).toString("utf8");
       if (response.statusCode !== 200) {
-        return err(refusal(engine, response.statusCode ?? 0, text));
+        return err(await this.#refusal(engine, response, options));
       }
+      const body = await readBody(response, {
+        clock: this.#clock,
+        deadline: options.deadline,
+      });
+      const text = body.toString("utf8");
       const parsed = options.schema.safeParse(JSON.parse(text));
       if (parsed.success) return ok(parsed.data);
       const reason = `engine ${engine.id}: ${parsed.error.message}`;
@@ -254,39 +230,39 @@
   }
 }
 
-function parseChunk(data: string): GenerationChunk[] {
-  const parsed = chunkSchema.safeParse(JSON.parse(data));
-  const choice = parsed.data?.choices[0];
-  if (!choice) return [];
-  const text = choice.text ?? choice.delta?.content ?? "";
-  const chunks: GenerationChunk[] = [];
-  if (text !== "") chunks.push({ kind: "tokens", text, tokens: 1 });
-  const finishReason = choice.finish_reason;
-  if (finishReason) chunks.push({ kind: "end", finishReason });
-  return chunks;
+function atEngine(engine: Engine, failure: Failure): Failure {
+  return { ...failure, message: `engine ${engine.id}: ${failure.message}` };
 }
 
 function failureOf(engine: Engine, error: unknown): Failure {
-  const place = `engine ${engine.id}`;
   if (!(error instanceof HttpExchangeError)) {
-    return mayHaveRun("target-error", `${place}: ${String(error)}`);
+    return atEngine(engine, mayHaveRun("target-error", String(error)));
   }
   const build = error.mayHaveRun ? mayHaveRun : notRun;
-  const code = error.code === "cancelled" ? "cancelled" : "unavailable";
-  return build(code, `${place}: ${error.message}`);
+  const code = match(error.code)
+    .with("cancelled", () => "cancelled" as const)
+    .with("timeout", () => "deadline-exceeded" as const)
+    .with("connection", () => "unavailable" as const)
+    .exhaustive();
+  return atEngine(engine, build(code, error.message));
 }
 
-/** An HTTP error status means that the engine did not begin. */
+/**
+ * Failure for an HTTP error status.
+ *
+ * Statuses by which a server refuses a request before its work begins say
+ * `not-run`; with any other, the work may have begun and failed.
+ */
 function refusal(engine: Engine, status: number, text: string): Failure {
-  const reason = `engine ${engine.id} answered ${status}: ${
-    text.slice(0, 200)
-  }`;
-  if (status === 400) return notRun("bad-request", reason);
-  if (status === 409) return notRun("conflict", reason);
-  if (status === 429 || status === 503) {
-    return notRun("overloaded", reason, {
-      retryAfterSeconds: RETRY_AFTER_SECONDS,
-    });
-  }
-  return mayHaveRun("target-error", reason);
+  const message = `answered ${status}: ${text.slice(0, 200)}`;
+  const failure = match(status)
+    .with(400, 413, 422, () => notRun("bad-request", message))
+    .with(401, 403, 404, () => notRun("unavailable", message))
+    .with(409, () => notRun("conflict", message))
+    .with(429, 503, () =>
+      notRun("overloaded", message, {
+        retryAfterSeconds: RETRY_AFTER_SECONDS,
+      }))
+    .otherwise(() => mayHaveRun("target-error", message));
+  return atEngine(engine, failure);
 }
--- a/src/targets/http_exchange.ts
+++ b/src/targets/http_exchange.ts
@@ -1,6 +1,12 @@
 import { Buffer } from "node:buffer";
-import { Agent, type IncomingMessage, request } from "node:http";
+import {
+  type Agent,
+  type IncomingMessage,
+  type OutgoingHttpHeaders,
+  request,
+} from "node:http";
 import type { Deadline, IClock } from "../common/mod.ts";
+import type { IHeaders } from "./types.ts";
 
 /** A request to one target over HTTP. */
 export interface IHttpRequest {
@@ -8,7 +14,7 @@
   readonly port: number;
   readonly method: string;
   readonly path: string;
-  readonly headers?: Readonly<Record<string, string>>;
+  readonly headers?: IHeaders;
   readonly body?: string | Uint8Array;
 }
 
@@ -36,6 +42,8 @@
   /** Point by which the response's head must have arrived. */
   readonly deadline: Deadline;
   readonly signal: AbortSignal;
+  /** Whether to use a connection that no other request has used. */
+  readonly freshConnection?: boolean;
 }
 
 /** Sends a request and resolves with the response once its head is there. */
@@ -46,12 +54,12 @@
   return new Promise((resolve, reject) => {
     let connected = false;
     const outgoing = request({
-      agent: options.agent,
+      agent: options.freshConnection ? false : options.agent,
       host: message.address,
       port: message.port,
       method: message.method,
       path: message.path,
-      headers: message.headers,
+      headers: message.headers as OutgoingHttpHeaders,
     });
     const fail = (
       code: "timeout" | "cancelled" | "connection",
@@ -85,11 +93,34 @@
   });
 }
 
-/** Reads a whole response body. */
-export async function readBody(response: IncomingMessage): Promise<Buffer> {
+/** Longest body that is read whole, in bytes. */
+const MAXIMUM_BODY_BYTES = 1024 * 1024;
+
+/**
+ * Reads a whole response body.
+ *
+ * @throws HttpExchangeError when it is too long, breaks off or is late.
+ */
+export async function readBody(
+  response: IncomingMessage,
+  options: { clock: IClock; deadline: Deadline },
+): Promise<Buffer> {
   const parts: Buffer[] = [];
-  for await (const part of response) {
-    parts.push(part as Buffer);
+  let length = 0;
+  const timer = setTimeout(
+    () => response.destroy(new Error("body did not arrive in time")),
+    Math.ceil(options.clock.remaining(options.deadline)),
+  );
+  try {
+    for await (const part of response) {
+      length += (part as Buffer).length;
+      if (length > MAXIMUM_BODY_BYTES) throw new Error("body too long");
+      parts.push(part as Buffer);
+    }
+  } catch (error) {
+    throw new HttpExchangeError("connection", String(error), true);
+  } finally {
+    clearTimeout(timer);
   }
   return Buffer.concat(parts);
 }
--- a/src/targets/http_plain_adapter.ts
+++ b/src/targets/http_plain_adapter.ts
@@ -1,25 +1,33 @@
-import { Agent } from "node:http";
+import { Agent, type IncomingMessage } from "node:http";
 import { err, ok, type Result } from "neverthrow";
+import { match } from "ts-pattern";
 import {
-  type Deadline,
   type Failure,
   type IClock,
   type IDisposable,
   mayHaveRun,
   notRun,
 } from "../common/mod.ts";
-import { exchange, HttpExchangeError, readBody } from "./http_exchange.ts";
+import { GenerationError } from "./generation_error.ts";
+import { exchange, HttpExchangeError } from "./http_exchange.ts";
 import type {
   IPlainAdapter,
+  IPlainCallOptions,
   IPlainRequest,
   IPlainResponse,
   IPlainTarget,
 } from "./types.ts";
 
+/** Idle connections kept for each target. */
+const MAXIMUM_IDLE_CONNECTIONS = 32;
+
 /** Plain services over HTTP. */
 export class HttpPlainAdapter implements IPlainAdapter, IDisposable {
   #clock: IClock;
-  #agent = new Agent({ keepAlive: true });
+  #agent = new Agent({
+    keepAlive: true,
+    maxFreeSockets: MAXIMUM_IDLE_CONNECTIONS,
+  });
 
   constructor(clock: IClock) {
     this.#clock = clock;
@@ -28,39 +36,72 @@
   async call(
     target: IPlainTarget,
     request: IPlainRequest,
-    options: { deadline: Deadline; signal: AbortSignal },
+    options: IPlainCallOptions,
   ): Promise<Result<IPlainResponse, Failure>> {
-    const message = {
-      ...request,
-      address: target.address,
-      port: target.port,
-    };
-    const remaining = Math.ceil(this.#clock.remaining(options.deadline));
-    const expiry = AbortSignal.timeout(remaining);
+    const { address, port } = target;
     try {
-      const response = await exchange(message, {
+      const response = await exchange({ ...request, address, port }, {
         clock: this.#clock,
         agent: this.#agent,
-        deadline: options.deadline,
+        deadline: options.headDeadline,
         signal: options.signal,
+        freshConnection: options.freshConnection,
+      });
+      this.#limit(response, options);
+      return ok({
+        status: response.statusCode ?? 502,
+        headers: response.headers,
+        body: bodyOf(target, response),
       });
-      const stop = () => response.destroy();
-      expiry.addEventListener("abort", stop, { once: true });
-      const body = await readBody(response);
-      const headers = Object.fromEntries(
-        Object.entries(response.headers).map((
-          [name, value],
-        ) => [name, String(value)]),
-      );
-      return ok({ status: response.statusCode ?? 502, headers, body });
     } catch (error) {
-      const reason = `target ${target.id}: ${String(error)}`;
-      const unsent = error instanceof HttpExchangeError && !error.mayHaveRun;
-      return err((unsent ? notRun : mayHaveRun)("unavailable", reason));
+      return err(failureOf(target, error));
     }
   }
 
   dispose(): void {
     this.#agent.destroy();
   }
+
+  /** Breaks the response off at its deadline or when it is cancelled. */
+  #limit(response: IncomingMessage, options: IPlainCallOptions): void {
+    const stop = () => response.destroy();
+    const timer = setTimeout(
+      stop,
+      Math.ceil(this.#clock.remaining(options.deadline)),
+    );
+    options.signal.addEventListener("abort", stop, { once: true });
+    if (options.signal.aborted) stop();
+    response.once("close", () => {
+      clearTimeout(timer);
+      options.signal.removeEventListener("abort", stop);
+    });
+  }
+}
+
+async function* bodyOf(
+  target: IPlainTarget,
+  response: IncomingMessage,
+): AsyncGenerator<Uint8Array, void> {
+  try {
+    for await (const part of response) yield part as Uint8Array;
+  } catch (error) {
+    throw new GenerationError(failureOf(target, error));
+  }
+  if (response.complete) return;
+  const failure = failureOf(target, new Error("answer broke off"));
+  throw new GenerationError(failure);
+}
+
+function failureOf(target: IPlainTarget, error: unknown): Failure {
+  const reason = `target ${target.id}: ${String(error)}`;
+  if (!(error instanceof HttpExchangeError)) {
+    return mayHaveRun("target-error", reason);
+  }
+  const build = error.mayHaveRun ? mayHaveRun : notRun;
+  const code = match(error.code)
+    .with("cancelled", () => "cancelled" as const)
+    .with("timeout", () => "deadline-exceeded" as const)
+    .with("connection", () => "unavailable" as const)
+    .exhaustive();
+  return build(code, reason);
 }
--- a/src/targets/sse_reader.ts
+++ b/src/targets/sse_reader.ts
@@ -1,16 +1,33 @@
+/** Longest event that is taken, in characters. */
+const MAXIMUM_EVENT_CHARACTERS = 1024 * 1024;
+
+/** Blank line between two events. */
+const EVENT_BOUNDARY = /\r?\n\r?\n/;
+
 /** Splits a server-sent event stream into the data of its events. */
 export class SseReader {
   #rest = "";
 
-  /** Adds received text and returns the data of the events now complete. */
+  /**
+   * Adds received text and returns the data of the events now complete.
+   *
+   * @throws RangeError when an event is too long.
+   */
   push(text: string): string[] {
-    const blocks = (this.#rest + text).split(/\r?\n\r?\n/);
+    const blocks = (this.#rest + text).split(EVENT_BOUNDARY);
     this.#rest = blocks.pop() ?? "";
+    if (this.#rest.length > MAXIMUM_EVENT_CHARACTERS) {
+      throw new RangeError("server-sent event too long");
+    }
     return blocks.map(dataOf).filter((data) => data !== "");
   }
 }
 
 function dataOf(block: string): string {
+  // Nearly every event is one line of data.
+  if (block.startsWith("data: ") && !block.includes("\n")) {
+    return block.slice("data: ".length);
+  }
   return block
     .split(/\r?\n/)
     .filter((line) => line.startsWith("data:"))
--- a/src/targets/types.ts
+++ b/src/targets/types.ts
@@ -37,6 +37,14 @@
   /** Aborting it cancels the stream at the engine. */
   readonly signal: AbortSignal;
   readonly resume?: IResumePoint;
+  /** Point by which the first chunk must have come. */
+  readonly firstTokenDeadline?: Deadline;
+  /**
+   * Whether to open a connection of its own. A kept connection may be closed
+   * by the target while the request is written; then nobody knows whether
+   * the target read it.
+   */
+  readonly freshConnection?: boolean;
   /** Longest silence between two chunks, in milliseconds. */
   readonly silenceMilliseconds: number;
 }
@@ -137,15 +145,21 @@
 export interface IPlainRequest {
   readonly method: string;
   readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
+  readonly headers: IHeaders;
   readonly body: Uint8Array;
 }
 
-/** The answer of a plain service. */
+/** Header values by name in lower case. */
+export interface IHeaders {
+  readonly [name: string]: string | readonly string[] | undefined;
+}
+
+/** The answer of a plain service; the body arrives while it is read. */
 export interface IPlainResponse {
   readonly status: number;
-  readonly headers: Readonly<Record<string, string>>;
-  readonly body: Uint8Array;
+  readonly headers: IHeaders;
+  /** Throws a `GenerationError` when the body breaks off. */
+  readonly body: AsyncIterable<Uint8Array>;
 }
 
 /** Address of a target of a plain service. */
@@ -155,12 +169,23 @@
   readonly port: number;
 }
 
+/** Options of one call of a plain service. */
+export interface IPlainCallOptions {
+  /** Point by which the response's head must have arrived. */
+  readonly headDeadline: Deadline;
+  /** Point by which the whole response must have arrived. */
+  readonly deadline: Deadline;
+  readonly signal: AbortSignal;
+  /** Whether to open a connection of its own. */
+  readonly freshConnection: boolean;
+}
+
 /** Adapter to plain services. */
 export interface IPlainAdapter {
   call(
     target: IPlainTarget,
     request: IPlainRequest,
-    options: { deadline: Deadline; signal: AbortSignal },
+    options: IPlainCallOptions,
   ): Promise<Result<IPlainResponse, Failure>>;
 }
 
