--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -101,7 +101,7 @@
   const plainTargets = store.add(new HttpPlainAdapter(clock));
   const selector = new LeastLoadedSelector(configuration);
   const dispatcher = new Dispatcher(selector, engines, { clock });
-  const jobs = new JobGateway(control);
+  const jobs = new JobGateway(control, clock);
   const items = new ItemRunner(dispatcher, configuration, { clock });
   const runner = store.add(
     new JobRunner(control, items, { configuration, clock }),
--- a/src/entry/batches_endpoint.ts
+++ b/src/entry/batches_endpoint.ts
@@ -1,3 +1,4 @@
+import { createHash } from "node:crypto";
 import { z } from "zod";
 import { type IClock, notRun } from "../common/mod.ts";
 import type { IJobGateway, Job } from "../jobs/mod.ts";
@@ -64,15 +65,19 @@
     }
     const hours = Number(body.value.completion_window.slice(0, -1));
     const key = request.message.headers["idempotency-key"];
+    const idempotent =
+      request.message.headers["figroad-idempotent"] !== "false";
     const submitted = await this.#jobs.submit({
       caller: request.caller.name,
       key: typeof key === "string" ? key : request.id,
+      fingerprint: fingerprintOf(body.value, idempotent),
       fileId: body.value.input_file_id,
       service,
       endpoint: body.value.endpoint,
-      idempotent: request.message.headers["figroad-idempotent"] !== "false",
+      idempotent,
       deadlineAt: this.#clock.wall() + hours * HOUR_MILLISECONDS,
       metadata: body.value.metadata ?? {},
+      queuedItemsLimit: request.caller.limits.queuedItems,
     }, this.#deadline());
     submitted.match(
       (job) => sendJson(request.response, 200, batchObject(job)),
@@ -133,6 +138,14 @@
   return grants[0]?.service.name;
 }
 
+/** Digest of all that a submission asks for, without the file's id. */
+function fingerprintOf(submission: Submission, idempotent: boolean): string {
+  const { endpoint, completion_window, model, metadata } = submission;
+  const entries = Object.entries(metadata ?? {}).sort();
+  const fields = [endpoint, completion_window, model, entries, idempotent];
+  return createHash("sha256").update(JSON.stringify(fields)).digest("hex");
+}
+
 function batchObject(job: Job): object {
   const seconds = (at: number | undefined) =>
     at === undefined ? null : Math.floor(at / 1_000);
--- a/src/entry/files_endpoint.ts
+++ b/src/entry/files_endpoint.ts
@@ -1,6 +1,6 @@
-import type { IClock } from "../common/mod.ts";
-import { notRun } from "../common/mod.ts";
-import type { IJobGateway, InputFile } from "../jobs/mod.ts";
+import type { Result } from "neverthrow";
+import { type Failure, type IClock, notRun } from "../common/mod.ts";
+import type { IJobGateway, InputFile, IResultPage } from "../jobs/mod.ts";
 import { openUpload } from "./multipart_file.ts";
 import { sendFailure, sendJson } from "./respond.ts";
 import type { ICallerRequest, IEndpoint } from "./types.ts";
@@ -11,6 +11,12 @@
 /** Result lines that are read at once. */
 const PAGE_LINES = 1_000;
 
+/** Longest page of result lines that a caller may ask for. */
+const MAXIMUM_PAGE_LINES = 10_000;
+
+/** Header with the position at which the next page begins. */
+const POSITION_HEADER = "figroad-position";
+
 const CONTENT_PATH = /^\/v1\/files\/((output|error)-)?([^/]+)\/content$/;
 const FILE_PATH = /^\/v1\/files\/([^/]+)$/;
 
@@ -75,23 +81,68 @@
   ): Promise<void> {
     const kind = path[2] === "error" ? "error" : "output";
     const jobId = path[3] ?? "";
+    const query = request.url.searchParams;
+    if (query.has("after")) return await this.#page(request, jobId, kind);
+    const { response } = request;
+    const job = await this.#jobs.job(
+      request.caller.name,
+      jobId,
+      this.#deadline(),
+    );
+    if (job.isErr()) return sendFailure(response, job.error);
+    // The order must not change when the job ends while it is read.
+    const order = job.value.state === "running" ? "completion" : "item";
     let from: number | undefined = 0;
-    while (from !== undefined) {
-      const page = await this.#jobs.results(request.caller.name, jobId, {
-        ...this.#deadline(),
-        from,
-        limit: PAGE_LINES,
-        kind,
-      });
+    while (from !== undefined && !request.signal.aborted) {
+      const page: Result<IResultPage, Failure> = await this.#jobs.results(
+        request.caller.name,
+        jobId,
+        {
+          ...this.#deadline(),
+          from,
+          limit: PAGE_LINES,
+          kind,
+          order,
+        },
+      );
       if (page.isErr()) {
-        sendFailure(request.response, page.error);
-        request.response.destroy();
+        const begun = response.headersSent;
+        if (begun) response.destroy();
+        else sendFailure(response, page.error);
         return;
       }
-      for (const line of page.value.lines) request.response.write(`${line}\n`);
+      const text = page.value.lines.map((line) => `${line}\n`).join("");
+      const flowing = response.write(text);
+      if (!flowing) await writable(request);
       from = page.value.next;
     }
-    request.response.end();
+    response.end();
+  }
+
+  /** Sends one page in the order of completion; the header says where it ends. */
+  async #page(
+    request: ICallerRequest,
+    jobId: string,
+    kind: "output" | "error",
+  ): Promise<void> {
+    const query = request.url.searchParams;
+    const from = Number(query.get("after"));
+    const limit = Number(query.get("limit") ?? PAGE_LINES);
+    if (!isCount(from) || !isCount(limit) || limit === 0) {
+      const reason = "after and limit must be whole numbers";
+      return sendFailure(request.response, notRun("bad-request", reason));
+    }
+    const page = await this.#jobs.results(request.caller.name, jobId, {
+      ...this.#deadline(),
+      from,
+      limit: Math.min(limit, MAXIMUM_PAGE_LINES),
+      kind,
+      order: "completion",
+    });
+    page.match(({ lines, position }) => {
+      request.response.setHeader(POSITION_HEADER, `${position}`);
+      request.response.end(lines.map((line) => `${line}\n`).join(""));
+    }, (failure) => sendFailure(request.response, failure));
   }
 
   #deadline() {
@@ -99,6 +150,25 @@
   }
 }
 
+/** Resolves when the response takes more, or its connection has closed. */
+function writable(request: ICallerRequest): Promise<void> {
+  const { response, signal } = request;
+  if (signal.aborted) return Promise.resolve();
+  return new Promise((resolve) => {
+    const finish = () => {
+      response.off("drain", finish);
+      response.off("close", finish);
+      resolve();
+    };
+    response.once("drain", finish);
+    response.once("close", finish);
+  });
+}
+
+function isCount(value: number): boolean {
+  return Number.isInteger(value) && value >= 0;
+}
+
 function fileObject(file: InputFile): object {
   return {
     id: file.id,
--- a/src/entry/multipart_file.ts
+++ b/src/entry/multipart_file.ts
@@ -9,9 +9,8 @@
 /** The first file of a multipart upload, read as it arrives. */
 export interface IUploadedFile {
   readonly name: string;
+  /** Throws at the end when the upload broke off or is too long. */
   readonly lines: AsyncIterable<string>;
-  /** Whether the file was longer than allowed; known after the last line. */
-  readonly isTruncated: () => boolean;
 }
 
 /** Resolves when the first file of the upload begins; rejects without one. */
@@ -23,9 +22,10 @@
       limits: { files: 1, fileSize: MAXIMUM_FILE_BYTES },
     });
     parser.on("file", (_field, stream, name) => {
-      let truncated = false;
-      stream.on("limit", () => truncated = true);
-      resolve({ name, lines: readLines(stream), isTruncated: () => truncated });
+      message.once("close", () => {
+        if (!message.complete) stream.destroy(new Error("connection closed"));
+      });
+      resolve({ name, lines: readLines(stream) });
     });
     parser.on("error", reject);
     parser.on("finish", () => reject(new Error("the upload has no file")));
@@ -35,7 +35,15 @@
 }
 
 async function* readLines(stream: Readable): AsyncGenerator<string> {
-  for await (const line of createInterface({ input: stream })) {
+  let truncated = false;
+  let failure: unknown;
+  stream.on("limit", () => truncated = true);
+  stream.on("error", (error) => failure = error);
+  const lines = createInterface({ input: stream });
+  stream.once("close", () => lines.close());
+  for await (const line of lines) {
     if (line.trim() !== "") yield line;
   }
+  if (failure !== undefined) throw failure;
+  if (truncated) throw new Error(`more than ${MAXIMUM_FILE_BYTES} bytes`);
 }
--- a/src/jobs/item_runner.ts
+++ b/src/jobs/item_runner.ts
@@ -1,23 +1,20 @@
 import { match } from "ts-pattern";
-import { z } from "zod";
-import type { Deadline, Failure, IClock } from "../common/mod.ts";
+import {
+  type Deadline,
+  type Failure,
+  type IClock,
+  notRun,
+} from "../common/mod.ts";
 import type { IConfigurationSource } from "../configuration/mod.ts";
 import type { IDispatcher } from "../dispatch/mod.ts";
 import { type Generation, GenerationError } from "../targets/mod.ts";
+import { type InputLine, parseInputLine } from "./input_line.ts";
 import type { ItemOutcome, LeasedItem } from "./messages.ts";
+import { errorLine, type IItemOutput, outputLine } from "./result_line.ts";
 
 /** Longest run of one item, in milliseconds. */
 const ITEM_TIMEOUT_MILLISECONDS = 600_000;
 
-/** One line of an input file. */
-const inputLineSchema = z.object({
-  custom_id: z.string(),
-  method: z.literal("POST").optional(),
-  url: z.string().optional(),
-  body: z.record(z.string(), z.unknown()),
-});
-type InputLine = z.infer<typeof inputLineSchema>;
-
 /** Runs one attempt at one item and builds its result line. */
 export class ItemRunner {
   #dispatcher: IDispatcher;
@@ -35,26 +32,22 @@
   }
 
   async run(item: LeasedItem, signal: AbortSignal): Promise<ItemOutcome> {
-    const input = parseInput(item.input);
-    if (!input) {
-      return outcome(
-        item,
-        "failed",
-        errorLine(item, "", {
-          code: "bad-request",
-          message: "the input line is no valid request",
-          verdict: "not-run",
-        }),
-      );
+    const input = parseInputLine(item.input);
+    if (input.isErr()) {
+      const failure = notRun("bad-request", input.error);
+      return outcome(item, "failed", errorLine(item, failure));
     }
-    const generation = this.#generation(item, input);
+    const generation = this.#generation(item, input.value);
     const deadline = this.#clock.deadlineIn(ITEM_TIMEOUT_MILLISECONDS);
     try {
-      const text = await this.#generate(item, generation, { deadline, signal });
-      return outcome(item, "done", outputLine(item, input, text));
+      const output = await this.#generate(item, generation, {
+        deadline,
+        signal,
+      });
+      return outcome(item, "done", outputLine(item, output));
     } catch (error) {
       if (!(error instanceof GenerationError)) throw error;
-      return this.#failed(item, input, error.failure);
+      return this.#failed(item, error.failure);
     }
   }
 
@@ -70,8 +63,10 @@
     item: LeasedItem,
     generation: Generation,
     options: { deadline: Deadline; signal: AbortSignal },
-  ): Promise<string> {
+  ): Promise<IItemOutput> {
     let text = "";
+    let tokens = 0;
+    let finishReason = "stop";
     const chunks = this.#dispatcher.run({
       id: `${item.jobId}/${item.index}`,
       caller: item.caller,
@@ -82,13 +77,18 @@
       ...options,
     });
     for await (const chunk of chunks) {
-      if (chunk.kind === "tokens") text += chunk.text;
+      if (chunk.kind === "end") {
+        finishReason = chunk.finishReason;
+        continue;
+      }
+      text += chunk.text;
+      tokens += chunk.tokens;
     }
-    return text;
+    return { text, tokens, finishReason };
   }
 
-  #failed(item: LeasedItem, input: InputLine, failure: Failure): ItemOutcome {
-    const line = errorLine(item, input.custom_id, failure);
+  #failed(item: LeasedItem, failure: Failure): ItemOutcome {
+    const line = errorLine(item, failure);
     const status = match(failure)
       .with({ code: "cancelled" }, () => "released" as const)
       .with({ code: "bad-request" }, () => "failed" as const)
@@ -98,14 +98,6 @@
   }
 }
 
-function parseInput(line: string): InputLine | undefined {
-  try {
-    return inputLineSchema.safeParse(JSON.parse(line)).data;
-  } catch {
-    return undefined;
-  }
-}
-
 function outcome(
   item: LeasedItem,
   status: ItemOutcome["status"],
@@ -114,36 +106,3 @@
   const { jobId, index, attempt } = item;
   return { jobId, index, attempt, status, line };
 }
-
-function outputLine(item: LeasedItem, input: InputLine, text: string): string {
-  const chat = item.endpoint === "/v1/chat/completions";
-  const choice = chat
-    ? { index: 0, message: { role: "assistant", content: text } }
-    : { index: 0, text };
-  const body = {
-    id: `${item.jobId}-${item.index}`,
-    object: chat ? "chat.completion" : "text_completion",
-    model: input.body.model,
-    choices: [{ ...choice, finish_reason: "stop" }],
-  };
-  return JSON.stringify({
-    id: `${item.jobId}-${item.index}`,
-    custom_id: input.custom_id,
-    response: { status_code: 200, request_id: body.id, body },
-    error: null,
-  });
-}
-
-function errorLine(
-  item: LeasedItem,
-  customId: string,
-  failure: Failure,
-): string {
-  const { code, message, verdict } = failure;
-  return JSON.stringify({
-    id: `${item.jobId}-${item.index}`,
-    custom_id: customId,
-    response: null,
-    error: { code, message, verdict },
-  });
-}
--- a/src/jobs/item_table.ts
+++ b/src/jobs/item_table.ts
@@ -1,3 +1,5 @@
+import { invariant } from "../common/mod.ts";
+
 /** State of an item. */
 export const ItemState = {
   pending: 0,
@@ -9,23 +11,24 @@
 } as const;
 export type ItemState = typeof ItemState[keyof typeof ItemState];
 
-/** State, attempts and result position of each item of a job. */
+/** Whether an item in this state never changes again. */
+export function isTerminalState(state: ItemState): boolean {
+  return state >= ItemState.done;
+}
+
+/** State of each item of an unfinished job; 4 bytes for an item. */
 export class ItemTable {
   readonly size: number;
   #states: Uint8Array;
-  #attempts: Uint8Array;
-  #offsets: Float64Array;
-  #lengths: Uint32Array;
+  #failures: Uint8Array;
+  #attempts: Uint16Array;
   #counts: number[];
-  /** Every item before this one is not pending. */
-  #firstPending = 0;
 
   constructor(size: number) {
     this.size = size;
     this.#states = new Uint8Array(size);
-    this.#attempts = new Uint8Array(size);
-    this.#offsets = new Float64Array(size);
-    this.#lengths = new Uint32Array(size);
+    this.#failures = new Uint8Array(size);
+    this.#attempts = new Uint16Array(size);
     this.#counts = [size, 0, 0, 0, 0, 0];
   }
 
@@ -37,52 +40,33 @@
     return (this.#states[index] ?? ItemState.cancelled) as ItemState;
   }
 
+  /** Number of the latest grant of an item; 0 before the first. */
   attempts(index: number): number {
     return this.#attempts[index] ?? 0;
   }
 
+  /** Attempts that failed or whose outcome is unknown. */
+  failures(index: number): number {
+    return this.#failures[index] ?? 0;
+  }
+
   isTerminal(index: number): boolean {
-    return this.state(index) >= ItemState.done;
+    return isTerminalState(this.state(index));
   }
 
   setState(index: number, state: ItemState): void {
     const previous = this.state(index);
+    invariant(!isTerminalState(previous), "a terminal item changed its state");
     this.#states[index] = state;
     this.#counts[previous] = this.count(previous) - 1;
     this.#counts[state] = this.count(state) + 1;
-    if (state === ItemState.pending && index < this.#firstPending) {
-      this.#firstPending = index;
-    }
   }
 
   setAttempts(index: number, attempts: number): void {
     this.#attempts[index] = attempts;
   }
 
-  setResult(index: number, offset: number, length: number): void {
-    this.#offsets[index] = offset;
-    this.#lengths[index] = length;
-  }
-
-  /** Position of the result line; a length of 0 means there is none. */
-  result(index: number): { offset: number; length: number } {
-    return {
-      offset: this.#offsets[index] ?? 0,
-      length: this.#lengths[index] ?? 0,
-    };
-  }
-
-  /** Returns up to `maximum` pending items in order. */
-  pending(maximum: number): number[] {
-    const found: number[] = [];
-    let index = this.#firstPending;
-    let first = -1;
-    for (; index < this.size && found.length < maximum; index++) {
-      if (this.#states[index] !== ItemState.pending) continue;
-      if (first < 0) first = index;
-      found.push(index);
-    }
-    this.#firstPending = first < 0 ? index : first;
-    return found;
+  setFailures(index: number, failures: number): void {
+    this.#failures[index] = failures;
   }
 }
--- a/src/jobs/job_gateway.ts
+++ b/src/jobs/job_gateway.ts
@@ -1,7 +1,13 @@
 import { randomUUID } from "node:crypto";
 import { err, ok, type Result } from "neverthrow";
-import { type Failure, notRun } from "../common/mod.ts";
+import {
+  earlierDeadline,
+  type Failure,
+  type IClock,
+  notRun,
+} from "../common/mod.ts";
 import type { IControlClient, IDeadlineOptions } from "../consensus/mod.ts";
+import { InputChecker } from "./input_line.ts";
 import {
   type InputFile,
   type Job,
@@ -18,12 +24,23 @@
 /** Characters of input lines that are committed together. */
 const CHUNK_CHARACTERS = 256 * 1024;
 
+/** Longest wait for one proposal before it is sent again, in milliseconds. */
+const PROPOSAL_TIMEOUT_MILLISECONDS = 5_000;
+
+/** Pause before a proposal is sent again, in milliseconds. */
+const RETRY_PAUSE_MILLISECONDS = 50;
+
+/** Seconds after which a caller over its limit of items may come back. */
+const LIMIT_RETRY_AFTER_SECONDS = 30;
+
 /** Reaches files and jobs at the log's leader. */
 export class JobGateway implements IJobGateway {
   #control: IControlClient;
+  #clock: IClock;
 
-  constructor(control: IControlClient) {
+  constructor(control: IControlClient, clock: IClock) {
     this.#control = control;
+    this.#clock = clock;
   }
 
   async storeFile(
@@ -38,7 +55,10 @@
     );
     if (opened.isErr()) return err(opened.error);
     const appended = await this.#appendAll(fileId, options);
-    if (appended.isErr()) return err(appended.error);
+    if (appended.isErr()) {
+      await this.#propose({ kind: "abandon-file", fileId }, options);
+      return err(appended.error);
+    }
     const closed = await this.#propose({ kind: "close-file", fileId }, options);
     return closed.andThen(expectFile);
   }
@@ -64,8 +84,6 @@
     submission: IJobSubmission,
     options: IDeadlineOptions,
   ): Promise<Result<Job, Failure>> {
-    const file = await this.file(submission.caller, submission.fileId, options);
-    if (file.isErr()) return err(file.error);
     const submitted = await this.#propose({
       kind: "submit",
       jobId: `batch_${randomUUID()}`,
@@ -115,58 +133,98 @@
       from: number;
       limit: number;
       kind: "output" | "error" | "all";
+      order: "completion" | "item";
     },
   ): Promise<Result<IResultPage, Failure>> {
     const job = await this.job(caller, jobId, options);
     if (job.isErr()) return err(job.error);
-    const { from, limit, kind } = options;
-    const params = { jobId, from, limit, kind };
+    const { from, limit, kind, order } = options;
+    const params = { jobId, from, limit, kind, order };
     const page = await this.#control.call(readResultsMethod, params, options);
-    return page.map(({ lines, next }) => ({ lines, next }));
+    return page.map(({ lines, next, position }) => ({ lines, next, position }));
   }
 
   async #appendAll(
     fileId: string,
     options: IDeadlineOptions & { lines: AsyncIterable<string> },
   ): Promise<Result<void, Failure>> {
-    let after = 0;
+    const checker = new InputChecker();
     let chunk: string[] = [];
     let characters = 0;
-    const flush = async (): Promise<Result<JobsOutput, Failure>> => {
-      const command = { kind: "append-lines" as const, fileId, after };
-      const appended = await this.#propose(
-        { ...command, lines: chunk },
-        options,
-      );
-      after += chunk.length;
-      chunk = [];
-      characters = 0;
-      return appended;
-    };
-    for await (const line of options.lines) {
-      chunk.push(line);
-      characters += line.length;
-      if (characters < CHUNK_CHARACTERS) continue;
-      const flushed = await flush();
-      if (flushed.isErr()) return err(flushed.error);
+    try {
+      for await (const line of options.lines) {
+        const checked = checker.check(line);
+        if (checked.isErr()) return err(notRun("bad-request", checked.error));
+        chunk.push(line);
+        characters += line.length;
+        if (characters < CHUNK_CHARACTERS) continue;
+        const after = checker.lines - chunk.length;
+        const flushed = await this.#append(fileId, chunk, {
+          ...options,
+          after,
+        });
+        if (flushed.isErr()) return err(flushed.error);
+        chunk = [];
+        characters = 0;
+      }
+    } catch (error) {
+      return err(notRun("bad-request", `upload ended early: ${error}`));
+    }
+    if (checker.lines === 0) {
+      return err(notRun("bad-request", "the file has no lines"));
     }
-    if (chunk.length === 0) return ok(undefined);
-    return (await flush()).map(() => undefined);
+    const after = checker.lines - chunk.length;
+    return await this.#append(fileId, chunk, { ...options, after });
   }
 
+  async #append(
+    fileId: string,
+    lines: string[],
+    options: IDeadlineOptions & { after: number },
+  ): Promise<Result<void, Failure>> {
+    const { after } = options;
+    const command = { kind: "append-lines" as const, fileId, after, lines };
+    const appended = await this.#propose(command, options);
+    return appended.andThen(expectFile).andThen((file) =>
+      file.lines === after + lines.length
+        ? ok()
+        : err(notRun("conflict", `file ${fileId} has other lines`))
+    );
+  }
+
+  /** Every command is idempotent, so it is sent until its answer is known. */
   async #propose(
     command: JobsCommand,
     options: IDeadlineOptions,
   ): Promise<Result<JobsOutput, Failure>> {
-    const output = await this.#control.propose(jobsSection, command, options);
-    return output.andThen((value) =>
-      value.kind === "refused"
-        ? err(notRun("bad-request", value.reason))
-        : ok(value)
-    );
+    for (;;) {
+      const attempt = this.#clock.deadlineIn(PROPOSAL_TIMEOUT_MILLISECONDS);
+      const output = await this.#control.propose(jobsSection, command, {
+        deadline: earlierDeadline(attempt, options.deadline),
+      });
+      if (output.isOk()) return output.andThen(acceptOutput);
+      if (!mayBeSentAgain(output.error)) return output;
+      if (this.#clock.isPast(options.deadline)) return output;
+      await this.#clock.sleepUntil(
+        this.#clock.deadlineIn(RETRY_PAUSE_MILLISECONDS),
+      );
+    }
   }
 }
 
+function mayBeSentAgain(failure: Failure): boolean {
+  return ["deadline-exceeded", "unavailable", "not-leader"]
+    .includes(failure.code);
+}
+
+function acceptOutput(output: JobsOutput): Result<JobsOutput, Failure> {
+  if (output.kind !== "refused") return ok(output);
+  const retryAfterSeconds = output.code === "limit-exceeded"
+    ? LIMIT_RETRY_AFTER_SECONDS
+    : undefined;
+  return err(notRun(output.code, output.reason, { retryAfterSeconds }));
+}
+
 function expectFile(output: JobsOutput): Result<InputFile, Failure> {
   if (output.kind === "file") return ok(output.file);
   return err(notRun("internal", `unexpected output ${output.kind}`));
--- a/src/jobs/job_runner.ts
+++ b/src/jobs/job_runner.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import type { IClock, IDisposable } from "../common/mod.ts";
 import type { IConfigurationSource } from "../configuration/mod.ts";
 import type { IControlClient } from "../consensus/mod.ts";
@@ -7,7 +8,7 @@
   jobsSection,
   type LeasedItem,
   leaseItemsMethod,
-  renewLeasesMethod,
+  renewLeaseMethod,
 } from "./messages.ts";
 
 /** Batch streams of one service that one instance runs at once. */
@@ -32,7 +33,8 @@
   #configuration: IConfigurationSource;
   #clock: IClock;
   #stop = new AbortController();
-  #running = new Map<string, { leaseId: string; abort: AbortController }>();
+  #leaseId: string = randomUUID();
+  #running = new Map<string, AbortController>();
   #outcomes: ItemOutcome[] = [];
 
   constructor(
@@ -55,7 +57,7 @@
 
   dispose(): void {
     this.#stop.abort();
-    for (const { abort } of this.#running.values()) abort.abort();
+    for (const abort of this.#running.values()) abort.abort();
   }
 
   async #every(interval: number, step: () => Promise<void>): Promise<void> {
@@ -72,43 +74,38 @@
       const maximum = STREAMS_PER_SERVICE - this.#running.size;
       if (maximum <= 0) return;
       const leased = await this.#control.call(leaseItemsMethod, {
+        leaseId: this.#leaseId,
         service: service.name,
         maximum,
       }, this.#deadline());
       if (leased.isErr()) continue;
-      const { leaseId, items } = leased.value;
-      for (const item of items) {
-        if (leaseId !== undefined) void this.#run(item, leaseId);
-      }
+      for (const item of leased.value.items) void this.#run(item);
     }
   }
 
-  async #run(item: LeasedItem, leaseId: string): Promise<void> {
+  async #run(item: LeasedItem): Promise<void> {
     const key = `${item.jobId}/${item.index}`;
     const abort = new AbortController();
-    this.#running.set(key, { leaseId, abort });
+    this.#running.set(key, abort);
     const outcome = await this.#items.run(item, abort.signal);
     this.#running.delete(key);
     this.#outcomes.push(outcome);
   }
 
   async #renew(): Promise<void> {
-    const leaseIds = [
-      ...new Set([...this.#running.values()].map(({ leaseId }) => leaseId)),
-    ];
-    if (leaseIds.length === 0) return;
+    const jobOf = (key: string) => key.slice(0, key.lastIndexOf("/"));
+    const jobIds = [...new Set([...this.#running.keys()].map(jobOf))];
+    if (jobIds.length === 0) return;
     const answer = await this.#control.call(
-      renewLeasesMethod,
-      { leaseIds },
+      renewLeaseMethod,
+      { leaseId: this.#leaseId, jobIds },
       this.#deadline(),
     );
     if (answer.isErr()) return;
-    const { lost, cancelledJobs } = answer.value;
-    for (const [key, { leaseId, abort }] of this.#running) {
-      const jobId = key.slice(0, key.lastIndexOf("/"));
-      if (lost.includes(leaseId) || cancelledJobs.includes(jobId)) {
-        abort.abort();
-      }
+    const { held, stoppedJobs } = answer.value;
+    if (!held) this.#leaseId = randomUUID();
+    for (const [key, abort] of this.#running) {
+      if (!held || stoppedJobs.includes(jobOf(key))) abort.abort();
     }
   }
 
--- /dev/null
+++ b/src/jobs/job_schedule.ts
@@ -0,0 +1,104 @@
+import { z } from "zod";
+import type { BatchJob } from "./batch_job.ts";
+
+/** One grant in this many goes to the caller's jobs in turn. */
+const ROTATION_SHARE = 4;
+
+/** Turns of the callers of one service, the next first. */
+export const scheduleSnapshotSchema = z.array(z.object({
+  service: z.string(),
+  callers: z.array(z.object({ caller: z.string(), turns: z.number() })),
+}));
+export type ScheduleSnapshot = z.infer<typeof scheduleSnapshotSchema>;
+
+interface ICallerQueue {
+  /** Jobs with available items, the earliest deadline first. */
+  jobs: BatchJob[];
+  turns: number;
+}
+
+/**
+ * Chooses the job of the next item to grant.
+ *
+ * Callers take turns. Of a caller's jobs the one with the earliest deadline
+ * goes first, but every fourth turn goes to its jobs in rotation, so that a
+ * long job does not hold up a short one behind it.
+ */
+export class JobSchedule {
+  #services = new Map<string, Map<string, ICallerQueue>>();
+
+  /** Adds a job with available items unless it is there. */
+  add(job: BatchJob): void {
+    const { service, caller } = job.record;
+    const callers = this.#services.get(service) ?? new Map();
+    this.#services.set(service, callers);
+    const queue = callers.get(caller) ?? { jobs: [], turns: 0 };
+    callers.set(caller, queue);
+    const at = position(queue.jobs, job);
+    if (queue.jobs[at] !== job) queue.jobs.splice(at, 0, job);
+  }
+
+  remove(job: BatchJob): void {
+    const { service, caller } = job.record;
+    const callers = this.#services.get(service);
+    const queue = callers?.get(caller);
+    if (!queue) return;
+    const at = position(queue.jobs, job);
+    if (queue.jobs[at] === job) queue.jobs.splice(at, 1);
+    if (queue.jobs.length === 0) callers?.delete(caller);
+  }
+
+  /** Job of the next item; undefined when none has an available one. */
+  next(service: string): BatchJob | undefined {
+    const callers = this.#services.get(service);
+    const [first] = callers ?? [];
+    if (!first) return undefined;
+    const [caller, queue] = first;
+    callers?.delete(caller);
+    callers?.set(caller, queue);
+    queue.turns += 1;
+    const rotates = queue.turns % ROTATION_SHARE === 0;
+    const turn = Math.floor(queue.turns / ROTATION_SHARE);
+    return queue.jobs[rotates ? turn % queue.jobs.length : 0];
+  }
+
+  snapshot(): ScheduleSnapshot {
+    return [...this.#services].map(([service, callers]) => ({
+      service,
+      callers: [...callers].map(([caller, { turns }]) => ({ caller, turns })),
+    }));
+  }
+
+  /** Restores the turns; the jobs are to be added afterwards. */
+  restore(snapshot: ScheduleSnapshot): void {
+    this.#services.clear();
+    for (const { service, callers } of snapshot) {
+      const queues = new Map<string, ICallerQueue>();
+      for (const { caller, turns } of callers) {
+        queues.set(caller, { jobs: [], turns });
+      }
+      this.#services.set(service, queues);
+    }
+  }
+}
+
+/** Where a job is, or belongs, among jobs in order. */
+function position(jobs: readonly BatchJob[], job: BatchJob): number {
+  let low = 0;
+  let high = jobs.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    const other = jobs[middle];
+    if (other && isBefore(other, job)) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
+function isBefore(first: BatchJob, second: BatchJob): boolean {
+  const { deadlineAt, sequence } = first.record;
+  if (deadlineAt !== second.record.deadlineAt) {
+    return deadlineAt < second.record.deadlineAt;
+  }
+  return sequence < second.record.sequence;
+}
--- a/src/jobs/jobs_handlers.ts
+++ b/src/jobs/jobs_handlers.ts
@@ -1,7 +1,6 @@
 import { DisposableStore, type IDisposable } from "../common/mod.ts";
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
-import { ItemState } from "./item_table.ts";
 import type { JobsSection } from "./jobs_section.ts";
 import {
   listJobsMethod,
@@ -9,9 +8,7 @@
   readJobMethod,
   readResultsMethod,
 } from "./messages.ts";
-
-/** Longest page of results, in characters. */
-const MAXIMUM_PAGE_CHARACTERS = 4 * 1024 * 1024;
+import { ResultPages } from "./result_pages.ts";
 
 /** Answers questions about jobs, on the log's leader. */
 export function handleJobs(
@@ -20,6 +17,7 @@
   options: { section: JobsSection },
 ): IDisposable {
   const { section } = options;
+  const pages = new ResultPages(section);
   const store = new DisposableStore();
   store.add(server.handle(readJobMethod, async (params, context) => {
     const barrier = await log.barrier(context);
@@ -35,7 +33,7 @@
   }));
   store.add(server.handle(readResultsMethod, async (params, context) => {
     const barrier = await log.barrier(context);
-    return barrier.map(() => readResults(section, params));
+    return barrier.map(() => pages.read(params.jobId, params));
   }));
   return store;
 }
@@ -44,29 +42,10 @@
   section: JobsSection,
   params: { caller: string; after?: string; limit: number },
 ) {
-  const own = section.jobs().filter(({ caller }) => caller === params.caller);
-  const start = own.findIndex(({ id }) => id === params.after) + 1;
-  const jobs = own.slice(start, start + params.limit);
-  return { jobs, more: start + jobs.length < own.length };
-}
-
-function readResults(
-  section: JobsSection,
-  params: { jobId: string; from: number; limit: number; kind: string },
-) {
-  const total = section.job(params.jobId)?.counts.total ?? 0;
-  const lines: string[] = [];
-  let characters = 0;
-  let index = params.from;
-  for (; index < total && lines.length < params.limit; index++) {
-    if (characters > MAXIMUM_PAGE_CHARACTERS) break;
-    const done = section.itemState(params.jobId, index) === ItemState.done;
-    if (params.kind === "output" && !done) continue;
-    if (params.kind === "error" && done) continue;
-    const line = section.resultLine(params.jobId, index);
-    if (line === undefined) continue;
-    lines.push(line);
-    characters += line.length;
-  }
-  return { lines, next: index < total ? index : undefined };
+  const ids = section.jobsOf(params.caller);
+  const start = ids.indexOf(params.after ?? "") + 1;
+  const jobs = ids.slice(start, start + params.limit)
+    .map((id) => section.job(id))
+    .filter((job) => job !== undefined);
+  return { jobs, more: start + jobs.length < ids.length };
 }
--- a/src/jobs/jobs_section.ts
+++ b/src/jobs/jobs_section.ts
@@ -1,15 +1,18 @@
-import { mkdirSync, rmSync } from "node:fs";
-import { join } from "node:path";
 import { match } from "ts-pattern";
+import { z } from "zod";
+import { invariant } from "../common/mod.ts";
 import type {
   IApplyContext,
   IStateSection,
   SectionSnapshot,
 } from "../consensus/mod.ts";
-import { ItemState, ItemTable } from "./item_table.ts";
+import { BatchJob, batchJobSnapshotSchema } from "./batch_job.ts";
+import { InputFiles, inputFilesSnapshotSchema } from "./input_files.ts";
+import { ItemLeases, itemLeasesSnapshotSchema } from "./item_leases.ts";
+import { ItemState } from "./item_table.ts";
+import { JobSchedule, scheduleSnapshotSchema } from "./job_schedule.ts";
 import {
   type InputFile,
-  type ItemLease,
   type ItemOutcome,
   type ItemReference,
   type Job,
@@ -17,310 +20,423 @@
   type JobsOutput,
   jobsSection,
 } from "./messages.ts";
-import { type ILinePosition, SegmentFile } from "./segment_file.ts";
+import {
+  MAXIMUM_FAILURES,
+  RetryQueue,
+  retryQueueSnapshotSchema,
+} from "./retry_queue.ts";
+import { SegmentStore } from "./segment_store.ts";
 
-/** Attempts at an item before it is recorded as failed. */
-export const MAXIMUM_ATTEMPTS = 3;
+/** How long an ended job and its results stay, in milliseconds. */
+export const JOB_RETENTION_MILLISECONDS = 3 * 24 * 3_600_000;
 
-interface IFileState {
-  record: InputFile;
-  segment: SegmentFile;
-  positions: ILinePosition[];
-}
+/** Bytes of results of ended jobs above which the oldest are dropped. */
+export const RETAINED_RESULT_BYTES = 64 * 1024 ** 3;
 
-interface IJobState {
-  record: Omit<Job, "counts">;
-  items: ItemTable;
-  results: SegmentFile;
-}
+/** Ended jobs and files that one sweep drops at most, each. */
+const SWEEP_MAXIMUM = 500;
+
+const snapshotSchema = z.object({
+  sequence: z.number(),
+  lateOutcomes: z.number(),
+  files: inputFilesSnapshotSchema,
+  /** In the order of submission. */
+  jobs: z.array(batchJobSnapshotSchema),
+  /** Ended jobs, the first ended first. */
+  ended: z.array(z.string()),
+  leases: itemLeasesSnapshotSchema,
+  retries: retryQueueSnapshotSchema,
+  schedule: scheduleSnapshotSchema,
+});
 
 /** Replicated state of batch jobs; bodies are in segment files. */
 export class JobsSection
   implements
     IStateSection<typeof jobsSection.command, typeof jobsSection.output> {
   readonly definition = jobsSection;
-  #folder: string;
-  #files = new Map<string, IFileState>();
-  #jobs = new Map<string, IJobState>();
+  #store: SegmentStore;
+  #files: InputFiles;
+  #jobs = new Map<string, BatchJob>();
   #jobByKey = new Map<string, string>();
-  #leases = new Map<string, ItemLease>();
+  #jobsOfCaller = new Map<string, Set<string>>();
+  #openItemsOfCaller = new Map<string, number>();
+  /** Bytes of results by ended job, the first ended first. */
+  #ended = new Map<string, number>();
+  #endedBytes = 0;
+  #leases = new ItemLeases();
+  #retries = new RetryQueue();
+  #schedule = new JobSchedule();
+  #sequence = 0;
+  #lateOutcomes = 0;
 
   /** Keeps its segment files below the given folder. */
   constructor(folder: string) {
-    this.#folder = folder;
-    mkdirSync(folder, { recursive: true });
+    this.#store = new SegmentStore(folder);
+    this.#files = new InputFiles(this.#store);
   }
 
-  get leases(): ReadonlyMap<string, ItemLease> {
+  get leases(): ItemLeases {
     return this.#leases;
   }
 
+  /** Outcomes that came after another one had been recorded. */
+  get lateOutcomes(): number {
+    return this.#lateOutcomes;
+  }
+
   file(id: string): InputFile | undefined {
-    return this.#files.get(id)?.record;
+    return this.#files.get(id);
   }
 
   job(id: string): Job | undefined {
-    const state = this.#jobs.get(id);
-    return state && { ...state.record, counts: countItems(state.items) };
+    return this.#jobs.get(id)?.view;
   }
 
-  /** Jobs with their items counted, newest first. */
-  jobs(): Job[] {
-    const ids = [...this.#jobs.keys()].reverse();
-    return ids.map((id) => this.job(id)).filter((job) => job !== undefined);
+  /** The job with access to its results. */
+  batchJob(id: string): BatchJob | undefined {
+    return this.#jobs.get(id);
   }
 
-  /** Pending items of a job, in order. */
-  pendingItems(jobId: string, maximum: number): number[] {
-    return this.#jobs.get(jobId)?.items.pending(maximum) ?? [];
+  /** Ids of a caller's jobs, newest first. */
+  jobsOf(caller: string): string[] {
+    return [...this.#jobsOfCaller.get(caller) ?? []].reverse();
   }
 
+  /** Input line of an item; empty when the file has been dropped. */
   input(jobId: string, index: number): string {
     const job = this.#jobs.get(jobId);
-    const file = job && this.#files.get(job.record.fileId);
-    const position = file?.positions[index];
-    return file && position ? file.segment.read(position) : "";
+    return job ? this.#files.line(job.record.fileId, index) : "";
   }
 
-  itemState(jobId: string, index: number): ItemState | undefined {
-    const items = this.#jobs.get(jobId)?.items;
-    return items && index < items.size ? items.state(index) : undefined;
-  }
-
-  /** Result line of an item, if it has one. */
-  resultLine(jobId: string, index: number): string | undefined {
-    const job = this.#jobs.get(jobId);
-    const position = job?.items.result(index);
-    if (!job || !position || position.length === 0) return undefined;
-    return job.results.read(position);
+  /** Whether a sweep would drop anything. */
+  isSweepDue(now: number): boolean {
+    return this.#files.isSweepDue(now) || this.#expiredJob(now) !== undefined;
   }
 
   apply(command: JobsCommand, context: IApplyContext): JobsOutput {
-    return match(command)
-      .with({ kind: "open-file" }, (it) => this.#openFile(it, context))
+    const now = context.proposedAt;
+    const output = match(command)
+      .with({ kind: "open-file" }, (it) => this.#openFile(it, now))
       .with({ kind: "append-lines" }, (it) => this.#appendLines(it))
-      .with({ kind: "close-file" }, (it) => this.#closeFile(it.fileId))
-      .with({ kind: "submit" }, (it) => this.#submit(it, context))
-      .with({ kind: "cancel" }, (it) => this.#cancel(it.jobId, context))
-      .with({ kind: "grant" }, (it) => this.#grant(it))
-      .with({ kind: "expire" }, (it) => this.#expire(it.leaseId, context))
-      .with(
-        { kind: "complete" },
-        (it) => this.#complete(it.outcomes, context),
-      )
+      .with({ kind: "close-file" }, (it) => this.#closeFile(it.fileId, now))
+      .with({ kind: "abandon-file" }, (it) => this.#abandonFile(it.fileId))
+      .with({ kind: "submit" }, (it) => this.#submit(it, now))
+      .with({ kind: "cancel" }, (it) => this.#cancel(it.jobId, now))
+      .with({ kind: "grant" }, (it) => this.#grant(it, now))
+      .with({ kind: "expire" }, (it) => this.#expire(it.leaseId, now))
+      .with({ kind: "complete" }, (it) => this.#complete(it.outcomes, now))
+      .with({ kind: "sweep" }, () => this.#sweep(now))
       .exhaustive();
+    this.#store.flush();
+    return output;
   }
 
-  snapshot(): Promise<SectionSnapshot> {
-    return Promise.reject(new Error("snapshots of jobs are not built yet"));
+  async snapshot(): Promise<SectionSnapshot> {
+    const state: z.infer<typeof snapshotSchema> = {
+      sequence: this.#sequence,
+      lateOutcomes: this.#lateOutcomes,
+      files: this.#files.snapshot(),
+      jobs: [...this.#jobs.values()].map((job) => job.snapshot()),
+      ended: [...this.#ended.keys()],
+      leases: this.#leases.snapshot(),
+      retries: this.#retries.snapshot(),
+      schedule: this.#schedule.snapshot(),
+    };
+    const { files, synced } = this.#store.snapshot();
+    await synced;
+    return { state, files };
   }
 
-  restore(): Promise<void> {
-    return Promise.reject(new Error("snapshots of jobs are not built yet"));
+  restore(snapshot: SectionSnapshot): Promise<void> {
+    const state = snapshotSchema.parse(snapshot.state);
+    this.#clear();
+    this.#store.restore(snapshot.files);
+    this.#sequence = state.sequence;
+    this.#lateOutcomes = state.lateOutcomes;
+    this.#files.restore(state.files);
+    this.#leases.restore(state.leases);
+    this.#retries.restore(state.retries);
+    this.#schedule.restore(state.schedule);
+    for (const entry of state.jobs) {
+      const job = BatchJob.restore(entry, this.#store);
+      this.#index(job);
+      if (job.hasAvailableItems) this.#schedule.add(job);
+    }
+    for (const id of state.ended) this.#retain(this.#jobs.get(id));
+    return Promise.resolve();
   }
 
   reset(): Promise<void> {
-    this.#files.forEach((file) => file.segment.dispose());
-    this.#jobs.forEach((job) => job.results.dispose());
-    this.#files.clear();
+    this.#clear();
+    this.#store.reset();
+    return Promise.resolve();
+  }
+
+  #clear(): void {
+    this.#files = new InputFiles(this.#store);
     this.#jobs.clear();
     this.#jobByKey.clear();
-    this.#leases.clear();
-    rmSync(this.#folder, { recursive: true, force: true });
-    mkdirSync(this.#folder, { recursive: true });
-    return Promise.resolve();
+    this.#jobsOfCaller.clear();
+    this.#openItemsOfCaller.clear();
+    this.#ended.clear();
+    this.#endedBytes = 0;
+    this.#leases = new ItemLeases();
+    this.#retries = new RetryQueue();
+    this.#schedule = new JobSchedule();
+    this.#sequence = 0;
+    this.#lateOutcomes = 0;
   }
 
   #openFile(
     command: JobsCommand & { kind: "open-file" },
-    context: IApplyContext,
+    now: number,
   ): JobsOutput {
-    const existing = this.#files.get(command.fileId);
-    if (existing) return { kind: "file", file: existing.record };
-    const record: InputFile = {
-      id: command.fileId,
-      caller: command.caller,
-      name: command.name,
-      state: "open",
-      lines: 0,
-      bytes: 0,
-      createdAt: context.proposedAt,
-    };
-    const path = join(this.#folder, `${command.fileId}.input`);
-    const segment = new SegmentFile(path, 0);
-    this.#files.set(command.fileId, { record, segment, positions: [] });
-    return { kind: "file", file: record };
+    return { kind: "file", file: this.#files.open(command, now) };
   }
 
   #appendLines(command: JobsCommand & { kind: "append-lines" }): JobsOutput {
     const file = this.#files.get(command.fileId);
-    if (!file || file.record.state !== "open") {
-      return { kind: "refused", reason: "no open file of this id" };
-    }
-    if (file.record.lines !== command.after) {
-      return { kind: "file", file: file.record };
-    }
-    for (const line of command.lines) {
-      file.positions.push(file.segment.append(line));
-    }
-    file.record.lines = file.positions.length;
-    file.record.bytes = file.segment.length;
-    return { kind: "file", file: file.record };
+    if (file?.state !== "open") return refused("not-found", "no open file");
+    this.#files.append(file, command.after, command.lines);
+    return { kind: "file", file: { ...file } };
   }
 
-  #closeFile(fileId: string): JobsOutput {
+  #closeFile(fileId: string, now: number): JobsOutput {
     const file = this.#files.get(fileId);
-    if (!file) return { kind: "refused", reason: "no file of this id" };
-    file.record.state = "closed";
-    return { kind: "file", file: file.record };
+    if (!file) return refused("not-found", `no file ${fileId}`);
+    this.#files.close(file, now);
+    return { kind: "file", file: { ...file } };
+  }
+
+  #abandonFile(fileId: string): JobsOutput {
+    if (this.#files.get(fileId)?.state === "open") this.#files.drop(fileId);
+    return { kind: "done" };
   }
 
   #submit(
     command: JobsCommand & { kind: "submit" },
-    context: IApplyContext,
+    now: number,
   ): JobsOutput {
-    const key = `${command.caller}/${command.key}`;
-    const earlier = this.job(this.#jobByKey.get(key) ?? "");
-    if (earlier) return { kind: "job", job: earlier };
+    const earlier = this.#jobByKey.get(keyOf(command));
     const file = this.#files.get(command.fileId);
-    if (file?.record.state !== "closed") {
-      return { kind: "refused", reason: "no complete file of this id" };
+    if (earlier !== undefined) return this.#resubmit(earlier, command, file);
+    if (file?.state !== "closed" || file.caller !== command.caller) {
+      return refused("not-found", `no complete file ${command.fileId}`);
     }
-    const { kind: _, jobId, ...fields } = command;
-    const record = {
-      ...fields,
-      id: jobId,
-      state: "running" as const,
-      createdAt: context.proposedAt,
-    };
-    const results = new SegmentFile(join(this.#folder, `${jobId}.results`), 0);
-    const items = new ItemTable(file.record.lines);
-    const job: IJobState = { record, items, results };
-    this.#jobs.set(jobId, job);
-    this.#jobByKey.set(key, jobId);
-    this.#finishIfComplete(job, context);
-    return { kind: "job", job: { ...job.record, counts: countItems(items) } };
+    const queued = this.#openItemsOfCaller.get(command.caller) ?? 0;
+    if (queued + file.lines > command.queuedItemsLimit) {
+      const reason = `${queued} of ${command.queuedItemsLimit} items queued; ` +
+        `this job has ${file.lines}`;
+      return refused("limit-exceeded", reason);
+    }
+    const { kind: _, jobId, queuedItemsLimit: __, ...fields } = command;
+    const job = new BatchJob(
+      {
+        ...fields,
+        id: jobId,
+        fileDigest: file.digest,
+        state: "running",
+        createdAt: now,
+        sequence: ++this.#sequence,
+      },
+      file.lines,
+      this.#store,
+    );
+    this.#files.retain(file.id);
+    this.#index(job);
+    this.#schedule.add(job);
+    this.#finishIfComplete(job, now);
+    return { kind: "job", job: job.view };
   }
 
-  #cancel(jobId: string, context: IApplyContext): JobsOutput {
+  /** Answers a submission whose key is known. */
+  #resubmit(
+    jobId: string,
+    command: JobsCommand & { kind: "submit" },
+    file: InputFile | undefined,
+  ): JobsOutput {
     const job = this.#jobs.get(jobId);
-    if (!job) return { kind: "refused", reason: "no job of this id" };
+    invariant(job !== undefined, "a key names a job that is gone");
+    const sameFile = job.record.fileId === command.fileId ||
+      (file?.caller === command.caller &&
+        file.digest === job.record.fileDigest);
+    if (sameFile && job.record.fingerprint === command.fingerprint) {
+      return { kind: "job", job: job.view };
+    }
+    return refused("conflict", `key ${command.key} names another job`);
+  }
+
+  #cancel(jobId: string, now: number): JobsOutput {
+    const job = this.#jobs.get(jobId);
+    if (!job) return refused("not-found", `no job ${jobId}`);
     if (job.record.state === "running") {
-      for (let index = 0; index < job.items.size; index++) {
-        if (!job.items.isTerminal(index)) {
-          job.items.setState(index, ItemState.cancelled);
-        }
+      this.#countOpenItems(job, -job.openItems);
+      for (const index of job.cancelOpenItems()) {
+        this.#leases.release({ jobId, index });
       }
-      job.record.state = "cancelled";
-      job.record.finishedAt = context.proposedAt;
+      this.#finish(job, "cancelled", now);
     }
-    const counts = countItems(job.items);
-    return { kind: "job", job: { ...job.record, counts } };
+    return { kind: "job", job: job.view };
   }
 
-  #grant(command: JobsCommand & { kind: "grant" }): JobsOutput {
+  #grant(
+    command: JobsCommand & { kind: "grant" },
+    now: number,
+  ): JobsOutput {
+    const { leaseId, holder, service, maximum } = command;
+    for (const { jobId, index } of this.#retries.due(now)) {
+      this.#offer(this.#jobs.get(jobId), index);
+    }
     const items: ItemReference[] = [];
-    for (const { jobId, index } of command.items) {
-      const table = this.#jobs.get(jobId)?.items;
-      if (table?.state(index) !== ItemState.pending) continue;
-      const attempt = table.attempts(index) + 1;
-      table.setState(index, ItemState.leased);
-      table.setAttempts(index, attempt);
-      items.push({ jobId, index, attempt });
+    while (items.length < maximum) {
+      const job = this.#schedule.next(service);
+      if (!job) break;
+      const taken = job.take();
+      if (taken) {
+        const item = { jobId: job.record.id, ...taken };
+        this.#leases.add(leaseId, holder, item);
+        items.push(item);
+      }
+      if (!job.hasAvailableItems) this.#schedule.remove(job);
     }
-    const lease = { id: command.leaseId, holder: command.holder, items };
-    if (items.length > 0) this.#leases.set(lease.id, lease);
-    return { kind: "lease", lease };
+    return { kind: "grant", grant: { leaseId, holder, items } };
   }
 
-  #expire(leaseId: string, context: IApplyContext): JobsOutput {
-    const lease = this.#leases.get(leaseId);
-    this.#leases.delete(leaseId);
-    for (const item of lease?.items ?? []) {
+  #expire(leaseId: string, now: number): JobsOutput {
+    for (const item of this.#leases.end(leaseId)) {
       const job = this.#jobs.get(item.jobId);
-      if (!job || !isHeld(job.items, item)) continue;
+      if (!job?.isHeld(item.index, item.attempt)) continue;
       const status = job.record.idempotent ? "again" : "may-have-run";
-      const line = resultLine(item, "the instance running it was lost");
-      this.#record({ ...item, status, line }, job, context);
+      this.#record({ ...item, status, line: "" }, job, now);
     }
     return { kind: "done" };
   }
 
-  #complete(outcomes: ItemOutcome[], context: IApplyContext): JobsOutput {
+  #complete(outcomes: ItemOutcome[], now: number): JobsOutput {
     const recorded: ItemReference[] = [];
     for (const outcome of outcomes) {
-      const job = this.#jobs.get(outcome.jobId);
-      if (!job || job.items.isTerminal(outcome.index)) continue;
-      if (outcome.status !== "done" && !isHeld(job.items, outcome)) continue;
-      this.#record(outcome, job, context);
       const { jobId, index, attempt } = outcome;
+      const job = this.#jobs.get(jobId);
+      if (!job || !isRecordable(outcome, job)) {
+        this.#lateOutcomes += 1;
+        continue;
+      }
+      this.#record(outcome, job, now);
       recorded.push({ jobId, index, attempt });
     }
-    this.#dropEmptyLeases();
     return { kind: "completed", recorded };
   }
 
-  #record(outcome: ItemOutcome, job: IJobState, context: IApplyContext): void {
-    const { index, attempt, line } = outcome;
-    const state = match(outcome.status)
+  #record(outcome: ItemOutcome, job: BatchJob, now: number): void {
+    const { index, line, status } = outcome;
+    this.#leases.release(outcome);
+    const failures = job.failures(index);
+    if (status === "released") {
+      job.putBack(index, failures);
+      this.#offer(job, index);
+      return;
+    }
+    if (status === "again" && failures + 1 < MAXIMUM_FAILURES) {
+      job.putBack(index, failures + 1);
+      const options = { failures: failures + 1, now };
+      this.#retries.add(job.record.id, index, options);
+      return;
+    }
+    const state = match(status)
       .with("done", () => ItemState.done)
-      .with("failed", () => ItemState.failed)
       .with("may-have-run", () => ItemState.mayHaveRun)
-      .with("released", () => ItemState.pending)
-      .with(
-        "again",
-        () =>
-          attempt >= MAXIMUM_ATTEMPTS ? ItemState.failed : ItemState.pending,
-      )
+      .with("failed", "again", () => ItemState.failed)
       .exhaustive();
-    if (outcome.status === "released") {
-      job.items.setAttempts(index, attempt - 1);
-    }
-    job.items.setState(index, state);
-    if (state === ItemState.pending) return;
-    const position = job.results.append(line);
-    job.items.setResult(index, position.offset, position.length);
-    this.#finishIfComplete(job, context);
-  }
-
-  #finishIfComplete(job: IJobState, context: IApplyContext): void {
-    const open = job.items.count(ItemState.pending) +
-      job.items.count(ItemState.leased);
-    if (open > 0 || job.record.state !== "running") return;
-    job.record.state = "finished";
-    job.record.finishedAt = context.proposedAt;
-  }
-
-  #dropEmptyLeases(): void {
-    for (const [id, lease] of this.#leases) {
-      const held = lease.items.some((item) => {
-        const items = this.#jobs.get(item.jobId)?.items;
-        return items !== undefined && isHeld(items, item);
-      });
-      if (!held) this.#leases.delete(id);
+    job.end(index, state, line);
+    this.#countOpenItems(job, -1);
+    this.#finishIfComplete(job, now);
+  }
+
+  #offer(job: BatchJob | undefined, index: number): void {
+    job?.offer(index);
+    if (job?.hasAvailableItems) this.#schedule.add(job);
+  }
+
+  #finishIfComplete(job: BatchJob, now: number): void {
+    if (job.record.state !== "running" || job.openItems > 0) return;
+    this.#finish(job, "finished", now);
+  }
+
+  #finish(job: BatchJob, state: "finished" | "cancelled", now: number): void {
+    job.finish(state, now);
+    this.#schedule.remove(job);
+    this.#retain(job);
+    if (!job.hasDerivedLines) this.#files.release(job.record.fileId, now);
+  }
+
+  #retain(job: BatchJob | undefined): void {
+    if (!job) return;
+    this.#ended.set(job.record.id, job.resultBytes);
+    this.#endedBytes += job.resultBytes;
+  }
+
+  #expiredJob(now: number): BatchJob | undefined {
+    const [first] = this.#ended.keys();
+    const job = this.#jobs.get(first ?? "");
+    const endedAt = job?.record.finishedAt ?? Infinity;
+    const isOld = endedAt + JOB_RETENTION_MILLISECONDS <= now;
+    return isOld || this.#endedBytes > RETAINED_RESULT_BYTES ? job : undefined;
+  }
+
+  #sweep(now: number): JobsOutput {
+    this.#files.sweep(now, SWEEP_MAXIMUM);
+    for (let dropped = 0; dropped < SWEEP_MAXIMUM; dropped++) {
+      const job = this.#expiredJob(now);
+      if (!job) break;
+      this.#drop(job, now);
     }
+    return { kind: "done" };
+  }
+
+  #drop(job: BatchJob, now: number): void {
+    const { id, caller, fileId } = job.record;
+    this.#endedBytes -= this.#ended.get(id) ?? 0;
+    this.#ended.delete(id);
+    this.#jobs.delete(id);
+    this.#jobByKey.delete(keyOf(job.record));
+    this.#jobsOfCaller.get(caller)?.delete(id);
+    if (job.hasDerivedLines) this.#files.release(fileId, now);
+    job.removeFiles();
+  }
+
+  #index(job: BatchJob): void {
+    const { id, caller } = job.record;
+    this.#jobs.set(id, job);
+    this.#jobByKey.set(keyOf(job.record), id);
+    const own = this.#jobsOfCaller.get(caller) ?? new Set();
+    this.#jobsOfCaller.set(caller, own.add(id));
+    this.#countOpenItems(job, job.openItems);
+  }
+
+  #countOpenItems(job: BatchJob, change: number): void {
+    const { caller } = job.record;
+    const open = (this.#openItemsOfCaller.get(caller) ?? 0) + change;
+    invariant(open >= 0, "a caller has fewer than no open items");
+    if (open === 0) this.#openItemsOfCaller.delete(caller);
+    else this.#openItemsOfCaller.set(caller, open);
   }
 }
 
-function isHeld(items: ItemTable, item: ItemReference): boolean {
-  return items.state(item.index) === ItemState.leased &&
-    items.attempts(item.index) === item.attempt;
+/** The first completion wins; other outcomes count only from the holder. */
+function isRecordable(outcome: ItemOutcome, job: BatchJob): boolean {
+  const state = job.state(outcome.index);
+  const open = state === ItemState.pending || state === ItemState.leased;
+  if (outcome.status === "done") return open;
+  return job.isHeld(outcome.index, outcome.attempt);
 }
 
-function resultLine(item: ItemReference, reason: string): string {
-  const id = `${item.jobId}-${item.index}`;
-  const error = { code: "may_have_run", message: reason };
-  return JSON.stringify({ id, response: null, error });
+function keyOf(fields: { caller: string; key: string }): string {
+  return `${fields.caller}/${fields.key}`;
 }
 
-function countItems(items: ItemTable): Job["counts"] {
-  return {
-    total: items.size,
-    pending: items.count(ItemState.pending),
-    leased: items.count(ItemState.leased),
-    done: items.count(ItemState.done),
-    failed: items.count(ItemState.failed),
-    cancelled: items.count(ItemState.cancelled),
-    mayHaveRun: items.count(ItemState.mayHaveRun),
-  };
+function refused(
+  code: Extract<JobsOutput, { kind: "refused" }>["code"],
+  reason: string,
+): JobsOutput {
+  return { kind: "refused", code, reason };
 }
--- a/src/jobs/lease_manager.ts
+++ b/src/jobs/lease_manager.ts
@@ -1,4 +1,3 @@
-import { randomUUID } from "node:crypto";
 import { err, ok, type Result } from "neverthrow";
 import {
   type Deadline,
@@ -12,13 +11,14 @@
 import type { IRpcServer } from "../rpc/mod.ts";
 import type { JobsSection } from "./jobs_section.ts";
 import {
-  type Job,
+  type ItemReference,
+  type JobsCommand,
   type JobsOutput,
   jobsOutputSchema,
   jobsSection,
   type LeasedItem,
   leaseItemsMethod,
-  renewLeasesMethod,
+  renewLeaseMethod,
 } from "./messages.ts";
 
 /** Time without renewal after which a lease ends, in milliseconds. */
@@ -27,6 +27,12 @@
 /** How often lapsed leases are looked for, in milliseconds. */
 const EXPIRY_INTERVAL_MILLISECONDS = 500;
 
+/**
+ * Gap between two looks after which this process was itself stopped, and
+ * renewals may wait unread, in milliseconds.
+ */
+const STOPPED_GAP_MILLISECONDS = 1_500;
+
 /** Time that an expiry may take to commit, in milliseconds. */
 const EXPIRY_TIMEOUT_MILLISECONDS = 5_000;
 
@@ -36,6 +42,8 @@
   #section: JobsSection;
   #clock: IClock;
   #deadlines = new Map<string, Deadline>();
+  #expiring = false;
+  #lookedAt: Deadline;
   #store = new DisposableStore();
 
   constructor(
@@ -46,6 +54,7 @@
     this.#log = log;
     this.#section = section;
     this.#clock = options.clock;
+    this.#lookedAt = options.clock.monotonic();
     const { server } = options;
     this.#store.add(
       server.handle(leaseItemsMethod, (params, context) =>
@@ -55,14 +64,15 @@
         })),
     );
     this.#store.add(
-      server.handle(renewLeasesMethod, async (params, context) => {
+      server.handle(renewLeaseMethod, async (params, context) => {
         const barrier = await log.barrier(context);
-        return barrier.map(() => this.#renew(params.leaseIds, context.from));
+        return barrier.map(() => this.#renew(params, context.from));
       }),
     );
+    // A new leader does not know when an earlier one last renewed.
     this.#store.add(log.onLeadershipChange(() => this.#deadlines.clear()));
     const timer = setInterval(
-      () => void this.#expireLapsed(),
+      () => void this.#housekeep(),
       EXPIRY_INTERVAL_MILLISECONDS,
     );
     this.#store.add({ dispose: () => clearInterval(timer) });
@@ -73,101 +83,87 @@
   }
 
   async #lease(
-    params: { service: string; maximum: number },
+    params: { leaseId: string; service: string; maximum: number },
     context: IDeadlineOptions & { from: string },
-  ): Promise<Result<{ leaseId?: string; items: LeasedItem[] }, Failure>> {
-    const barrier = await this.#log.barrier(context);
-    if (barrier.isErr()) return err(barrier.error);
-    const items = this.#choose(params.service, params.maximum);
-    if (items.length === 0) return ok({ items: [] });
+  ): Promise<Result<{ items: LeasedItem[] }, Failure>> {
     const granted = await this.#propose({
       kind: "grant",
-      leaseId: randomUUID(),
       holder: context.from,
-      items,
+      ...params,
     }, context);
     if (granted.isErr()) return err(granted.error);
-    if (granted.value.kind !== "lease") return ok({ items: [] });
-    const { lease } = granted.value;
-    this.#deadlines.set(lease.id, this.#clock.deadlineIn(LEASE_MILLISECONDS));
-    return ok({ leaseId: lease.id, items: this.#load(lease.items) });
+    if (granted.value.kind !== "grant") return ok({ items: [] });
+    const { items } = granted.value.grant;
+    if (items.length > 0) this.#extend(params.leaseId);
+    return ok({ items: items.flatMap((item) => this.#load(item)) });
   }
 
-  /** Chooses pending items, the job with the earliest deadline first. */
-  #choose(
-    service: string,
-    maximum: number,
-  ): { jobId: string; index: number }[] {
-    const jobs = this.#section.jobs()
-      .filter((job) => job.state === "running" && job.service === service)
-      .sort((first, second) => first.deadlineAt - second.deadlineAt);
-    const chosen: { jobId: string; index: number }[] = [];
-    for (const { id } of jobs) {
-      const wanted = maximum - chosen.length;
-      if (wanted <= 0) break;
-      const pending = this.#section.pendingItems(id, wanted);
-      chosen.push(...pending.map((index) => ({ jobId: id, index })));
-    }
-    return chosen;
-  }
-
-  #load(
-    references: { jobId: string; index: number; attempt: number }[],
-  ): LeasedItem[] {
-    return references.flatMap((reference) => {
-      const job = this.#section.job(reference.jobId);
-      if (!job) return [];
-      const { service, endpoint, idempotent, deadlineAt, caller } = job;
-      const input = this.#section.input(job.id, reference.index);
-      const fields = { service, endpoint, idempotent, deadlineAt, caller };
-      return [{ ...reference, ...fields, input }];
-    });
+  #load(item: ItemReference): LeasedItem[] {
+    const job = this.#section.job(item.jobId);
+    if (!job) return [];
+    const { service, endpoint, idempotent, deadlineAt, caller } = job;
+    const input = this.#section.input(job.id, item.index);
+    const fields = { service, endpoint, idempotent, deadlineAt, caller };
+    return [{ ...item, ...fields, input }];
   }
 
   #renew(
-    leaseIds: string[],
+    params: { leaseId: string; jobIds: string[] },
     holder: string,
-  ): { lost: string[]; cancelledJobs: string[] } {
-    const lost: string[] = [];
-    const cancelled = new Set<string>();
-    for (const id of leaseIds) {
-      const lease = this.#section.leases.get(id);
-      if (lease?.holder !== holder) {
-        lost.push(id);
-        continue;
-      }
-      this.#deadlines.set(id, this.#clock.deadlineIn(LEASE_MILLISECONDS));
-      for (const { jobId } of lease.items) {
-        if (this.#isCancelled(this.#section.job(jobId))) cancelled.add(jobId);
-      }
-    }
-    return { lost, cancelledJobs: [...cancelled] };
+  ): { held: boolean; stoppedJobs: string[] } {
+    const lease = this.#section.leases.get(params.leaseId);
+    const held = lease?.holder === holder;
+    if (held) this.#extend(params.leaseId);
+    const stoppedJobs = params.jobIds.filter((id) =>
+      this.#section.job(id)?.state !== "running"
+    );
+    return { held, stoppedJobs };
   }
 
-  #isCancelled(job: Job | undefined): boolean {
-    return job?.state === "cancelled";
+  #extend(leaseId: string): void {
+    const deadline = this.#clock.deadlineIn(LEASE_MILLISECONDS);
+    this.#deadlines.set(leaseId, deadline);
+  }
+
+  async #housekeep(): Promise<void> {
+    if (this.#expiring || !this.#log.leadership.isLeader) return;
+    this.#expiring = true;
+    try {
+      await this.#expireLapsed();
+      if (this.#section.isSweepDue(this.#clock.wall())) {
+        await this.#propose({ kind: "sweep" }, this.#expiryDeadline());
+      }
+    } finally {
+      this.#expiring = false;
+    }
   }
 
   async #expireLapsed(): Promise<void> {
-    if (!this.#log.leadership.isLeader) return;
+    const gap = this.#clock.monotonic() - this.#lookedAt;
+    this.#lookedAt = this.#clock.monotonic();
+    if (gap > STOPPED_GAP_MILLISECONDS) this.#deadlines.clear();
     for (const id of [...this.#deadlines.keys()]) {
-      if (!this.#section.leases.has(id)) this.#deadlines.delete(id);
+      if (!this.#section.leases.get(id)) this.#deadlines.delete(id);
     }
-    for (const id of [...this.#section.leases.keys()]) {
+    for (const id of [...this.#section.leases.ids()]) {
       const deadline = this.#deadlines.get(id);
-      if (deadline === undefined) {
-        // A new leader does not know when an earlier one last renewed.
-        this.#deadlines.set(id, this.#clock.deadlineIn(LEASE_MILLISECONDS));
-      } else if (this.#clock.isPast(deadline)) {
-        await this.#propose({ kind: "expire", leaseId: id }, {
-          deadline: this.#clock.deadlineIn(EXPIRY_TIMEOUT_MILLISECONDS),
-        });
-      }
+      if (deadline === undefined) this.#extend(id);
+      else if (this.#clock.isPast(deadline)) await this.#expire(id);
     }
   }
 
+  async #expire(leaseId: string): Promise<void> {
+    const command = { kind: "expire" as const, leaseId };
+    await this.#propose(command, this.#expiryDeadline());
+    this.#lookedAt = this.#clock.monotonic();
+  }
+
+  #expiryDeadline(): IDeadlineOptions {
+    return { deadline: this.#clock.deadlineIn(EXPIRY_TIMEOUT_MILLISECONDS) };
+  }
+
   async #propose(
-    command: unknown,
+    command: JobsCommand,
     options: IDeadlineOptions,
   ): Promise<Result<JobsOutput, Failure>> {
     const answer = await this.#log.propose(jobsSection.name, command, options);
--- a/src/jobs/messages.ts
+++ b/src/jobs/messages.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { failureCodeSchema } from "../common/mod.ts";
 import type { ISectionDefinition } from "../consensus/mod.ts";
 import { defineMethod } from "../rpc/mod.ts";
 
@@ -11,6 +12,8 @@
   lines: z.number(),
   bytes: z.number(),
   createdAt: z.number(),
+  /** Chained SHA-256 of the lines; equal for equal content. */
+  digest: z.string(),
 });
 export type InputFile = z.infer<typeof inputFileSchema>;
 
@@ -32,7 +35,10 @@
   caller: z.string(),
   /** Caller's key; the same key names the same job. */
   key: z.string(),
+  /** Digest of the submission; another one under the same key is refused. */
+  fingerprint: z.string(),
   fileId: z.string(),
+  fileDigest: z.string(),
   service: z.string(),
   endpoint: z.enum(["/v1/chat/completions", "/v1/completions"]),
   /** Whether items may be run again when their outcome is unknown. */
@@ -64,13 +70,13 @@
 });
 export type ItemOutcome = z.infer<typeof itemOutcomeSchema>;
 
-/** Items that one instance may run until the lease's deadline. */
-export const itemLeaseSchema = z.object({
-  id: z.string(),
+/** Items granted to one instance, to run until its lease ends. */
+export const itemGrantSchema = z.object({
+  leaseId: z.string(),
   holder: z.string(),
   items: z.array(itemReferenceSchema),
 });
-export type ItemLease = z.infer<typeof itemLeaseSchema>;
+export type ItemGrant = z.infer<typeof itemGrantSchema>;
 
 export const jobsCommandSchema = z.discriminatedUnion("kind", [
   z.object({
@@ -87,30 +93,37 @@
     lines: z.array(z.string()),
   }),
   z.object({ kind: z.literal("close-file"), fileId: z.string() }),
+  z.object({ kind: z.literal("abandon-file"), fileId: z.string() }),
   z.object({
     kind: z.literal("submit"),
     jobId: z.string(),
     caller: z.string(),
     key: z.string(),
+    fingerprint: z.string(),
     fileId: z.string(),
     service: z.string(),
     endpoint: z.enum(["/v1/chat/completions", "/v1/completions"]),
     idempotent: z.boolean(),
     deadlineAt: z.number(),
     metadata: z.record(z.string(), z.string()),
+    /** Unfinished items that the caller may have over all its jobs. */
+    queuedItemsLimit: z.number(),
   }),
   z.object({ kind: z.literal("cancel"), jobId: z.string() }),
   z.object({
     kind: z.literal("grant"),
     leaseId: z.string(),
     holder: z.string(),
-    items: z.array(z.object({ jobId: z.string(), index: z.int().min(0) })),
+    service: z.string(),
+    maximum: z.int().min(1),
   }),
   z.object({ kind: z.literal("expire"), leaseId: z.string() }),
   z.object({
     kind: z.literal("complete"),
     outcomes: z.array(itemOutcomeSchema),
   }),
+  /** Drops what has outlived its retention. */
+  z.object({ kind: z.literal("sweep") }),
 ]);
 export type JobsCommand = z.infer<typeof jobsCommandSchema>;
 
@@ -118,13 +131,17 @@
   z.object({ kind: z.literal("done") }),
   z.object({ kind: z.literal("file"), file: inputFileSchema }),
   z.object({ kind: z.literal("job"), job: jobSchema }),
-  z.object({ kind: z.literal("lease"), lease: itemLeaseSchema }),
+  z.object({ kind: z.literal("grant"), grant: itemGrantSchema }),
   z.object({
     kind: z.literal("completed"),
     /** Outcomes that were recorded; the others came too late. */
     recorded: z.array(itemReferenceSchema),
   }),
-  z.object({ kind: z.literal("refused"), reason: z.string() }),
+  z.object({
+    kind: z.literal("refused"),
+    code: failureCodeSchema,
+    reason: z.string(),
+  }),
 ]);
 export type JobsOutput = z.infer<typeof jobsOutputSchema>;
 
@@ -149,19 +166,27 @@
 
 /** Leases items of a service to the calling instance. */
 export const leaseItemsMethod = defineMethod("jobs.lease", {
-  params: z.object({ service: z.string(), maximum: z.int().min(1) }),
-  result: z.object({
-    leaseId: z.string().optional(),
-    items: z.array(leasedItemSchema),
+  params: z.object({
+    /** Lease that the items join; begun when it is not known yet. */
+    leaseId: z.string(),
+    service: z.string(),
+    maximum: z.int().min(1).max(1_000),
   }),
+  result: z.object({ items: z.array(leasedItemSchema) }),
 });
 
-/** Extends leases; the answer names those that are no longer held. */
-export const renewLeasesMethod = defineMethod("jobs.renew", {
-  params: z.object({ leaseIds: z.array(z.string()) }),
+/** Extends a lease by a full term. */
+export const renewLeaseMethod = defineMethod("jobs.renew", {
+  params: z.object({
+    leaseId: z.string(),
+    /** Jobs of the items that the holder runs. */
+    jobIds: z.array(z.string()),
+  }),
   result: z.object({
-    lost: z.array(z.string()),
-    cancelledJobs: z.array(z.string()),
+    /** False when the lease has ended or was never begun. */
+    held: z.boolean(),
+    /** Those of the given jobs that must not run any more. */
+    stoppedJobs: z.array(z.string()),
   }),
 });
 
@@ -187,18 +212,25 @@
   result: z.object({ file: inputFileSchema.optional() }),
 });
 
-/** Reads a page of result lines in the order of their items. */
+/** Reads a page of result lines. */
 export const readResultsMethod = defineMethod("jobs.results", {
   params: z.object({
     jobId: z.string(),
-    /** First item to look at. */
+    /** Position at which the page begins; 0 for the first page. */
     from: z.int().min(0),
     limit: z.int().min(1).max(10_000),
     kind: z.enum(["output", "error", "all"]),
+    /**
+     * `completion`: as results were recorded, so that positions stay valid
+     * while the job goes on. `item`: as in the input file; finished jobs only.
+     */
+    order: z.enum(["completion", "item"]),
   }),
   result: z.object({
     lines: z.array(z.string()),
-    /** Item at which the next page begins; absent after the last. */
+    /** Position of the next page; absent at the end of what is recorded. */
     next: z.number().optional(),
+    /** Position up to which this page has read. */
+    position: z.number(),
   }),
 });
--- a/src/jobs/types.ts
+++ b/src/jobs/types.ts
@@ -8,6 +8,8 @@
   readonly caller: string;
   /** The same key of the same caller names the same job. */
   readonly key: string;
+  /** Digest of what was asked for, without the file. */
+  readonly fingerprint: string;
   readonly fileId: string;
   readonly service: string;
   readonly endpoint: "/v1/chat/completions" | "/v1/completions";
@@ -15,18 +17,25 @@
   /** Milliseconds since the Unix epoch. */
   readonly deadlineAt: number;
   readonly metadata: Readonly<Record<string, string>>;
+  /** Unfinished items that the caller may have over all its jobs. */
+  readonly queuedItemsLimit: number;
 }
 
 /** One page of result lines. */
 export interface IResultPage {
   readonly lines: readonly string[];
-  /** First item of the next page; undefined after the last page. */
+  /** Where the next page begins; undefined at the end of what there is. */
   readonly next: number | undefined;
+  /** Where this page ends; a running job may go on from there later. */
+  readonly position: number;
 }
 
 /** Files and jobs, as the callers' edge uses them. */
 export interface IJobGateway {
-  /** Stores an input file; durable once it resolves. */
+  /**
+   * Stores an input file; durable once it resolves. Fails with `bad-request`
+   * and the number of the line when a line is no valid request.
+   */
   storeFile(
     caller: string,
     name: string,
@@ -37,6 +46,7 @@
     fileId: string,
     options: IDeadlineOptions,
   ): Promise<Result<InputFile, Failure>>;
+  /** Submits a job; the same key and content give the same job again. */
   submit(
     submission: IJobSubmission,
     options: IDeadlineOptions,
@@ -62,6 +72,7 @@
       from: number;
       limit: number;
       kind: "output" | "error" | "all";
+      order: "completion" | "item";
     },
   ): Promise<Result<IResultPage, Failure>>;
 }
