--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -228,7 +228,7 @@
     serviceLevels,
     metrics,
   });
-  const jobs = new JobGateway(control);
+  const jobs = new JobGateway(control, clock);
   const items = new ItemRunner(dispatcher, configuration, { clock });
   const runner = store.add(
     new JobRunner(control, items, { configuration, clock }),
