--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -60,6 +60,7 @@
     print("faults have ended; waiting for the load to finish");
     load.abort();
     await Promise.all(tasks);
+    for (const { id } of fleet.crashed()) record.violate(`${id} crashed`);
     await fleet.waitUntilReady();
     await sleep(SETTLE_MILLISECONDS);
     print("checking");
--- a/testing/fleet.ts
+++ b/testing/fleet.ts
@@ -83,6 +83,13 @@
     return fleet;
   }
 
+  /** Instances whose process ended without being told to. */
+  crashed(): IFleetInstance[] {
+    return this.instances.filter(({ process: { exitCode, signalCode } }) =>
+      exitCode !== null || (signalCode !== null && signalCode !== "SIGKILL")
+    );
+  }
+
   /** Starts the process of an instance again. */
   async restart(instance: IFleetInstance): Promise<void> {
     instance.process = await this.#spawnDaemon(instance.settingsPath);
