--- /dev/null
+++ b/src/burn/burn_page.ts
@@ -0,0 +1,146 @@
+import {
+  type BurnEntry,
+  type BurnReport,
+  PAGE_BURN_RATE,
+  SPAN_MILLISECONDS,
+  TICKET_BURN_RATE,
+} from "./burn_report.ts";
+import { renderBurnPlot, SPENDING_OUTCOMES } from "./burn_plot.ts";
+import { PAGE_STYLE } from "./page_style.ts";
+import { totalCount } from "./outcome_buckets.ts";
+
+/** Minutes on the plot of the last hour. */
+const PLOTTED_MINUTES = 60;
+
+/** Half hours on the plot of the last day. */
+const PLOTTED_HALF_HOURS = 48;
+
+/** Spendings that are listed for each entry. */
+const LISTED_SPENDINGS = 12;
+
+/** Order of entries: the most urgent first. */
+const ALERT_ORDER: BurnEntry["alert"][] = ["page", "ticket", "none"];
+
+/** Renders a report as an HTML page that needs no other file. */
+export function renderBurnPage(report: BurnReport): string {
+  const entries = [...report.entries].sort((first, second) =>
+    ALERT_ORDER.indexOf(first.alert) - ALERT_ORDER.indexOf(second.alert) ||
+    second.budgetSpent - first.budgetSpent
+  );
+  return [
+    "<!doctype html>",
+    '<html lang="en"><head><meta charset="utf-8">',
+    '<meta name="viewport" content="width=device-width, initial-scale=1">',
+    `<title>Service-level burn</title><style>${PAGE_STYLE}</style></head>`,
+    "<body><main><h1>Service-level burn</h1>",
+    renderHead(report),
+    renderLegend(),
+    ...entries.map((entry) => renderEntry(entry, report.at)),
+    "</main></body></html>",
+    "",
+  ].join("\n");
+}
+
+function renderHead({ at, answered, unanswered, entries }: BurnReport): string {
+  const missing = unanswered.map(({ id, reason }) =>
+    `<p class="warning">Requests of <b>${escape(id)}</b> are missing: ` +
+    `${escape(reason)}</p>`
+  );
+  const empty = entries.length === 0
+    ? "<p>No live requests in the last day.</p>"
+    : "";
+  return `<p>${new Date(at).toISOString()}, from ${answered.length} ` +
+    `instances. A burn rate of 1× spends a day's error budget in a day. ` +
+    `<b>page</b>: ${PAGE_BURN_RATE}× over 5 minutes and 1 hour; ` +
+    `<b>ticket</b>: ${TICKET_BURN_RATE}× over 1 and 6 hours.</p>` +
+    missing.join("") + empty;
+}
+
+function renderLegend(): string {
+  const keys = SPENDING_OUTCOMES.map((outcome) =>
+    `<span><i class="${outcome}"></i>${outcome}</span>`
+  );
+  return `<p class="legend">${keys.join("")}</p>`;
+}
+
+function renderEntry(entry: BurnEntry, now: number): string {
+  const { objective } = entry;
+  return [
+    `<section><h2>${escape(entry.service)} for ${escape(entry.callerGroup)} ` +
+    `<span class="alert ${entry.alert}">${alertText(entry)}</span></h2>`,
+    `<p>Objective: ${round(objective.share * 100)}% with the first token in ` +
+    `${objective.firstTokenMilliseconds} ms and tokens ` +
+    `${objective.betweenTokensMilliseconds} ms apart.</p>`,
+    renderFigures(entry),
+    '<div class="plots">',
+    renderBurnPlot({
+      title: "Burn rate by minute, last hour (UTC)",
+      buckets: entry.minutes,
+      objective,
+      span: SPAN_MILLISECONDS.minutes,
+      spans: PLOTTED_MINUTES,
+      now,
+    }),
+    renderBurnPlot({
+      title: "Burn rate by half hour, last day (UTC)",
+      buckets: entry.halfHours,
+      objective,
+      span: SPAN_MILLISECONDS.halfHours,
+      spans: PLOTTED_HALF_HOURS,
+      now,
+    }),
+    "</div>",
+    renderSpendings(entry),
+    "</section>",
+  ].join("\n");
+}
+
+function alertText({ alert }: BurnEntry): string {
+  return alert === "none" ? "no alert" : alert;
+}
+
+function renderFigures(entry: BurnEntry): string {
+  const { burnRates, firstToken, betweenTokens } = entry;
+  const latency = ({ p50, p95, p99 }: BurnEntry["firstToken"]) =>
+    [p50, p95, p99].map((value) => value.toFixed(0)).join(" / ");
+  const figures = [
+    ["Requests, 24 h", String(totalCount(entry.counts))],
+    ["Budget spent, 24 h", `${(entry.budgetSpent * 100).toFixed(0)}%`],
+    ["Burn 5 min", `${burnRates.fiveMinutes.toFixed(1)}×`],
+    ["Burn 1 h", `${burnRates.oneHour.toFixed(1)}×`],
+    ["Burn 6 h", `${burnRates.sixHours.toFixed(1)}×`],
+    ["First token p50 / p95 / p99, ms", latency(firstToken)],
+    ["Between tokens p50 / p95 / p99, ms", latency(betweenTokens)],
+  ];
+  const items = figures.map(([name, value]) =>
+    `<div><dt>${name}</dt><dd>${value}</dd></div>`
+  );
+  return `<dl>${items.join("")}</dl>`;
+}
+
+function renderSpendings({ spending }: BurnEntry): string {
+  if (spending.length === 0) return "<p>Nothing spent the error budget.</p>";
+  const total = spending.reduce((sum, { count }) => sum + count, 0);
+  const rows = spending.slice(0, LISTED_SPENDINGS).map((one) =>
+    `<tr><td><i class="${one.outcome}"></i>${one.outcome}</td>` +
+    `<td>${escape(one.target ?? "none chosen")}</td>` +
+    `<td>${escape(one.failureDomain ?? "")}</td>` +
+    `<td class="number">${one.count}</td>` +
+    `<td class="number">${(one.count / total * 100).toFixed(0)}%</td></tr>`
+  );
+  return "<h3>What spent it</h3><table><thead><tr><th>Outcome</th>" +
+    "<th>Target</th><th>Failure domain</th>" +
+    '<th class="number">Requests</th><th class="number">Share</th>' +
+    `</tr></thead><tbody>${rows.join("")}</tbody></table>`;
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+function escape(text: string): string {
+  return text
+    .replaceAll("&", "&amp;")
+    .replaceAll("<", "&lt;")
+    .replaceAll('"', "&quot;");
+}
--- /dev/null
+++ b/src/burn/burn_plot.ts
@@ -0,0 +1,123 @@
+import type { Objective } from "../configuration/mod.ts";
+import { burnRate } from "./burn_report.ts";
+import type { OutcomeBucket } from "./messages.ts";
+
+/** Size of a plot and of the space around it, in SVG units. */
+const WIDTH = 640;
+const HEIGHT = 190;
+const MARGIN = { top: 16, right: 12, bottom: 26, left: 44 };
+const PLOT_WIDTH = WIDTH - MARGIN.left - MARGIN.right;
+const PLOT_HEIGHT = HEIGHT - MARGIN.top - MARGIN.bottom;
+
+/** Share of a span's width that its bar takes. */
+const BAR_SHARE = 0.8;
+
+/** Least burn rate at the top of the scale. */
+const MINIMUM_TOP = 2;
+
+/** Burn rate at the top beyond which the labels of 0 and 1 overlap. */
+const CROWDED_TOP = 8;
+
+/** Labels on the time axis. */
+const TIME_LABELS = 6;
+
+/** Outcomes that spend error budget, from the bottom of a bar upwards. */
+export const SPENDING_OUTCOMES = ["failed", "refused", "late"] as const;
+
+/** What a plot shows. */
+export interface IBurnPlot {
+  readonly title: string;
+  readonly buckets: readonly OutcomeBucket[];
+  readonly objective: Objective;
+  /** Length of a span, in milliseconds. */
+  readonly span: number;
+  /** Spans on the time axis, the last of which holds `now`. */
+  readonly spans: number;
+  /** Milliseconds since the Unix epoch. */
+  readonly now: number;
+}
+
+/** Draws burn rates over time as an SVG element, one bar for each span. */
+export function renderBurnPlot(plot: IBurnPlot): string {
+  const rates = plot.buckets.map(({ counts }) =>
+    burnRate(counts, plot.objective)
+  );
+  const top = Math.max(MINIMUM_TOP, ...rates.map(Math.ceil));
+  const bars = plot.buckets.map((bucket) => renderBar(bucket, plot, top));
+  return [
+    `<figure><figcaption>${plot.title}</figcaption>`,
+    `<svg viewBox="0 0 ${WIDTH} ${HEIGHT}" role="img" ` +
+    `aria-label="${plot.title}">`,
+    ...renderScale(top),
+    ...bars,
+    ...renderTimes(plot),
+    "</svg></figure>",
+  ].join("\n");
+}
+
+function renderScale(top: number): string[] {
+  const levels = [...new Set([0, 1, Math.round(top / 2), top])];
+  const isCrowded = top > CROWDED_TOP;
+  const right = MARGIN.left + PLOT_WIDTH;
+  return levels.map((level) => {
+    const y = heightOf(level, top);
+    const kind = level === 1 ? "limit" : "grid";
+    return `<line class="${kind}" x1="${MARGIN.left}" x2="${right}" ` +
+      `y1="${y}" y2="${y}"/>` +
+      `<text x="${MARGIN.left - 6}" y="${y + 4}" text-anchor="end">` +
+      `${level === 0 && isCrowded ? "" : `${level}×`}</text>`;
+  });
+}
+
+function renderBar(
+  { at, counts }: OutcomeBucket,
+  plot: IBurnPlot,
+  top: number,
+): string {
+  const width = PLOT_WIDTH / plot.spans;
+  const x = MARGIN.left + (at - beginOf(plot)) / plot.span * width;
+  if (x < MARGIN.left) return "";
+  const total = burnRate(counts, plot.objective);
+  const bad = counts.late + counts.refused + counts.failed;
+  let base = 0;
+  const parts = SPENDING_OUTCOMES.map((outcome) => {
+    const rate = bad === 0 ? 0 : total * counts[outcome] / bad;
+    const upper = heightOf(base + rate, top);
+    const height = heightOf(base, top) - upper;
+    base += rate;
+    if (height === 0) return "";
+    return `<rect class="${outcome}" x="${round(x)}" y="${round(upper)}" ` +
+      `width="${round(width * BAR_SHARE)}" height="${round(height)}"/>`;
+  });
+  const label = `${timeLabel(at)} UTC: burn ${total.toFixed(1)}×, ` +
+    `${counts.failed} failed, ${counts.refused} refused, ` +
+    `${counts.late} late, ${counts.good} good`;
+  return `<g><title>${label}</title>${parts.join("")}</g>`;
+}
+
+function renderTimes(plot: IBurnPlot): string[] {
+  const step = plot.spans / TIME_LABELS;
+  return Array.from({ length: TIME_LABELS }, (_, index) => {
+    const spans = Math.round(index * step);
+    const x = MARGIN.left + spans / plot.spans * PLOT_WIDTH;
+    const label = timeLabel(beginOf(plot) + spans * plot.span);
+    return `<text x="${round(x)}" y="${HEIGHT - 8}">${label}</text>`;
+  });
+}
+
+/** Begin of the time axis, in milliseconds since the Unix epoch. */
+function beginOf({ now, span, spans }: IBurnPlot): number {
+  return Math.floor(now / span) * span - (spans - 1) * span;
+}
+
+function heightOf(rate: number, top: number): number {
+  return MARGIN.top + PLOT_HEIGHT * (1 - rate / top);
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+function timeLabel(at: number): string {
+  return new Date(at).toISOString().slice(11, 16);
+}
--- a/src/burn/mod.ts
+++ b/src/burn/mod.ts
@@ -1,3 +1,4 @@
+export * from "./burn_page.ts";
 export * from "./burn_report.ts";
 export * from "./burn_reporter.ts";
 export * from "./judge_outcome.ts";
--- a/src/burn/spending_ledger.ts
+++ b/src/burn/spending_ledger.ts
@@ -1,8 +1,11 @@
 import type { Spending } from "./messages.ts";
 import type { IServiceLevelSample } from "./types.ts";
 
-/** Different spendings of one span; the rest is counted without a target. */
-export const MAXIMUM_SPENDINGS_PER_SPAN = 16;
+/** Different spendings of one span that are told apart. */
+export const MAXIMUM_SPENDINGS_PER_SPAN = 32;
+
+/** Target of spendings beyond the bound. */
+export const OVERFLOW_TARGET = "(other targets)";
 
 /** Identity of a spending: all but its count. */
 export function spendingKey(spending: Omit<Spending, "count">): string {
@@ -44,7 +47,9 @@
     const named = { outcome, target, failureDomain };
     const known = span.has(spendingKey(named));
     const full = span.size >= MAXIMUM_SPENDINGS_PER_SPAN;
-    const spending = known || !full ? named : { outcome };
+    const spending = known || !full
+      ? named
+      : { outcome, target: OVERFLOW_TARGET };
     const key = spendingKey(spending);
     const count = (span.get(key)?.count ?? 0) + 1;
     span.set(key, { ...spending, count });
--- /dev/null
+++ b/src/cli/apply_change.ts
@@ -0,0 +1,96 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { err, ok, type Result } from "neverthrow";
+import {
+  type ApplyOutput,
+  applyOutputSchema,
+  type ChangeRecord,
+} from "../configuration/mod.ts";
+import type { ApplyRequest } from "../operators/mod.ts";
+import { ExitCode, type ICliFailure } from "./exit_code.ts";
+import { checkBody, failureOf, type HttpClient } from "./http_client.ts";
+import { formatTime, type Output } from "./output.ts";
+
+/** Times that a change is sent before its outcome counts as unknown. */
+const MAXIMUM_SENDINGS = 6;
+
+/** Wait before a change is sent again, in milliseconds. */
+const RESEND_DELAY_MILLISECONDS = 1_000;
+
+/**
+ * Sends a change until an answer says what became of it.
+ *
+ * Every sending carries the same change id, so the change is applied at most
+ * once, whichever of the sendings arrive.
+ */
+export async function applyChange(
+  client: HttpClient,
+  change: ApplyRequest,
+  output: Output,
+): Promise<Result<ChangeRecord, ICliFailure>> {
+  let last: ICliFailure | undefined;
+  for (let sending = 1; sending <= MAXIMUM_SENDINGS; sending++) {
+    if (last) {
+      output.note(
+        `${last.message}; sending change ${change.changeId} again ` +
+          `(${sending} of ${MAXIMUM_SENDINGS})`,
+      );
+      await sleep(RESEND_DELAY_MILLISECONDS);
+    }
+    const sent = await sendChange(client, change);
+    if (sent.isErr()) {
+      last = sent.error;
+      continue;
+    }
+    return sent.value;
+  }
+  return err(outcomeUnknown(change, last));
+}
+
+/** Fails when nothing definite is known; the change is sent again then. */
+async function sendChange(
+  client: HttpClient,
+  change: ApplyRequest,
+): Promise<Result<Result<ChangeRecord, ICliFailure>, ICliFailure>> {
+  const answer = await client.send({
+    method: "POST",
+    path: "/configuration",
+    json: change,
+  });
+  return answer.andThen(({ status, body }) => {
+    if (status >= 500) return err(failureOf(status, body));
+    if (status >= 400 && status !== 409) {
+      return ok(err(failureOf(status, body)));
+    }
+    return checkBody(body, applyOutputSchema, client.url)
+      .map((applied) => verdictOf(applied, change));
+  });
+}
+
+function verdictOf(
+  applied: ApplyOutput,
+  change: ApplyRequest,
+): Result<ChangeRecord, ICliFailure> {
+  if (applied.kind === "accepted") return ok(applied.record);
+  const { record } = applied;
+  const winner = record
+    ? `change ${record.changeId} by ${record.operator} made version ` +
+      `${record.version} at ${formatTime(record.acceptedAt)}`
+    : "no configuration has been accepted yet";
+  return err({
+    exitCode: ExitCode.conflict,
+    message: `not applied: version ${change.expectedVersion} was expected, ` +
+      `but ${winner}; look at it, then apply again`,
+  });
+}
+
+function outcomeUnknown(
+  change: ApplyRequest,
+  last: ICliFailure | undefined,
+): ICliFailure {
+  return {
+    exitCode: ExitCode.noAnswer,
+    message: `${last?.message}; whether the change was made is not known. ` +
+      `Run the command again with --change-id ${change.changeId} ` +
+      `--expect-version ${change.expectedVersion}`,
+  };
+}
--- /dev/null
+++ b/src/cli/batch_object.ts
@@ -0,0 +1,54 @@
+import { z } from "zod";
+import { formatTime } from "./output.ts";
+
+/** Milliseconds in one second. */
+const SECOND_MILLISECONDS = 1_000;
+
+/** A batch job as the callers' edge shows it. */
+export const batchObjectSchema = z.looseObject({
+  id: z.string(),
+  status: z.string(),
+  output_file_id: z.string().nullish(),
+  error_file_id: z.string().nullish(),
+  created_at: z.number(),
+  expires_at: z.number().nullish(),
+  request_counts: z.object({
+    total: z.number(),
+    completed: z.number(),
+    failed: z.number(),
+  }),
+});
+export type BatchObject = z.infer<typeof batchObjectSchema>;
+
+/** A page of batch jobs. */
+export const batchListSchema = z.object({
+  data: z.array(batchObjectSchema),
+  has_more: z.boolean(),
+});
+
+/** Statuses of a job that goes on. */
+const UNFINISHED_STATUSES = [
+  "validating",
+  "in_progress",
+  "finalizing",
+  "cancelling",
+];
+
+/** Whether a job has come to its end. */
+export function isFinished(job: BatchObject): boolean {
+  return !UNFINISHED_STATUSES.includes(job.status);
+}
+
+/** Lines that tell a person how a job stands. */
+export function jobLines(job: BatchObject): string[] {
+  const { total, completed, failed } = job.request_counts;
+  const deadline = job.expires_at
+    ? [`deadline: ${formatTime(job.expires_at * SECOND_MILLISECONDS)}`]
+    : [];
+  return [
+    `${job.id}: ${job.status}`,
+    `items: ${total}, done ${completed}, failed ${failed}`,
+    `submitted: ${formatTime(job.created_at * SECOND_MILLISECONDS)}`,
+    ...deadline,
+  ];
+}
--- /dev/null
+++ b/src/cli/commands/config_apply.ts
@@ -0,0 +1,120 @@
+import { randomUUID } from "node:crypto";
+import { userInfo } from "node:os";
+import process from "node:process";
+import { err, ok, type Result } from "neverthrow";
+import { configurationSchema } from "../../configuration/mod.ts";
+import { applyChange } from "../apply_change.ts";
+import { defineCliCommand } from "../define_cli_command.ts";
+import { operatorsArgument, operatorsEdge, usage } from "../edges.ts";
+import { ExitCode, type ICliFailure } from "../exit_code.ts";
+import type { HttpClient } from "../http_client.ts";
+import type { Output } from "../output.ts";
+import { Progress } from "../progress.ts";
+import { readDocument } from "../read_document.ts";
+import { type Rollout, waitForRollout } from "../rollout.ts";
+import { shownConfigurationSchema } from "./config_show.ts";
+
+/** Time to wait for all instances unless told otherwise, in seconds. */
+const DEFAULT_WAIT_SECONDS = "10";
+
+/** `figroad config apply FILE`: changes the configuration of the fleet. */
+export const configApply = defineCliCommand({
+  name: "apply",
+  description: "Replace the configuration and wait until it is in force",
+  args: {
+    file: {
+      type: "positional",
+      required: true,
+      description: "JSON with comments",
+    },
+    ...operatorsArgument,
+    "change-id": {
+      type: "string",
+      description: "Name of the change; give it again to repeat a change " +
+        "whose answer was lost",
+    },
+    "expect-version": {
+      type: "string",
+      description: "Version that the change is made on (default: the newest)",
+    },
+    operator: {
+      type: "string",
+      description: "Who makes the change (default: the user's login name)",
+    },
+    wait: {
+      type: "string",
+      default: DEFAULT_WAIT_SECONDS,
+      description: "Seconds to wait for all live instances; 0 for none",
+    },
+  },
+  async run(args, output) {
+    const document = await readDocument(args.file, configurationSchema);
+    if (document.isErr()) return err(document.error);
+    const seconds = Number(args.wait);
+    if (!(seconds >= 0)) return usage("--wait is a number of seconds");
+    const edge = operatorsEdge(args);
+    if (edge.isErr()) return err(edge.error);
+    const client = edge.value;
+    const expected = await expectedVersion(client, args["expect-version"]);
+    if (expected.isErr()) return err(expected.error);
+    const accepted = await applyChange(client, {
+      changeId: args["change-id"] ?? randomUUID(),
+      operator: args.operator ?? process.env.USER ?? userInfo().username,
+      expectedVersion: expected.value,
+      document: document.value,
+    }, output);
+    if (accepted.isErr()) return err(accepted.error);
+    const { version, changeId } = accepted.value;
+    output.note(`accepted as version ${version}, change ${changeId}`);
+    if (seconds === 0) {
+      output.result({ record: accepted.value }, () => [`version ${version}`]);
+      return ok(ExitCode.done);
+    }
+    const rollout = await awaitRollout(client, version, seconds);
+    return rollout.map((rollout) => {
+      output.result({ record: accepted.value, rollout }, () => [
+        `version ${version} is in force on ${rollout.inForce.length} instances`,
+      ]);
+      return reportMissing(rollout, output);
+    });
+  },
+});
+
+async function expectedVersion(
+  client: HttpClient,
+  given: string | undefined,
+): Promise<Result<number, ICliFailure>> {
+  if (given !== undefined) {
+    return /^\d+$/.test(given)
+      ? ok(Number(given))
+      : usage("--expect-version is a whole number");
+  }
+  const shown = await client.fetch(
+    { path: "/configuration" },
+    shownConfigurationSchema,
+  );
+  return shown.map(({ accepted }) => accepted?.version ?? 0);
+}
+
+async function awaitRollout(
+  client: HttpClient,
+  version: number,
+  seconds: number,
+): Promise<Result<Rollout, ICliFailure>> {
+  const progress = new Progress("instances");
+  const rollout = await waitForRollout(client, version, {
+    seconds,
+    onChange: ({ inForce, missing }) =>
+      progress.update(inForce.length, inForce.length + missing.length),
+  });
+  progress.finish();
+  return rollout;
+}
+
+function reportMissing(rollout: Rollout, output: Output): ExitCode {
+  for (const { id, reason } of rollout.missing) {
+    output.note(`not in force on ${id}: ${reason}`);
+  }
+  const complete = rollout.missing.length === 0 && rollout.inForce.length > 0;
+  return complete ? ExitCode.done : ExitCode.incomplete;
+}
--- /dev/null
+++ b/src/cli/commands/config_check.ts
@@ -0,0 +1,34 @@
+import { configurationSchema } from "../../configuration/mod.ts";
+import { defineCliCommand } from "../define_cli_command.ts";
+import { ExitCode } from "../exit_code.ts";
+import { readDocument } from "../read_document.ts";
+
+/** `figroad config check FILE`: checks without asking any instance. */
+export const configCheck = defineCliCommand({
+  name: "check",
+  description: "Check an inventory with its rules, without a fleet",
+  args: {
+    file: {
+      type: "positional",
+      required: true,
+      description: "JSON with comments",
+    },
+  },
+  async run({ file }, output) {
+    const document = await readDocument(file, configurationSchema);
+    return document.map(({ services, engines, callers, rules }) => {
+      const counts = {
+        services: services.length,
+        engines: engines.length,
+        callers: callers.length,
+        rules: rules.length,
+      };
+      output.result({ valid: true, ...counts }, () => [
+        `${file} is valid: ${counts.services} services, ` +
+        `${counts.engines} engines, ${counts.callers} callers, ` +
+        `${counts.rules} rules`,
+      ]);
+      return ExitCode.done;
+    });
+  },
+});
--- /dev/null
+++ b/src/cli/commands/config_history.ts
@@ -0,0 +1,34 @@
+import { configurationHistoryMethod } from "../../configuration/mod.ts";
+import { defineCliCommand } from "../define_cli_command.ts";
+import { operatorsArgument, operatorsEdge } from "../edges.ts";
+import { ExitCode } from "../exit_code.ts";
+import { formatTable, formatTime } from "../output.ts";
+
+/** `figroad config history`: lists accepted changes, newest first. */
+export const configHistory = defineCliCommand({
+  name: "history",
+  description: "List accepted changes, newest first",
+  args: {
+    ...operatorsArgument,
+    limit: { type: "string", default: "20", description: "Changes listed" },
+  },
+  async run(args, output) {
+    const path = `/configuration/history?limit=${Number(args.limit) || 20}`;
+    const history = await operatorsEdge(args).asyncAndThen((client) =>
+      client.fetch({ path }, configurationHistoryMethod.result)
+    );
+    return history.map(({ records }) => {
+      output.result(records, () =>
+        formatTable(
+          ["VERSION", "ACCEPTED", "OPERATOR", "CHANGE"],
+          records.map((record) => [
+            String(record.version),
+            formatTime(record.acceptedAt),
+            record.operator,
+            record.changeId,
+          ]),
+        ));
+      return ExitCode.done;
+    });
+  },
+});
--- /dev/null
+++ b/src/cli/commands/explain.ts
@@ -0,0 +1,59 @@
+import { type Explanation, explanationSchema } from "../../explain/mod.ts";
+import { defineCliCommand } from "../define_cli_command.ts";
+import { operatorsArgument, operatorsEdge } from "../edges.ts";
+import { ExitCode } from "../exit_code.ts";
+import { formatTable, formatTime } from "../output.ts";
+
+/** `figroad explain ID`: what was done with a request or item, and why. */
+export const explain = defineCliCommand({
+  name: "explain",
+  description: "Tell what was done with a request or a job's item, and why",
+  args: {
+    id: {
+      type: "positional",
+      required: true,
+      description: "x-request-id of a request, or JOB/INDEX of an item",
+    },
+    ...operatorsArgument,
+  },
+  async run(args, output) {
+    const path = `/explain?id=${encodeURIComponent(args.id)}`;
+    const explained = await operatorsEdge(args).asyncAndThen((client) =>
+      client.fetch({ path }, explanationSchema)
+    );
+    return explained.map((explanation) => {
+      output.result(explanation, () => explanationLines(explanation));
+      for (const { id, reason } of explanation.unanswered) {
+        output.note(`no answer from ${id}: ${reason}`);
+      }
+      if (explanation.steps.length > 0) return ExitCode.done;
+      const complete = explanation.unanswered.length === 0;
+      return complete ? ExitCode.notFound : ExitCode.incomplete;
+    });
+  },
+});
+
+/** Lines that tell a person what happened. */
+export function explanationLines(explanation: Explanation): string[] {
+  const { subject, steps, droppedSteps, keptSince, answered } = explanation;
+  if (steps.length === 0) {
+    return [
+      `${answered.length} instances know nothing of ${subject}; ` +
+      `their memory reaches back to ${formatTime(keptSince)}`,
+    ];
+  }
+  const rows = steps.map(({ at, instance, step, target, reason }) => [
+    formatTime(at),
+    instance,
+    step,
+    target ?? "",
+    reason ?? "",
+  ]);
+  const dropped = droppedSteps > 0
+    ? [`${droppedSteps} earlier steps made room for later ones`]
+    : [];
+  return [
+    ...formatTable(["TIME", "INSTANCE", "STEP", "TARGET", "REASON"], rows),
+    ...dropped,
+  ];
+}
--- /dev/null
+++ b/src/cli/commands/job_cancel.ts
@@ -0,0 +1,28 @@
+import { batchObjectSchema, jobLines } from "../batch_object.ts";
+import { defineCliCommand } from "../define_cli_command.ts";
+import { callersArgument, callersEdge } from "../edges.ts";
+import { ExitCode } from "../exit_code.ts";
+
+/** `figroad job cancel ID`: stops a job. */
+export const jobCancel = defineCliCommand({
+  name: "cancel",
+  description: "Stop a batch job; finished items stay readable",
+  args: {
+    id: {
+      type: "positional",
+      required: true,
+      description: "Identifier of the job",
+    },
+    ...callersArgument,
+  },
+  async run(args, output) {
+    const path = `/v1/batches/${encodeURIComponent(args.id)}/cancel`;
+    const cancelled = await callersEdge(args).asyncAndThen((client) =>
+      client.fetch({ method: "POST", path }, batchObjectSchema)
+    );
+    return cancelled.map((job) => {
+      output.result(job, () => jobLines(job));
+      return ExitCode.done;
+    });
+  },
+});
--- /dev/null
+++ b/src/cli/commands/job_results.ts
@@ -0,0 +1,80 @@
+import { createWriteStream } from "node:fs";
+import type { IncomingMessage } from "node:http";
+import process from "node:process";
+import { pipeline } from "node:stream/promises";
+import { err, ok, type Result } from "neverthrow";
+import { defineCliCommand } from "../define_cli_command.ts";
+import { callersArgument, callersEdge } from "../edges.ts";
+import { ExitCode, type ICliFailure } from "../exit_code.ts";
+import { failureOf, readText } from "../http_client.ts";
+import { readJob } from "../wait_for_job.ts";
+
+/** `figroad job results ID`: the result lines of a job. */
+export const jobResults = defineCliCommand({
+  name: "results",
+  description: "Print the result lines of a batch job",
+  args: {
+    id: {
+      type: "positional",
+      required: true,
+      description: "Identifier of the job",
+    },
+    ...callersArgument,
+    errors: {
+      type: "boolean",
+      description: "The items that did not succeed instead",
+    },
+    output: { type: "string", description: "File to write instead" },
+  },
+  async run(args, output) {
+    const edge = callersEdge(args);
+    if (edge.isErr()) return err(edge.error);
+    const job = await readJob(edge.value, args.id);
+    if (job.isErr()) return err(job.error);
+    const { output_file_id, error_file_id, status } = job.value;
+    const fileId = args.errors ? error_file_id : output_file_id;
+    if (!fileId) {
+      const kind = args.errors ? "failed items" : "results";
+      const message = `${args.id} has no ${kind}; it is ${status}`;
+      return err({ exitCode: ExitCode.notFound, message });
+    }
+    const path = `/v1/files/${encodeURIComponent(fileId)}/content`;
+    const content = await edge.value.open({ path });
+    if (content.isErr()) return err(content.error);
+    const written = await write(content.value, args.output);
+    if (written.isOk() && args.output) output.note(`wrote ${args.output}`);
+    return written;
+  },
+});
+
+/** Writes a whole answer; half of one is a failure. */
+async function write(
+  content: IncomingMessage,
+  path: string | undefined,
+): Promise<Result<ExitCode, ICliFailure>> {
+  const status = content.statusCode ?? 0;
+  if (status >= 400) return err(await failureFrom(content, status));
+  try {
+    if (path === undefined) {
+      await pipeline(content, process.stdout, { end: false });
+    } else {
+      await pipeline(content, createWriteStream(path));
+    }
+    return ok(ExitCode.done);
+  } catch (error) {
+    const message = `the results broke off (${error}); read them again`;
+    return err({ exitCode: ExitCode.noAnswer, message });
+  }
+}
+
+async function failureFrom(
+  content: IncomingMessage,
+  status: number,
+): Promise<ICliFailure> {
+  const text = await readText(content).catch(() => "");
+  try {
+    return failureOf(status, JSON.parse(text));
+  } catch {
+    return failureOf(status, undefined);
+  }
+}
--- /dev/null
+++ b/src/cli/commands/job_status.ts
@@ -0,0 +1,31 @@
+import { err } from "neverthrow";
+import { jobLines } from "../batch_object.ts";
+import { defineCliCommand } from "../define_cli_command.ts";
+import { callersArgument, callersEdge } from "../edges.ts";
+import { ExitCode } from "../exit_code.ts";
+import { exitCodeOf, readJob, waitForJob } from "../wait_for_job.ts";
+
+/** `figroad job status ID`: how a job stands. */
+export const jobStatus = defineCliCommand({
+  name: "status",
+  description: "Show how a batch job stands",
+  args: {
+    id: {
+      type: "positional",
+      required: true,
+      description: "Identifier of the job",
+    },
+    ...callersArgument,
+    wait: { type: "boolean", description: "Wait until the job has finished" },
+  },
+  async run(args, output) {
+    const edge = callersEdge(args);
+    if (edge.isErr()) return err(edge.error);
+    const read = args.wait ? waitForJob : readJob;
+    const job = await read(edge.value, args.id);
+    return job.map((job) => {
+      output.result(job, () => jobLines(job));
+      return args.wait ? exitCodeOf(job) : ExitCode.done;
+    });
+  },
+});
--- /dev/null
+++ b/src/cli/commands/job_submit.ts
@@ -0,0 +1,163 @@
+import { randomUUID } from "node:crypto";
+import { openAsBlob } from "node:fs";
+import { basename } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { err, ok, type Result, type ResultAsync } from "neverthrow";
+import { z } from "zod";
+import {
+  type BatchObject,
+  batchObjectSchema,
+  jobLines,
+} from "../batch_object.ts";
+import { defineCliCommand } from "../define_cli_command.ts";
+import { callersArgument, callersEdge, usage } from "../edges.ts";
+import { ExitCode, type ICliFailure } from "../exit_code.ts";
+import type { HttpClient } from "../http_client.ts";
+import type { Output } from "../output.ts";
+import { exitCodeOf, waitForJob } from "../wait_for_job.ts";
+
+/** Times that a step is sent before its outcome counts as unknown. */
+const MAXIMUM_SENDINGS = 6;
+
+/** Wait before a step is sent again, in milliseconds. */
+const RESEND_DELAY_MILLISECONDS = 1_000;
+
+const fileObjectSchema = z.looseObject({ id: z.string() });
+
+/** What a job is submitted with, beside its input file. */
+interface ISubmission {
+  readonly key: string;
+  readonly endpoint: string;
+  readonly window: string;
+  readonly model: string | undefined;
+  readonly idempotent: boolean;
+}
+
+/** `figroad job submit FILE`: uploads a file and submits a job with it. */
+export const jobSubmit = defineCliCommand({
+  name: "submit",
+  description: "Upload JSON lines and submit them as a batch job",
+  args: {
+    file: {
+      type: "positional",
+      required: true,
+      description: "Input file, JSON lines",
+    },
+    ...callersArgument,
+    key: {
+      type: "string",
+      description: "Name of the submission; the same key never makes a " +
+        "second job",
+    },
+    endpoint: {
+      type: "string",
+      default: "/v1/chat/completions",
+      description: "Endpoint that the items are for",
+    },
+    window: {
+      type: "string",
+      default: "24h",
+      description: "Hours until the job's deadline",
+    },
+    model: { type: "string", description: "Model, when several may be used" },
+    "non-idempotent": {
+      type: "boolean",
+      description: "Never run an item again when its outcome is unknown",
+    },
+    wait: { type: "boolean", description: "Wait until the job has finished" },
+  },
+  async run(args, output) {
+    const edge = callersEdge(args);
+    if (edge.isErr()) return err(edge.error);
+    const client = edge.value;
+    const file = await upload(client, args.file, output);
+    if (file.isErr()) return err(file.error);
+    const submitted = await submit(client, file.value, {
+      key: args.key ?? randomUUID(),
+      endpoint: args.endpoint,
+      window: args.window,
+      model: args.model,
+      idempotent: args["non-idempotent"] !== true,
+    }, output);
+    if (submitted.isErr()) return err(submitted.error);
+    output.note(`accepted as ${submitted.value.id}`);
+    const job = args.wait
+      ? await waitForJob(client, submitted.value.id)
+      : submitted;
+    return job.map((job) => {
+      output.result(job, () => jobLines(job));
+      return args.wait ? exitCodeOf(job) : ExitCode.done;
+    });
+  },
+});
+
+async function upload(
+  client: HttpClient,
+  path: string,
+  output: Output,
+): Promise<Result<string, ICliFailure>> {
+  let blob: Blob;
+  try {
+    blob = await openAsBlob(path);
+  } catch {
+    return usage(`${path} cannot be read`);
+  }
+  output.note(`uploading ${path}, ${blob.size} bytes`);
+  const sent = await sendAgain(output, () => {
+    const form = new FormData();
+    form.set("purpose", "batch");
+    form.set("file", blob, basename(path));
+    const body = new Response(form);
+    const message = { method: "POST", path: "/v1/files", body } as const;
+    return client.fetch(message, fileObjectSchema);
+  });
+  return sent.map(({ id }) => id);
+}
+
+async function submit(
+  client: HttpClient,
+  fileId: string,
+  submission: ISubmission,
+  output: Output,
+): Promise<Result<BatchObject, ICliFailure>> {
+  const { key, endpoint, window, model, idempotent } = submission;
+  const sent = await sendAgain(output, () =>
+    client.fetch({
+      method: "POST",
+      path: "/v1/batches",
+      headers: {
+        "idempotency-key": key,
+        "figroad-idempotent": String(idempotent),
+      },
+      json: {
+        input_file_id: fileId,
+        endpoint,
+        completion_window: window,
+        model,
+      },
+    }, batchObjectSchema));
+  return sent.mapErr((failure) => {
+    if (failure.exitCode !== ExitCode.noAnswer) return failure;
+    const advice = `run the command again with --key ${key}`;
+    return { ...failure, message: `${failure.message}; ${advice}` };
+  });
+}
+
+/** Repeats a step that is safe to repeat while no answer comes. */
+async function sendAgain<T>(
+  output: Output,
+  send: () => ResultAsync<T, ICliFailure>,
+): Promise<Result<T, ICliFailure>> {
+  let sent = await send();
+  for (let sending = 2; sending <= MAXIMUM_SENDINGS; sending++) {
+    if (sent.isOk()) return ok(sent.value);
+    if (sent.error.exitCode !== ExitCode.noAnswer) return sent;
+    output.note(
+      `${sent.error.message}; sending again (${sending} of ` +
+        `${MAXIMUM_SENDINGS})`,
+    );
+    await sleep(RESEND_DELAY_MILLISECONDS);
+    sent = await send();
+  }
+  return sent;
+}
--- /dev/null
+++ b/src/cli/commands/status.ts
@@ -0,0 +1,103 @@
+import { err } from "neverthrow";
+import { defineCliCommand } from "../define_cli_command.ts";
+import { operatorsArgument, operatorsEdge } from "../edges.ts";
+import { ExitCode } from "../exit_code.ts";
+import { formatTable } from "../output.ts";
+import { type Status, statusSchema } from "../../operators/mod.ts";
+import {
+  type AcceptedConfiguration,
+  type Engine,
+} from "../../configuration/mod.ts";
+import { shownConfigurationSchema } from "./config_show.ts";
+
+/** `figroad status`: instances, targets, leader, versions in force. */
+export const status = defineCliCommand({
+  name: "status",
+  description: "Show instances, targets, the leader and versions in force",
+  args: operatorsArgument,
+  async run(args, output) {
+    const edge = operatorsEdge(args);
+    if (edge.isErr()) return err(edge.error);
+    const client = edge.value;
+    const read = await client.fetch({ path: "/status" }, statusSchema);
+    if (read.isErr()) return err(read.error);
+    const shown = await client.fetch(
+      { path: "/configuration" },
+      shownConfigurationSchema,
+    );
+    const accepted = shown.map(({ accepted }) => accepted ?? undefined);
+    return read.map((status) => {
+      const configuration = accepted.unwrapOr(undefined);
+      const targets = configuration?.document.engines ?? [];
+      output.result(
+        { ...status, acceptedVersion: configuration?.version, targets },
+        () => [
+          ...headLines(status, configuration),
+          "",
+          ...instanceLines(status),
+          "",
+          ...targetLines(targets),
+        ],
+      );
+      if (accepted.isErr()) {
+        output.note(`configuration not readable: ${accepted.error.message}`);
+      }
+      return status.connected ? ExitCode.done : ExitCode.incomplete;
+    });
+  },
+});
+
+function headLines(
+  status: Status,
+  configuration: AcceptedConfiguration | undefined,
+): string[] {
+  const { instance, connected, log } = status;
+  const link = connected
+    ? "connected to the leader"
+    : "NOT connected to the leader";
+  const leader = log
+    ? `leader: ${log.leader ?? "none known"} (term ${log.term}), ` +
+      `voters: ${log.voters.map(({ id }) => id).join(", ")}`
+    : "leader: ask an instance that is a control voter";
+  return [
+    `asked ${instance.id}, which is ${link}`,
+    leader,
+    configuration
+      ? `configuration: version ${configuration.version} by ` +
+        configuration.operator
+      : "configuration: none accepted, or not readable",
+  ];
+}
+
+function instanceLines({ members }: Status): string[] {
+  return formatTable(
+    [
+      "INSTANCE",
+      "REGION",
+      "FAILURE DOMAIN",
+      "HEALTH",
+      "STATE",
+      "CONFIGURATION",
+    ],
+    members.map((member) => [
+      member.id,
+      member.region,
+      member.failureDomain,
+      member.health,
+      member.state,
+      String(member.configurationVersion),
+    ]),
+  );
+}
+
+function targetLines(targets: readonly Engine[]): string[] {
+  return formatTable(
+    ["TARGET", "SERVICE", "FAILURE DOMAIN", "ADDRESS"],
+    targets.map(({ id, service, failureDomain, address, port }) => [
+      id,
+      service,
+      failureDomain,
+      `${address}:${port}`,
+    ]),
+  );
+}
--- /dev/null
+++ b/src/cli/commands/voters.ts
@@ -0,0 +1,141 @@
+import { isIP } from "node:net";
+import { err, type Result } from "neverthrow";
+import { z } from "zod";
+import { defineCliCommand } from "../define_cli_command.ts";
+import { operatorsArgument, operatorsEdge, usage } from "../edges.ts";
+import { ExitCode, type ICliFailure } from "../exit_code.ts";
+import { formatTable, type Output } from "../output.ts";
+
+const replicaSchema = z.looseObject({
+  id: z.string(),
+  address: z.string().optional(),
+  port: z.number().optional(),
+  failureDomain: z.string().optional(),
+});
+type Replica = z.infer<typeof replicaSchema>;
+
+/** Answer of `GET /voters` and `POST /voters`. */
+const votersSchema = z.looseObject({
+  leader: z.string().nullish(),
+  voters: z.array(replicaSchema),
+  learners: z.array(replicaSchema).default([]),
+});
+type Voters = z.infer<typeof votersSchema>;
+
+/** `figroad voters list`: who holds the control log. */
+export const votersList = defineCliCommand({
+  name: "list",
+  description: "List the control voters and learners",
+  args: operatorsArgument,
+  async run(args, output) {
+    const read = await operatorsEdge(args).asyncAndThen((client) =>
+      client.fetch({ path: "/voters" }, votersSchema)
+    );
+    return read.map((voters) => show(voters, output));
+  },
+});
+
+/** `figroad voters add ID`: a new replica starts as a learner. */
+export const votersAdd = defineCliCommand({
+  name: "add",
+  description: "Add a replica of the control log as a learner",
+  args: {
+    id: {
+      type: "positional",
+      required: true,
+      description: "Instance that joins",
+    },
+    address: { type: "string", required: true, description: "IP number" },
+    port: { type: "string", required: true, description: "Port for peers" },
+    "failure-domain": {
+      type: "string",
+      required: true,
+      description: "Failure domain of the instance",
+    },
+    ...operatorsArgument,
+  },
+  run(args, output) {
+    const port = Number(args.port);
+    if (isIP(args.address) === 0) {
+      return Promise.resolve(usage("--address is an IP number"));
+    }
+    if (!Number.isInteger(port) || port < 1 || port > 65_535) {
+      return Promise.resolve(usage("--port is a number from 1 to 65535"));
+    }
+    const voter = {
+      id: args.id,
+      address: args.address,
+      port,
+      failureDomain: args["failure-domain"],
+    };
+    return change(args, { action: "add", voter }, output);
+  },
+});
+
+/** `figroad voters promote ID`: a learner that caught up gets its vote. */
+export const votersPromote = changeOfKnown(
+  "promote",
+  "Give a learner that has caught up its vote",
+);
+
+/** `figroad voters remove ID`: takes a replica out of the control log. */
+export const votersRemove = changeOfKnown(
+  "remove",
+  "Take a replica out of the control log",
+);
+
+/** `figroad voters transfer ID`: another voter leads. */
+export const votersTransfer = changeOfKnown(
+  "transfer",
+  "Hand leadership to another voter",
+);
+
+function changeOfKnown(action: string, description: string) {
+  return defineCliCommand({
+    name: action,
+    description,
+    args: {
+      id: {
+        type: "positional",
+        required: true,
+        description: "Identifier of the instance",
+      },
+      ...operatorsArgument,
+    },
+    run: (args, output) =>
+      change(args, { action, voter: { id: args.id } }, output),
+  });
+}
+
+async function change(
+  args: { operators?: string },
+  body: { action: string; voter: Replica },
+  output: Output,
+): Promise<Result<ExitCode, ICliFailure>> {
+  const edge = operatorsEdge(args);
+  if (edge.isErr()) return err(edge.error);
+  const message = { method: "POST", path: "/voters", json: body } as const;
+  const changed = await edge.value.fetch(message, z.unknown());
+  if (changed.isErr()) return err(changed.error);
+  output.note(`done: ${body.action} ${body.voter.id}`);
+  const read = await edge.value.fetch({ path: "/voters" }, votersSchema);
+  return read.map((voters) => show(voters, output));
+}
+
+function show(voters: Voters, output: Output): ExitCode {
+  const row = (kind: string) => (replica: Replica) => [
+    replica.id,
+    replica.id === voters.leader ? "leader" : kind,
+    replica.failureDomain ?? "",
+    replica.address ? `${replica.address}:${replica.port}` : "",
+  ];
+  output.result(
+    voters,
+    () =>
+      formatTable(["INSTANCE", "ROLE", "FAILURE DOMAIN", "ADDRESS"], [
+        ...voters.voters.map(row("voter")),
+        ...voters.learners.map(row("learner")),
+      ]),
+  );
+  return ExitCode.done;
+}
--- /dev/null
+++ b/src/cli/figroad_test.ts
@@ -0,0 +1,241 @@
+import { readFile, writeFile } from "node:fs/promises";
+import { createServer, type IncomingMessage } from "node:http";
+import type { AddressInfo } from "node:net";
+import { join } from "node:path";
+import test from "ava";
+import { COMMITTEE_KEY, Fleet } from "../../testing/fleet.ts";
+import { fetchJson, postJson } from "../../testing/http.ts";
+import { type ICliRun, runCli } from "../../testing/run_cli.ts";
+import { ExitCode } from "./exit_code.ts";
+
+const ITEMS = 20;
+
+let fleet: Fleet;
+
+test.before(async () => {
+  fleet = await Fleet.start({ instances: 2, voters: 1, engines: 1 });
+});
+
+test.after.always(() => fleet?.stop());
+
+function run(...args: string[]): Promise<ICliRun> {
+  return runCli(args, {
+    FIGROAD_OPERATORS: fleet.instances[1]?.operators ?? "",
+    FIGROAD_CALLERS: fleet.instances[1]?.callers ?? "",
+    FIGROAD_API_KEY: COMMITTEE_KEY,
+  });
+}
+
+/** Writes the configuration in force to a file. */
+async function writeConfiguration(name: string): Promise<string> {
+  const { stdout } = await run("config", "show", "--json");
+  const path = join(fleet.folder, name);
+  await writeFile(path, JSON.stringify(JSON.parse(stdout).document));
+  return path;
+}
+
+/** An operators' edge that answers as it is told. */
+async function standin(
+  answer: (
+    message: IncomingMessage,
+    body: string,
+  ) => Promise<object | undefined> | object | undefined,
+): Promise<{ url: string; close: () => void }> {
+  const server = createServer(async (message, response) => {
+    let body = "";
+    for await (const part of message) body += part;
+    const value = await answer(message, body);
+    if (value === undefined) return response.destroy();
+    response.setHeader("content-type", "application/json");
+    response.end(JSON.stringify(value));
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as AddressInfo;
+  return { url: `http://127.0.0.1:${port}`, close: () => server.close() };
+}
+
+test("status", async (t) => {
+  const { exitCode, stdout } = await run("status", "--json");
+  t.is(exitCode, ExitCode.done);
+  const status = JSON.parse(stdout);
+  t.is(status.members.length, 2);
+  t.is(status.targets.length, 1);
+});
+
+test.serial("apply, history and conflict", async (t) => {
+  const path = await writeConfiguration("apply.json");
+  const shown = await run("config", "show", "--json");
+  const version = String(JSON.parse(shown.stdout).version);
+  const first = await run(
+    "config",
+    "apply",
+    path,
+    ...["--operator", "ada", "--expect-version", version],
+    ...["--change-id", "first"],
+  );
+  t.is(first.exitCode, ExitCode.done, first.stderr);
+  t.regex(first.stdout, /in force on 2 instances/);
+  const second = await run(
+    "config",
+    "apply",
+    path,
+    ...["--operator", "bob", "--expect-version", version],
+  );
+  t.is(second.exitCode, ExitCode.conflict);
+  t.regex(second.stderr, /change first by ada made version/);
+  const again = await run(
+    "config",
+    "apply",
+    path,
+    ...["--change-id", "first", "--expect-version", version, "--wait", "0"],
+  );
+  t.is(again.exitCode, ExitCode.done);
+  const history = await run("config", "history", "--json");
+  const records = JSON.parse(history.stdout);
+  t.is(records[0].operator, "ada");
+  t.is(records[0].version, Number(version) + 1);
+});
+
+test.serial("lost answer sent again", async (t) => {
+  const operators = fleet.instances[0]?.operators ?? "";
+  const path = await writeConfiguration("lost.json");
+  const changeIds: string[] = [];
+  const edge = await standin(async ({ method, url }, body) => {
+    if (method === "GET") {
+      return (await fetchJson(`${operators}${url}`)).body;
+    }
+    changeIds.push(JSON.parse(body).changeId);
+    const { body: answer } = await postJson(
+      `${operators}${url}`,
+      JSON.parse(body),
+    );
+    return changeIds.length === 1 ? undefined : answer;
+  });
+  const applied = await run(
+    "config",
+    "apply",
+    path,
+    ...["--operators", edge.url, "--wait", "0"],
+  );
+  edge.close();
+  t.is(applied.exitCode, ExitCode.done, applied.stderr);
+  t.regex(applied.stderr, /sending change \S+ again/);
+  t.is(changeIds.length, 2);
+  t.is(new Set(changeIds).size, 1);
+  const history = await run("config", "history", "--json");
+  const records: { changeId: string }[] = JSON.parse(history.stdout);
+  t.is(
+    records.filter(({ changeId }) => changeId === changeIds[0]).length,
+    1,
+  );
+});
+
+test("instances without the version named", async (t) => {
+  const path = await writeConfiguration("rollout.json");
+  const record = {
+    version: 7,
+    changeId: "c",
+    operator: "ada",
+    acceptedAt: 0,
+  };
+  const edge = await standin(({ method, url }) => {
+    if (method === "POST") return { kind: "accepted", record };
+    if (url === "/configuration") return { accepted: null };
+    return {
+      version: 7,
+      inForce: ["one"],
+      missing: [{ id: "two", reason: "silent for 4 s" }],
+    };
+  });
+  const applied = await run(
+    "config",
+    "apply",
+    path,
+    ...["--operators", edge.url, "--wait", "0.2"],
+  );
+  edge.close();
+  t.is(applied.exitCode, ExitCode.incomplete);
+  t.regex(applied.stderr, /not in force on two: silent for 4 s/);
+});
+
+test("job", async (t) => {
+  const path = join(fleet.folder, "input.jsonl");
+  const lines = Array.from({ length: ITEMS }, (_, index) =>
+    JSON.stringify({
+      custom_id: `item-${index}`,
+      body: { model: "alert-writer", prompt: `${index}`, max_tokens: 3 },
+    }));
+  await writeFile(path, lines.join("\n"));
+  const submit = () =>
+    run(
+      "job",
+      "submit",
+      path,
+      ...["--endpoint", "/v1/completions", "--key", "once"],
+      ...["--wait", "--json"],
+    );
+  const submitted = await submit();
+  t.is(submitted.exitCode, ExitCode.done, submitted.stderr);
+  const { id } = JSON.parse(submitted.stdout);
+  t.is(JSON.parse((await submit()).stdout).id, id);
+  const status = await run("job", "status", id);
+  t.regex(status.stdout, new RegExp(`done ${ITEMS}, failed 0`));
+  const output = join(fleet.folder, "output.jsonl");
+  t.is((await run("job", "results", id, "--output", output)).exitCode, 0);
+  const results = (await readFile(output, "utf8")).trim().split("\n");
+  t.is(results.length, ITEMS);
+  const errors = await run("job", "results", id, "--errors");
+  t.is(errors.exitCode, ExitCode.notFound);
+  const list = await run("job", "list", "--json");
+  t.is(JSON.parse(list.stdout).jobs[0].id, id);
+  t.is((await run("job", "cancel", "no-such-job")).exitCode, ExitCode.notFound);
+});
+
+test("reports", async (t) => {
+  const explained = await run("explain", "req-unknown");
+  t.is(explained.exitCode, ExitCode.notFound);
+  t.regex(explained.stdout, /2 instances know nothing of req-unknown/);
+  const page = join(fleet.folder, "burn.html");
+  const burn = await run("report", "burn", "--html", page, "--json");
+  t.is(burn.exitCode, ExitCode.done, burn.stderr);
+  t.is(JSON.parse(burn.stdout).answered.length, 2);
+  t.regex(await readFile(page, "utf8"), /^<!doctype html>/);
+});
+
+test("documents checked", async (t) => {
+  const path = join(fleet.folder, "bad.jsonc");
+  await writeFile(path, '{\n  // a comment\n  "places": []\n}');
+  const checked = await run("config", "check", path);
+  t.is(checked.exitCode, ExitCode.usage);
+  t.regex(checked.stderr, /bad\.jsonc:3: places: found \[\]; allowed: /);
+  const { settingsPath } = fleet.instances[0] ?? t.fail() as never;
+  t.is((await run("settings", "check", settingsPath)).exitCode, ExitCode.done);
+  t.is((await run("settings", "check", path)).exitCode, ExitCode.usage);
+});
+
+test("usage errors in one line", async (t) => {
+  const lines: [string[], number][] = [
+    [[], ExitCode.usage],
+    [["bogus"], ExitCode.usage],
+    [["config", "apply"], ExitCode.usage],
+    [["status", "--operaters", "x"], ExitCode.usage],
+    [["status", "extra"], ExitCode.usage],
+    [["status", "--operators", "nonsense"], ExitCode.usage],
+    [["job", "submit", "/no/such/file"], ExitCode.usage],
+    [["logs", "explain", "99999"], ExitCode.notFound],
+    [["status", "--operators", "http://127.0.0.1:9"], ExitCode.noAnswer],
+  ];
+  for (const [args, expected] of lines) {
+    const { exitCode, stderr } = await run(...args);
+    t.is(exitCode, expected, args.join(" "));
+    t.regex(stderr, /^figroad: [^\n]+\n$/, args.join(" "));
+  }
+});
+
+test("help", async (t) => {
+  const { exitCode, stdout } = await run("config", "apply", "--help");
+  t.is(exitCode, ExitCode.done);
+  t.regex(stdout, /--expect-version/);
+});
--- /dev/null
+++ b/src/cli/wait_for_job.ts
@@ -0,0 +1,64 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { err, ok, type Result, type ResultAsync } from "neverthrow";
+import {
+  type BatchObject,
+  batchObjectSchema,
+  isFinished,
+} from "./batch_object.ts";
+import { ExitCode, type ICliFailure } from "./exit_code.ts";
+import type { HttpClient } from "./http_client.ts";
+import { Progress } from "./progress.ts";
+
+/** How often a job is read, in milliseconds. */
+const POLL_INTERVAL_MILLISECONDS = 500;
+
+/** Readings without an answer after which waiting ends. */
+const MAXIMUM_UNANSWERED = 60;
+
+/** Reads a job. */
+export function readJob(
+  client: HttpClient,
+  id: string,
+): ResultAsync<BatchObject, ICliFailure> {
+  const path = `/v1/batches/${encodeURIComponent(id)}`;
+  return client.fetch({ path }, batchObjectSchema);
+}
+
+/** Shows progress until a job has finished. */
+export async function waitForJob(
+  client: HttpClient,
+  id: string,
+): Promise<Result<BatchObject, ICliFailure>> {
+  const progress = new Progress("items");
+  let unanswered = 0;
+  for (;;) {
+    const read = await readJob(client, id);
+    if (read.isOk()) {
+      const { total, completed, failed } = read.value.request_counts;
+      progress.update(completed + failed, total);
+      unanswered = 0;
+      if (isFinished(read.value)) {
+        progress.finish();
+        return ok(read.value);
+      }
+    } else {
+      unanswered += 1;
+      if (!mayPass(read.error) || unanswered >= MAXIMUM_UNANSWERED) {
+        progress.finish();
+        return err(read.error);
+      }
+    }
+    await sleep(POLL_INTERVAL_MILLISECONDS);
+  }
+}
+
+/** Exit code of a finished job. */
+export function exitCodeOf(job: BatchObject): ExitCode {
+  if (!isFinished(job)) return ExitCode.incomplete;
+  const whole = job.status === "completed" && job.request_counts.failed === 0;
+  return whole ? ExitCode.done : ExitCode.failed;
+}
+
+function mayPass({ exitCode }: ICliFailure): boolean {
+  return exitCode === ExitCode.noAnswer;
+}
