--- a/src/consensus/control_client.ts
+++ b/src/consensus/control_client.ts
@@ -62,6 +62,7 @@
     options: IDeadlineOptions,
   ): Promise<Result<z.infer<R>, Failure>> {
     let last = notRun("unavailable", "no leader of the control log is known");
+    let followed = false;
     while (!this.#clock.isPast(options.deadline)) {
       this.#leader ??= await this.#finder.find(options);
       const leader = this.#leader;
@@ -77,7 +78,8 @@
         last = result.error;
         this.#review(leader, last);
         if (!this.#mayTryAgain(last)) return result;
-        if (this.#leader) continue;
+        followed = this.#leader !== undefined && !followed;
+        if (followed) continue;
       }
       await this.#pause(options);
     }
--- a/src/consensus/leader_finder.ts
+++ b/src/consensus/leader_finder.ts
@@ -37,6 +37,9 @@
 
   /** Searches for the leader once. */
   find(options: IDeadlineOptions): Promise<PeerAddress | undefined> {
+    const [first, ...others] = this.#voters();
+    // A single voter leads, or answers that it does not.
+    if (others.length === 0) return Promise.resolve(first);
     this.#search ??= this.#ask(options).finally(() => {
       this.#search = undefined;
     });
--- a/src/consensus/state_machine.ts
+++ b/src/consensus/state_machine.ts
@@ -202,15 +202,19 @@
     const index = this.#appliedIndex;
     this.#attempt = { index, bytes: 0 };
     const sections: Record<string, SectionSnapshot> = {};
-    for (const [name, section] of this.#sections) {
-      try {
-        sections[name] = await section.snapshot();
-      } catch (error) {
-        const reason = (error as Error).message;
-        this.#state.events.emit(snapshotFailed, { section: name, reason });
-        return;
-      }
-    }
+    let isComplete = true;
+    await Promise.all(
+      [...this.#sections].map(async ([name, section]) => {
+        try {
+          sections[name] = await section.snapshot();
+        } catch (error) {
+          isComplete = false;
+          const reason = (error as Error).message;
+          this.#state.events.emit(snapshotFailed, { section: name, reason });
+        }
+      }),
+    );
+    if (!isComplete) return;
     const { log, tracker } = this.#state;
     const snapshot = {
       index,
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -1,26 +1,47 @@
-import { randomUUID } from "node:crypto";
+import { randomInt, randomUUID } from "node:crypto";
 import { join } from "node:path";
+import {
+  FleetAdmission,
+  LatencyEstimates,
+  LimitOwners,
+  RetryBudget,
+  ServiceGate,
+} from "../admission/mod.ts";
+import { LiveActivity, LocalLoadView } from "../allotment/mod.ts";
+import {
+  BurnReporter,
+  handleServiceLevels,
+  ServiceLevelRecorder,
+} from "../burn/mod.ts";
 import { DisposableStore, SystemClock } from "../common/mod.ts";
 import {
+  ConfigurationFetcher,
   ConfigurationHolder,
   ConfigurationSection,
   handleConfiguration,
+  handlePeerFetches,
 } from "../configuration/mod.ts";
 import {
   ControlClient,
   FolderStorage,
   ReplicatedLog,
 } from "../consensus/mod.ts";
-import { Dispatcher } from "../dispatch/mod.ts";
+import { Dispatcher, PlainDispatcher } from "../dispatch/mod.ts";
 import {
   BatchesEndpoint,
   CallersServer,
   FilesEndpoint,
   GenerationEndpoint,
+  LiveRecorder,
   ModelsEndpoint,
   PlainEndpoint,
 } from "../entry/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
+import {
+  ExplainCollector,
+  handleExplain,
+  TraceRecorder,
+} from "../explain/mod.ts";
 import {
   handleJobs,
   ItemRunner,
@@ -29,25 +50,50 @@
   JobsSection,
   LeaseManager,
 } from "../jobs/mod.ts";
-import { Heartbeat, MemberRegistry } from "../membership/mod.ts";
+import {
+  Heartbeat,
+  HttpPlatformAdapter,
+  MemberRegistry,
+  TargetAvailability,
+} from "../membership/mod.ts";
+import {
+  CountingEventLog,
+  defineProcessMetrics,
+  Metrics,
+} from "../metrics/mod.ts";
+import { OperationLedger, OperationsSection } from "../operations/mod.ts";
 import {
   configurationRoutes,
   OperatorsServer,
+  reportRoutes,
   statusRoutes,
 } from "../operators/mod.ts";
-import { LeastLoadedSelector } from "../routing/mod.ts";
+import {
+  BalancedSelector,
+  LoadReportPoller,
+  SeededRandom,
+  TargetHealth,
+} from "../routing/mod.ts";
 import { RpcClient, RpcServer } from "../rpc/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { HttpEngineAdapter, HttpPlainAdapter } from "../targets/mod.ts";
 import type { IDaemon } from "./types.ts";
 
+/** Bound of the seeds of random choices. */
+const MAXIMUM_SEED = 0x7fffffff;
+
 /** Wires the parts of a daemon; nothing else chooses implementations. */
 export async function startDaemon(
   settings: Settings,
-  events: IEventLog,
+  eventLog: IEventLog,
 ): Promise<IDaemon> {
   const clock = new SystemClock();
   const store = new DisposableStore();
+  const metrics = new Metrics();
+  const events = new CountingEventLog(eventLog, metrics);
+  store.add(defineProcessMetrics(metrics));
+  const trace = new TraceRecorder(settings.instance.id, clock);
+  const serviceLevels = new ServiceLevelRecorder(clock);
   const server = store.add(new RpcServer(clock, events));
   const peerPort = await server.listen(
     settings.peers.address,
@@ -64,24 +110,14 @@
   );
   const control = new ControlClient(() => voters, rpc, { clock });
 
-  let log: ReplicatedLog | undefined;
-  if (settings.control) {
-    const { dataFolder, start } = settings.control;
-    const configuration = new ConfigurationSection();
-    const jobs = new JobsSection(join(dataFolder, "jobs"));
-    const { failureDomain } = settings.instance;
-    log = new ReplicatedLog({ ...self, failureDomain }, [configuration, jobs], {
-      ...{ rpc, server, clock, events, founders: voters, start },
-      storage: new FolderStorage(dataFolder),
-    });
-    store.add(handleConfiguration(server, log, { section: configuration }));
-    store.add(handleJobs(server, log, { section: jobs }));
-    store.add(new LeaseManager(log, jobs, { clock, server }));
-    store.add(new MemberRegistry(log, configuration, { clock, server }));
-    await log.start();
-  }
-
   const configuration = new ConfigurationHolder(events);
+  store.add(handlePeerFetches(server, configuration));
+  const fetcher = new ConfigurationFetcher(control, rpc, {
+    holder: configuration,
+    clock,
+  });
+  const platform = settings.platform &&
+    store.add(new HttpPlatformAdapter(settings.platform, clock, { events }));
   const heartbeat = store.add(
     new Heartbeat(
       {
@@ -93,15 +129,106 @@
         configurationVersion: 0,
       },
       control,
-      { configuration, clock },
+      { configuration, fetcher, clock, platform },
     ),
   );
+  const availability = store.add(new TargetAvailability(platform, heartbeat));
 
+  let log: ReplicatedLog | undefined;
+  if (settings.control) {
+    const { dataFolder, start } = settings.control;
+    const section = new ConfigurationSection();
+    const jobs = new JobsSection(join(dataFolder, "jobs"));
+    const sections = [section, jobs, new OperationsSection()];
+    const { failureDomain } = settings.instance;
+    log = new ReplicatedLog({ ...self, failureDomain }, sections, {
+      ...{ rpc, server, clock, events, founders: voters, start },
+      storage: new FolderStorage(dataFolder),
+    });
+    const registry = store.add(
+      new MemberRegistry(log, section, {
+        clock,
+        server,
+        events,
+        copy: () => heartbeat,
+      }),
+    );
+    store.add(
+      handleConfiguration(server, log, { section, audience: registry }),
+    );
+    store.add(handleJobs(server, log, { section: jobs }));
+    store.add(new LeaseManager(log, jobs, { clock, server }));
+    await log.start();
+  }
+
+  store.add(handleExplain(server, trace));
+  store.add(handleServiceLevels(server, serviceLevels));
+
+  const { failureDomain } = settings.instance;
+  const random = new SeededRandom(randomInt(MAXIMUM_SEED));
   const engines = store.add(new HttpEngineAdapter(clock));
   const plainTargets = store.add(new HttpPlainAdapter(clock));
-  const selector = new LeastLoadedSelector(configuration);
-  const dispatcher = new Dispatcher(selector, engines, { clock });
-  const jobs = new JobGateway(control);
+  const health = new TargetHealth({ clock, random, events });
+  const activity = store.add(new LiveActivity());
+  const load = new LocalLoadView(activity);
+  const reports = store.add(
+    new LoadReportPoller(engines, configuration, { clock }),
+  );
+  const estimates = new LatencyEstimates(clock);
+  const budgets = { live: new RetryBudget(), batch: new RetryBudget() };
+  const selector = new BalancedSelector(configuration, {
+    clock,
+    random,
+    failureDomain,
+    activity,
+    load,
+    reports,
+    health,
+    availability,
+  });
+  const dispatcher = new Dispatcher({
+    selector,
+    engines,
+    clock,
+    budgets,
+    estimates,
+    trace,
+    random,
+  });
+  const plainDispatcher = new PlainDispatcher({
+    targets: plainTargets,
+    clock,
+    random,
+    failureDomain,
+    health,
+    availability,
+    budget: budgets.live,
+    trace,
+  });
+  const owners = store.add(
+    new LimitOwners(rpc, server, {
+      clock,
+      configuration,
+      membership: heartbeat,
+    }),
+  );
+  const gate = new ServiceGate({
+    clock,
+    configuration,
+    load,
+    health,
+    availability,
+    estimates,
+  });
+  const admission = store.add(new FleetAdmission({ clock, owners, gate }));
+  const operations = new OperationLedger(control, { clock, events });
+  const recorder = new LiveRecorder({
+    clock,
+    trace,
+    serviceLevels,
+    metrics,
+  });
+  const jobs = new JobGateway(control, clock);
   const items = new ItemRunner(dispatcher, configuration, { clock });
   const runner = store.add(
     new JobRunner(control, items, { configuration, clock }),
@@ -109,11 +236,16 @@
 
   const callers = store.add(
     new CallersServer(configuration, [
-      new GenerationEndpoint(dispatcher, clock),
+      new GenerationEndpoint(dispatcher, {
+        clock,
+        admission,
+        operations,
+        recorder,
+      }),
       new ModelsEndpoint(),
       new FilesEndpoint(jobs, clock),
       new BatchesEndpoint(jobs, clock),
-      new PlainEndpoint(plainTargets, clock),
+      new PlainEndpoint(plainDispatcher, { clock, admission, operations }),
     ], { events }),
   );
   let stopping = false;
@@ -125,10 +257,19 @@
         isReady: () => !stopping && configuration.current !== undefined,
       }),
       ...configurationRoutes(control, clock),
+      ...reportRoutes({
+        explain: new ExplainCollector(heartbeat, rpc),
+        burn: new BurnReporter(heartbeat, rpc, { configuration, clock }),
+        metrics,
+        clock,
+      }),
     ]),
   );
 
+  platform?.start();
   heartbeat.start();
+  reports.start();
+  admission.start();
   runner.start();
   const ports = {
     callers: await callers.listen(
@@ -145,7 +286,7 @@
     ports,
     async stop() {
       stopping = true;
-      heartbeat.setState("leaving");
+      await heartbeat.setState("leaving");
       await callers.drain();
       runner.dispose();
       await log?.stop();
