--- a/src/consensus/mod.ts
+++ b/src/consensus/mod.ts
@@ -1,5 +1,6 @@
 export * from "./control_client.ts";
 export * from "./folder_storage.ts";
+export type { FounderAddress } from "./formation.ts";
 export * from "./messages.ts";
 export * from "./replica_set.ts";
 export * from "./replicated_log.ts";
--- /dev/null
+++ b/src/consensus/random_run_test.ts
@@ -0,0 +1,18 @@
+import test from "ava";
+import { RandomRun } from "../../testing/log_random_run.ts";
+
+const SEEDS = [1, 2, 3, 4];
+
+for (const voters of [3, 5]) {
+  for (const seed of SEEDS) {
+    test(`${voters} replicas, seed ${seed}`, async (t) => {
+      const { faults, acknowledged, actions } = await RandomRun.run(
+        voters,
+        seed,
+      );
+      t.log(acknowledged, Object.fromEntries(actions));
+      t.deepEqual(faults, []);
+      t.true(acknowledged > 50);
+    });
+  }
+}
--- a/src/consensus/replica_administrator.ts
+++ b/src/consensus/replica_administrator.ts
@@ -95,7 +95,7 @@
 
   /**
    * Takes in an empty data folder as a learner. If its instance was a
-   * member under another folder, that one leaves first.
+   * member under another folder, that one leaves with the same change.
    */
   async join(
     member: ReplicaMember,
@@ -112,11 +112,12 @@
       const reason = `${member.id} is a member with another data folder`;
       return err(notRun("conflict", reason));
     }
-    const wasVoter = replicas.voters.includes(earlier);
-    const removed = await this.#remove(earlier, options);
-    if (removed.isErr()) return removed;
-    const promote = wasVoter || earlier.promote;
-    return await this.#addLearner({ ...member, promote }, options);
+    // Only one voter changes, so this is one step; were it two, the wish to
+    // vote again could be lost between them.
+    const promote = replicas.voters.includes(earlier) || earlier.promote;
+    const others = without(replicas, earlier);
+    const learners = [...others.learners, { ...member, promote }];
+    return await this.#leader.changeReplicas({ ...others, learners }, options);
   }
 
   async #add(
@@ -183,12 +184,7 @@
       const reason = "the leader cannot be removed; transfer the lead first";
       return err(notRun("conflict", reason));
     }
-    const { voters, learners } = this.#state.replicas;
-    const others = (it: ReplicaMember) => it.storage !== member.storage;
-    const replicas = {
-      voters: voters.filter(others),
-      learners: learners.filter(others),
-    };
+    const replicas = without(this.#state.replicas, member);
     return await this.#leader.changeReplicas(replicas, options);
   }
 
@@ -239,3 +235,12 @@
     return silence < timeouts * this.#state.timing.electionMinimum;
   }
 }
+
+/** The members but for one. */
+function without(replicas: ReplicaSet, member: ReplicaMember): ReplicaSet {
+  const isOther = (it: ReplicaMember) => it.storage !== member.storage;
+  return {
+    voters: replicas.voters.filter(isOther),
+    learners: replicas.learners.filter(isOther),
+  };
+}
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -106,7 +106,9 @@
   };
   const rpc = store.add(new RpcClient(self.id, clock, { events }));
   const voters = settings.voters.map((voter) =>
-    voter.id === self.id ? { ...voter, port: peerPort } : voter
+    voter.port === 0 && voter.id === self.id
+      ? { ...voter, port: peerPort }
+      : voter
   );
   const control = new ControlClient(() => voters, rpc, { clock });
 
@@ -140,8 +142,9 @@
     const section = new ConfigurationSection();
     const jobs = new JobsSection(join(dataFolder, "jobs"));
     const sections = [section, jobs, new OperationsSection()];
+    const own = voters.find(({ id }) => id === self.id);
     const { failureDomain } = settings.instance;
-    log = new ReplicatedLog({ ...self, failureDomain }, sections, {
+    log = new ReplicatedLog(own ?? { ...self, failureDomain }, sections, {
       ...{ rpc, server, clock, events, founders: voters, start },
       storage: new FolderStorage(dataFolder),
     });
--- /dev/null
+++ b/testing/fake_network.ts
@@ -0,0 +1,113 @@
+import { err, type Result } from "neverthrow";
+import type { z } from "zod";
+import { type Failure, mayHaveRun, notRun } from "../src/common/mod.ts";
+import type {
+  IRpcCallOptions,
+  IRpcClient,
+  IRpcMethod,
+  IRpcServer,
+  PeerAddress,
+  RpcHandler,
+} from "../src/rpc/mod.ts";
+import type { SeededRandom } from "./seeded_random.ts";
+import type { VirtualClock, VirtualTime } from "./virtual_clock.ts";
+
+// deno-lint-ignore no-explicit-any
+type AnyHandler = RpcHandler<any, any>;
+
+/** Network between instances in one process, with faults. */
+export class FakeNetwork {
+  /** Share of messages that are lost, in per cent. */
+  lossPercent = 0;
+  /** Longest time of a message on its way, in milliseconds. */
+  latencyMilliseconds = 3;
+  /** Instances that no message reaches or leaves. */
+  readonly isolated = new Set<string>();
+  readonly endpoints = new Map<string, FakeEndpoint>();
+  #time: VirtualTime;
+  #random: SeededRandom;
+
+  constructor(time: VirtualTime, random: SeededRandom) {
+    this.#time = time;
+    this.#random = random;
+  }
+
+  /** Connects an instance; replaces an earlier run of it. */
+  connect(id: string, clock: VirtualClock): FakeEndpoint {
+    const endpoint = new FakeEndpoint(id, clock, this);
+    this.endpoints.set(id, endpoint);
+    return endpoint;
+  }
+
+  /** Carries a message; resolves with false when it is lost. */
+  async carry(from: string, to: string): Promise<boolean> {
+    const delay = this.#random.integer(1, this.latencyMilliseconds);
+    await new Promise<void>((resolve) => {
+      this.#time.sleepUntil(this.#time.now + delay, resolve);
+    });
+    if (this.isolated.has(from) || this.isolated.has(to)) return false;
+    return !this.#random.chance(this.lossPercent);
+  }
+}
+
+/** Client and server of one run of an instance. */
+export class FakeEndpoint implements IRpcClient, IRpcServer {
+  readonly id: string;
+  readonly clock: VirtualClock;
+  #network: FakeNetwork;
+  #handlers = new Map<string, AnyHandler>();
+
+  constructor(id: string, clock: VirtualClock, network: FakeNetwork) {
+    this.id = id;
+    this.clock = clock;
+    this.#network = network;
+  }
+
+  handle<P extends z.ZodType, R extends z.ZodType>(
+    method: IRpcMethod<P, R>,
+    handler: RpcHandler<z.infer<P>, z.infer<R>>,
+  ) {
+    this.#handlers.set(method.name, handler);
+    return { dispose: () => this.#handlers.delete(method.name) };
+  }
+
+  async call<P extends z.ZodType, R extends z.ZodType>(
+    peer: PeerAddress,
+    method: IRpcMethod<P, R>,
+    params: z.infer<P>,
+    options: IRpcCallOptions,
+  ): Promise<Result<z.infer<R>, Failure>> {
+    const timer = new AbortController();
+    const late = this.clock.sleepUntil(options.deadline, timer.signal)
+      .then(() => err(mayHaveRun("deadline-exceeded", "no answer in time")));
+    const text = JSON.stringify(params);
+    const answer = this.#send(peer, method.name, { text, options });
+    const result = await Promise.race([answer, late]);
+    timer.abort();
+    return result;
+  }
+
+  async #send(
+    peer: PeerAddress,
+    method: string,
+    call: { text: string; options: IRpcCallOptions },
+    // deno-lint-ignore no-explicit-any
+  ): Promise<Result<any, Failure>> {
+    const arrived = await this.#network.carry(this.id, peer.id);
+    const target = this.#network.endpoints.get(peer.id);
+    if (!arrived) return new Promise(() => {});
+    const handler = target && target.#handlers.get(method);
+    if (!target || target.clock.isEnded || !handler) {
+      return err(notRun("unavailable", `${peer.id} is down`));
+    }
+    const remaining = this.clock.remaining(call.options.deadline);
+    const context = {
+      deadline: target.clock.deadlineIn(remaining),
+      from: this.id,
+    };
+    const answer = await handler(JSON.parse(call.text), context);
+    if (target.clock.isEnded) return new Promise(() => {});
+    const returned = await this.#network.carry(peer.id, this.id);
+    return returned ? answer : new Promise(() => {});
+  }
+}
--- /dev/null
+++ b/testing/fake_storage.ts
@@ -0,0 +1,145 @@
+import { Buffer } from "node:buffer";
+import type { IClock } from "../src/common/mod.ts";
+import type { IStorage, IStorageFile } from "../src/consensus/mod.ts";
+import type { SeededRandom } from "./seeded_random.ts";
+
+interface IFile {
+  bytes: Buffer;
+  /** Length that survives a crash. */
+  synced: number;
+}
+
+const FOREVER = new Promise<never>(() => {});
+
+/** Disk in memory that survives its instance, without what is not synced. */
+export class FakeDisk {
+  files = new Map<string, IFile>();
+  /** Whether every operation fails. */
+  isFailing = false;
+  /** Time that a sync takes, in milliseconds. */
+  syncMilliseconds = 1;
+  /** Bytes that may still be written. */
+  freeBytes = Number.POSITIVE_INFINITY;
+  #random: SeededRandom;
+
+  constructor(random: SeededRandom) {
+    this.#random = random;
+  }
+
+  /** Loses unsynced bytes; a part of them may remain, also damaged. */
+  crash(): void {
+    for (const [name, file] of this.files) {
+      const lost = file.bytes.length - file.synced;
+      const kept = lost === 0 ? 0 : this.#random.integer(0, lost);
+      const bytes = Buffer.from(file.bytes.subarray(0, file.synced + kept));
+      if (kept > 0 && this.#random.chance(50)) {
+        bytes[bytes.length - 1] = (bytes.at(-1) ?? 0) ^ 0x55;
+      }
+      this.files.set(name, { bytes, synced: bytes.length });
+    }
+  }
+}
+
+/** Storage of one run of an instance on a `FakeDisk`. */
+export class FakeStorage implements IStorage {
+  isEnded = false;
+  #disk: FakeDisk;
+  #clock: IClock;
+
+  constructor(disk: FakeDisk, clock: IClock) {
+    this.#disk = disk;
+    this.#clock = clock;
+  }
+
+  async list(folder: string): Promise<string[]> {
+    await this.#pass();
+    const names = [...this.#disk.files.keys()];
+    return names.filter((name) => name.startsWith(`${folder}/`)).sort();
+  }
+
+  async size(name: string): Promise<number | undefined> {
+    await this.#pass();
+    return this.#disk.files.get(name)?.bytes.length;
+  }
+
+  async read(name: string): Promise<Buffer | undefined> {
+    await this.#pass();
+    const bytes = this.#disk.files.get(name)?.bytes;
+    return bytes && Buffer.from(bytes);
+  }
+
+  async readPart(name: string, offset: number, length: number) {
+    await this.#pass();
+    const bytes = this.#disk.files.get(name)?.bytes;
+    if (!bytes) throw new Error(`ENOENT ${name}`);
+    return Buffer.from(bytes.subarray(offset, offset + length));
+  }
+
+  async open(name: string): Promise<IStorageFile> {
+    await this.#pass();
+    if (!this.#disk.files.has(name)) {
+      this.#disk.files.set(name, { bytes: Buffer.alloc(0), synced: 0 });
+    }
+    return {
+      append: async (bytes) => {
+        await this.#pass();
+        this.append(name, bytes);
+      },
+      sync: () => this.sync(name),
+      close: () => Promise.resolve(),
+    };
+  }
+
+  /** Writes at the end of a file, as a section does. */
+  append(name: string, bytes: Buffer): void {
+    if (this.isEnded) return;
+    const file = this.#disk.files.get(name) ??
+      { bytes: Buffer.alloc(0), synced: 0 };
+    const fitting = Math.min(bytes.length, this.#disk.freeBytes);
+    const written = bytes.subarray(0, fitting);
+    this.#disk.freeBytes -= fitting;
+    const whole = Buffer.concat([file.bytes, written]);
+    this.#disk.files.set(name, { bytes: whole, synced: file.synced });
+    if (fitting < bytes.length) throw new Error("ENOSPC: no space left");
+  }
+
+  async sync(name: string): Promise<void> {
+    const length = this.#disk.files.get(name)?.bytes.length ?? 0;
+    await this.#pass(this.#disk.syncMilliseconds);
+    const file = this.#disk.files.get(name);
+    if (file) file.synced = Math.max(file.synced, length);
+  }
+
+  async replace(name: string, bytes: Buffer): Promise<void> {
+    await this.#pass(this.#disk.syncMilliseconds);
+    if (this.#disk.freeBytes < bytes.length) throw new Error("ENOSPC");
+    this.#disk.files.set(name, { bytes, synced: bytes.length });
+  }
+
+  async truncate(name: string, length: number): Promise<void> {
+    await this.#pass();
+    const bytes = this.#disk.files.get(name)?.bytes.subarray(0, length);
+    if (bytes) this.#disk.files.set(name, { bytes, synced: bytes.length });
+  }
+
+  async rename(from: string, to: string): Promise<void> {
+    await this.#pass();
+    const file = this.#disk.files.get(from);
+    if (!file) throw new Error(`ENOENT ${from}`);
+    this.#disk.files.delete(from);
+    this.#disk.files.set(to, file);
+  }
+
+  async remove(name: string): Promise<void> {
+    await this.#pass();
+    this.#disk.files.delete(name);
+  }
+
+  async #pass(milliseconds = 0): Promise<void> {
+    if (milliseconds > 0) {
+      await this.#clock.sleepUntil(this.#clock.deadlineIn(milliseconds));
+    }
+    if (this.isEnded) await FOREVER;
+    if (this.#disk.isFailing) throw new Error("EIO: the disk fails");
+  }
+}
--- /dev/null
+++ b/testing/log_cluster.ts
@@ -0,0 +1,288 @@
+import { Buffer } from "node:buffer";
+import { z } from "zod";
+import { invariant } from "../src/common/mod.ts";
+import {
+  type FounderAddress,
+  type IApplyContext,
+  type ICompaction,
+  type IStateSection,
+  ReplicatedLog,
+  type SectionSnapshot,
+} from "../src/consensus/mod.ts";
+import type { IEventDefinition } from "../src/events/mod.ts";
+import { FakeDisk, FakeStorage } from "./fake_storage.ts";
+import { FakeNetwork } from "./fake_network.ts";
+import { SeededRandom } from "./seeded_random.ts";
+import { VirtualClock, VirtualTime } from "./virtual_clock.ts";
+
+const TIMING = {
+  heartbeat: 30,
+  electionMinimum: 150,
+  electionSpread: 150,
+  append: 400,
+};
+
+/** Small enough for snapshots in every run. */
+const COMPACTION = { entries: 40, bytes: 1_000_000, trailingEntries: 5 };
+
+/** Longest wait for a command, in milliseconds. */
+const PROPOSAL_MILLISECONDS = 1_000;
+
+const FILE = "register/items";
+
+/** Records the identifiers of commands, in memory and in a file. */
+export class RegisterSection implements IStateSection {
+  readonly definition = {
+    name: "register",
+    command: z.object({ id: z.string() }),
+    output: z.object({ index: z.number() }),
+  };
+  /** Identifier by index. */
+  items: [number, string][] = [];
+  isSnapshotFailing = false;
+  #storage: FakeStorage;
+  #seen: Map<number, string>;
+
+  /** @param seen what any replica has applied at each index. */
+  constructor(storage: FakeStorage, seen: Map<number, string>) {
+    this.#storage = storage;
+    this.#seen = seen;
+  }
+
+  apply(command: unknown, { index }: IApplyContext): { index: number } {
+    const { id } = command as { id: string };
+    const other = this.#seen.get(index) ?? id;
+    invariant(other === id, `${index} is ${other} and ${id}`);
+    this.#seen.set(index, id);
+    this.items.push([index, id]);
+    this.#storage.append(FILE, Buffer.from(`${id}\n`));
+    return { index };
+  }
+
+  async snapshot(): Promise<SectionSnapshot> {
+    if (this.isSnapshotFailing) throw new Error("no snapshot");
+    const state = structuredClone(this.items);
+    const text = this.items.map(([, id]) => `${id}\n`).join("");
+    await this.#storage.sync(FILE);
+    return { state, files: [{ name: "items", length: text.length }] };
+  }
+
+  async restore(snapshot: SectionSnapshot): Promise<void> {
+    this.items = snapshot.state as [number, string][];
+    const text = this.items.map(([, id]) => `${id}\n`).join("");
+    const file = (await this.#storage.read(FILE))?.toString();
+    invariant(file === text, "the file fits the snapshot");
+  }
+
+  async reset(): Promise<void> {
+    this.items = [];
+    await this.#storage.remove(FILE);
+  }
+}
+
+/** An instance with its disk. */
+export class ClusterNode {
+  readonly address: FounderAddress;
+  readonly disk: FakeDisk;
+  readonly events: string[] = [];
+  log!: ReplicatedLog;
+  section!: RegisterSection;
+  clock!: VirtualClock;
+  #storage!: FakeStorage;
+  #cluster: LogCluster;
+  #rate: number;
+
+  constructor(cluster: LogCluster, address: FounderAddress, rate: number) {
+    this.#cluster = cluster;
+    this.address = address;
+    this.#rate = rate;
+    this.disk = new FakeDisk(cluster.random);
+  }
+
+  get isUp(): boolean {
+    return this.clock !== undefined && !this.clock.isEnded;
+  }
+
+  get isLeader(): boolean {
+    return this.isUp && this.log.leadership.isLeader;
+  }
+
+  /** Whether it holds a lease now. */
+  get hasLease(): boolean {
+    const until = this.isUp ? this.log.leaseUntil : undefined;
+    return until !== undefined && !this.clock.isPast(until);
+  }
+
+  async start(mode: "bootstrap" | "join" = "bootstrap"): Promise<void> {
+    const { time, network, random, founders, compaction, seen } = this.#cluster;
+    this.clock = new VirtualClock(time, this.#rate);
+    this.#storage = new FakeStorage(this.disk, this.clock);
+    const endpoint = network.connect(this.address.id, this.clock);
+    this.section = new RegisterSection(this.#storage, seen);
+    this.log = new ReplicatedLog(this.address, [this.section], {
+      rpc: endpoint,
+      server: endpoint,
+      storage: this.#storage,
+      clock: this.clock,
+      events: {
+        emit: (event: IEventDefinition, fields: unknown) => {
+          this.events.push(`${event.name} ${JSON.stringify(fields)}`);
+        },
+      },
+      founders,
+      start: mode,
+      timing: TIMING,
+      compaction,
+      random: () => random.integer(0, 999) / 1_000,
+    });
+    await this.log.start();
+  }
+
+  /** Ends the process and loses what is not synced. */
+  crash(): void {
+    this.clock.isEnded = true;
+    this.#storage.isEnded = true;
+    this.disk.crash();
+  }
+
+  /** Loses the whole data folder; the process must be down. */
+  loseDisk(): void {
+    this.disk.files.clear();
+  }
+
+  hasEvent(name: string): boolean {
+    return this.events.some((event) => event.startsWith(`${name} `));
+  }
+}
+
+/** Replicas in one process, on virtual time, with a record of outcomes. */
+export class LogCluster {
+  readonly time = new VirtualTime();
+  readonly random: SeededRandom;
+  readonly network: FakeNetwork;
+  readonly founders: FounderAddress[] = [];
+  readonly nodes: ClusterNode[] = [];
+  readonly compaction: ICompaction;
+  /** What any replica has applied at each index. */
+  readonly seen = new Map<number, string>();
+  /** Index by identifier of each acknowledged command. */
+  readonly acknowledged = new Map<string, number>();
+  #next = 0;
+
+  constructor(
+    voters: number,
+    seed: number,
+    compaction: Partial<ICompaction> = {},
+  ) {
+    this.random = new SeededRandom(seed);
+    this.network = new FakeNetwork(this.time, this.random);
+    this.compaction = { ...COMPACTION, ...compaction };
+    for (let index = 0; index < voters; index++) {
+      const address = {
+        id: `node-${index}`,
+        address: "127.0.0.1",
+        port: index,
+        failureDomain: `domain-${index % 3}`,
+      };
+      this.founders.push(address);
+      this.add(address);
+    }
+  }
+
+  /** Starts all nodes and waits for a leader. */
+  static async start(
+    voters: number,
+    seed: number,
+    compaction: Partial<ICompaction> = {},
+  ): Promise<LogCluster> {
+    const cluster = new LogCluster(voters, seed, compaction);
+    for (const node of cluster.nodes) void node.start();
+    await cluster.untilLeader();
+    return cluster;
+  }
+
+  /** Adds a node whose clock is off by at most the bound on drift. */
+  add(address: FounderAddress): ClusterNode {
+    const rate = 1 + this.random.integer(-20, 20) / 1_000;
+    const node = new ClusterNode(this, address, rate);
+    this.nodes.push(node);
+    return node;
+  }
+
+  get leader(): ClusterNode | undefined {
+    return this.nodes
+      .filter((node) => node.isLeader)
+      .sort((a, b) => b.log.leadership.term - a.log.leadership.term)[0];
+  }
+
+  get followers(): ClusterNode[] {
+    return this.nodes.filter((node) => node.isUp && node !== this.leader);
+  }
+
+  async untilLeader(): Promise<ClusterNode> {
+    await this.time.until("leader", () => this.leader?.hasLease ?? false);
+    const { leader } = this;
+    if (!leader) throw new Error("no leader");
+    return leader;
+  }
+
+  /** Proposes a new command; resolves with whether it is acknowledged. */
+  async propose(node = this.leader): Promise<boolean> {
+    if (!node) return false;
+    const id = `command-${this.#next++}`;
+    const { clock, log } = node;
+    const options = { deadline: clock.deadlineIn(PROPOSAL_MILLISECONDS) };
+    const answer = await log.propose("register", { id }, options);
+    if (answer.isErr() || clock.isEnded) return false;
+    this.acknowledged.set(id, (answer.value as { index: number }).index);
+    return true;
+  }
+
+  /** Proposes commands one after the other, each until acknowledged. */
+  async commit(count: number): Promise<void> {
+    const goal = this.acknowledged.size + count;
+    while (this.acknowledged.size < goal) {
+      await this.settle(this.propose());
+    }
+  }
+
+  /** Lets time pass until a promise is settled. */
+  async settle<T>(promise: Promise<T>): Promise<T> {
+    let isSettled = false;
+    const finish = () => isSettled = true;
+    void promise.then(finish, finish);
+    await this.time.until("settled", () => isSettled);
+    return await promise;
+  }
+
+  /** Waits until the nodes have applied the same commands. */
+  async untilEqual(nodes = this.nodes): Promise<void> {
+    const [first, ...others] = nodes;
+    const state = (node?: ClusterNode) => JSON.stringify(node?.section.items);
+    await this.time.until(
+      "equal",
+      () =>
+        others.every((node) => state(node) === state(first)) &&
+        nodes.every((node) => {
+          const { appliedIndex, commitIndex } = node.log.status();
+          return appliedIndex === commitIndex;
+        }),
+    );
+  }
+
+  /** What is wrong with the outcomes, after `untilEqual`. */
+  faults(nodes = this.nodes): string[] {
+    const faults: string[] = [];
+    for (const { address, section } of nodes) {
+      const indexes = new Map(section.items.map(([index, id]) => [id, index]));
+      if (indexes.size !== section.items.length) {
+        faults.push(`${address.id}: a command was applied twice`);
+      }
+      for (const [id, index] of this.acknowledged) {
+        if (indexes.get(id) === index) continue;
+        faults.push(`${address.id}: ${id} is not at ${index}`);
+      }
+    }
+    return faults;
+  }
+}
--- /dev/null
+++ b/testing/log_random_run.ts
@@ -0,0 +1,201 @@
+import { type ClusterNode, LogCluster } from "./log_cluster.ts";
+
+/** Length of the part with faults, in virtual milliseconds. */
+const FAULTS_MILLISECONDS = 30_000;
+
+const WORKERS = 4;
+
+/** What a randomised run has found. */
+export interface IRandomRunResult {
+  readonly faults: string[];
+  readonly acknowledged: number;
+  readonly actions: Map<string, number>;
+}
+
+/** Proposals and reads under random faults, then repair and a check. */
+export class RandomRun {
+  #cluster: LogCluster;
+  #faults = new Set<string>();
+  #actions = new Map<string, number>();
+  #isOver = false;
+  #generation = 0;
+
+  private constructor(cluster: LogCluster) {
+    this.#cluster = cluster;
+  }
+
+  static async run(voters: number, seed: number): Promise<IRandomRunResult> {
+    const cluster = await LogCluster.start(voters, seed);
+    const run = new RandomRun(cluster);
+    cluster.network.lossPercent = 3;
+    const workers = Array.from({ length: WORKERS }, () => run.#work());
+    await run.#disturb();
+    await run.#repair();
+    for (const worker of workers) await cluster.settle(worker);
+    await cluster.untilLeader();
+    await cluster.commit(1);
+    await cluster.untilEqual();
+    const faults = [...run.#faults, ...cluster.faults()];
+    const acknowledged = cluster.acknowledged.size;
+    return { faults, acknowledged, actions: run.#actions };
+  }
+
+  async #work(): Promise<void> {
+    const { random, time, nodes } = this.#cluster;
+    while (!this.#isOver) {
+      const node = random.pick(nodes);
+      if (node.isLeader && random.chance(20)) await this.#read(node);
+      else if (node.isLeader) await this.#propose(node);
+      const pause = random.integer(1, 40);
+      await new Promise<void>((resolve) => {
+        time.sleepUntil(time.now + pause, resolve);
+      });
+    }
+  }
+
+  /** A crash leaves calls of the ended process without an answer. */
+  async #propose(node: ClusterNode): Promise<void> {
+    await Promise.race([this.#cluster.propose(node), this.#patience()]);
+  }
+
+  async #read(node: ClusterNode): Promise<void> {
+    const { acknowledged } = this.#cluster;
+    const last = Math.max(0, ...acknowledged.values());
+    const { clock, log, section } = node;
+    const barrier = log.barrier({ deadline: clock.deadlineIn(500) }).then(
+      (answer) => {
+        if (answer.isErr() || clock.isEnded) return;
+        const seen = section.items.at(-1)?.[0] ?? 0;
+        if (seen < last) this.#faults.add(`read up to ${seen} after ${last}`);
+      },
+    );
+    await Promise.race([barrier, this.#patience()]);
+  }
+
+  #patience(): Promise<void> {
+    const { time } = this.#cluster;
+    return new Promise((resolve) => {
+      time.sleepUntil(time.now + 1_500, resolve);
+    });
+  }
+
+  async #disturb(): Promise<void> {
+    const { random, time } = this.#cluster;
+    const end = time.now + FAULTS_MILLISECONDS;
+    while (time.now < end) {
+      await time.pass(random.integer(50, 700), () => this.#checkLeases());
+      const action = this.#isQuorumWhole() || random.chance(15)
+        ? random.integer(0, 9)
+        : random.pick([3, 6, 10]);
+      if (action <= 2) this.#crash();
+      else if (action <= 4) this.#start();
+      else if (action === 5) this.#isolate();
+      else if (action === 6) this.#count("heal", this.#heal());
+      else if (action === 7) this.#breakDisk();
+      else if (action === 8) this.#transfer();
+      else if (action === 9) this.#loseDisk();
+      else this.#mendDisk();
+    }
+  }
+
+  /** Whether more than a bare quorum is healthy. */
+  #isQuorumWhole(): boolean {
+    const { nodes, network } = this.#cluster;
+    const healthy = nodes.filter((node) =>
+      node.isUp && !node.disk.isFailing &&
+      node.log.status().role !== "stopped" &&
+      !network.isolated.has(node.address.id)
+    );
+    return healthy.length > Math.floor(nodes.length / 2) + 1;
+  }
+
+  #mendDisk(): void {
+    for (const node of this.#cluster.nodes) {
+      node.disk.isFailing = false;
+      node.disk.syncMilliseconds = 1;
+      if (node.isUp && node.log.status().role === "stopped") node.crash();
+    }
+  }
+
+  async #repair(): Promise<void> {
+    const { network, nodes, time } = this.#cluster;
+    this.#heal();
+    network.lossPercent = 0;
+    this.#isOver = true;
+    this.#mendDisk();
+    for (const node of nodes) {
+      if (!node.isUp) await this.#cluster.settle(node.start());
+    }
+    await time.until(
+      "all are voters",
+      () => this.#leaderVoters().length === nodes.length,
+    );
+  }
+
+  #checkLeases(): void {
+    const holders = this.#cluster.nodes.filter((node) => node.hasLease);
+    if (holders.length < 2) return;
+    this.#faults.add(`two leases in ${this.#generation}`);
+  }
+
+  #count(action: string, _done: unknown): void {
+    this.#actions.set(action, (this.#actions.get(action) ?? 0) + 1);
+  }
+
+  #crash(): void {
+    const node = this.#cluster.random.pick(this.#cluster.nodes);
+    if (node.isUp) this.#count("crash", node.crash());
+  }
+
+  #start(): void {
+    const node = this.#cluster.nodes.find((node) => !node.isUp);
+    if (node) this.#count("start", node.start());
+  }
+
+  #isolate(): void {
+    const { network, random, nodes } = this.#cluster;
+    const { id } = random.pick(nodes).address;
+    this.#count("isolate", network.isolated.add(id));
+  }
+
+  #heal(): void {
+    this.#cluster.network.isolated.clear();
+  }
+
+  #breakDisk(): void {
+    const { disk } = this.#cluster.random.pick(this.#cluster.nodes);
+    if (this.#cluster.random.chance(50)) disk.syncMilliseconds = 200;
+    else disk.isFailing = !disk.isFailing;
+    this.#count("disk", undefined);
+  }
+
+  #transfer(): void {
+    const { leader } = this.#cluster;
+    if (!leader) return;
+    const deadline = leader.clock.deadlineIn(300);
+    this.#count("transfer", leader.log.transferLeadership({ deadline }));
+  }
+
+  /** Only while all are voters and up: more losses than a minority lose data. */
+  #loseDisk(): void {
+    const { nodes, random, leader, network } = this.#cluster;
+    const whole = nodes.every((node) => node.isUp && !node.disk.isFailing);
+    if (!leader || !whole || network.isolated.size > 0) return;
+    const isVoter = (node: ClusterNode) =>
+      !["learner", "stopped"].includes(node.log.status().role);
+    if (this.#leaderVoters().length < nodes.length) return;
+    if (!nodes.every(isVoter)) return;
+    const node = random.pick(nodes);
+    node.crash();
+    node.loseDisk();
+    this.#generation += 1;
+    this.#count("lose disk", node.start());
+  }
+
+  #leaderVoters() {
+    const { leader } = this.#cluster;
+    if (!leader) return [];
+    const { voters, learners } = leader.log.status();
+    return learners.length > 0 ? [] : voters;
+  }
+}
