--- /dev/null
+++ b/measure/consensus.ts
@@ -0,0 +1,226 @@
+// Measures the replicated log: node dist/measure/consensus.js
+import { type ChildProcess, fork } from "node:child_process";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import { reservePorts } from "../testing/ports.ts";
+import type {
+  ILoadReport,
+  IVoterReport,
+  VoterOrder,
+  VoterSettings,
+} from "./consensus_voter.ts";
+import { readUsage } from "./process_usage.ts";
+import { median, quantile } from "./statistics.ts";
+
+const VOTER = fileURLToPath(new URL("./consensus_voter.js", import.meta.url));
+const RUNS = 3;
+const LOAD_MILLISECONDS = 2_000;
+const IDLE_MILLISECONDS = 20_000;
+const NO_MAXIMUM = 1_000_000;
+const NO_COMPACTION = 10_000_000;
+const MEMORY_ENTRIES = 8_000;
+const MEMORY_ENTRY_BYTES = 200;
+
+interface IVoter {
+  readonly settings: VoterSettings;
+  process: ChildProcess;
+}
+
+/** Voters in processes of their own, on loopback and in a folder. */
+class VoterGroup {
+  readonly voters: IVoter[] = [];
+  #folder: string;
+
+  private constructor(folder: string) {
+    this.#folder = folder;
+  }
+
+  static async start(
+    count: number,
+    compactionEntries = 10_000,
+  ): Promise<VoterGroup> {
+    const group = new VoterGroup(await mkdtemp(join(tmpdir(), "consensus-")));
+    const ports = await reservePorts(count);
+    const voters = ports.map((port, index) => ({
+      id: `voter-${index}`,
+      address: "127.0.0.1",
+      port,
+      failureDomain: `domain-${index}`,
+    }));
+    const starts = voters.map(async ({ id }) => {
+      const folder = join(group.#folder, id);
+      const settings = { id, folder, voters, compactionEntries };
+      group.voters.push({ settings, process: await startVoter(settings) });
+    });
+    await Promise.all(starts);
+    return group;
+  }
+
+  async report(voter: IVoter, collect = false): Promise<IVoterReport> {
+    return await ask<IVoterReport>(voter, { kind: "report", collect });
+  }
+
+  async leader(): Promise<IVoter> {
+    for (;;) {
+      for (const voter of this.voters) {
+        if ((await this.report(voter)).isLeader) return voter;
+      }
+      await sleep(50);
+    }
+  }
+
+  async load(
+    proposers: number,
+    bytes: number,
+    maximum = NO_MAXIMUM,
+  ): Promise<ILoadReport> {
+    const milliseconds = maximum === NO_MAXIMUM ? LOAD_MILLISECONDS : 60_000;
+    const order = { kind: "load", proposers, bytes, milliseconds, maximum };
+    return await ask<ILoadReport>(await this.leader(), order as VoterOrder);
+  }
+
+  async restart(voter: IVoter): Promise<void> {
+    await end(voter.process);
+    voter.process = await startVoter(voter.settings);
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.voters.map((voter) => end(voter.process)));
+    await rm(this.#folder, { recursive: true, force: true });
+  }
+}
+
+function startVoter(settings: VoterSettings): Promise<ChildProcess> {
+  const child = fork(VOTER, [JSON.stringify(settings)], {
+    execArgv: ["--expose-gc"],
+  });
+  return new Promise((resolve) => child.once("message", () => resolve(child)));
+}
+
+function ask<T>(voter: IVoter, order: VoterOrder): Promise<T> {
+  return new Promise((resolve) => {
+    voter.process.once("message", (answer) => resolve(answer as T));
+    voter.process.send(order);
+  });
+}
+
+function end(child: ChildProcess): Promise<void> {
+  return new Promise((resolve) => {
+    child.once("exit", () => resolve());
+    child.kill("SIGKILL");
+  });
+}
+
+async function measureCommits(voters: number): Promise<void> {
+  const group = await VoterGroup.start(voters);
+  for (const bytes of [200, 4_000]) {
+    for (const proposers of [1, 16, 128]) {
+      const rates: number[] = [];
+      const medians: number[] = [];
+      const tails: number[] = [];
+      for (let run = 0; run < RUNS; run++) {
+        const load = await group.load(proposers, bytes);
+        rates.push(load.latencies.length / load.milliseconds * 1_000);
+        medians.push(median(load.latencies));
+        tails.push(quantile(load.latencies, 0.99));
+      }
+      row([
+        `${voters} voters`,
+        `${proposers} proposers`,
+        `${bytes} B`,
+        `${median(rates).toFixed(0)} commits/s`,
+        `p50 ${median(medians).toFixed(2)} ms`,
+        `p99 ${median(tails).toFixed(2)} ms`,
+      ]);
+    }
+  }
+  await group.stop();
+}
+
+export async function measureIdle(voters: number): Promise<void> {
+  const group = await VoterGroup.start(voters);
+  const leader = await group.leader();
+  await sleep(2_000);
+  const reports = (voter: IVoter) =>
+    Promise.all([
+      readUsage(voter.process.pid ?? 0),
+      group.report(voter),
+    ]);
+  const before = await Promise.all(group.voters.map(reports));
+  await sleep(IDLE_MILLISECONDS);
+  const after = await Promise.all(group.voters.map(reports));
+  for (const [index, voter] of group.voters.entries()) {
+    const [usage, report] = after[index]!;
+    const [earlierUsage, earlierReport] = before[index]!;
+    const processor = usage.processorMilliseconds -
+      earlierUsage.processorMilliseconds;
+    const bytes = report.bytesSent + report.bytesReceived -
+      earlierReport.bytesSent - earlierReport.bytesReceived;
+    row([
+      `${voters} voters idle`,
+      voter === leader ? "leader" : "follower",
+      `${(processor / IDLE_MILLISECONDS * 100).toFixed(2)}% of a core`,
+      `${(bytes / IDLE_MILLISECONDS).toFixed(2)} KB/s by its own calls`,
+      `${usage.anonymousMegabytes.toFixed(1)} MB anonymous`,
+    ]);
+  }
+  await group.stop();
+}
+
+async function measureMemory(): Promise<void> {
+  const sizes: number[] = [];
+  for (let run = 0; run < RUNS; run++) {
+    const group = await VoterGroup.start(1, NO_COMPACTION);
+    const voter = await group.leader();
+    await group.load(64, MEMORY_ENTRY_BYTES, 500);
+    const before = await group.report(voter, true);
+    await group.load(64, MEMORY_ENTRY_BYTES, MEMORY_ENTRIES);
+    const after = await group.report(voter, true);
+    const entries = after.appliedIndex - before.appliedIndex;
+    sizes.push((after.heapBytes - before.heapBytes) / entries);
+    await group.stop();
+  }
+  row([
+    `memory of an entry of ${MEMORY_ENTRY_BYTES} B`,
+    `${median(sizes).toFixed(0)} B`,
+  ]);
+}
+
+async function measureRestart(): Promise<void> {
+  const group = await VoterGroup.start(1, NO_COMPACTION);
+  const voter = await group.leader();
+  for (const entries of [1_000, 9_000, 40_000]) {
+    await group.load(64, MEMORY_ENTRY_BYTES, entries);
+    const times: number[] = [];
+    for (let run = 0; run < RUNS; run++) {
+      await group.restart(voter);
+      times.push((await group.report(voter)).startMilliseconds);
+    }
+    const { appliedIndex } = await group.report(voter);
+    row([
+      `restart with ${appliedIndex} entries`,
+      `${median(times).toFixed(0)} ms`,
+    ]);
+  }
+  await group.stop();
+}
+
+function row(cells: readonly string[]): void {
+  console.log(cells.map((cell) => cell.padEnd(16)).join("  "));
+}
+
+/** Measures commits, rest, memory and restarts, and prints a table. */
+export async function measureConsensus(): Promise<void> {
+  for (const voters of [1, 3, 5]) await measureCommits(voters);
+  for (const voters of [1, 3, 5]) await measureIdle(voters);
+  await measureMemory();
+  await measureRestart();
+}
+
+if (process.argv[1] === fileURLToPath(import.meta.url)) {
+  await measureConsensus();
+}
--- /dev/null
+++ b/src/consensus/control_client_test.ts
@@ -0,0 +1,83 @@
+import test from "ava";
+import { err, ok } from "neverthrow";
+import { mayHaveRun } from "../common/mod.ts";
+import { FakeNetwork } from "../../testing/fake_network.ts";
+import { LogCluster } from "../../testing/log_cluster.ts";
+import { SeededRandom } from "../../testing/seeded_random.ts";
+import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
+import { ControlClient } from "./control_client.ts";
+import { proposeMethod, statusMethod } from "./messages.ts";
+
+const SILENT = { id: "silent", address: "127.0.0.1", port: 1 };
+
+function clientOf(cluster: LogCluster): ControlClient {
+  const clock = new VirtualClock(cluster.time);
+  const rpc = cluster.network.connect("client", clock);
+  return new ControlClient(() => cluster.founders, rpc, { clock });
+}
+
+test("leader found after an election", async (t) => {
+  const cluster = await LogCluster.start(3, 1);
+  const client = clientOf(cluster);
+  const clock = new VirtualClock(cluster.time);
+  const propose = (id: string) =>
+    cluster.settle(client.call(proposeMethod, {
+      section: "register",
+      command: { id },
+    }, { deadline: clock.deadlineIn(5_000) }));
+  t.true((await propose("a")).isOk());
+  cluster.leader?.crash();
+  t.true((await propose("b")).isOk());
+});
+
+test("silent voter holds nobody up", async (t) => {
+  const cluster = await LogCluster.start(3, 2);
+  cluster.network.isolated.add(cluster.followers[0]?.address.id ?? "");
+  const client = clientOf(cluster);
+  const { time } = cluster;
+  const deadline = new VirtualClock(time).deadlineIn(5_000);
+  const begun = time.now;
+  const params = { section: "register", command: { id: "a" } };
+  const answer = await cluster.settle(
+    client.call(proposeMethod, params, { deadline }),
+  );
+  t.true(answer.isOk());
+  t.true(time.now - begun < 500);
+});
+
+test("what may have run is not sent again", async (t) => {
+  const time = new VirtualTime();
+  const clock = new VirtualClock(time);
+  const network = new FakeNetwork(time, new SeededRandom(1));
+  let calls = 0;
+  for (const id of ["a", "b"]) {
+    const server = network.connect(id, clock);
+    server.handle(proposeMethod, () => {
+      calls += 1;
+      return Promise.resolve(err(mayHaveRun("unavailable", "gone")));
+    });
+    server.handle(statusMethod, () =>
+      Promise.resolve(ok({
+        id,
+        role: "leader" as const,
+        term: 1,
+        leader: id,
+        firstIndex: 1,
+        lastIndex: 1,
+        commitIndex: 1,
+        appliedIndex: 1,
+        voters: [],
+        learners: [],
+      })));
+  }
+  const voters = ["a", "b"].map((id) => ({ ...SILENT, id }));
+  const rpc = network.connect("client", clock);
+  const client = new ControlClient(() => voters, rpc, { clock });
+  const params = { section: "register", command: {} };
+  const answer = client.call(proposeMethod, params, {
+    deadline: clock.deadlineIn(3_000),
+  });
+  await time.pass(3_000);
+  t.is((await answer)._unsafeUnwrapErr().verdict, "may-have-run");
+  t.is(calls, 1);
+});
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -19,6 +19,12 @@
   result: logStatusSchema,
 });
 
+/** Reports the state of the leader; answered by the leader only. */
+export const leaderStatusMethod = defineMethod("consensus.leader-status", {
+  params: z.object({}),
+  result: logStatusSchema,
+});
+
 /** Head of every message between replicas. */
 export const replicaHeadSchema = z.object({
   /** Identity of the log. */
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -14,7 +14,8 @@
 import { Formation, type FounderAddress } from "./formation.ts";
 import { IdentityStore } from "./identity_store.ts";
 import { changeReplicasMethod, helloMethod, joinMethod } from "./messages.ts";
-import { proposeMethod, statusMethod } from "./messages.ts";
+import { leaderStatusMethod, proposeMethod } from "./messages.ts";
+import { statusMethod } from "./messages.ts";
 import { Replica } from "./replica.ts";
 import { DEFAULT_COMPACTION, type ICompaction } from "./state_machine.ts";
 import type { IStorage } from "./storage.ts";
@@ -197,6 +198,10 @@
       statusMethod,
       () => Promise.resolve(ok(this.status())),
     ));
+    add(server.handle(leaderStatusMethod, async (_, context) => {
+      const barrier = await this.barrier(context);
+      return barrier.map(() => this.status());
+    }));
     add(server.handle(helloMethod, () => Promise.resolve(this.#hello())));
     add(server.handle(joinMethod, async ({ member }, context) => {
       const { administrator, cluster } = this.#replica ?? {};
--- a/src/consensus/replicated_log_test.ts
+++ b/src/consensus/replicated_log_test.ts
@@ -1,5 +1,33 @@
 import test from "ava";
 import { LogCluster } from "../../testing/log_cluster.ts";
+import {
+  changeReplicasMethod,
+  helloMethod,
+  type ReplicaChange,
+  voteMethod,
+} from "./messages.ts";
+
+/** Gives an operator's order to the leader. */
+function order(cluster: LogCluster, change: ReplicaChange) {
+  const { leader, network } = cluster;
+  if (!leader) throw new Error("no leader");
+  const rpc = network.endpoints.get("operator") ??
+    network.connect("operator", leader.clock);
+  return rpc.call(leader.address, changeReplicasMethod, change, {
+    deadline: leader.clock.deadlineIn(5_000),
+  });
+}
+
+async function allVote(cluster: LogCluster): Promise<void> {
+  const { nodes, time } = cluster;
+  const roles = () => nodes.map((node) => node.log.status().role);
+  await time.until("all vote", () => {
+    const status = cluster.leader?.log.status();
+    return status?.voters.length === nodes.length && !roles().includes(
+      "learner",
+    );
+  });
+}
 
 test("three voters", async (t) => {
   const cluster = await LogCluster.start(3, 1);
@@ -11,9 +39,266 @@
 test("one voter", async (t) => {
   const cluster = await LogCluster.start(1, 2);
   await cluster.commit(100);
-  cluster.nodes[0]?.crash();
-  await cluster.nodes[0]?.start();
+  const [node] = cluster.nodes;
+  node?.crash();
+  await cluster.settle(node?.start() ?? Promise.resolve());
+  await cluster.untilLeader();
+  await cluster.commit(1);
+  t.deepEqual(cluster.faults(), []);
+});
+
+test("isolated leader steps down", async (t) => {
+  const cluster = await LogCluster.start(3, 3);
+  const old = await cluster.untilLeader();
+  const { network, time } = cluster;
+  network.isolated.add(old.address.id);
+  t.false(await cluster.settle(cluster.propose(old)));
+  await time.until("lease over", () => !old.hasLease && !old.isLeader);
+  const deadline = old.clock.deadlineIn(300);
+  t.true((await cluster.settle(old.log.barrier({ deadline }))).isErr());
+  await cluster.untilLeader();
+  await cluster.commit(5);
+  network.isolated.clear();
+  await cluster.untilEqual();
+  t.deepEqual(cluster.faults(), []);
+});
+
+test("restart after hundreds of commands", async (t) => {
+  const cluster = await LogCluster.start(3, 4);
+  await cluster.commit(300);
+  for (const node of cluster.nodes) {
+    const { firstIndex, lastIndex } = node.log.status();
+    t.true(lastIndex - firstIndex < 60);
+    t.true(node.disk.files.size < 8);
+    node.crash();
+  }
+  for (const node of cluster.nodes) await cluster.settle(node.start());
   await cluster.untilLeader();
   await cluster.commit(1);
+  await cluster.untilEqual();
+  t.deepEqual(cluster.faults(), []);
+});
+
+test("follower that missed hundreds", async (t) => {
+  const cluster = await LogCluster.start(3, 5);
+  await cluster.commit(1);
+  const [follower] = cluster.followers;
+  follower?.crash();
+  await cluster.commit(300);
+  await cluster.settle(follower?.start() ?? Promise.resolve());
+  await cluster.untilEqual();
+  t.true(follower?.hasEvent("snapshot-installed"));
+  t.deepEqual(cluster.faults(), []);
+});
+
+test("section that cannot be captured", async (t) => {
+  const cluster = await LogCluster.start(3, 6);
+  for (const { section } of cluster.nodes) section.isSnapshotFailing = true;
+  await cluster.commit(100);
+  t.true(cluster.nodes.every((node) => node.hasEvent("snapshot-failed")));
+  t.is(cluster.leader?.log.status().firstIndex, 1);
+  for (const node of cluster.nodes) node.crash();
+  for (const node of cluster.nodes) await cluster.settle(node.start());
+  await cluster.untilLeader();
+  await cluster.commit(1);
+  t.deepEqual(cluster.faults([cluster.leader ?? cluster.nodes[0]!]), []);
+});
+
+test("full disk leaves the quorum", async (t) => {
+  const cluster = await LogCluster.start(3, 7);
+  await cluster.commit(5);
+  const full = await cluster.untilLeader();
+  full.disk.freeBytes = 50;
+  t.false(await cluster.settle(cluster.propose(full)));
+  t.true(full.hasEvent("replica-failed"));
+  t.is(full.log.status().role, "stopped");
+  await cluster.untilLeader();
+  await cluster.commit(5);
+  full.crash();
+  full.disk.freeBytes = Number.POSITIVE_INFINITY;
+  await cluster.settle(full.start());
+  await cluster.untilEqual();
+  t.deepEqual(cluster.faults(), []);
+});
+
+test("full disk of the only voter", async (t) => {
+  const cluster = await LogCluster.start(1, 8);
+  await cluster.commit(5);
+  const [node] = cluster.nodes;
+  if (!node) return t.fail();
+  node.disk.freeBytes = 50;
+  t.false(await cluster.settle(cluster.propose()));
+  node.crash();
+  node.disk.freeBytes = Number.POSITIVE_INFINITY;
+  await cluster.settle(node.start());
+  await cluster.untilLeader();
+  t.deepEqual(cluster.faults(), []);
+});
+
+test("slow sync of the leader", async (t) => {
+  const cluster = await LogCluster.start(3, 9);
+  const leader = await cluster.untilLeader();
+  const { term } = leader.log.leadership;
+  leader.disk.syncMilliseconds = 700;
+  await cluster.commit(20);
+  t.is(leader.log.leadership.term, term);
+  leader.crash();
+  await cluster.untilLeader();
+  await cluster.settle(leader.start());
+  await cluster.untilEqual();
+  t.deepEqual(cluster.faults(), []);
+});
+
+test("leader's own sync counts", async (t) => {
+  const cluster = await LogCluster.start(3, 17);
+  const leader = await cluster.untilLeader();
+  const [away] = cluster.followers;
+  cluster.network.isolated.add(away?.address.id ?? "");
+  leader.disk.syncMilliseconds = 3_000;
+  t.false(await cluster.settle(cluster.propose(leader)));
+  await cluster.time.pass(4_000);
+  cluster.network.isolated.clear();
+  leader.disk.syncMilliseconds = 1;
+  await cluster.untilEqual();
   t.deepEqual(cluster.faults(), []);
 });
+
+test("vote asked of another data folder", async (t) => {
+  const cluster = await LogCluster.start(3, 18);
+  const leader = await cluster.untilLeader();
+  const [voter] = cluster.followers;
+  if (!voter) return t.fail();
+  const rpc = cluster.network.connect("candidate", leader.clock);
+  const deadline = leader.clock.deadlineIn(5_000);
+  const hello = rpc.call(voter.address, helloMethod, {}, { deadline });
+  const known = (await cluster.settle(hello))._unsafeUnwrap();
+  const ask = (to: string) =>
+    cluster.settle(rpc.call(voter.address, voteMethod, {
+      cluster: known.cluster ?? "",
+      to,
+      from: "candidate",
+      term: 100,
+      preVote: true,
+      transfer: true,
+      lastIndex: 1_000,
+      lastTerm: 100,
+    }, { deadline }));
+  t.true((await ask("lost-folder")).isErr());
+  t.true((await ask(known.storage))._unsafeUnwrap().granted);
+});
+
+test("lost disk returns as a learner", async (t) => {
+  const cluster = await LogCluster.start(3, 10);
+  await cluster.commit(100);
+  const [node] = cluster.followers;
+  if (!node) return t.fail();
+  const storageOf = () =>
+    cluster.leader?.log.status().voters.find(({ id }) =>
+      id === node.address.id
+    );
+  const before = storageOf();
+  node.crash();
+  node.loseDisk();
+  await cluster.settle(node.start());
+  t.is(node.log.status().role, "learner");
+  await allVote(cluster);
+  t.notDeepEqual(storageOf(), before);
+  await cluster.untilEqual();
+  t.deepEqual(cluster.faults(), []);
+});
+
+test("lost disks of two, one after the other", async (t) => {
+  const cluster = await LogCluster.start(3, 11);
+  await cluster.commit(50);
+  for (const node of [...cluster.nodes].slice(0, 2)) {
+    node.crash();
+    node.loseDisk();
+    await cluster.settle(node.start());
+    await cluster.untilLeader();
+    await allVote(cluster);
+    await cluster.commit(5);
+  }
+  cluster.nodes[2]?.crash();
+  await cluster.untilLeader();
+  await cluster.commit(5);
+  t.deepEqual(cluster.faults([cluster.leader ?? cluster.nodes[0]!]), []);
+});
+
+test("empty folders of two do not found a second log", async (t) => {
+  const cluster = await LogCluster.start(3, 12);
+  await cluster.commit(5);
+  const lost = cluster.followers;
+  for (const node of lost) {
+    node.crash();
+    node.loseDisk();
+  }
+  for (const node of lost) await cluster.settle(node.start());
+  await cluster.time.pass(10_000);
+  t.true(lost.every((node) => node.log.status().role === "learner"));
+  t.false(lost.some((node) => node.isLeader));
+});
+
+test("folder of another instance refused", async (t) => {
+  const cluster = await LogCluster.start(3, 13);
+  const [first, second] = cluster.nodes;
+  if (!first || !second) return t.fail();
+  first.crash();
+  second.crash();
+  first.disk.files = second.disk.files;
+  await cluster.settle(first.start());
+  t.is(first.log.status().role, "stopped");
+  t.true(first.hasEvent("replica-failed"));
+});
+
+test("members added, promoted and removed", async (t) => {
+  const cluster = await LogCluster.start(3, 14);
+  await cluster.commit(100);
+  const address = { ...cluster.founders[0]!, id: "node-3", port: 3 };
+  const node = cluster.add(address);
+  await cluster.settle(node.start("join"));
+  const learners = () => cluster.leader?.log.status().learners.length;
+  await cluster.time.until("learner", () => learners() === 1);
+  const voter = { id: "node-3" };
+  let promoted = false;
+  while (!promoted) {
+    const answer = order(cluster, { action: "promote", voter });
+    promoted = (await cluster.settle(answer)).isOk();
+  }
+  const [removed] = cluster.followers;
+  const leave = { id: removed?.address.id ?? "" };
+  const answer = order(cluster, { action: "remove", voter: leave });
+  t.true((await cluster.settle(answer)).isOk());
+  await cluster.commit(5);
+  const others = cluster.nodes.filter((it) => it !== removed);
+  await cluster.untilEqual(others);
+  t.deepEqual(cluster.faults(others), []);
+  t.is(cluster.leader?.log.status().voters.length, 3);
+});
+
+test("racing changes of the members", async (t) => {
+  const cluster = await LogCluster.start(5, 15);
+  await cluster.commit(5);
+  const answers = cluster.followers.map(({ address: { id } }) =>
+    order(cluster, { action: "remove", voter: { id } })
+  );
+  const results = await cluster.settle(Promise.all(answers));
+  t.is(results.filter((result) => result.isOk()).length, 1);
+  t.is(cluster.leader?.log.status().voters.length, 4);
+});
+
+test("leadership handed over", async (t) => {
+  const cluster = await LogCluster.start(3, 16);
+  await cluster.commit(5);
+  const old = await cluster.untilLeader();
+  const [target] = cluster.followers;
+  const voter = { id: target?.address.id ?? "" };
+  const begun = cluster.time.now;
+  const answer = order(cluster, { action: "transfer", voter });
+  t.true((await cluster.settle(answer)).isOk());
+  await cluster.time.until("target leads", () => target?.isLeader ?? false);
+  t.true(cluster.time.now - begun < 150);
+  t.false(old.isLeader);
+  await cluster.commit(5);
+  await cluster.settle(target?.log.stop() ?? Promise.resolve());
+  t.not(cluster.leader, target);
+});
--- /dev/null
+++ b/src/consensus/write_ahead_log_test.ts
@@ -0,0 +1,138 @@
+import test from "ava";
+import fc from "fast-check";
+import { FakeDisk, FakeStorage } from "../../testing/fake_storage.ts";
+import { SeededRandom } from "../../testing/seeded_random.ts";
+import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
+import { CorruptionError } from "./corruption_error.ts";
+import type { Entry } from "./entry.ts";
+import { WriteAheadLog } from "./write_ahead_log.ts";
+
+const SEGMENT_BYTES = 400;
+
+function open(seed = 1) {
+  const disk = new FakeDisk(new SeededRandom(seed));
+  disk.syncMilliseconds = 0;
+  return { disk, storage: reopen(disk) };
+}
+
+function reopen(disk: FakeDisk): FakeStorage {
+  return new FakeStorage(disk, new VirtualClock(new VirtualTime()));
+}
+
+function log(storage: FakeStorage): WriteAheadLog {
+  return new WriteAheadLog(storage, { segmentBytes: SEGMENT_BYTES });
+}
+
+function entry(index: number, term: number): Entry {
+  const body = { kind: "command" as const, section: "s", command: { index } };
+  return { index, term, proposedAt: term, body };
+}
+
+async function append(wal: WriteAheadLog, entries: Entry[]): Promise<void> {
+  const records = entries.map((entry) => JSON.stringify(entry));
+  await wal.append(records, entries.at(-1)?.index ?? 0);
+}
+
+/** Five frames in one segment. */
+async function filled(): Promise<FakeDisk> {
+  const { disk, storage } = open();
+  const wal = new WriteAheadLog(storage);
+  for (let index = 1; index <= 5; index++) {
+    await append(wal, [entry(index, 1)]);
+  }
+  return disk;
+}
+
+function onlySegment(disk: FakeDisk) {
+  const file = disk.files.get("log/000000000001.wal");
+  if (!file) throw new Error("no segment");
+  return file;
+}
+
+test("torn tail cut", async (t) => {
+  const disk = await filled();
+  const file = onlySegment(disk);
+  file.bytes = file.bytes.subarray(0, file.bytes.length - 3);
+  const recovered = await new WriteAheadLog(reopen(disk)).recover();
+  t.deepEqual(recovered.entries.map(({ index }) => index), [1, 2, 3, 4]);
+  t.true(recovered.cutBytes > 0);
+  const again = await new WriteAheadLog(reopen(disk)).recover();
+  t.is(again.cutBytes, 0);
+});
+
+test("corrupt middle refused", async (t) => {
+  for (const position of [0, 5, 9, 20, 130]) {
+    const disk = await filled();
+    const { bytes } = onlySegment(disk);
+    bytes[position] = (bytes[position] ?? 0) ^ 1;
+    const wal = new WriteAheadLog(reopen(disk));
+    await t.throwsAsync(wal.recover(), { instanceOf: CorruptionError });
+  }
+});
+
+test("missing segment refused", async (t) => {
+  const { disk, storage } = open();
+  const wal = log(storage);
+  for (let index = 1; index <= 30; index++) {
+    await append(wal, [entry(index, 1)]);
+  }
+  t.true(wal.segmentCount > 3);
+  disk.files.delete("log/000000000002.wal");
+  await t.throwsAsync(log(reopen(disk)).recover(), {
+    instanceOf: CorruptionError,
+  });
+});
+
+test("old segments removed", async (t) => {
+  const { disk, storage } = open();
+  const wal = log(storage);
+  for (let index = 1; index <= 60; index++) {
+    await append(wal, [entry(index, 1)]);
+    await wal.removeThrough(index - 10);
+  }
+  t.true(disk.files.size < 6);
+  const { entries } = await log(reopen(disk)).recover();
+  t.true((entries[0]?.index ?? 0) <= 51);
+  t.is(entries.at(-1)?.index, 60);
+});
+
+test("any writes and a crash", async (t) => {
+  // Each write goes back by some entries and appends some.
+  const write = fc.record({
+    back: fc.nat({ max: 3 }),
+    count: fc.integer({ min: 1, max: 4 }),
+  });
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(write, { minLength: 1, maxLength: 25 }),
+      fc.integer(),
+      async (writes, seed) => {
+        const { disk, storage } = open(seed);
+        const wal = log(storage);
+        let model: Entry[] = [];
+        let before: Entry[] = [];
+        for (const [term, { back, count }] of writes.entries()) {
+          before = model;
+          const kept = Math.max(0, model.length - back);
+          const added = Array.from(
+            { length: count },
+            (_, offset) => entry(kept + offset + 1, term),
+          );
+          model = [...model.slice(0, kept), ...added];
+          // The last write is not synced when the crash comes.
+          const isLast = term === writes.length - 1;
+          if (isLast) storage.sync = () => Promise.resolve();
+          await append(wal, added);
+        }
+        disk.crash();
+        const { entries } = await log(reopen(disk)).recover();
+        const expected = entries.length === model.length &&
+            entries.at(-1)?.term === model.at(-1)?.term
+          ? model
+          : before;
+        t.deepEqual(entries, expected);
+      },
+    ),
+    { seed: 7, numRuns: 300 },
+  );
+});
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -67,6 +67,7 @@
   OperatorsServer,
   reportRoutes,
   statusRoutes,
+  voterRoutes,
 } from "../operators/mod.ts";
 import {
   BalancedSelector,
@@ -260,6 +261,7 @@
         isReady: () => !stopping && configuration.current !== undefined,
       }),
       ...configurationRoutes(control, clock),
+      ...voterRoutes(control, clock),
       ...reportRoutes({
         explain: new ExplainCollector(heartbeat, rpc),
         burn: new BurnReporter(heartbeat, rpc, { configuration, clock }),
--- a/src/operators/mod.ts
+++ b/src/operators/mod.ts
@@ -5,3 +5,4 @@
 export * from "./report_routes.ts";
 export * from "./status_routes.ts";
 export * from "./types.ts";
+export * from "./voter_routes.ts";
