--- /dev/null
+++ b/src/settings/check_settings.ts
@@ -0,0 +1,117 @@
+import type { z } from "zod";
+
+/** Addresses that a listener may bind to but nobody can connect to. */
+const ANY_ADDRESSES = ["0.0.0.0", "::"];
+
+/** Address of a listener or a voter. */
+interface IEndpoint {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** What is checked across the fields of the settings. */
+export interface ICheckedSettings {
+  readonly instance: { readonly id: string; readonly failureDomain: string };
+  readonly callers: IEndpoint;
+  readonly peers: IEndpoint;
+  readonly operators: IEndpoint;
+  readonly voters: readonly (IEndpoint & {
+    readonly id: string;
+    readonly failureDomain: string;
+  })[];
+  readonly control?: { readonly start: "bootstrap" | "join" };
+}
+
+/** Reports a fault at a path, with what is allowed there. */
+type Report = (path: (string | number)[], allowed: string) => void;
+
+/**
+ * Reports settings that are well formed one by one but not together. Faults
+ * of single fields come first: others may only follow from them.
+ */
+export function checkSettings(
+  settings: ICheckedSettings,
+  context: z.core.$RefinementCtx,
+): void {
+  if (context.issues.length > 0) return;
+  const report: Report = (path, message) =>
+    context.addIssue({ code: "custom", path, message });
+  checkListeners(settings, report);
+  checkAddresses(settings, report);
+  checkVoters(settings, report);
+  checkDuty(settings, report);
+}
+
+/** Port 0 is chosen by the system and never meets another. */
+function checkListeners(settings: ICheckedSettings, report: Report): void {
+  const names = ["callers", "peers", "operators"] as const;
+  names.forEach((name, index) => {
+    const listener = settings[name];
+    const other = names.slice(0, index).find((earlier) =>
+      listener.port !== 0 && overlap(listener, settings[earlier])
+    );
+    if (other) report([name, "port"], `a port that ${other} does not use`);
+  });
+}
+
+function overlap(first: IEndpoint, second: IEndpoint): boolean {
+  if (first.port !== second.port) return false;
+  return first.address === second.address ||
+    ANY_ADDRESSES.includes(first.address) ||
+    ANY_ADDRESSES.includes(second.address);
+}
+
+function checkAddresses(settings: ICheckedSettings, report: Report): void {
+  const { peers, voters } = settings;
+  const reachable = "an IP number that other instances can connect to";
+  if (ANY_ADDRESSES.includes(peers.address)) {
+    report(["peers", "address"], reachable);
+  }
+  voters.forEach(({ address }, index) => {
+    if (ANY_ADDRESSES.includes(address)) {
+      report(["voters", index, "address"], reachable);
+    } else if (isLoopback(address) !== isLoopback(peers.address)) {
+      report(
+        ["voters", index, "address"],
+        "loopback addresses for peers and all voters, or for none",
+      );
+    }
+  });
+}
+
+function isLoopback(address: string): boolean {
+  return address.startsWith("127.") || address === "::1";
+}
+
+function checkVoters({ voters }: ICheckedSettings, report: Report): void {
+  voters.forEach((voter, index) => {
+    const earlier = voters.slice(0, index);
+    if (earlier.some(({ id }) => id === voter.id)) {
+      report(["voters", index, "id"], "an id that is given once");
+    }
+    const isTaken = earlier.some(({ address, port }) =>
+      port !== 0 && address === voter.address && port === voter.port
+    );
+    if (isTaken) {
+      report(["voters", index, "port"], "a port of this voter alone");
+    }
+  });
+}
+
+function checkDuty(settings: ICheckedSettings, report: Report): void {
+  const { instance, voters, control } = settings;
+  const index = voters.findIndex(({ id }) => id === instance.id);
+  const own = voters[index];
+  if (own && !control) {
+    report(["control"], `dataFolder, as voters lists ${instance.id}`);
+  }
+  if (own && own.failureDomain !== instance.failureDomain) {
+    report(["voters", index, "failureDomain"], "that of this instance");
+  }
+  if (!own && control?.start === "bootstrap") {
+    report(
+      ["control", "start"],
+      `"join", as voters does not list ${instance.id}`,
+    );
+  }
+}
--- /dev/null
+++ b/src/settings/describe_allowed.ts
@@ -0,0 +1,103 @@
+import { match, P } from "ts-pattern";
+import { z } from "zod";
+
+/** What is read of a JSON schema. */
+const nodeSchema = z.looseObject({
+  type: z.string().optional(),
+  description: z.string().optional(),
+  enum: z.array(z.unknown()).optional(),
+  minimum: z.number().optional(),
+  maximum: z.number().optional(),
+  exclusiveMinimum: z.number().optional(),
+  exclusiveMaximum: z.number().optional(),
+  minItems: z.number().optional(),
+  maxItems: z.number().optional(),
+  properties: z.record(z.string(), z.unknown()).optional(),
+  items: z.unknown().optional(),
+});
+type SchemaNode = z.infer<typeof nodeSchema>;
+
+/** Says in plain words what a schema allows at a path. */
+export function describeAllowed(
+  schema: z.ZodType,
+  path: readonly PropertyKey[],
+): string | undefined {
+  const node = nodeAt(schema, path);
+  return node && describeNode(node);
+}
+
+/** Fields that a schema knows at a path. */
+export function knownFields(
+  schema: z.ZodType,
+  path: readonly PropertyKey[],
+): string[] {
+  return Object.keys(nodeAt(schema, path)?.properties ?? {});
+}
+
+function nodeAt(
+  schema: z.ZodType,
+  path: readonly PropertyKey[],
+): SchemaNode | undefined {
+  const root = z.toJSONSchema(schema, { io: "input", unrepresentable: "any" });
+  let node: unknown = root;
+  for (const step of path) {
+    const { data } = nodeSchema.safeParse(node);
+    node = typeof step === "number"
+      ? data?.items
+      : data?.properties?.[String(step)];
+  }
+  return nodeSchema.safeParse(node).data;
+}
+
+function describeNode(node: SchemaNode): string {
+  if (node.description) return node.description;
+  if (node.enum) {
+    const values = node.enum.map((value) => JSON.stringify(value));
+    return `one of ${values.join(", ")}`;
+  }
+  return match(node.type)
+    .with("integer", () => describeNumber("a whole number", node))
+    .with("number", () => describeNumber("a number", node))
+    .with("boolean", () => "true or false")
+    .with("string", () => "a text that is not empty")
+    .with("array", () => describeList(node))
+    .with("object", () => describeObject(node))
+    .with(P.any, () => "another value")
+    .exhaustive();
+}
+
+function describeNumber(kind: string, node: SchemaNode): string {
+  const { exclusiveMinimum, exclusiveMaximum } = node;
+  if (exclusiveMinimum !== undefined && exclusiveMaximum !== undefined) {
+    return `${kind} above ${exclusiveMinimum} and below ${exclusiveMaximum}`;
+  }
+  if (exclusiveMinimum !== undefined) {
+    return `${kind} above ${exclusiveMinimum}`;
+  }
+  const minimum = boundOf(node.minimum);
+  const maximum = boundOf(node.maximum);
+  if (minimum === undefined) return kind;
+  if (maximum === undefined) return `${kind}, at least ${minimum}`;
+  return `${kind} from ${minimum} to ${maximum}`;
+}
+
+/** Bounds that come from the number format alone say nothing to a person. */
+function boundOf(value: number | undefined): number | undefined {
+  return value !== undefined && Number.isSafeInteger(value) &&
+      Math.abs(value) < Number.MAX_SAFE_INTEGER
+    ? value
+    : undefined;
+}
+
+function describeList({ minItems, maxItems }: SchemaNode): string {
+  if (maxItems !== undefined) {
+    return `a list of ${minItems ?? 0} to ${maxItems} entries`;
+  }
+  return minItems ? `a list of at least ${minItems} entry` : "a list";
+}
+
+function describeObject({ properties }: SchemaNode): string {
+  const names = Object.keys(properties ?? {});
+  if (names.length === 0) return "an object";
+  return `an object with ${names.join(", ")}`;
+}
--- a/src/settings/load_document.ts
+++ b/src/settings/load_document.ts
@@ -1,14 +1,15 @@
 import { readFile } from "node:fs/promises";
 import {
   findNodeAtLocation,
+  getNodeValue,
   type Node,
   type ParseError,
   parseTree,
   printParseErrorCode,
 } from "jsonc-parser";
-import { getNodeValue } from "jsonc-parser";
 import { err, ok, type Result } from "neverthrow";
 import type { z } from "zod";
+import { describeAllowed, knownFields } from "./describe_allowed.ts";
 
 /** A fault in a document, with the place where it stands. */
 export interface IDocumentFault {
@@ -22,6 +23,17 @@
   readonly allowed: string;
 }
 
+/** Steps to a field from the document's root. */
+type Path = (string | number)[];
+
+/** A document that is being checked. */
+interface ISource {
+  readonly text: string;
+  readonly tree: Node;
+  readonly schema: z.ZodType;
+  readonly file: string;
+}
+
 /** Longest excerpt of a document in a message, in characters. */
 const MAXIMUM_EXCERPT_CHARACTERS = 60;
 
@@ -60,15 +72,40 @@
   if (errors.length > 0 || !tree) {
     return err(errors.map((error) => syntaxFault(text, error, options.file)));
   }
+  const source = { text, tree, schema, file: options.file };
+  const repeated = repeatedFields(tree, []);
+  if (repeated.length > 0) {
+    return err(
+      repeated.map((path) =>
+        faultAt(path, source, "a field that is given once")
+      ),
+    );
+  }
   const checked = schema.safeParse(getNodeValue(tree));
   if (checked.success) return ok(checked.data);
   return err(
-    checked.error.issues.map((issue) =>
-      fieldFault(issue, { text, tree, file: options.file })
-    ),
+    checked.error.issues.flatMap((issue) => issueFaults(issue, source)),
   );
 }
 
+/** Paths of fields that an object has twice, of which JSON drops one. */
+function repeatedFields(node: Node, path: Path): Path[] {
+  const children = node.children ?? [];
+  if (node.type === "array") {
+    return children.flatMap((child, index) =>
+      repeatedFields(child, [...path, index])
+    );
+  }
+  const names = new Set<string>();
+  return children.flatMap(({ children: [key, value] = [] }) => {
+    if (!key || !value) return [];
+    const own = [...path, String(key.value)];
+    const isRepeated = names.has(String(key.value));
+    names.add(String(key.value));
+    return isRepeated ? [own] : repeatedFields(value, own);
+  });
+}
+
 function syntaxFault(
   text: string,
   error: ParseError,
@@ -83,13 +120,26 @@
   };
 }
 
-function fieldFault(
+/** Rules of the schema's own come with their words; others are described. */
+function issueFaults(
   issue: z.core.$ZodIssue,
-  source: { text: string; tree: Node; file: string },
-): IDocumentFault {
-  const unknownKey = issue.code === "unrecognized_keys" ? issue.keys[0] : "";
-  const path = unknownKey ? [...issue.path, unknownKey] : [...issue.path];
-  const place = nearestNode(source.tree, path as (string | number)[]);
+  source: ISource,
+): IDocumentFault[] {
+  const path = issue.path as Path;
+  if (issue.code === "unrecognized_keys") {
+    const known = knownFields(source.schema, path).join(", ");
+    return issue.keys.map((key) =>
+      faultAt([...path, key], source, `no such field; known here: ${known}`)
+    );
+  }
+  const allowed = issue.code === "custom"
+    ? issue.message
+    : describeAllowed(source.schema, path) ?? issue.message;
+  return [faultAt(path, source, allowed)];
+}
+
+function faultAt(path: Path, source: ISource, allowed: string): IDocumentFault {
+  const place = nearestNode(source.tree, path);
   return {
     file: source.file,
     line: lineAt(source.text, place.node.offset),
@@ -97,14 +147,14 @@
     found: place.exact
       ? excerpt(JSON.stringify(getNodeValue(place.node)))
       : "nothing",
-    allowed: unknownKey ? "no such field" : issue.message,
+    allowed,
   };
 }
 
 /** Finds the node at a path, or its closest ancestor that exists. */
 function nearestNode(
   tree: Node,
-  path: (string | number)[],
+  path: Path,
 ): { node: Node; exact: boolean } {
   for (let length = path.length; length > 0; length--) {
     const node = findNodeAtLocation(tree, path.slice(0, length));
@@ -113,9 +163,9 @@
   return { node: tree, exact: path.length === 0 };
 }
 
-function formatPath(path: PropertyKey[]): string {
+function formatPath(path: Path): string {
   const steps = path.map((step) =>
-    typeof step === "number" ? `[${step}]` : `.${String(step)}`
+    typeof step === "number" ? `[${step}]` : `.${step}`
   );
   return steps.join("").replace(/^\./, "") || "(document)";
 }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -1,17 +1,25 @@
 import { isIP } from "node:net";
 import { z } from "zod";
+import { checkSettings } from "./check_settings.ts";
+
+/** What names look like, in words. */
+const NAME_ALLOWED =
+  "a name of 1 to 63 lower-case letters, digits, '.', '_' or '-'";
+
+/** What addresses look like, in words. */
+const IP_NUMBER_ALLOWED = "an IP number such as 127.0.0.1";
 
 /** Names of instances, failure domains, callers, services and targets. */
 export const nameSchema = z.string().regex(
   /^[a-z0-9][a-z0-9._-]{0,62}$/,
-  "a name of 1 to 63 lower-case letters, digits, '.', '_' or '-'",
-);
+  NAME_ALLOWED,
+).meta({ description: NAME_ALLOWED });
 
 /** An IP number; host names are not resolved. */
 export const ipNumberSchema = z.string().refine(
   (value) => isIP(value) !== 0,
-  "an IP number such as 127.0.0.1",
-);
+  IP_NUMBER_ALLOWED,
+).meta({ description: IP_NUMBER_ALLOWED });
 
 /** A TCP port; 0 lets the system choose one. */
 export const portSchema = z.int().min(0).max(65_535);
@@ -62,5 +70,5 @@
   log: z.strictObject({
     level: z.enum(["debug", "info", "warn", "error"]).default("info"),
   }).prefault({}),
-});
+}).superRefine(checkSettings);
 export type Settings = z.infer<typeof settingsSchema>;
