--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -1,5 +1,13 @@
-import { randomUUID } from "node:crypto";
+import { randomInt, randomUUID } from "node:crypto";
 import { join } from "node:path";
+import {
+  FleetAdmission,
+  LatencyEstimates,
+  LimitOwners,
+  RetryBudget,
+  ServiceGate,
+} from "../admission/mod.ts";
+import { LiveActivity, LocalLoadView } from "../allotment/mod.ts";
 import {
   BurnReporter,
   handleServiceLevels,
@@ -18,12 +26,13 @@
   proposeMethod,
   SingleVoterLog,
 } from "../consensus/mod.ts";
-import { Dispatcher } from "../dispatch/mod.ts";
+import { Dispatcher, PlainDispatcher } from "../dispatch/mod.ts";
 import {
   BatchesEndpoint,
   CallersServer,
   FilesEndpoint,
   GenerationEndpoint,
+  LiveRecorder,
   ModelsEndpoint,
   PlainEndpoint,
 } from "../entry/mod.ts";
@@ -52,18 +61,27 @@
   defineProcessMetrics,
   Metrics,
 } from "../metrics/mod.ts";
+import { OperationLedger, OperationsSection } from "../operations/mod.ts";
 import {
   configurationRoutes,
   OperatorsServer,
   reportRoutes,
   statusRoutes,
 } from "../operators/mod.ts";
-import { LeastLoadedSelector } from "../routing/mod.ts";
+import {
+  BalancedSelector,
+  LoadReportPoller,
+  SeededRandom,
+  TargetHealth,
+} from "../routing/mod.ts";
 import { RpcClient, RpcServer } from "../rpc/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { HttpEngineAdapter, HttpPlainAdapter } from "../targets/mod.ts";
 import type { IDaemon } from "./types.ts";
 
+/** Bound of the seeds of random choices. */
+const MAXIMUM_SEED = 0x7fffffff;
+
 /** Wires the parts of a daemon; nothing else chooses implementations. */
 export async function startDaemon(
   settings: Settings,
@@ -74,7 +92,7 @@
   const metrics = new Metrics();
   const events = new CountingEventLog(eventLog, metrics);
   store.add(defineProcessMetrics(metrics));
-  const traces = new TraceRecorder(settings.instance.id, clock);
+  const trace = new TraceRecorder(settings.instance.id, clock);
   const serviceLevels = new ServiceLevelRecorder(clock);
   const server = store.add(new RpcServer(clock, events));
   const peerPort = await server.listen(
@@ -120,7 +138,8 @@
   if (settings.control) {
     const section = new ConfigurationSection();
     const jobs = new JobsSection(join(settings.control.dataFolder, "jobs"));
-    log = new SingleVoterLog(self, [section, jobs], { clock });
+    const sections = [section, jobs, new OperationsSection()];
+    log = new SingleVoterLog(self, sections, { clock });
     await log.start(join(settings.control.dataFolder, "log"));
     const replica = log;
     server.handle(proposeMethod, async ({ section, command }) => {
@@ -142,14 +161,74 @@
     store.add(new LeaseManager(log, jobs, { clock, server }));
   }
 
-  store.add(handleExplain(server, traces));
+  store.add(handleExplain(server, trace));
   store.add(handleServiceLevels(server, serviceLevels));
 
+  const { failureDomain } = settings.instance;
+  const random = new SeededRandom(randomInt(MAXIMUM_SEED));
   const engines = store.add(new HttpEngineAdapter(clock));
   const plainTargets = store.add(new HttpPlainAdapter(clock));
-  const selector = new LeastLoadedSelector(configuration, availability);
-  const dispatcher = new Dispatcher(selector, engines, { clock });
-  const jobs = new JobGateway(control);
+  const health = new TargetHealth({ clock, random, events });
+  const activity = store.add(new LiveActivity());
+  const load = new LocalLoadView(activity);
+  const reports = store.add(
+    new LoadReportPoller(engines, configuration, { clock }),
+  );
+  const estimates = new LatencyEstimates(clock);
+  const budgets = { live: new RetryBudget(), batch: new RetryBudget() };
+  const selector = new BalancedSelector(configuration, {
+    clock,
+    random,
+    failureDomain,
+    activity,
+    load,
+    reports,
+    health,
+    availability,
+  });
+  const dispatcher = new Dispatcher({
+    selector,
+    engines,
+    clock,
+    budgets,
+    estimates,
+    trace,
+    random,
+  });
+  const plainDispatcher = new PlainDispatcher({
+    targets: plainTargets,
+    clock,
+    random,
+    failureDomain,
+    health,
+    availability,
+    budget: budgets.live,
+    trace,
+  });
+  const owners = store.add(
+    new LimitOwners(rpc, server, {
+      clock,
+      configuration,
+      membership: heartbeat,
+    }),
+  );
+  const gate = new ServiceGate({
+    clock,
+    configuration,
+    load,
+    health,
+    availability,
+    estimates,
+  });
+  const admission = store.add(new FleetAdmission({ clock, owners, gate }));
+  const operations = new OperationLedger(control, { clock, events });
+  const recorder = new LiveRecorder({
+    clock,
+    trace,
+    serviceLevels,
+    metrics,
+  });
+  const jobs = new JobGateway(control, clock);
   const items = new ItemRunner(dispatcher, configuration, { clock });
   const runner = store.add(
     new JobRunner(control, items, { configuration, clock }),
@@ -157,11 +236,16 @@
 
   const callers = store.add(
     new CallersServer(configuration, [
-      new GenerationEndpoint(dispatcher, clock),
+      new GenerationEndpoint(dispatcher, {
+        clock,
+        admission,
+        operations,
+        recorder,
+      }),
       new ModelsEndpoint(),
       new FilesEndpoint(jobs, clock),
       new BatchesEndpoint(jobs, clock),
-      new PlainEndpoint(plainTargets, clock),
+      new PlainEndpoint(plainDispatcher, { clock, admission, operations }),
     ], { events }),
   );
   let stopping = false;
@@ -184,6 +268,8 @@
 
   platform?.start();
   heartbeat.start();
+  reports.start();
+  admission.start();
   runner.start();
   const ports = {
     callers: await callers.listen(
