Connections that go silent are probed with a new one and replaced

Shown to fail with one mechanism off at a time: no probe ('silent connection is replaced'), no doubt ('silent connection with short calls'), no wait for the drain ('peer that reads no answers'), no congestion check ('peer that reads no calls'); without the check of frames the test run hung and was ended by hand.

--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -66,6 +66,7 @@
  * instance, so news arrives at once and the number of calls stays the same.
  */
 export const heartbeatMethod = defineMethod("membership.heartbeat", {
+  lane: "control",
   params: z.object({
     instance: instanceSchema,
     revision: fleetRevisionSchema,
--- a/src/rpc/define_method.ts
+++ b/src/rpc/define_method.ts
@@ -1,10 +1,10 @@
 import type { z } from "zod";
-import type { IRpcMethod } from "./types.ts";
+import type { IRpcMethod, RpcLane } from "./types.ts";
 
 /** Defines a method; each slice keeps its own in `messages.ts`. */
 export function defineMethod<P extends z.ZodType, R extends z.ZodType>(
   name: string,
-  schemas: { params: P; result: R },
+  options: { params: P; result: R; lane?: RpcLane },
 ): IRpcMethod<P, R> {
-  return { name, ...schemas };
+  return { name, ...options };
 }
--- a/src/rpc/events.ts
+++ b/src/rpc/events.ts
@@ -4,8 +4,9 @@
 export const connectionSilent = defineEvent(300, "connection-silent", {
   level: "warn",
   help:
-    "A connection to a peer carried nothing while calls waited on it. It was " +
-    "closed; the next call opens a new one. The peer is not considered down.",
+    "A connection to a peer carried nothing while calls waited on it, and a " +
+    "new connection was answered. The new one took its place; the peer is " +
+    "not considered down.",
   fields: { peer: z.string(), address: z.string(), pendingCalls: z.number() },
 });
 
@@ -15,3 +16,17 @@
     "closed. Check that only figroad instances use the peer port.",
   fields: { address: z.string(), reason: z.string() },
 });
+
+export const peerSilent = defineEvent(302, "peer-silent", {
+  level: "warn",
+  help: "Calls wait on a silent connection, and a new connection to the peer " +
+    "was not answered either: the peer is stopped, overloaded or cut off. " +
+    "Its calls run to their deadlines.",
+  fields: { peer: z.string(), address: z.string(), pendingCalls: z.number() },
+});
+
+export const slowReaderClosed = defineEvent(303, "slow-reader-closed", {
+  level: "warn",
+  help: "A peer did not read its answers; its connection was closed.",
+  fields: { address: z.string(), bufferedBytes: z.number() },
+});
--- a/src/rpc/frame_reader.ts
+++ b/src/rpc/frame_reader.ts
@@ -19,6 +19,7 @@
     const pieces = this.#decoder.write(bytes).split("\n");
     const frames: string[] = [];
     for (const piece of pieces.slice(0, -1)) {
+      this.#check(this.#length + piece.length);
       frames.push(this.#parts.join("") + piece);
       this.#parts = [];
       this.#length = 0;
@@ -31,7 +32,11 @@
     if (piece === "") return;
     this.#parts.push(piece);
     this.#length += piece.length;
-    if (this.#length > MAXIMUM_FRAME_CHARACTERS) {
+    this.#check(this.#length);
+  }
+
+  #check(length: number): void {
+    if (length > MAXIMUM_FRAME_CHARACTERS) {
       throw new RangeError("frame exceeds the maximum length");
     }
   }
--- a/src/rpc/rpc_connection.ts
+++ b/src/rpc/rpc_connection.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import { connect, type Socket } from "node:net";
 import {
   createJSONRPCErrorResponse,
@@ -5,19 +6,40 @@
   type JSONRPCResponse,
 } from "json-rpc-2.0";
 import type { Deadline, IClock, IDisposable } from "../common/mod.ts";
-import { FrameReader } from "./frame_reader.ts";
-import type { Envelope } from "./messages.ts";
+import { FrameReader, MAXIMUM_FRAME_CHARACTERS } from "./frame_reader.ts";
+import { type Envelope, pingMethod } from "./messages.ts";
 import type { IRpcStatistics, PeerAddress } from "./types.ts";
 
 /** How long a connection may take to open, in milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
 
+/** Longest wait for an answer, in milliseconds. */
+const MAXIMUM_WAIT_MILLISECONDS = 86_400_000;
+
+/** Silence after which a timed-out call casts doubt, in milliseconds. */
+const DOUBT_AFTER_MILLISECONDS = 1_000;
+
+/** Written bytes that may wait for the peer to read them. */
+const MAXIMUM_BUFFERED_BYTES = 16 * 1024 * 1024;
+
 /** JSON-RPC error code for a call that got no answer in time. */
 export const TIMEOUT_ERROR_CODE = -32001;
 
 /** JSON-RPC error code for a call whose connection closed. */
 export const CLOSED_ERROR_CODE = -32002;
 
+/** JSON-RPC error code for a call that was not written. */
+export const NOT_WRITTEN_ERROR_CODE = -32003;
+
+/** JSON-RPC error code for a call that is longer than a frame may be. */
+export const TOO_LARGE_ERROR_CODE = -32004;
+
+/** Collaborators of a connection. */
+export interface IRpcConnectionOptions {
+  readonly clock: IClock;
+  readonly statistics: IRpcStatistics;
+}
+
 /** One connection to a peer; a task reads it until it closes. */
 export class RpcConnection implements IDisposable {
   readonly peer: PeerAddress;
@@ -25,23 +47,29 @@
   #statistics: IRpcStatistics;
   #socket: Socket;
   #client: JSONRPCClient;
-  #pending = new Map<number, Deadline>();
+  #pending = new Set<number>();
   #nextId = 1;
   #lastReceived: Deadline;
+  #lastUsed: Deadline;
+  /** When calls began to go unanswered; undefined when none does. */
+  #unansweredSince: Deadline | undefined;
+  /** Whether a call timed out since bytes last arrived. */
+  #hasTimedOut = false;
   #closed = false;
 
   constructor(
     peer: PeerAddress,
     socket: Socket,
-    options: { clock: IClock; statistics: IRpcStatistics },
+    options: IRpcConnectionOptions,
   ) {
     this.peer = peer;
     this.#clock = options.clock;
     this.#statistics = options.statistics;
     this.#socket = socket;
     this.#lastReceived = options.clock.monotonic();
+    this.#lastUsed = this.#lastReceived;
     this.#client = new JSONRPCClient(
-      (request) => this.#send(JSON.stringify(request)),
+      (request) => this.#send(request),
       () => this.#nextId++,
     );
     void this.#read();
@@ -50,7 +78,7 @@
   /** Opens a connection. Rejects when the peer cannot be reached in time. */
   static open(
     peer: PeerAddress,
-    options: { clock: IClock; statistics: IRpcStatistics },
+    options: IRpcConnectionOptions,
   ): Promise<RpcConnection> {
     return new Promise((resolve, reject) => {
       const socket = connect({ host: peer.address, port: peer.port });
@@ -72,19 +100,34 @@
     return this.#closed;
   }
 
+  /** Whether so much waits to be written that new calls must not. */
+  get isCongested(): boolean {
+    return this.#socket.writableLength > MAXIMUM_BUFFERED_BYTES;
+  }
+
   get pendingCalls(): number {
     return this.#pending.size;
   }
 
-  /** Age of the longest waiting call, in milliseconds; 0 when none waits. */
-  get oldestPendingAge(): number {
-    const [oldest] = this.#pending.values();
-    return oldest === undefined ? 0 : this.#clock.monotonic() - oldest;
+  /** Whether calls timed out and nothing has arrived for a while. */
+  get isDoubtful(): boolean {
+    return this.#hasTimedOut && this.silence > DOUBT_AFTER_MILLISECONDS;
+  }
+
+  /**
+   * Time in which nothing arrived although calls had been sent, in
+   * milliseconds. Calls that timed out count, so a connection with many
+   * short calls is found as well.
+   */
+  get silence(): number {
+    if (this.#unansweredSince === undefined) return 0;
+    return this.#clock.monotonic() - this.#unansweredSince;
   }
 
-  /** Point at which bytes last arrived. */
-  get lastReceived(): Deadline {
-    return this.#lastReceived;
+  /** Time since the latest call or answer, in milliseconds. */
+  get idle(): number {
+    const latest = Math.max(this.#lastUsed, this.#lastReceived);
+    return this.#clock.monotonic() - latest;
   }
 
   /** Sends a request and resolves with its answer or an error response. */
@@ -94,33 +137,58 @@
     deadline: Deadline,
   ): Promise<JSONRPCResponse> {
     const id = this.#nextId++;
-    this.#pending.set(id, this.#clock.monotonic());
+    this.#lastUsed = this.#clock.monotonic();
+    this.#unansweredSince ??= this.#lastUsed;
+    this.#pending.add(id);
+    const wait = Math.min(
+      this.#clock.remaining(deadline),
+      MAXIMUM_WAIT_MILLISECONDS,
+    );
     const response = await this.#client
       .timeout(
-        this.#clock.remaining(deadline),
+        wait,
         (id) => createJSONRPCErrorResponse(id, TIMEOUT_ERROR_CODE, "timeout"),
       )
       .requestAdvanced({ jsonrpc: "2.0", id, method, params: envelope });
     this.#pending.delete(id);
+    this.#hasTimedOut ||= response.error?.code === TIMEOUT_ERROR_CODE;
     return response;
   }
 
+  /** Resolves with whether the peer answered before the deadline. */
+  async ping(from: string, deadline: Deadline): Promise<boolean> {
+    const remaining = this.#clock.remaining(deadline);
+    const envelope = { from, remaining, body: {} };
+    const answer = await this.request(pingMethod.name, envelope, deadline);
+    return answer.error === undefined;
+  }
+
   /** Closes the connection; waiting calls end with a closed error. */
   dispose(): void {
     if (this.#closed) return;
     this.#closed = true;
     this.#socket.destroy();
-    for (const id of [...this.#pending.keys()]) {
+    for (const id of [...this.#pending]) {
       this.#client.receive(
         createJSONRPCErrorResponse(id, CLOSED_ERROR_CODE, "connection closed"),
       );
     }
   }
 
-  #send(frame: string): Promise<void> {
-    if (!this.#closed) {
-      this.#statistics.bytesSent += frame.length + 1;
-      this.#socket.write(`${frame}\n`);
+  #send(request: { id?: unknown }): Promise<void> {
+    const frame = JSON.stringify(request);
+    const refuse = (code: number, reason: string) =>
+      this.#client.receive(
+        createJSONRPCErrorResponse(request.id as number, code, reason),
+      );
+    if (this.#closed) {
+      refuse(NOT_WRITTEN_ERROR_CODE, "connection closed before the call");
+    } else if (frame.length > MAXIMUM_FRAME_CHARACTERS) {
+      refuse(TOO_LARGE_ERROR_CODE, "call is longer than a frame may be");
+    } else {
+      const bytes = Buffer.from(`${frame}\n`);
+      this.#statistics.bytesSent += bytes.length;
+      this.#socket.write(bytes);
     }
     return Promise.resolve();
   }
@@ -134,6 +202,10 @@
         for (const frame of reader.push(bytes)) {
           this.#receive(JSON.parse(frame) as JSONRPCResponse);
         }
+        this.#hasTimedOut = false;
+        this.#unansweredSince = this.#pending.size > 0
+          ? this.#lastReceived
+          : undefined;
       }
     } catch {
       // The close below answers every waiting call.
@@ -143,7 +215,7 @@
   }
 
   #receive(response: JSONRPCResponse): void {
-    if (!this.#pending.has(response.id as number)) {
+    if (!this.#pending.delete(response.id as number)) {
       this.#statistics.lateAnswersDropped += 1;
       return;
     }
--- a/src/rpc/rpc_server.ts
+++ b/src/rpc/rpc_server.ts
@@ -1,6 +1,5 @@
 import { createServer, type Server, type Socket } from "node:net";
-import { type JSONRPCRequest, JSONRPCServer } from "json-rpc-2.0";
-import { JSONRPCErrorException } from "json-rpc-2.0";
+import { JSONRPCErrorException, JSONRPCServer } from "json-rpc-2.0";
 import { err, ok, type Result } from "neverthrow";
 import type { z } from "zod";
 import {
@@ -10,9 +9,8 @@
   notRun,
 } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
-import { frameRejected } from "./events.ts";
-import { FrameReader } from "./frame_reader.ts";
 import { envelopeSchema, pingMethod } from "./messages.ts";
+import { FAILURE_ERROR_CODE, ServedConnection } from "./served_connection.ts";
 import type {
   IRpcContext,
   IRpcMethod,
@@ -20,9 +18,6 @@
   RpcHandler,
 } from "./types.ts";
 
-/** JSON-RPC error code under which a `Failure` travels as error data. */
-export const FAILURE_ERROR_CODE = -32000;
-
 /** Answers the calls of other instances, one task per connection. */
 export class RpcServer implements IRpcServer, IDisposable {
   #clock: IClock;
@@ -83,6 +78,9 @@
     if (!envelope.success) {
       return err(notRun("bad-request", "call without an envelope"));
     }
+    if (envelope.data.remaining <= 0) {
+      return err(notRun("deadline-exceeded", "the caller no longer waits"));
+    }
     const params = method.params.safeParse(envelope.data.body);
     if (!params.success) {
       const reason = `${method.name}: ${params.error.message}`;
@@ -97,31 +95,11 @@
 
   async #serve(socket: Socket): Promise<void> {
     this.#sockets.add(socket);
-    socket.setNoDelay(true);
-    const reader = new FrameReader();
-    try {
-      for await (const bytes of socket) {
-        for (const frame of reader.push(bytes)) {
-          void this.#answer(socket, JSON.parse(frame) as JSONRPCRequest);
-        }
-      }
-    } catch (error) {
-      if (error instanceof SyntaxError || error instanceof RangeError) {
-        this.#events.emit(frameRejected, {
-          address: socket.remoteAddress ?? "",
-          reason: error.message,
-        });
-      }
-    } finally {
-      this.#sockets.delete(socket);
-      socket.destroy();
-    }
-  }
-
-  async #answer(socket: Socket, request: JSONRPCRequest): Promise<void> {
-    const response = await this.#methods.receive(request);
-    if (response && socket.writable) {
-      socket.write(`${JSON.stringify(response)}\n`);
-    }
+    await new ServedConnection(socket, {
+      methods: this.#methods,
+      clock: this.#clock,
+      events: this.#events,
+    }).serve();
+    this.#sockets.delete(socket);
   }
 }
--- /dev/null
+++ b/src/rpc/rpc_test.ts
@@ -0,0 +1,229 @@
+import { Buffer } from "node:buffer";
+import { connect, createServer, type Socket } from "node:net";
+import test from "ava";
+import { ok } from "neverthrow";
+import { z } from "zod";
+import { SystemClock } from "../common/mod.ts";
+import { SilentEventLog } from "../events/mod.ts";
+import { eventually } from "../../testing/eventually.ts";
+import { Relay } from "../../testing/relay.ts";
+import { defineMethod } from "./define_method.ts";
+import { FrameReader, MAXIMUM_FRAME_CHARACTERS } from "./frame_reader.ts";
+import { RpcClient } from "./rpc_client.ts";
+import { RpcServer } from "./rpc_server.ts";
+
+const clock = new SystemClock();
+const events = new SilentEventLog();
+
+/** Answers after a delay, in milliseconds, with a text of some length. */
+const echoMethod = defineMethod("test.echo", {
+  params: z.object({ delay: z.number(), length: z.number() }),
+  result: z.object({ text: z.string() }),
+});
+
+async function pair(): Promise<
+  { server: RpcServer; client: RpcClient; port: number; calls: () => number }
+> {
+  const server = new RpcServer(clock, events);
+  let calls = 0;
+  server.handle(echoMethod, async ({ delay, length }) => {
+    calls += 1;
+    await clock.sleepUntil(clock.deadlineIn(delay));
+    return ok({ text: "x".repeat(length) });
+  });
+  const port = await server.listen("127.0.0.1", 0);
+  const client = new RpcClient("client", clock, { events });
+  return { server, client, port, calls: () => calls };
+}
+
+function peerAt(port: number) {
+  return { id: "server", address: "127.0.0.1", port };
+}
+
+function echo(
+  client: RpcClient,
+  port: number,
+  options: { delay?: number; length?: number; timeout?: number },
+) {
+  const { delay = 0, length = 1, timeout = 20_000 } = options;
+  const deadline = clock.deadlineIn(timeout);
+  return client.call(peerAt(port), echoMethod, { delay, length }, { deadline });
+}
+
+test("silent connection is replaced", async (t) => {
+  const { server, client, port } = await pair();
+  const relay = new Relay(port);
+  const through = await relay.listen();
+  t.true((await echo(client, through, {})).isOk());
+  relay.silenceOpenConnections();
+  const lost = await echo(client, through, {});
+  t.is(lost._unsafeUnwrapErr().verdict, "may-have-run");
+  t.is(lost._unsafeUnwrapErr().code, "unavailable");
+  t.true((await echo(client, through, { timeout: 2_000 })).isOk());
+  t.is(client.statistics.silentConnectionsClosed, 1);
+  client.dispose();
+  relay.dispose();
+  server.dispose();
+});
+
+test("silent connection with short calls", async (t) => {
+  const { server, client, port } = await pair();
+  const relay = new Relay(port);
+  const through = await relay.listen();
+  t.true((await echo(client, through, {})).isOk());
+  relay.silenceOpenConnections();
+  await eventually(
+    "a short call is answered",
+    async () => (await echo(client, through, { timeout: 200 })).isOk(),
+  );
+  t.is(client.statistics.doubtfulConnectionsLeft, 1);
+  client.dispose();
+  relay.dispose();
+  server.dispose();
+});
+
+test("silent peer keeps its connection", async (t) => {
+  const { server, client, port } = await pair();
+  const relay = new Relay(port);
+  const through = await relay.listen();
+  t.true((await echo(client, through, {})).isOk());
+  relay.isolate();
+  const lost = await echo(client, through, { timeout: 4_500 });
+  t.is(lost._unsafeUnwrapErr().code, "deadline-exceeded");
+  t.is(client.statistics.silentConnectionsClosed, 0);
+  client.dispose();
+  relay.dispose();
+  server.dispose();
+});
+
+test("slow handler keeps its connection", async (t) => {
+  const { server, client, port } = await pair();
+  t.true((await echo(client, port, { delay: 5_000 })).isOk());
+  t.is(client.statistics.silentConnectionsClosed, 0);
+  client.dispose();
+  server.dispose();
+});
+
+test("late answer is dropped", async (t) => {
+  const { server, client, port } = await pair();
+  const late = await echo(client, port, { delay: 300, timeout: 50 });
+  t.is(late._unsafeUnwrapErr().code, "deadline-exceeded");
+  await eventually("late", () => client.statistics.lateAnswersDropped === 1);
+  const next = await echo(client, port, { length: 3 });
+  t.is(next._unsafeUnwrap().text, "xxx");
+  client.dispose();
+  server.dispose();
+});
+
+test("call past its deadline is not sent", async (t) => {
+  const { server, client, port, calls } = await pair();
+  const past = await echo(client, port, { timeout: 0 });
+  t.is(past._unsafeUnwrapErr().verdict, "not-run");
+  t.is(calls(), 0);
+  client.dispose();
+  server.dispose();
+});
+
+test("answer that is too long", async (t) => {
+  const { server, client, port } = await pair();
+  const length = MAXIMUM_FRAME_CHARACTERS + 1;
+  const waiting = echo(client, port, { delay: 500 });
+  const answer = await echo(client, port, { length });
+  t.is(answer._unsafeUnwrapErr().code, "too-large");
+  t.true((await waiting).isOk());
+  client.dispose();
+  server.dispose();
+});
+
+test("closed while calls wait", async (t) => {
+  const { server, client, port } = await pair();
+  const waiting = echo(client, port, { delay: 5_000 });
+  await clock.sleepUntil(clock.deadlineIn(100));
+  server.dispose();
+  const failure = (await waiting)._unsafeUnwrapErr();
+  t.deepEqual([failure.code, failure.verdict], ["unavailable", "may-have-run"]);
+  const refused = (await echo(client, port, {}))._unsafeUnwrapErr();
+  t.deepEqual([refused.code, refused.verdict], ["unavailable", "not-run"]);
+  client.dispose();
+});
+
+test("frames that are no calls", async (t) => {
+  const { server, client, port } = await pair();
+  for (const frame of ["null", "7", "{", "[]", '{"id":1}']) {
+    const socket = connect({ host: "127.0.0.1", port });
+    socket.on("error", () => {});
+    socket.write(`${frame}\n`);
+    await new Promise((resolve) => {
+      socket.once("data", resolve);
+      socket.once("close", resolve);
+    });
+    socket.destroy();
+  }
+  t.true((await echo(client, port, {})).isOk());
+  client.dispose();
+  server.dispose();
+});
+
+test("peer that reads no calls", async (t) => {
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    sockets.push(socket.pause());
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as { port: number };
+  const client = new RpcClient("client", clock, { events });
+  const bulky = defineMethod("test.bulky", {
+    params: z.object({ text: z.string() }),
+    result: z.object({}),
+  });
+  const text = "x".repeat(4 * 1024 * 1024);
+  const codes: string[] = [];
+  const calls = Array.from({ length: 16 }, async () => {
+    const deadline = clock.deadlineIn(1_500);
+    const options = { deadline };
+    const answer = await client.call(peerAt(port), bulky, { text }, options);
+    codes.push(answer._unsafeUnwrapErr().code);
+  });
+  await Promise.all(calls);
+  t.true(client.statistics.callsRefusedCongested > 0);
+  t.is(codes.length, 16);
+  client.dispose();
+  for (const socket of sockets) socket.destroy();
+  server.close();
+});
+
+test("peer that reads no answers", async (t) => {
+  const { server, client, port, calls } = await pair();
+  const socket = connect({ host: "127.0.0.1", port }).pause();
+  socket.on("error", () => {});
+  const body = { delay: 0, length: 8 * 1024 * 1024 };
+  for (let id = 1; id <= 64; id++) {
+    const params = { from: "slow", remaining: 60_000, body };
+    const call = { jsonrpc: "2.0", id, method: echoMethod.name, params };
+    socket.write(`${JSON.stringify(call)}\n`);
+    await clock.sleepUntil(clock.deadlineIn(5));
+  }
+  await eventually("closed", () => socket.destroyed || closed(socket));
+  t.true(calls() < 64);
+  t.true((await echo(client, port, {})).isOk());
+  client.dispose();
+  server.dispose();
+});
+
+function closed(socket: Socket): boolean {
+  // Writing shows a reset to a socket that does not read.
+  socket.write("\n");
+  return socket.destroyed;
+}
+
+test("frame split anywhere", (t) => {
+  const bytes = Buffer.from('{"a":"ä€"}\n{"b":2}\n');
+  for (let cut = 0; cut <= bytes.length; cut++) {
+    const reader = new FrameReader();
+    const frames = [
+      ...reader.push(bytes.subarray(0, cut)),
+      ...reader.push(bytes.subarray(cut)),
+    ];
+    t.deepEqual(frames, ['{"a":"ä€"}', '{"b":2}']);
+  }
+});
--- /dev/null
+++ b/src/rpc/served_connection.ts
@@ -0,0 +1,141 @@
+import type { Socket } from "node:net";
+import {
+  createJSONRPCErrorResponse,
+  type JSONRPCRequest,
+  type JSONRPCResponse,
+  type JSONRPCServer,
+} from "json-rpc-2.0";
+import {
+  type Failure,
+  type IClock,
+  mayHaveRun,
+  notRun,
+} from "../common/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
+import { frameRejected, slowReaderClosed } from "./events.ts";
+import { FrameReader, MAXIMUM_FRAME_CHARACTERS } from "./frame_reader.ts";
+
+/** Calls of one connection that are answered at the same time. */
+const MAXIMUM_CALLS = 1_024;
+
+/** Written answers that may wait for the peer to read them, in bytes. */
+const MAXIMUM_BUFFERED_BYTES = 16 * 1024 * 1024;
+
+/** Time that a peer may take to read its answers, in milliseconds. */
+const SLOW_READER_MILLISECONDS = 10_000;
+
+/** Seconds after which a call refused for its number may be tried again. */
+const RETRY_AFTER_SECONDS = 1;
+
+/** JSON-RPC error code under which a `Failure` travels as error data. */
+export const FAILURE_ERROR_CODE = -32000;
+
+/** Collaborators of a served connection. */
+export interface IServedConnectionOptions {
+  readonly methods: JSONRPCServer<void>;
+  readonly clock: IClock;
+  readonly events: IEventLog;
+}
+
+/** A peer's connection whose calls are answered here. */
+export class ServedConnection {
+  #socket: Socket;
+  #methods: JSONRPCServer<void>;
+  #clock: IClock;
+  #events: IEventLog;
+  #calls = 0;
+
+  constructor(socket: Socket, options: IServedConnectionOptions) {
+    this.#socket = socket;
+    this.#methods = options.methods;
+    this.#clock = options.clock;
+    this.#events = options.events;
+    socket.setNoDelay(true);
+    socket.on("error", () => {});
+  }
+
+  /** Reads and answers calls until the connection closes. */
+  async serve(): Promise<void> {
+    const reader = new FrameReader();
+    try {
+      for await (const bytes of this.#socket) {
+        for (const frame of reader.push(bytes)) {
+          this.#take(frame);
+        }
+        await this.#drained();
+      }
+    } catch (error) {
+      if (error instanceof SyntaxError || error instanceof RangeError) {
+        this.#events.emit(frameRejected, {
+          address: this.#socket.remoteAddress ?? "",
+          reason: error.message,
+        });
+      }
+    } finally {
+      this.#socket.destroy();
+    }
+  }
+
+  #take(frame: string): void {
+    const request: unknown = JSON.parse(frame);
+    if (typeof request !== "object" || request === null) {
+      throw new SyntaxError("a frame is not an object");
+    }
+    void this.#answer(request as JSONRPCRequest);
+  }
+
+  async #answer(request: JSONRPCRequest): Promise<void> {
+    const id = request.id ?? null;
+    if (this.#calls >= MAXIMUM_CALLS) {
+      const failure = notRun("overloaded", "too many calls of one peer", {
+        retryAfterSeconds: RETRY_AFTER_SECONDS,
+      });
+      return this.#send(failureResponse(id, failure));
+    }
+    this.#calls += 1;
+    try {
+      const response = await this.#methods.receive(request);
+      if (response) this.#send(response);
+    } catch (error) {
+      const failure = mayHaveRun("internal", String(error));
+      this.#send(failureResponse(id, failure));
+    } finally {
+      this.#calls -= 1;
+    }
+  }
+
+  #send(response: JSONRPCResponse): void {
+    if (!this.#socket.writable) return;
+    const frame = JSON.stringify(response);
+    if (frame.length > MAXIMUM_FRAME_CHARACTERS) {
+      const reason = "the answer is longer than a frame may be";
+      const failure = mayHaveRun("too-large", reason);
+      return this.#send(failureResponse(response.id, failure));
+    }
+    this.#socket.write(`${frame}\n`);
+  }
+
+  /** Reads no further calls until the peer has read its answers. */
+  async #drained(): Promise<void> {
+    if (this.#socket.writableLength <= MAXIMUM_BUFFERED_BYTES) return;
+    const deadline = this.#clock.deadlineIn(SLOW_READER_MILLISECONDS);
+    const drained = new AbortController();
+    this.#socket.once("drain", () => drained.abort());
+    this.#socket.once("close", () => drained.abort());
+    await this.#clock.sleepUntil(deadline, drained.signal);
+    if (drained.signal.aborted) return;
+    this.#events.emit(slowReaderClosed, {
+      address: this.#socket.remoteAddress ?? "",
+      bufferedBytes: this.#socket.writableLength,
+    });
+    this.#socket.destroy();
+  }
+}
+
+function failureResponse(
+  id: JSONRPCResponse["id"],
+  failure: Failure,
+): JSONRPCResponse {
+  const { message } = failure;
+  return createJSONRPCErrorResponse(id, FAILURE_ERROR_CODE, message, failure);
+}
--- a/src/rpc/types.ts
+++ b/src/rpc/types.ts
@@ -10,9 +10,17 @@
 });
 export type PeerAddress = z.infer<typeof peerAddressSchema>;
 
+/**
+ * Connection group of a call. Long messages travel apart from short ones,
+ * so that a heartbeat never queues behind a result page.
+ */
+export type RpcLane = "control" | "bulk";
+
 /** A method that one instance calls at another. */
 export interface IRpcMethod<P extends z.ZodType, R extends z.ZodType> {
   readonly name: string;
+  /** Lane of all calls of the method, whatever the call's options say. */
+  readonly lane?: RpcLane;
   readonly params: P;
   readonly result: R;
 }
@@ -39,12 +47,6 @@
   ): IDisposable;
 }
 
-/**
- * Connection group of a call. Long messages travel apart from short ones,
- * so that a heartbeat never queues behind a result page.
- */
-export type RpcLane = "control" | "bulk";
-
 /** Options of a call. */
 export interface IRpcCallOptions {
   readonly deadline: Deadline;
@@ -72,8 +74,12 @@
   callsTimedOut: number;
   /** Answers that came after their call had been abandoned. */
   lateAnswersDropped: number;
-  /** Connections closed because nothing arrived while calls waited. */
+  /** Connections replaced: silent while a new one was answered. */
   silentConnectionsClosed: number;
+  /** Connections that got no new calls after calls on them timed out. */
+  doubtfulConnectionsLeft: number;
+  /** Calls refused here because a connection's write buffer was full. */
+  callsRefusedCongested: number;
   bytesSent: number;
   bytesReceived: number;
 }
