--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -23,8 +23,8 @@
 } from "../configuration/mod.ts";
 import {
   ControlClient,
-  proposeMethod,
-  SingleVoterLog,
+  FolderStorage,
+  ReplicatedLog,
 } from "../consensus/mod.ts";
 import { Dispatcher, PlainDispatcher } from "../dispatch/mod.ts";
 import {
@@ -134,17 +134,16 @@
   );
   const availability = store.add(new TargetAvailability(platform, heartbeat));
 
-  let log: SingleVoterLog | undefined;
+  let log: ReplicatedLog | undefined;
   if (settings.control) {
+    const { dataFolder, start } = settings.control;
     const section = new ConfigurationSection();
-    const jobs = new JobsSection(join(settings.control.dataFolder, "jobs"));
+    const jobs = new JobsSection(join(dataFolder, "jobs"));
     const sections = [section, jobs, new OperationsSection()];
-    log = new SingleVoterLog(self, sections, { clock });
-    await log.start(join(settings.control.dataFolder, "log"));
-    const replica = log;
-    server.handle(proposeMethod, async ({ section, command }) => {
-      const output = await replica.propose(section, command);
-      return output.map((output) => ({ output }));
+    const { failureDomain } = settings.instance;
+    log = new ReplicatedLog({ ...self, failureDomain }, sections, {
+      ...{ rpc, server, clock, events, founders: voters, start },
+      storage: new FolderStorage(dataFolder),
     });
     const registry = store.add(
       new MemberRegistry(log, section, {
@@ -159,6 +158,7 @@
     );
     store.add(handleJobs(server, log, { section: jobs }));
     store.add(new LeaseManager(log, jobs, { clock, server }));
+    await log.start();
   }
 
   store.add(handleExplain(server, trace));
