--- a/src/membership/http_platform_adapter.ts
+++ b/src/membership/http_platform_adapter.ts
@@ -91,16 +91,17 @@
   }
 
   async #read(): Promise<string> {
-    const timeout = AbortSignal.timeout(POLL_TIMEOUT_MILLISECONDS);
+    const options = {
+      clock: this.#clock,
+      deadline: this.#clock.deadlineIn(POLL_TIMEOUT_MILLISECONDS),
+    };
     const message = { ...this.#platform, method: "GET", path: LIST_PATH };
     const response = await exchange(message, {
-      clock: this.#clock,
+      ...options,
       agent: this.#agent,
-      deadline: this.#clock.deadlineIn(POLL_TIMEOUT_MILLISECONDS),
-      signal: AbortSignal.any([timeout, this.#stop.signal]),
+      signal: this.#stop.signal,
     });
-    timeout.addEventListener("abort", () => response.destroy());
-    const text = (await readBody(response)).toString("utf8");
+    const text = (await readBody(response, options)).toString("utf8");
     if (response.statusCode === 200) return text;
     throw new Error(`the platform answered ${response.statusCode}`);
   }
