Serving permission, peers as a second source of configuration, graceful stop

Cause: an isolated instance served an old configuration for as long as the cut lasted; a planned stop neither waited for the balancer nor ended in a bounded time. Ruled out: a lease from the leader alone (a fleet without a quorum would stop all callers) and serving on always (the promise 'in force on every instance' would not hold). Now the leader accepts changes only while it hears more than half of the instances, and an instance serves only with a proof younger than 7 s: an answered heartbeat, or a quorum of voters, or half of the fleet, from which it also takes the newest configuration.

--- a/src/configuration/configuration_handlers.ts
+++ b/src/configuration/configuration_handlers.ts
@@ -52,7 +52,8 @@
     if (!isRepeated && !audience.hearsMajority) {
       const reason = "fewer than half of the instances can be reached";
       const retryAfterSeconds = RETRY_AFTER_SECONDS;
-      return err(notRun("unavailable", reason, { retryAfterSeconds }));
+      // Clients would send `unavailable` again at once, to other voters.
+      return err(notRun("overloaded", reason, { retryAfterSeconds }));
     }
     return await propose(log, command, at);
   }));
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -54,6 +54,7 @@
   Heartbeat,
   HttpPlatformAdapter,
   MemberRegistry,
+  ServingPermission,
   TargetAvailability,
 } from "../membership/mod.ts";
 import {
@@ -77,6 +78,7 @@
 import { RpcClient, RpcServer } from "../rpc/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { HttpEngineAdapter, HttpPlainAdapter } from "../targets/mod.ts";
+import { GracefulStop } from "./graceful_stop.ts";
 import type { IDaemon } from "./types.ts";
 
 /** Bound of the seeds of random choices. */
@@ -132,6 +134,17 @@
       { configuration, fetcher, clock, platform },
     ),
   );
+  const permission = store.add(
+    new ServingPermission({
+      clock,
+      configuration,
+      freshness: heartbeat,
+      membership: heartbeat,
+      fetcher,
+      voters: () => voters,
+      events,
+    }),
+  );
   const availability = store.add(new TargetAvailability(platform, heartbeat));
 
   let log: SingleVoterLog | undefined;
@@ -246,15 +259,28 @@
       new FilesEndpoint(jobs, clock),
       new BatchesEndpoint(jobs, clock),
       new PlainEndpoint(plainDispatcher, { clock, admission, operations }),
-    ], { events }),
+    ], { events, permission }),
+  );
+  const stop = new GracefulStop(
+    {
+      membership: heartbeat,
+      log,
+      callers,
+      batch: { stop: () => Promise.resolve(runner.dispose()) },
+      rest: store,
+    },
+    settings.stopping,
+    { clock, events },
   );
-  let stopping = false;
   const operators = store.add(
     new OperatorsServer([
       ...statusRoutes({
         membership: heartbeat,
         log,
-        isReady: () => !stopping && configuration.current !== undefined,
+        permission,
+        isReady: () =>
+          !stop.hasBegun && configuration.current !== undefined &&
+          permission.mayServe,
       }),
       ...configurationRoutes(control, clock),
       ...reportRoutes({
@@ -282,15 +308,5 @@
       settings.operators.port,
     ),
   };
-  return {
-    ports,
-    async stop() {
-      stopping = true;
-      await heartbeat.setState("leaving");
-      await callers.drain();
-      runner.dispose();
-      await log?.stop();
-      store.dispose();
-    },
-  };
+  return { ports, stop: () => stop.run() };
 }
--- a/src/daemon/events.ts
+++ b/src/daemon/events.ts
@@ -19,3 +19,18 @@
   help: "The daemon finished its work and exits.",
   fields: {},
 });
+
+export const stopStep = defineEvent(103, "stop-step", {
+  level: "info",
+  help: "A step of a planned stop ended: completed, or given up in order to " +
+    "end in time.",
+  fields: { step: z.string(), completed: z.boolean() },
+});
+
+export const stopLimitReached = defineEvent(104, "stop-limit-reached", {
+  level: "warn",
+  help:
+    "Requests were still in progress at the stop's time limit and are cut " +
+    "off. Raise stopping.limitMilliseconds above the longest request.",
+  fields: { requests: z.number() },
+});
--- a/src/entry/callers_server.ts
+++ b/src/entry/callers_server.ts
@@ -14,6 +14,7 @@
 } from "../common/mod.ts";
 import type { IConfigurationSource } from "../configuration/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
+import type { IServingPermission } from "../membership/mod.ts";
 import { requestCrashed } from "./events.ts";
 import { sendFailure } from "./respond.ts";
 import type { ICallerRequest, ICallersServer, IEndpoint } from "./types.ts";
@@ -29,6 +30,7 @@
   #configuration: IConfigurationSource;
   #endpoints: readonly IEndpoint[];
   #events: IEventLog;
+  #permission: IServingPermission;
   #server: Server;
   #active = new Set<ServerResponse>();
   #draining = false;
@@ -37,11 +39,12 @@
   constructor(
     configuration: IConfigurationSource,
     endpoints: readonly IEndpoint[],
-    options: { events: IEventLog },
+    options: { events: IEventLog; permission: IServingPermission },
   ) {
     this.#configuration = configuration;
     this.#endpoints = endpoints;
     this.#events = options.events;
+    this.#permission = options.permission;
     this.#server = createServer((message, response) => {
       void this.#serve(message, response);
     });
@@ -119,6 +122,11 @@
         retryAfterSeconds: DRAIN_RETRY_AFTER_SECONDS,
       }));
     }
+    if (!this.#permission.mayServe) {
+      return err(notRun("unavailable", this.#permission.reason, {
+        retryAfterSeconds: DRAIN_RETRY_AFTER_SECONDS,
+      }));
+    }
     const key = /^Bearer (.+)$/.exec(message.headers.authorization ?? "")?.[1];
     const caller = key === undefined
       ? undefined
--- a/src/membership/events.ts
+++ b/src/membership/events.ts
@@ -39,3 +39,17 @@
     fields: { target: z.string(), reporters: z.number() },
   },
 );
+
+export const servingRefused = defineEvent(504, "serving-refused", {
+  level: "error",
+  help: "This instance cannot learn whether a newer configuration exists. It " +
+    "is not ready and refuses callers until it reaches the leader, a quorum " +
+    "of voters or half of the fleet. Check its network.",
+  fields: { version: z.number(), reason: z.string() },
+});
+
+export const servingResumed = defineEvent(505, "serving-resumed", {
+  level: "info",
+  help: "This instance has the newest configuration and serves callers.",
+  fields: { version: z.number() },
+});
--- a/src/membership/membership_test.ts
+++ b/src/membership/membership_test.ts
@@ -30,10 +30,13 @@
   const address = await leader.listen();
   const members = await Promise.all([prompt, late].map(async (platform, at) => {
     const adapter = await poll(platform);
-    const member = new ControlMember(`member-${at}`, () => [address], adapter);
+    const member = await ControlMember.start({
+      id: `member-${at}`,
+      voters: () => [address],
+      platform: adapter,
+    });
     const availability = new TargetAvailability(adapter, member.heartbeat);
     member.store.add(adapter);
-    member.heartbeat.start();
     return { member, availability };
   }));
   t.teardown(() => {
@@ -61,14 +64,18 @@
   const platform = new PlatformStandin();
   platform.set([{ id: "engine-0", state: "leaving" }]);
   const adapter = await poll(platform);
-  const member = new ControlMember("member-0", () => [voter], adapter);
-  const other = new ControlMember("member-1", () => [voter]);
+  const voters = () => [voter];
+  const member = await ControlMember.start({
+    id: "member-0",
+    voters,
+    platform: adapter,
+  });
+  const other = await ControlMember.start({ id: "member-1", voters });
   t.teardown(() => {
     for (const { store } of [member, other, first, second]) store.dispose();
     adapter.dispose();
     platform.stop();
   });
-  for (const { heartbeat } of [member, other]) heartbeat.start();
   await eventually(
     "both know both",
     () =>
--- /dev/null
+++ b/src/membership/serving_permission.ts
@@ -0,0 +1,158 @@
+import {
+  type Deadline,
+  DisposableStore,
+  type IClock,
+  type IDisposable,
+} from "../common/mod.ts";
+import type {
+  ConfigurationFetcher,
+  IConfigurationSource,
+} from "../configuration/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
+import type { PeerAddress } from "../rpc/mod.ts";
+import { servingRefused, servingResumed } from "./events.ts";
+import type { IFreshness, IMembership, IServingPermission } from "./types.ts";
+
+/**
+ * Time for which a proof that the configuration is the newest allows to
+ * serve, in milliseconds.
+ */
+const PERMISSION_MILLISECONDS = 7_000;
+
+/** Time left at which peers are asked, in milliseconds. */
+const PROBE_WITHIN_MILLISECONDS = 4_000;
+
+/** How often the time left is reviewed, in milliseconds. */
+const REVIEW_INTERVAL_MILLISECONDS = 500;
+
+/** Time that asking the peers may take, in milliseconds. */
+const PROBE_TIMEOUT_MILLISECONDS = 1_000;
+
+/** Peers that are asked beside the voters. */
+const MAXIMUM_PEERS_ASKED = 24;
+
+/** Collaborators of the permission. */
+export interface IServingPermissionOptions {
+  readonly clock: IClock;
+  readonly configuration: IConfigurationSource;
+  readonly freshness: IFreshness;
+  readonly membership: IMembership;
+  readonly fetcher: ConfigurationFetcher;
+  readonly voters: () => readonly PeerAddress[];
+  readonly events: IEventLog;
+}
+
+/**
+ * Decides whether callers may be served by the configuration in force here.
+ *
+ * A confirmed heartbeat gives permission for a while. Without one, a quorum
+ * of voters or half of the fleet have to answer, and the newest configuration
+ * among them is taken over. The leader accepts changes only while it hears
+ * more than half of the fleet, so the two groups have an instance in common.
+ * An instance that reaches neither stops before the change counts as in force
+ * everywhere. A fleet without a quorum goes on, because nothing is accepted.
+ */
+export class ServingPermission implements IServingPermission, IDisposable {
+  #options: IServingPermissionOptions;
+  #clock: IClock;
+  #until: Deadline | undefined;
+  #isProbing = false;
+  #wasServing = false;
+  #store = new DisposableStore();
+
+  constructor(options: IServingPermissionOptions) {
+    this.#options = options;
+    this.#clock = options.clock;
+    this.#store.add(
+      options.freshness.onConfirmed((beganAt) => this.#extend(beganAt)),
+    );
+    const timer = setInterval(
+      () => void this.#review(),
+      REVIEW_INTERVAL_MILLISECONDS,
+    );
+    this.#store.add({ dispose: () => clearInterval(timer) });
+  }
+
+  /** Compares with the clock, so a process that was stopped says no. */
+  get mayServe(): boolean {
+    return this.#until !== undefined && !this.#clock.isPast(this.#until);
+  }
+
+  get reason(): string {
+    if (this.#options.configuration.current === undefined) {
+      return "no configuration is in force yet";
+    }
+    if (this.#until === undefined) return "the leader has not answered yet";
+    if (this.mayServe) return "the configuration in force is the newest";
+    return "cut off: neither a quorum of voters nor half of the fleet answers";
+  }
+
+  dispose(): void {
+    this.#store.dispose();
+  }
+
+  #extend(beganAt: Deadline): void {
+    const until = (beganAt + PERMISSION_MILLISECONDS) as Deadline;
+    if (this.#until !== undefined && until <= this.#until) return;
+    this.#until = until;
+  }
+
+  async #review(): Promise<void> {
+    this.#report();
+    // An instance that never heard a leader has nothing to compare.
+    if (this.#until === undefined || this.#isProbing) return;
+    if (this.#clock.remaining(this.#until) > PROBE_WITHIN_MILLISECONDS) return;
+    this.#isProbing = true;
+    const beganAt = this.#clock.monotonic();
+    if (await this.#isAmongEnough()) this.#extend(beganAt);
+    this.#isProbing = false;
+  }
+
+  /** Asks voters and peers, and takes over the newest configuration. */
+  async #isAmongEnough(): Promise<boolean> {
+    const { membership, voters } = this.#options;
+    const self = membership.self.id;
+    const peers = membership.members.filter(({ id, health, state }) =>
+      id !== self && health !== "lost" && state !== "leaving"
+    );
+    const [voterAnswers, peerAnswers] = await Promise.all([
+      this.#ask(voters().filter(({ id }) => id !== self)),
+      this.#ask(sample(peers, MAXIMUM_PEERS_ASKED)),
+    ]);
+    const own = voters().some(({ id }) => id === self) ? 1 : 0;
+    if ((voterAnswers + own) * 2 > voters().length) return true;
+    const asked = Math.min(peers.length, MAXIMUM_PEERS_ASKED);
+    return peers.length > 0 && (peerAnswers + 1) * 2 >= asked + 1;
+  }
+
+  /** The number of peers that answered and have no newer configuration. */
+  async #ask(peers: readonly PeerAddress[]): Promise<number> {
+    const deadline = this.#clock.deadlineIn(PROBE_TIMEOUT_MILLISECONDS);
+    const { fetcher } = this.#options;
+    const answers = await Promise.all(
+      peers.map((peer) => fetcher.fetchFromPeer(peer, { deadline })),
+    );
+    return answers.filter(Boolean).length;
+  }
+
+  #report(): void {
+    const isServing = this.mayServe;
+    if (isServing === this.#wasServing) return;
+    this.#wasServing = isServing;
+    const version = this.#options.configuration.current?.version ?? 0;
+    const { events } = this.#options;
+    if (isServing) events.emit(servingResumed, { version });
+    else events.emit(servingRefused, { version, reason: this.reason });
+  }
+}
+
+/** A random choice without repetition. */
+function sample<T>(values: readonly T[], size: number): T[] {
+  const rest = [...values];
+  const chosen: T[] = [];
+  while (rest.length > 0 && chosen.length < size) {
+    const at = Math.floor(Math.random() * rest.length);
+    chosen.push(...rest.splice(at, 1));
+  }
+  return chosen;
+}
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -34,3 +34,10 @@
    */
   readonly onConfirmed: IEvent<Deadline>;
 }
+
+/** Whether callers may be served by the configuration in force here. */
+export interface IServingPermission {
+  readonly mayServe: boolean;
+  /** Why callers may or may not be served, for operators. */
+  readonly reason: string;
+}
--- a/src/operators/status_routes.ts
+++ b/src/operators/status_routes.ts
@@ -1,6 +1,6 @@
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import { sendJson } from "../entry/respond.ts";
-import type { IMembership } from "../membership/mod.ts";
+import type { IMembership, IServingPermission } from "../membership/mod.ts";
 import type { Status } from "./messages.ts";
 import type { IOperatorRoute } from "./types.ts";
 
@@ -8,6 +8,7 @@
 export interface IStatusSources {
   readonly membership: IMembership;
   readonly log: IReplicatedLog | undefined;
+  readonly permission: IServingPermission;
   /** Whether the balancer may send callers here. */
   readonly isReady: () => boolean;
 }
@@ -28,7 +29,8 @@
       path: /^\/ready$/,
       handle: ({ response }) => {
         const ready = sources.isReady();
-        sendJson(response, ready ? 200 : 503, { ready });
+        const { reason } = sources.permission;
+        sendJson(response, ready ? 200 : 503, { ready, reason });
         return Promise.resolve();
       },
     },
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -67,6 +67,13 @@
     address: ipNumberSchema,
     port: portSchema,
   }).optional(),
+  /** Waits of a planned stop. */
+  stopping: z.strictObject({
+    /** Time in which the balancer notices that the instance is not ready. */
+    noticeMilliseconds: z.int().min(0).max(60_000).default(3_000),
+    /** Time after which requests in progress are cut off. */
+    limitMilliseconds: z.int().min(1_000).max(3_600_000).default(60_000),
+  }).prefault({}),
   log: z.strictObject({
     level: z.enum(["debug", "info", "warn", "error"]).default("info"),
   }).prefault({}),
--- a/testing/control_parts.ts
+++ b/testing/control_parts.ts
@@ -1,17 +1,29 @@
-import { DisposableStore, SystemClock } from "../src/common/mod.ts";
 import {
+  DisposableStore,
+  type IClock,
+  SystemClock,
+} from "../src/common/mod.ts";
+import {
+  applyConfigurationMethod,
+  type ApplyOutput,
   ConfigurationFetcher,
   ConfigurationHolder,
+  configurationSchema,
   ConfigurationSection,
   handleConfiguration,
   handlePeerFetches,
 } from "../src/configuration/mod.ts";
 import { ControlClient } from "../src/consensus/mod.ts";
 import { SilentEventLog } from "../src/events/mod.ts";
-import { Heartbeat, MemberRegistry } from "../src/membership/mod.ts";
+import {
+  Heartbeat,
+  MemberRegistry,
+  ServingPermission,
+} from "../src/membership/mod.ts";
 import { type PeerAddress, RpcClient, RpcServer } from "../src/rpc/mod.ts";
 import type { IPlatformAdapter } from "../src/targets/mod.ts";
 import { FakeLog } from "./fake_log.ts";
+import { Relay } from "./relay.ts";
 
 const clock = new SystemClock();
 const events = new SilentEventLog();
@@ -45,21 +57,34 @@
   }
 }
 
+/** What differs between the members of a test. */
+export interface IControlMemberOptions {
+  readonly id: string;
+  readonly voters: () => readonly PeerAddress[];
+  readonly platform?: IPlatformAdapter;
+  readonly clock?: IClock;
+}
+
 /** An instance's control services, without callers and targets. */
 export class ControlMember {
   readonly store = new DisposableStore();
   readonly holder = new ConfigurationHolder(events);
-  readonly server = this.store.add(new RpcServer(clock, events));
+  readonly server: RpcServer;
+  /** Through it the other instances reach this one. */
+  readonly relay: Relay;
   readonly rpc: RpcClient;
   readonly control: ControlClient;
   readonly fetcher: ConfigurationFetcher;
   readonly heartbeat: Heartbeat;
+  readonly permission: ServingPermission;
 
-  constructor(
-    id: string,
-    voters: () => readonly PeerAddress[],
-    platform?: IPlatformAdapter,
+  private constructor(
+    options: IControlMemberOptions,
+    listener: { server: RpcServer; relay: Relay; port: number },
   ) {
+    const { id, voters, platform } = options;
+    this.server = this.store.add(listener.server);
+    this.relay = this.store.add(listener.relay);
     this.rpc = this.store.add(new RpcClient(id, clock, { events }));
     this.control = new ControlClient(voters, this.rpc, { clock });
     this.fetcher = new ConfigurationFetcher(this.control, this.rpc, {
@@ -72,7 +97,7 @@
         {
           id,
           address: "127.0.0.1",
-          port: 1,
+          port: listener.port,
           region: "test",
           failureDomain: "domain-0",
           state: "serving",
@@ -88,9 +113,46 @@
         },
       ),
     );
+    this.permission = this.store.add(
+      new ServingPermission({
+        clock: options.clock ?? clock,
+        configuration: this.holder,
+        freshness: this.heartbeat,
+        membership: this.heartbeat,
+        fetcher: this.fetcher,
+        voters,
+        events,
+      }),
+    );
+  }
+
+  /** Starts a member that listens and sends heartbeats. */
+  static async start(options: IControlMemberOptions): Promise<ControlMember> {
+    const server = new RpcServer(clock, events);
+    const relay = new Relay(await server.listen("127.0.0.1", 0));
+    const port = await relay.listen();
+    const member = new ControlMember(options, { server, relay, port });
+    member.heartbeat.start();
+    return member;
   }
 }
 
+/** Applies a document at the leader, whatever version it has. */
+export async function change(
+  member: ControlMember,
+  options: { changeId: string; version: number; document: object },
+): Promise<ApplyOutput> {
+  const answer = await member.control.call(applyConfigurationMethod, {
+    kind: "apply",
+    changeId: options.changeId,
+    operator: "test",
+    expectedVersion: options.version,
+    document: configurationSchema.parse(options.document),
+  }, { deadline: clock.deadlineIn(5_000) });
+  if (answer.isErr()) throw new Error(answer.error.message);
+  return answer.value;
+}
+
 /** A configuration document that differs with the seed. */
 export function testDocument(seed: number, engines = 3): object {
   return {
