--- /dev/null
+++ b/src/daemon/stopping_test.ts
@@ -0,0 +1,138 @@
+import test from "ava";
+import OpenAI, { toFile } from "openai";
+import { expectedText } from "../../testing/engine_standin.ts";
+import { eventually } from "../../testing/eventually.ts";
+import {
+  COMMITTEE_KEY,
+  Fleet,
+  type IFleetInstance,
+  STATION_KEY,
+} from "../../testing/fleet.ts";
+import { fetchJson } from "../../testing/http.ts";
+
+const TOKENS = 400;
+const ITEMS = 300;
+
+let fleet: Fleet;
+
+test.before(async () => {
+  const engineOptions = { stepMilliseconds: 15, maximumStreams: 16 };
+  const size = { instances: 4, voters: 1, engines: 2 };
+  fleet = await Fleet.start({ ...size, engineOptions });
+});
+
+test.after.always(() => fleet?.stop());
+
+function instance(index: number): IFleetInstance {
+  const found = fleet.instances[index];
+  if (!found) throw new Error(`no instance ${index}`);
+  return found;
+}
+
+function client(index: number, apiKey: string): OpenAI {
+  const baseURL = `${instance(index).callers}/v1`;
+  return new OpenAI({ baseURL, apiKey, maxRetries: 0 });
+}
+
+async function stream(index: number, prompt: string, onToken: () => void) {
+  const chunks = await client(index, STATION_KEY).completions.create({
+    model: "alert-writer",
+    prompt,
+    max_tokens: TOKENS,
+    stream: true,
+  });
+  let text = "";
+  for await (const chunk of chunks) {
+    text += chunk.choices[0]?.text ?? "";
+    onToken();
+  }
+  return text;
+}
+
+function ended(index: number): Promise<number | null> {
+  return new Promise((resolve) =>
+    instance(index).process.once("exit", (code) => resolve(code))
+  );
+}
+
+async function ready(index: number): Promise<boolean> {
+  const url = `${instance(index).operators}/ready`;
+  return (await fetchJson(url)).status === 200;
+}
+
+test.serial("streams are not cut off", async (t) => {
+  let tokens = 0;
+  const texts = ["first", "second"].map((prompt) =>
+    stream(1, prompt, () => tokens += 1)
+  );
+  await eventually("streams run", () => tokens > 10);
+  const exit = ended(1);
+  instance(1).process.kill("SIGTERM");
+  await eventually("not ready", async () => !await ready(1));
+  // The balancer may not have noticed yet: new requests are still served.
+  const late = stream(1, "late", () => {});
+  t.is(await late, expectedText("late", TOKENS));
+  const [first, second] = await Promise.all(texts);
+  t.is(first, expectedText("first", TOKENS));
+  t.is(second, expectedText("second", TOKENS));
+  t.is(await exit, 0);
+  const { body } = await fetchJson(`${instance(0).operators}/status`);
+  const member = body.members.find((member: { id: string }) =>
+    member.id === "instance-1"
+  );
+  t.is(member.state, "leaving");
+});
+
+test.serial("batch job loses nothing", async (t) => {
+  const openai = client(3, COMMITTEE_KEY);
+  const lines = Array.from({ length: ITEMS }, (_, index) =>
+    JSON.stringify({
+      custom_id: `item-${index}`,
+      method: "POST",
+      url: "/v1/completions",
+      body: { model: "alert-writer", prompt: `item ${index}`, max_tokens: 20 },
+    }));
+  const file = await openai.files.create({
+    file: await toFile(new TextEncoder().encode(lines.join("\n")), "in.jsonl"),
+    purpose: "batch",
+  });
+  let batch = await openai.batches.create({
+    input_file_id: file.id,
+    endpoint: "/v1/completions",
+    completion_window: "24h",
+  });
+  const done = async () => {
+    batch = await openai.batches.retrieve(batch.id);
+    return batch.request_counts?.completed ?? 0;
+  };
+  await eventually("the job runs", async () => await done() > 20);
+  const exits = [ended(2), ended(0)];
+  instance(2).process.kill("SIGTERM");
+  t.is(await exits[0], 0);
+  // The only voter, which leads, stops and comes back while the job runs.
+  instance(0).process.kill("SIGTERM");
+  t.is(await exits[1], 0);
+  await fleet.restart(instance(0));
+  await eventually("the job ends", async () => {
+    await done().catch(() => 0);
+    return batch.status === "completed";
+  });
+  t.is(batch.request_counts?.completed, ITEMS);
+  const content = await openai.files.content(batch.output_file_id ?? "");
+  const ids = (await content.text()).trim().split("\n")
+    .map((line) => JSON.parse(line).custom_id);
+  t.is(new Set(ids).size, ITEMS);
+  t.is(ids.length, ITEMS);
+});
+
+test.serial("told to stop while it starts", async (t) => {
+  await fleet.restart(instance(1));
+  const exit = ended(1);
+  await eventually("listens", async () => {
+    const url = `${instance(1).operators}/health`;
+    return (await fetchJson(url).catch(() => undefined))?.status === 200;
+  });
+  instance(1).process.kill("SIGTERM");
+  instance(1).process.kill("SIGTERM");
+  t.is(await exit, 0);
+});
