Orders: engines are brought to the inventory's state by the log's leader

The inventory may say what an engine serves (models, adapters, versions, role) and how many loads a minute the weights store takes. Each order carries a number made of the term and a count and begins only within the lease; for engines that ignore numbers a new leader waits until orders of the earlier one have ended, then reads back the state. KV cache moves go the same way. Shown to fail with one mechanism off at a time: lease check ('frozen leader wakes up', 'two leaders race, engine ignores numbers'), settling ('two leaders race, engine ignores numbers'), term in the number ('two leaders race, engine checks'), pacing ('loads are paced').

--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -27,6 +27,23 @@
 });
 export type Service = z.infer<typeof serviceSchema>;
 
+/** What an engine is to serve; figroad gives the orders for it. */
+export const engineServesSchema = z.strictObject({
+  models: z.array(z.string().min(1)).default([]),
+  adapters: z.array(z.strictObject({
+    model: z.string().min(1),
+    adapter: z.string().min(1),
+    version: z.string().min(1),
+  })).default([]),
+  role: z.enum(["prefill", "decode", "both"]).default("both"),
+});
+
+/** Limit of the store that engines load weights from. */
+export const weightsStoreSchema = z.strictObject({
+  /** Loads that figroad orders in a minute, over the whole fleet. */
+  loadsPerMinute: z.number().positive().max(6_000),
+});
+
 /** A model engine. */
 export const engineSchema = z.strictObject({
   id: nameSchema,
@@ -38,6 +55,8 @@
   maximumStreams: z.int().positive().default(32),
   /** Whether the engine refuses orders with an old fencing number. */
   checksFencing: z.boolean().default(false),
+  /** Absent when others decide what the engine serves. */
+  serves: engineServesSchema.optional(),
 });
 export type Engine = z.infer<typeof engineSchema>;
 
@@ -91,6 +110,7 @@
   plainServices: z.array(plainServiceSchema).default([]),
   callers: z.array(callerSchema),
   rules: z.array(ruleSchema),
+  weightsStore: weightsStoreSchema.optional(),
 }).superRefine(checkReferences);
 export type Configuration = z.infer<typeof configurationSchema>;
 
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -63,6 +63,11 @@
   Metrics,
 } from "../metrics/mod.ts";
 import { OperationLedger, OperationsSection } from "../operations/mod.ts";
+import {
+  handleCacheTransfers,
+  OrderIssuer,
+  OrderReconciler,
+} from "../orders/mod.ts";
 import {
   configurationRoutes,
   OperatorsServer,
@@ -147,6 +152,7 @@
   );
   const availability = store.add(new TargetAvailability(platform, heartbeat));
 
+  const engines = store.add(new HttpEngineAdapter(clock));
   let log: SingleVoterLog | undefined;
   if (settings.control) {
     const section = new ConfigurationSection();
@@ -170,6 +176,12 @@
     store.add(
       handleConfiguration(server, log, { section, audience: registry }),
     );
+    const issuer = store.add(new OrderIssuer(log, { engines, clock, events }));
+    store.add(handleCacheTransfers(server, issuer, { section }));
+    const reconciler = store.add(
+      new OrderReconciler(log, { section, issuer, engines, clock, events }),
+    );
+    reconciler.start();
     store.add(handleJobs(server, log, { section: jobs }));
     store.add(new LeaseManager(log, jobs, { clock, server }));
   }
@@ -179,7 +191,6 @@
 
   const { failureDomain } = settings.instance;
   const random = new SeededRandom(randomInt(MAXIMUM_SEED));
-  const engines = store.add(new HttpEngineAdapter(clock));
   const plainTargets = store.add(new HttpPlainAdapter(clock));
   const health = new TargetHealth({ clock, random, events });
   const activity = store.add(new LiveActivity());
--- /dev/null
+++ b/src/orders/cache_transfer.ts
@@ -0,0 +1,67 @@
+import { err, ok, type Result } from "neverthrow";
+import {
+  type Deadline,
+  type Failure,
+  type IDisposable,
+  notRun,
+} from "../common/mod.ts";
+import type { ConfigurationSection, Engine } from "../configuration/mod.ts";
+import type { IControlClient } from "../consensus/mod.ts";
+import type { IRpcServer } from "../rpc/mod.ts";
+import { transferCacheMethod } from "./messages.ts";
+import type { ICacheTransfer, IOrderIssuer } from "./types.ts";
+
+type Move = { prefix: string; from: string; to: string };
+
+/** Asks the log's leader to move cached prefixes. */
+export class CacheTransfer implements ICacheTransfer {
+  #control: IControlClient;
+
+  constructor(control: IControlClient) {
+    this.#control = control;
+  }
+
+  async transfer(
+    move: Move,
+    options: { deadline: Deadline },
+  ): Promise<Result<void, Failure>> {
+    const answer = await this.#control.call(transferCacheMethod, move, options);
+    return answer.map(() => undefined);
+  }
+}
+
+/** Carries out moves of cached prefixes on the log's leader. */
+export function handleCacheTransfers(
+  server: IRpcServer,
+  issuer: IOrderIssuer,
+  options: { section: ConfigurationSection },
+): IDisposable {
+  return server.handle(transferCacheMethod, async ({ prefix, from, to }) => {
+    const engines = options.section.current?.document.engines ?? [];
+    const source = engines.find(({ id }) => id === from);
+    const target = engines.find(({ id }) => id === to);
+    if (!source || !target) {
+      return err(notRun("not-found", "no such engine in the inventory"));
+    }
+    return await move(prefix, issuer, { source, target });
+  });
+}
+
+/** An import is only begun after the export has ended. */
+async function move(
+  prefix: string,
+  issuer: IOrderIssuer,
+  ends: { source: Engine; target: Engine },
+): Promise<Result<Record<string, never>, Failure>> {
+  const { source, target } = ends;
+  const exported = await issuer.give(source, { kind: "export-cache", prefix });
+  if (exported.isErr()) return err(exported.error);
+  const imported = await issuer.give(target, {
+    kind: "import-cache",
+    prefix,
+    fromAddress: source.address,
+    fromPort: source.port,
+  });
+  if (imported.isErr()) return err(imported.error);
+  return ok({});
+}
--- /dev/null
+++ b/src/orders/desired_state.ts
@@ -0,0 +1,41 @@
+import type { Engine } from "../configuration/mod.ts";
+import type { EngineOrder, EngineState } from "../targets/mod.ts";
+
+/**
+ * Orders that turn what an engine serves into what the inventory says.
+ *
+ * Loads come before unloads, so that a service is not without its model in
+ * between. Adapters that the inventory does not name stay: engines have no
+ * order to remove them.
+ */
+export function ordersFor(engine: Engine, state: EngineState): EngineOrder[] {
+  const { serves } = engine;
+  if (!serves) return [];
+  const orders: EngineOrder[] = [];
+  if (state.role !== serves.role) {
+    orders.push({ kind: "set-role", role: serves.role });
+  }
+  for (const model of serves.models) {
+    if (!state.models.includes(model)) {
+      orders.push({ kind: "load-model", model });
+    }
+  }
+  for (const wanted of serves.adapters) {
+    const isLoaded = state.adapters.some((loaded) =>
+      loaded.model === wanted.model && loaded.adapter === wanted.adapter &&
+      loaded.version === wanted.version
+    );
+    if (!isLoaded) orders.push({ kind: "load-adapter", ...wanted });
+  }
+  for (const model of state.models) {
+    if (!serves.models.includes(model)) {
+      orders.push({ kind: "unload-model", model });
+    }
+  }
+  return orders;
+}
+
+/** Whether an order reads from the weights store. */
+export function readsWeights(order: EngineOrder): boolean {
+  return order.kind === "load-model" || order.kind === "load-adapter";
+}
--- /dev/null
+++ b/src/orders/messages.ts
@@ -0,0 +1,13 @@
+import { z } from "zod";
+import { defineMethod } from "../rpc/mod.ts";
+
+/** Moves a cached prefix between engines; answered by the leader only. */
+export const transferCacheMethod = defineMethod("orders.transfer-cache", {
+  params: z.object({
+    prefix: z.string(),
+    /** Identifiers of engines in the inventory. */
+    from: z.string(),
+    to: z.string(),
+  }),
+  result: z.object({}),
+});
--- /dev/null
+++ b/src/orders/order_reconciler.ts
@@ -0,0 +1,119 @@
+import {
+  DisposableStore,
+  type IClock,
+  type IDisposable,
+} from "../common/mod.ts";
+import type { ConfigurationSection, Engine } from "../configuration/mod.ts";
+import type { IReplicatedLog } from "../consensus/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
+import type { IEngineAdapter } from "../targets/mod.ts";
+import { ordersFor, readsWeights } from "./desired_state.ts";
+import { engineUnreadable } from "./events.ts";
+import { LoadPacer } from "./load_pacer.ts";
+import type { IOrderIssuer } from "./types.ts";
+
+/** Pause between rounds while engines differ, in milliseconds. */
+const BUSY_PAUSE_MILLISECONDS = 1_000;
+
+/** Pause between rounds when all engines are as wanted, in milliseconds. */
+const IDLE_PAUSE_MILLISECONDS = 30_000;
+
+/** Time for reading an engine's state, in milliseconds. */
+const STATE_TIMEOUT_MILLISECONDS = 5_000;
+
+/** Engines that are handled at the same time. */
+const PARALLEL_ENGINES = 16;
+
+/** Collaborators of the reconciler. */
+export interface IOrderReconcilerOptions {
+  readonly section: ConfigurationSection;
+  readonly issuer: IOrderIssuer;
+  readonly engines: IEngineAdapter;
+  readonly clock: IClock;
+  readonly events: IEventLog;
+}
+
+/** Brings engines to the state that the inventory names, on the leader. */
+export class OrderReconciler implements IDisposable {
+  #log: IReplicatedLog;
+  #options: IOrderReconcilerOptions;
+  #clock: IClock;
+  #pacer: LoadPacer;
+  #wake = new AbortController();
+  #store = new DisposableStore();
+  #disposed = false;
+
+  constructor(log: IReplicatedLog, options: IOrderReconcilerOptions) {
+    this.#log = log;
+    this.#options = options;
+    this.#clock = options.clock;
+    this.#pacer = new LoadPacer(options.clock);
+    this.#store.add(options.section.onAccepted(() => this.#wake.abort()));
+    this.#store.add(log.onLeadershipChange(() => {
+      this.#pacer.reset();
+      this.#wake.abort();
+    }));
+  }
+
+  /** Starts the task that reads states and gives orders. */
+  start(): void {
+    void this.#run();
+  }
+
+  dispose(): void {
+    this.#disposed = true;
+    this.#wake.abort();
+    this.#store.dispose();
+  }
+
+  /**
+   * Reads every engine's state and gives the orders that may be given now.
+   * Resolves with whether all engines are as wanted.
+   */
+  async round(): Promise<boolean> {
+    if (!this.#log.leadership.isLeader) return true;
+    const engines = this.#options.section.current?.document.engines ?? [];
+    const waiting = engines.filter(({ serves }) => serves !== undefined);
+    let isDone = true;
+    const work = async () => {
+      for (let next = waiting.shift(); next; next = waiting.shift()) {
+        isDone = await this.#reconcile(next) && isDone;
+      }
+    };
+    await Promise.all(Array.from({ length: PARALLEL_ENGINES }, work));
+    return isDone;
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#disposed) {
+      this.#wake = new AbortController();
+      const isDone = await this.round();
+      const pause = isDone ? IDLE_PAUSE_MILLISECONDS : BUSY_PAUSE_MILLISECONDS;
+      const next = this.#clock.deadlineIn(pause);
+      await this.#clock.sleepUntil(next, this.#wake.signal);
+    }
+  }
+
+  /** Resolves with whether the engine is as wanted. */
+  async #reconcile(engine: Engine): Promise<boolean> {
+    const { engines, issuer, events } = this.#options;
+    if (!issuer.mayOrder(engine)) return false;
+    const state = await engines.state(engine, {
+      deadline: this.#clock.deadlineIn(STATE_TIMEOUT_MILLISECONDS),
+    });
+    if (state.isErr()) {
+      const reason = state.error.message;
+      events.emit(engineUnreadable, { engine: engine.id, reason });
+      return false;
+    }
+    const rate = this.#options.section.current?.document.weightsStore;
+    for (const order of ordersFor(engine, state.value)) {
+      const isPaced = readsWeights(order);
+      if (isPaced && !this.#pacer.tryTake(rate?.loadsPerMinute)) return false;
+      // The state is read back before anything follows a failed order.
+      const answer = await issuer.give(engine, order);
+      if (answer.isErr()) return false;
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/src/orders/orders_test.ts
@@ -0,0 +1,195 @@
+import test from "ava";
+import { err, ok, type Result } from "neverthrow";
+import { type Deadline, type Failure, notRun } from "../common/mod.ts";
+import {
+  configurationSchema,
+  ConfigurationSection,
+  type Engine,
+} from "../configuration/mod.ts";
+import { SilentEventLog } from "../events/mod.ts";
+import type {
+  EngineOrder,
+  EngineState,
+  IEngineAdapter,
+} from "../targets/mod.ts";
+import { testDocument } from "../../testing/control_parts.ts";
+import { FakeClock } from "../../testing/fake_clock.ts";
+import { FakeLog } from "../../testing/fake_log.ts";
+import { OrderIssuer, SETTLE_MILLISECONDS } from "./order_issuer.ts";
+import { OrderReconciler } from "./order_reconciler.ts";
+
+/** Engine that may check fencing numbers, with the orders it carried out. */
+class FakeEngines {
+  readonly carriedOut: string[] = [];
+  checksFencing = true;
+  /** What happens while a state is on its way back. */
+  onStateRead = () => {};
+  #state: EngineState = {
+    models: ["old"],
+    adapters: [],
+    role: "both",
+    fencingNumber: 0,
+  };
+
+  state(): Promise<Result<EngineState, Failure>> {
+    const state = structuredClone(this.#state);
+    this.onStateRead();
+    return Promise.resolve(ok(state));
+  }
+
+  order(
+    _engine: Engine,
+    order: EngineOrder,
+    options: { fencingNumber: number },
+  ): Promise<Result<EngineState, Failure>> {
+    const { fencingNumber } = options;
+    if (this.checksFencing && fencingNumber < this.#state.fencingNumber) {
+      const refusal = notRun("conflict", "old fencing number");
+      return Promise.resolve(err(refusal));
+    }
+    this.#state.fencingNumber = fencingNumber;
+    this.carriedOut.push(
+      `${Math.floor(fencingNumber / 1_000_000)} ${order.kind}`,
+    );
+    if (order.kind === "load-model") this.#state.models.push(order.model);
+    if (order.kind === "unload-model") {
+      this.#state.models = this.#state.models.filter((model) =>
+        model !== order.model
+      );
+    }
+    if (order.kind === "set-role") this.#state.role = order.role;
+    if (order.kind === "load-adapter") {
+      const { model, adapter, version } = order;
+      this.#state.adapters.push({ model, adapter, version });
+    }
+    return Promise.resolve(ok(structuredClone(this.#state)));
+  }
+}
+
+function voter(engines: FakeEngines, term: number, engineCount = 1) {
+  const clock = new FakeClock();
+  const events = new SilentEventLog();
+  const section = new ConfigurationSection();
+  const log = new FakeLog([section]);
+  log.lead(term, true);
+  const document = configurationSchema.parse({
+    ...testDocument(1, engineCount),
+    weightsStore: { loadsPerMinute: 60 },
+  });
+  for (const engine of document.engines) {
+    engine.checksFencing = engines.checksFencing;
+    engine.serves = {
+      models: ["new"],
+      adapters: [{ model: "new", adapter: "tone", version: "2" }],
+      role: "decode",
+    };
+  }
+  section.apply({
+    kind: "apply",
+    changeId: "1",
+    operator: "test",
+    expectedVersion: 0,
+    document,
+  }, { index: 1, term, proposedAt: 0 });
+  const adapter = engines as unknown as IEngineAdapter;
+  const issuer = new OrderIssuer(log, { engines: adapter, clock, events });
+  const options = { section, issuer, engines: adapter, clock, events };
+  const reconciler = new OrderReconciler(log, options);
+  return { clock, log, issuer, reconciler, document };
+}
+
+type Voter = ReturnType<typeof voter>;
+
+async function settle({ clock, reconciler }: Voter): Promise<void> {
+  for (let round = 0; round < 8; round++) {
+    clock.advance(1_000);
+    await reconciler.round();
+  }
+}
+
+test("engine is brought to the inventory's state", async (t) => {
+  const engines = new FakeEngines();
+  const leader = voter(engines, 3);
+  await settle(leader);
+  t.deepEqual(engines.carriedOut, [
+    "3 set-role",
+    "3 load-model",
+    "3 load-adapter",
+    "3 unload-model",
+  ]);
+  t.true(await leader.reconciler.round());
+});
+
+test("loads are paced", async (t) => {
+  const engines = new FakeEngines();
+  const { clock, reconciler } = voter(engines, 1, 3);
+  const loads = () =>
+    engines.carriedOut.filter((order) => order.includes("load-model")).length;
+  await reconciler.round();
+  t.is(loads(), 0);
+  clock.advance(1_000);
+  await reconciler.round();
+  t.is(loads(), 1);
+  await reconciler.round();
+  t.is(loads(), 1);
+});
+
+test("two leaders race, engine checks", async (t) => {
+  const engines = new FakeEngines();
+  const old = voter(engines, 1);
+  const fresh = voter(engines, 2);
+  fresh.clock.advance(1_000);
+  old.clock.advance(1_000);
+  await fresh.reconciler.round();
+  // The earlier leader does not know yet that it was replaced.
+  await old.reconciler.round();
+  await settle(fresh);
+  t.true(engines.carriedOut.every((order) => order.startsWith("2 ")));
+});
+
+test("two leaders race, engine ignores numbers", async (t) => {
+  const engines = new FakeEngines();
+  engines.checksFencing = false;
+  const old = voter(engines, 1);
+  old.clock.advance(SETTLE_MILLISECONDS);
+  const fresh = voter(engines, 2);
+  // An order of the earlier leader is under way when the lease changes.
+  await settle(fresh);
+  t.deepEqual(engines.carriedOut, []);
+  await old.reconciler.round();
+  t.true(engines.carriedOut.length > 0);
+  old.log.leaseUntil = old.clock.monotonic();
+  const before = engines.carriedOut.length;
+  await settle(old);
+  t.is(engines.carriedOut.length, before);
+  fresh.clock.advance(SETTLE_MILLISECONDS);
+  await settle(fresh);
+  t.true(await fresh.reconciler.round());
+});
+
+test("frozen leader wakes up", async (t) => {
+  for (const checksFencing of [true, false]) {
+    const engines = new FakeEngines();
+    engines.checksFencing = checksFencing;
+    const { clock, log, reconciler, issuer, document } = voter(engines, 1);
+    clock.advance(SETTLE_MILLISECONDS);
+    log.leaseUntil = clock.deadlineIn(500);
+    engines.onStateRead = () => clock.advance(10_000);
+    await reconciler.round();
+    const [engine] = document.engines;
+    if (!engine) return t.fail();
+    const given = await issuer.give(engine, { kind: "set-role", role: "both" });
+    t.is(given._unsafeUnwrapErr().verdict, "not-run");
+    t.deepEqual(engines.carriedOut, []);
+  }
+});
+
+test("follower gives no order", async (t) => {
+  const engines = new FakeEngines();
+  const follower = voter(engines, 1);
+  follower.log.lead(2, false);
+  await settle(follower);
+  follower.log.leaseUntil = Infinity as Deadline;
+  await settle(follower);
+  t.deepEqual(engines.carriedOut, []);
+});
