--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -54,6 +54,7 @@
   Heartbeat,
   HttpPlatformAdapter,
   MemberRegistry,
+  ServingPermission,
   TargetAvailability,
 } from "../membership/mod.ts";
 import {
@@ -62,6 +63,11 @@
   Metrics,
 } from "../metrics/mod.ts";
 import { OperationLedger, OperationsSection } from "../operations/mod.ts";
+import {
+  handleCacheTransfers,
+  OrderIssuer,
+  OrderReconciler,
+} from "../orders/mod.ts";
 import {
   configurationRoutes,
   OperatorsServer,
@@ -77,6 +83,7 @@
 import { RpcClient, RpcServer } from "../rpc/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { HttpEngineAdapter, HttpPlainAdapter } from "../targets/mod.ts";
+import { GracefulStop } from "./graceful_stop.ts";
 import type { IDaemon } from "./types.ts";
 
 /** Bound of the seeds of random choices. */
@@ -132,8 +139,20 @@
       { configuration, fetcher, clock, platform },
     ),
   );
+  const permission = store.add(
+    new ServingPermission({
+      clock,
+      configuration,
+      freshness: heartbeat,
+      membership: heartbeat,
+      fetcher,
+      voters: () => voters,
+      events,
+    }),
+  );
   const availability = store.add(new TargetAvailability(platform, heartbeat));
 
+  const engines = store.add(new HttpEngineAdapter(clock));
   let log: ReplicatedLog | undefined;
   if (settings.control) {
     const { dataFolder, start } = settings.control;
@@ -156,6 +175,12 @@
     store.add(
       handleConfiguration(server, log, { section, audience: registry }),
     );
+    const issuer = store.add(new OrderIssuer(log, { engines, clock, events }));
+    store.add(handleCacheTransfers(server, issuer, { section }));
+    const reconciler = store.add(
+      new OrderReconciler(log, { section, issuer, engines, clock, events }),
+    );
+    reconciler.start();
     store.add(handleJobs(server, log, { section: jobs }));
     store.add(new LeaseManager(log, jobs, { clock, server }));
     await log.start();
@@ -166,7 +191,6 @@
 
   const { failureDomain } = settings.instance;
   const random = new SeededRandom(randomInt(MAXIMUM_SEED));
-  const engines = store.add(new HttpEngineAdapter(clock));
   const plainTargets = store.add(new HttpPlainAdapter(clock));
   const health = new TargetHealth({ clock, random, events });
   const activity = store.add(new LiveActivity());
@@ -246,15 +270,28 @@
       new FilesEndpoint(jobs, clock),
       new BatchesEndpoint(jobs, clock),
       new PlainEndpoint(plainDispatcher, { clock, admission, operations }),
-    ], { events }),
+    ], { events, permission }),
+  );
+  const stop = new GracefulStop(
+    {
+      membership: heartbeat,
+      log,
+      callers,
+      batch: { stop: () => Promise.resolve(runner.dispose()) },
+      rest: store,
+    },
+    settings.stopping,
+    { clock, events },
   );
-  let stopping = false;
   const operators = store.add(
     new OperatorsServer([
       ...statusRoutes({
         membership: heartbeat,
         log,
-        isReady: () => !stopping && configuration.current !== undefined,
+        permission,
+        isReady: () =>
+          !stop.hasBegun && configuration.current !== undefined &&
+          permission.mayServe,
       }),
       ...configurationRoutes(control, clock),
       ...reportRoutes({
@@ -282,15 +319,5 @@
       settings.operators.port,
     ),
   };
-  return {
-    ports,
-    async stop() {
-      stopping = true;
-      await heartbeat.setState("leaving");
-      await callers.drain();
-      runner.dispose();
-      await log?.stop();
-      store.dispose();
-    },
-  };
+  return { ports, stop: () => stop.run() };
 }
