docs/SETTINGS.md, compared with the schemas by a test

Cause: no page told what the settings mean; a page that nobody compares goes stale. Every row's field, allowed values and default come from the zod schemas by the words that faults use; the test compares them.

Ruled out: writing the page by a script, as the meanings are prose.

Shown to fail: with the default of maximumStreams changed on the page from 32 to 33, "docs/SETTINGS.md: Inventory and rules" fails.

--- a/src/burn/burn_test.ts
+++ b/src/burn/burn_test.ts
@@ -4,7 +4,6 @@
 import { objectiveSchema } from "../configuration/mod.ts";
 import { renderBurnPage } from "./burn_page.ts";
 import { alertOf, burnEntry, burnRate } from "./burn_report.ts";
-import { judgeOutcome } from "./judge_outcome.ts";
 import { mergeSeries } from "./merge_series.ts";
 import {
   MAXIMUM_SERIES,
@@ -147,35 +146,6 @@
   t.true((overflow?.spending.length ?? 0) <= 4 * 33);
 });
 
-test("judged outcomes", (t) => {
-  const request = {
-    failure: undefined,
-    firstTokenMilliseconds: 1_100,
-    betweenTokensMilliseconds: 30,
-  };
-  t.is(judgeOutcome(objective, request), "good");
-  t.is(
-    judgeOutcome(objective, { ...request, firstTokenMilliseconds: 1_101 }),
-    "late",
-  );
-  t.is(
-    judgeOutcome(objective, { ...request, betweenTokensMilliseconds: 31 }),
-    "late",
-  );
-  t.is(
-    judgeOutcome(objective, { ...request, failure: "overloaded" }),
-    "refused",
-  );
-  t.is(
-    judgeOutcome(objective, { ...request, failure: "cancelled" }),
-    undefined,
-  );
-  t.is(
-    judgeOutcome(objective, { ...request, failure: "target-error" }),
-    "failed",
-  );
-});
-
 test("page", (t) => {
   const clock = new SetClock();
   const recorder = new ServiceLevelRecorder(clock);
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -1,6 +1,9 @@
 import { z } from "zod";
 import { ipNumberSchema, nameSchema, portSchema } from "../settings/mod.ts";
 
+/** What the hash of an API key looks like, in words. */
+const KEY_HASH_ALLOWED = "a SHA-256 in hexadecimal";
+
 /** Failure domains by region. */
 export const placeSchema = z.strictObject({
   region: nameSchema,
@@ -62,7 +65,9 @@
   /** Group in reports. */
   group: nameSchema,
   /** SHA-256 of the API key, in hexadecimal. */
-  keySha256: z.string().regex(/^[0-9a-f]{64}$/, "a SHA-256 in hexadecimal"),
+  keySha256: z.string()
+    .regex(/^[0-9a-f]{64}$/, KEY_HASH_ALLOWED)
+    .meta({ description: KEY_HASH_ALLOWED }),
   /** Limits over the whole fleet. */
   limits: z.strictObject({
     requestsPerSecond: z.number().positive().default(100),
--- /dev/null
+++ b/src/settings/settings_page_test.ts
@@ -0,0 +1,79 @@
+import { readFile } from "node:fs/promises";
+import test from "ava";
+import { z } from "zod";
+import { configurationSchema } from "../configuration/mod.ts";
+import { describeAllowed } from "./describe_allowed.ts";
+import { settingsSchema } from "./schema.ts";
+
+/** A field with what docs/SETTINGS.md says of it. */
+interface IField {
+  readonly name: string;
+  readonly allowed: string;
+  readonly otherwise: string;
+}
+
+/** A JSON schema, as far as it is read here. */
+interface ISchemaNode {
+  readonly type?: string;
+  readonly default?: unknown;
+  readonly properties?: Readonly<Record<string, ISchemaNode>>;
+  readonly required?: readonly string[];
+  readonly items?: ISchemaNode;
+}
+
+function fieldsOf(schema: z.ZodType): IField[] {
+  const root = z.toJSONSchema(schema, { io: "input", unrepresentable: "any" });
+  const fields: IField[] = [];
+  const visit = (node: ISchemaNode, path: (string | number)[]) => {
+    for (const [key, child] of Object.entries(node.properties ?? {})) {
+      const own = [...path, key];
+      const isRequired = node.required?.includes(key) ?? false;
+      const inner = child.items ?? child;
+      if (inner.properties) {
+        visit(inner, child.items ? [...own, 0] : own);
+        continue;
+      }
+      fields.push({
+        name: own.map((step) => step === 0 ? "[]" : `.${step}`).join("")
+          .slice(1),
+        allowed: describeAllowed(schema, own) ?? "",
+        otherwise: isRequired
+          ? "required"
+          : child.default === undefined
+          ? "none"
+          : `\`${JSON.stringify(child.default)}\``,
+      });
+    }
+  };
+  visit(root as ISchemaNode, []);
+  return fields;
+}
+
+/** Rows of the page's tables under a heading. */
+function rowsUnder(page: string, heading: string): string[][] {
+  const section = page.split(`\n## ${heading}\n`)[1]?.split("\n## ")[0] ?? "";
+  return section.split("\n")
+    .filter((line) => line.startsWith("| `"))
+    .map((line) => line.split("|").slice(1, -1).map((cell) => cell.trim()));
+}
+
+for (
+  const [heading, schema] of [
+    ["Settings of a daemon", settingsSchema],
+    ["Inventory and rules", configurationSchema],
+  ] as const
+) {
+  test(`docs/SETTINGS.md: ${heading}`, async (t) => {
+    const page = await readFile("docs/SETTINGS.md", "utf8");
+    const told = rowsUnder(page, heading);
+    t.deepEqual(
+      told.map(([name, allowed, otherwise]) => ({ name, allowed, otherwise })),
+      fieldsOf(schema).map(({ name, allowed, otherwise }) => ({
+        name: `\`${name}\``,
+        allowed,
+        otherwise,
+      })),
+    );
+    for (const row of told) t.true((row[3] ?? "").length > 10, row[0]);
+  });
+}
