Status by the rollout; metrics of an instance's place in the fleet

Cause: status told versions from the member list, which showed 0 for seconds after version 1 was in force (seen on a fleet of three). It asks the rollout now. Latencies of which none was measured read as a dash, not 0 ms.

--- a/src/burn/burn_page.ts
+++ b/src/burn/burn_page.ts
@@ -101,8 +101,10 @@
 
 function renderFigures(entry: BurnEntry): string {
   const { burnRates, firstToken, betweenTokens } = entry;
-  const latency = ({ p50, p95, p99 }: BurnEntry["firstToken"]) =>
-    [p50, p95, p99].map((value) => value.toFixed(0)).join(" / ");
+  const latency = ({ count, p50, p95, p99 }: BurnEntry["firstToken"]) =>
+    count === 0
+      ? "none measured"
+      : [p50, p95, p99].map((value) => value.toFixed(0)).join(" / ");
   const figures = [
     ["Requests, 24 h", String(totalCount(entry.counts))],
     ["Budget spent, 24 h", `${(entry.budgetSpent * 100).toFixed(0)}%`],
--- a/src/cli/commands/config_apply.ts
+++ b/src/cli/commands/config_apply.ts
@@ -2,7 +2,7 @@
 import { userInfo } from "node:os";
 import process from "node:process";
 import { err, ok, type Result } from "neverthrow";
-import { configurationSchema } from "../../configuration/mod.ts";
+import { configurationSchema, type Rollout } from "../../configuration/mod.ts";
 import { applyChange } from "../apply_change.ts";
 import { defineCliCommand } from "../define_cli_command.ts";
 import { operatorsArgument, operatorsEdge, usage } from "../edges.ts";
@@ -11,7 +11,7 @@
 import type { Output } from "../output.ts";
 import { Progress } from "../progress.ts";
 import { readDocument } from "../read_document.ts";
-import { type Rollout, waitForRollout } from "../rollout.ts";
+import { isComplete, waitForRollout } from "../rollout.ts";
 import { shownConfigurationSchema } from "./config_show.ts";
 
 /** Time to wait for all instances unless told otherwise, in seconds. */
@@ -115,6 +115,8 @@
   for (const { id, reason } of rollout.missing) {
     output.note(`not in force on ${id}: ${reason}`);
   }
-  const complete = rollout.missing.length === 0 && rollout.inForce.length > 0;
-  return complete ? ExitCode.done : ExitCode.incomplete;
+  for (const id of rollout.lost) {
+    output.note(`${id} is lost; it learns the version when it comes back`);
+  }
+  return isComplete(rollout) ? ExitCode.done : ExitCode.incomplete;
 }
--- a/src/cli/commands/report_burn.ts
+++ b/src/cli/commands/report_burn.ts
@@ -4,6 +4,7 @@
   type BurnEntry,
   type BurnReport,
   burnReportSchema,
+  type Latency,
   renderBurnPage,
   type Spending,
 } from "../../burn/mod.ts";
@@ -81,11 +82,16 @@
     burnRates.oneHour.toFixed(1),
     burnRates.sixHours.toFixed(1),
     entry.alert,
-    `${entry.firstToken.p95.toFixed(0)} ms`,
-    `${entry.betweenTokens.p95.toFixed(0)} ms`,
+    latencyCell(entry.firstToken),
+    latencyCell(entry.betweenTokens),
   ];
 }
 
+/** Answers that were not streamed have no times. */
+function latencyCell({ count, p95 }: Latency): string {
+  return count === 0 ? "-" : `${p95.toFixed(0)} ms`;
+}
+
 function spendingLines(entry: BurnEntry): string[] {
   if (entry.spending.length === 0) return [];
   return [
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -7,7 +7,10 @@
 import {
   type AcceptedConfiguration,
   type Engine,
+  type Rollout,
 } from "../../configuration/mod.ts";
+import type { Member } from "../../membership/mod.ts";
+import { readRollout } from "../rollout.ts";
 import { shownConfigurationSchema } from "./config_show.ts";
 
 /** `figroad status`: instances, targets, leader, versions in force. */
@@ -26,15 +29,21 @@
       shownConfigurationSchema,
     );
     const accepted = shown.map(({ accepted }) => accepted ?? undefined);
+    const configuration = accepted.unwrapOr(undefined);
+    const rollout = await readRollout(client, configuration?.version ?? 0);
     return read.map((status) => {
-      const configuration = accepted.unwrapOr(undefined);
       const targets = configuration?.document.engines ?? [];
       output.result(
-        { ...status, acceptedVersion: configuration?.version, targets },
+        {
+          ...status,
+          acceptedVersion: configuration?.version,
+          rollout: rollout.unwrapOr(undefined),
+          targets,
+        },
         () => [
           ...headLines(status, configuration),
           "",
-          ...instanceLines(status),
+          ...instanceLines(status, rollout.unwrapOr(undefined)),
           "",
           ...targetLines(targets),
         ],
@@ -69,7 +78,10 @@
   ];
 }
 
-function instanceLines({ members }: Status): string[] {
+function instanceLines(
+  { members }: Status,
+  rollout: Rollout | undefined,
+): string[] {
   return formatTable(
     [
       "INSTANCE",
@@ -85,11 +97,23 @@
       member.failureDomain,
       member.health,
       member.state,
-      String(member.configurationVersion),
+      versionCell(member, rollout),
     ]),
   );
 }
 
+/** The leader knows better than the member list, which may be older. */
+function versionCell(
+  { id, configurationVersion }: Member,
+  rollout: Rollout | undefined,
+): string {
+  if (!rollout) return `${configurationVersion} (when last told)`;
+  if (rollout.inForce.includes(id)) return String(rollout.version);
+  const missing = rollout.missing.find((one) => one.id === id);
+  if (missing) return `not ${rollout.version}: ${missing.reason}`;
+  return "unknown";
+}
+
 function targetLines(targets: readonly Engine[]): string[] {
   return formatTable(
     ["TARGET", "SERVICE", "FAILURE DOMAIN", "ADDRESS"],
--- a/src/cli/figroad_test.ts
+++ b/src/cli/figroad_test.ts
@@ -147,6 +147,7 @@
       version: 7,
       inForce: ["one"],
       missing: [{ id: "two", reason: "silent for 4 s" }],
+      lost: ["three"],
     };
   });
   const applied = await run(
@@ -158,6 +159,7 @@
   edge.close();
   t.is(applied.exitCode, ExitCode.incomplete);
   t.regex(applied.stderr, /not in force on two: silent for 4 s/);
+  t.regex(applied.stderr, /three is lost/);
 });
 
 test("job", async (t) => {
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -77,6 +77,7 @@
 import { RpcClient, RpcServer } from "../rpc/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { HttpEngineAdapter, HttpPlainAdapter } from "../targets/mod.ts";
+import { defineInstanceMetrics } from "./instance_metrics.ts";
 import type { IDaemon } from "./types.ts";
 
 /** Bound of the seeds of random choices. */
@@ -267,6 +268,12 @@
   );
 
   platform?.start();
+  defineInstanceMetrics(metrics, {
+    membership: heartbeat,
+    configuration,
+    rpc: rpc.statistics,
+    log,
+  });
   heartbeat.start();
   reports.start();
   admission.start();
