--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -6,8 +6,12 @@
 import { join } from "node:path";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
+import { explanationLines } from "../src/cli/commands/explain.ts";
+import { formatTable, formatTime } from "../src/cli/output.ts";
+import { configurationHistoryMethod } from "../src/configuration/mod.ts";
 import { startDaemon } from "../src/daemon/composition.ts";
 import { SilentEventLog } from "../src/events/mod.ts";
+import { explanationSchema } from "../src/explain/mod.ts";
 import { settingsSchema } from "../src/settings/mod.ts";
 import { EngineStandin } from "../testing/engine_standin.ts";
 import { applyConfiguration, fetchJson, postJson } from "../testing/http.ts";
@@ -21,6 +25,10 @@
   process.stdout.write(`${line}\n`);
 }
 
+function printIndented(lines: readonly string[]): void {
+  for (const line of lines) print(`  ${line}`);
+}
+
 function configuration(ports: number[]): object {
   return {
     places: [{ region: "demo", failureDomains: ["here"] }],
@@ -41,7 +49,8 @@
   };
 }
 
-async function sendLive(url: string): Promise<void> {
+/** Sends a streamed request and returns its identifier. */
+async function sendLive(url: string): Promise<string> {
   const started = performance.now();
   const response = await fetch(`${url}/v1/chat/completions`, {
     method: "POST",
@@ -63,16 +72,32 @@
   const tokens = text.split("\n\n").filter((event) =>
     event.includes('"content"')
   );
-  print(
-    `  status ${response.status}, request ${
-      response.headers.get("x-request-id")
-    }`,
-  );
+  const id = response.headers.get("x-request-id") ?? "";
+  print(`  status ${response.status}, request ${id}`);
   print(
     `  first token after ${first.toFixed(1)} ms, ${tokens.length} tokens in ${
       (performance.now() - started).toFixed(1)
     } ms`,
   );
+  return id;
+}
+
+async function showExplanation(operators: string, id: string): Promise<void> {
+  const { body } = await fetchJson(`${operators}/explain?id=${id}`);
+  printIndented(explanationLines(explanationSchema.parse(body)));
+}
+
+async function showHistory(operators: string): Promise<void> {
+  const { body } = await fetchJson(`${operators}/configuration/history`);
+  const { records } = configurationHistoryMethod.result.parse(body);
+  printIndented(formatTable(
+    ["VERSION", "ACCEPTED", "OPERATOR"],
+    records.map(({ version, acceptedAt, operator }) => [
+      String(version),
+      formatTime(acceptedAt),
+      operator,
+    ]),
+  ));
 }
 
 async function sendBatch(url: string): Promise<void> {
@@ -142,18 +167,29 @@
   print(`  callers' API at ${callers}, data in ${folder}`);
   print();
   print("1. An operator applies the inventory and the rules");
-  const version = await applyConfiguration(operators, configuration(ports));
+  const first = configuration(ports.slice(0, 1));
+  const version = await applyConfiguration(operators, first);
   while ((await fetchJson(`${operators}/ready`)).status !== 200) {
     await sleep(50);
   }
-  print(`  configuration version ${version} is in force`);
+  print(`  configuration version ${version} is in force, with one engine`);
   print();
   print("2. A live request, streamed");
-  await sendLive(callers);
+  const request = await sendLive(callers);
   print();
-  print("3. A batch job");
+  print("3. The operator adds a second engine");
+  const next = await applyConfiguration(operators, configuration(ports));
+  print(`  configuration version ${next} is accepted`);
+  print();
+  print("4. A batch job");
   await sendBatch(callers);
   print();
+  print("5. What figroad did with the live request (figroad explain)");
+  await showExplanation(operators, request);
+  print();
+  print("6. Who changed what (figroad config history)");
+  await showHistory(operators);
+  print();
   await daemon.stop();
   engines.forEach((engine) => engine.die());
   await rm(folder, { recursive: true, force: true });
