--- a/src/cli/commands/config_apply.ts
+++ b/src/cli/commands/config_apply.ts
@@ -8,7 +8,7 @@
 import { operatorsArgument, operatorsEdge, usage } from "../edges.ts";
 import { ExitCode, type ICliFailure } from "../exit_code.ts";
 import type { HttpClient } from "../http_client.ts";
-import type { Output } from "../output.ts";
+import { countOf, type Output } from "../output.ts";
 import { Progress } from "../progress.ts";
 import { readDocument } from "../read_document.ts";
 import { isComplete, waitForRollout } from "../rollout.ts";
@@ -73,7 +73,9 @@
     const rollout = await awaitRollout(client, version, seconds);
     return rollout.map((rollout) => {
       output.result({ record: accepted.value, rollout }, () => [
-        `version ${version} is in force on ${rollout.inForce.length} instances`,
+        `version ${version} is in force on ${
+          countOf(rollout.inForce.length, "instance")
+        }`,
       ]);
       return reportMissing(rollout, output);
     });
--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -2,7 +2,7 @@
 import { defineCliCommand } from "../define_cli_command.ts";
 import { operatorsArgument, operatorsEdge } from "../edges.ts";
 import { ExitCode } from "../exit_code.ts";
-import { formatTable, formatTime } from "../output.ts";
+import { countOf, formatTable, formatTime } from "../output.ts";
 
 /** `figroad explain ID`: what was done with a request or item, and why. */
 export const explain = defineCliCommand({
@@ -38,7 +38,8 @@
   const { subject, steps, droppedSteps, keptSince, answered } = explanation;
   if (steps.length === 0) {
     return [
-      `${answered.length} instances know nothing of ${subject}; ` +
+      `${countOf(answered.length, "instance")} asked, none knows of ` +
+      `${subject}; ` +
       `their memory reaches back to ${formatTime(keptSince)}`,
     ];
   }
--- a/src/cli/figroad_test.ts
+++ b/src/cli/figroad_test.ts
@@ -198,7 +198,7 @@
 test("reports", async (t) => {
   const explained = await run("explain", "req-unknown");
   t.is(explained.exitCode, ExitCode.notFound);
-  t.regex(explained.stdout, /2 instances know nothing of req-unknown/);
+  t.regex(explained.stdout, /2 instances asked, none knows of req-unknown/);
   const page = join(fleet.folder, "burn.html");
   const burn = await run("report", "burn", "--html", page, "--json");
   t.is(burn.exitCode, ExitCode.done, burn.stderr);
--- a/src/cli/output.ts
+++ b/src/cli/output.ts
@@ -45,3 +45,8 @@
 export function formatTime(milliseconds: number): string {
   return new Date(milliseconds).toISOString();
 }
+
+/** Formats a count with its noun, such as `1 instance` or `3 instances`. */
+export function countOf(count: number, noun: string): string {
+  return count === 1 ? `1 ${noun}` : `${count} ${noun}s`;
+}
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -264,7 +264,7 @@
         metrics,
         clock,
       }),
-    ]),
+    ], { events }),
   );
 
   platform?.start();
--- a/src/operators/operators_server.ts
+++ b/src/operators/operators_server.ts
@@ -4,17 +4,27 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { type IDisposable, notRun } from "../common/mod.ts";
+import { type IDisposable, mayHaveRun, notRun } from "../common/mod.ts";
+import { requestCrashed } from "../entry/events.ts";
 import { sendFailure } from "../entry/respond.ts";
+import type { IEventLog } from "../events/mod.ts";
 import type { IOperatorRoute } from "./types.ts";
 
+/** Base of request targets, which are paths. */
+const BASE_URL = "http://figroad";
+
 /** HTTP edge for operators, metrics and the balancer's probes. */
 export class OperatorsServer implements IDisposable {
   #routes: readonly IOperatorRoute[];
+  #events: IEventLog;
   #server: Server;
 
-  constructor(routes: readonly IOperatorRoute[]) {
+  constructor(
+    routes: readonly IOperatorRoute[],
+    options: { events: IEventLog },
+  ) {
     this.#routes = routes;
+    this.#events = options.events;
     this.#server = createServer((message, response) => {
       void this.#serve(message, response);
     });
@@ -39,7 +49,11 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const url = new URL(message.url ?? "/", "http://figroad");
+    const target = message.url ?? "/";
+    if (!URL.canParse(target, BASE_URL)) {
+      return sendFailure(response, notRun("bad-request", "no valid URL"));
+    }
+    const url = new URL(target, BASE_URL);
     const route = this.#routes.find((route) =>
       route.method === message.method && route.path.test(url.pathname)
     );
@@ -47,6 +61,12 @@
       const reason = `no operator endpoint at ${url.pathname}`;
       return sendFailure(response, notRun("not-found", reason));
     }
-    await route.handle({ url, message, response });
+    try {
+      await route.handle({ url, message, response });
+    } catch (error) {
+      const request = `${message.method} ${url.pathname}`;
+      this.#events.emit(requestCrashed, { request, error: String(error) });
+      sendFailure(response, mayHaveRun("internal", "internal error"));
+    }
   }
 }
--- a/src/settings/examples_test.ts
+++ b/src/settings/examples_test.ts
@@ -21,7 +21,7 @@
 test("every example is valid", async (t) => {
   const files = await readdir("examples", { recursive: true });
   const documents = files.filter((file) => file.endsWith(".jsonc"));
-  t.is(documents.length, 7);
+  t.is(documents.length, 9);
   for (const file of documents) {
     const schema = file.endsWith("settings.jsonc")
       ? settingsSchema
