--- a/src/cli/figroad_test.ts
+++ b/src/cli/figroad_test.ts
@@ -147,6 +147,7 @@
       version: 7,
       inForce: ["one"],
       missing: [{ id: "two", reason: "silent for 4 s" }],
+      lost: ["three"],
     };
   });
   const applied = await run(
@@ -158,6 +159,7 @@
   edge.close();
   t.is(applied.exitCode, ExitCode.incomplete);
   t.regex(applied.stderr, /not in force on two: silent for 4 s/);
+  t.regex(applied.stderr, /three is lost/);
 });
 
 test("job", async (t) => {
@@ -196,7 +198,7 @@
 test("reports", async (t) => {
   const explained = await run("explain", "req-unknown");
   t.is(explained.exitCode, ExitCode.notFound);
-  t.regex(explained.stdout, /2 instances know nothing of req-unknown/);
+  t.regex(explained.stdout, /2 instances asked, none knows of req-unknown/);
   const page = join(fleet.folder, "burn.html");
   const burn = await run("report", "burn", "--html", page, "--json");
   t.is(burn.exitCode, ExitCode.done, burn.stderr);
