--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { match } from "ts-pattern";
 import { type IFleetInstance, kill } from "../testing/fleet.ts";
+import { fetchJson } from "../testing/http.ts";
 import type { SeededRandom } from "../testing/seeded_random.ts";
 import type { SoakRecord } from "./record.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
@@ -10,6 +11,7 @@
   "kill-instance",
   "freeze-instance",
   "stop-instance",
+  "lose-data-of-instance",
   "isolate-voter",
   "silence-voter-connections",
   "cut-engine",
@@ -40,6 +42,15 @@
 const MINIMUM_FAULT_MILLISECONDS = 200;
 const MAXIMUM_FAULT_MILLISECONDS = 8_000;
 
+/** Longest wait for a replaced voter to vote again, in milliseconds. */
+const REJOIN_TIMEOUT_MILLISECONDS = 30_000;
+
+/** Time between two looks at the voters, in milliseconds. */
+const REJOIN_PROBE_MILLISECONDS = 500;
+
+/** Marks that a data folder is being replaced. */
+const DATA_FOLDERS = "(data folders)";
+
 /** Draws a schedule; the same seed gives the same schedule. */
 export function drawSchedule(
   random: SeededRandom,
@@ -99,6 +110,10 @@
   await match(fault.kind)
     .with("kill-instance", () => killInstance(fleet, instance, fault))
     .with("freeze-instance", () => freezeInstance(instance, fault))
+    .with(
+      "lose-data-of-instance",
+      () => loseData(fleet, { instance, fault, busy }),
+    )
     .with("stop-instance", () => stopInstance(fleet, record, instance))
     .with("isolate-voter", async () => {
       relay?.isolate();
@@ -169,8 +184,45 @@
   await fleet.fleet.restart(instance);
 }
 
-/** Removes the data of a voter whose process is not running. */
-export async function loseData(instance: IFleetInstance): Promise<void> {
-  if (!instance.dataFolder) return;
-  await rm(instance.dataFolder, { recursive: true, force: true });
+/**
+ * Replaces an instance by one with an empty data folder. At most one folder
+ * at a time is lost, as a quorum has to keep what was acknowledged.
+ */
+async function loseData(
+  fleet: SoakFleet,
+  options: {
+    instance: IFleetInstance;
+    fault: IScheduledFault;
+    busy: Set<string>;
+  },
+): Promise<void> {
+  const { instance, fault, busy } = options;
+  if (instance.dataFolder && busy.has(DATA_FOLDERS)) return;
+  busy.add(DATA_FOLDERS);
+  await kill(instance.process, "SIGKILL");
+  if (instance.dataFolder) {
+    await rm(instance.dataFolder, { recursive: true, force: true });
+  }
+  await sleep(fault.lasts);
+  await fleet.fleet.restart(instance);
+  if (instance.dataFolder) await waitForVoter(fleet, instance);
+  busy.delete(DATA_FOLDERS);
+}
+
+/** Waits until the instance votes again, for a bounded time. */
+async function waitForVoter(
+  fleet: SoakFleet,
+  instance: IFleetInstance,
+): Promise<void> {
+  const deadline = Date.now() + REJOIN_TIMEOUT_MILLISECONDS;
+  while (Date.now() < deadline) {
+    await sleep(REJOIN_PROBE_MILLISECONDS);
+    for (const { operators } of fleet.fleet.instances) {
+      const signal = AbortSignal.timeout(REJOIN_PROBE_MILLISECONDS);
+      const answer = await fetchJson(`${operators}/voters`, { signal })
+        .catch(() => undefined);
+      const voters: { id: string }[] = answer?.body?.voters ?? [];
+      if (voters.some(({ id }) => id === instance.id)) return;
+    }
+  }
 }
