--- a/src/consensus/replicated_log_test.ts
+++ b/src/consensus/replicated_log_test.ts
@@ -1,10 +1,12 @@
 import test from "ava";
-import { LogCluster } from "../../testing/log_cluster.ts";
+import { type ClusterNode, LogCluster } from "../../testing/log_cluster.ts";
+import { VirtualClock } from "../../testing/virtual_clock.ts";
 import {
   changeReplicasMethod,
   helloMethod,
   type ReplicaChange,
   voteMethod,
+  type VoteParams,
 } from "./messages.ts";
 
 /** Gives an operator's order to the leader. */
@@ -163,28 +165,81 @@
   t.deepEqual(cluster.faults(), []);
 });
 
-test("vote asked of another data folder", async (t) => {
-  const cluster = await LogCluster.start(3, 18);
-  const leader = await cluster.untilLeader();
-  const [voter] = cluster.followers;
-  if (!voter) return t.fail();
-  const rpc = cluster.network.connect("candidate", leader.clock);
-  const deadline = leader.clock.deadlineIn(5_000);
+/** Asks a voter for its vote as a candidate that is far ahead. */
+async function askForVote(
+  cluster: LogCluster,
+  voter: ClusterNode,
+  options: Partial<VoteParams> = {},
+): Promise<boolean> {
+  const clock = new VirtualClock(cluster.time);
+  const rpc = cluster.network.connect("candidate", clock);
+  const deadline = clock.deadlineIn(1_000);
   const hello = rpc.call(voter.address, helloMethod, {}, { deadline });
   const known = (await cluster.settle(hello))._unsafeUnwrap();
-  const ask = (to: string) =>
-    cluster.settle(rpc.call(voter.address, voteMethod, {
-      cluster: known.cluster ?? "",
-      to,
-      from: "candidate",
-      term: 100,
-      preVote: true,
-      transfer: true,
-      lastIndex: 1_000,
-      lastTerm: 100,
-    }, { deadline }));
-  t.true((await ask("lost-folder")).isErr());
-  t.true((await ask(known.storage))._unsafeUnwrap().granted);
+  const params = {
+    cluster: known.cluster ?? "",
+    to: known.storage,
+    from: "candidate",
+    term: 100,
+    preVote: false,
+    transfer: true,
+    lastIndex: 1_000,
+    lastTerm: 100,
+    ...options,
+  };
+  const vote = rpc.call(voter.address, voteMethod, params, { deadline });
+  const answer = await cluster.settle(vote);
+  return answer.isOk() && answer.value.granted;
+}
+
+test("vote asked of another data folder", async (t) => {
+  const cluster = await LogCluster.start(3, 18);
+  const voter = cluster.followers[0]!;
+  t.false(await askForVote(cluster, voter, { to: "lost-folder" }));
+  t.true(await askForVote(cluster, voter));
+});
+
+test("no vote while the leader is heard", async (t) => {
+  const cluster = await LogCluster.start(3, 19);
+  const voter = cluster.followers[0]!;
+  const { term } = voter.log.leadership;
+  t.false(await askForVote(cluster, voter, { transfer: false }));
+  t.is(voter.log.leadership.term, term);
+});
+
+test("vote kept over a restart", async (t) => {
+  const cluster = await LogCluster.start(3, 20);
+  const voter = cluster.followers[0]!;
+  t.true(await askForVote(cluster, voter));
+  voter.crash();
+  await cluster.settle(voter.start());
+  t.false(await askForVote(cluster, voter, { from: "another" }));
+  t.true(await askForVote(cluster, voter));
+});
+
+test("leases never overlap", async (t) => {
+  for (let seed = 30; seed < 40; seed++) {
+    const cluster = await LogCluster.start(3, seed);
+    const old = await cluster.untilLeader();
+    cluster.network.isolated.add(old.address.id);
+    let most = 0;
+    await cluster.time.pass(600, () => {
+      const holders = cluster.nodes.filter((node) => node.hasLease);
+      most = Math.max(most, holders.length);
+    });
+    t.is(most, 1, `seed ${seed}`);
+  }
+});
+
+test("read without a lease is confirmed", async (t) => {
+  const cluster = await LogCluster.start(3, 21);
+  await cluster.commit(1);
+  const old = await cluster.untilLeader();
+  cluster.network.isolated.add(old.address.id);
+  while (old.hasLease) await cluster.time.pass(1);
+  t.true(old.isLeader);
+  const deadline = old.clock.deadlineIn(300);
+  t.true((await cluster.settle(old.log.barrier({ deadline }))).isErr());
 });
 
 test("lost disk returns as a learner", async (t) => {
