Slow writes reported; process test of a lost folder and a hand-over

The event for slow writes was defined and never emitted. Members in the status carry their folder identity and failure domain, so that operators see that a voter has returned under a new one.

--- a/src/consensus/log_store.ts
+++ b/src/consensus/log_store.ts
@@ -1,7 +1,10 @@
-import { Emitter, invariant } from "../common/mod.ts";
+import { Emitter, type IClock, invariant } from "../common/mod.ts";
 import type { Entry } from "./entry.ts";
 import type { WriteAheadLog } from "./write_ahead_log.ts";
 
+/** Duration from which a write counts as slow, in milliseconds. */
+const SLOW_WRITE_MILLISECONDS = 1_000;
+
 /** Position in the log. */
 export interface ILogPosition {
   readonly index: number;
@@ -34,15 +37,25 @@
   #failed = false;
   readonly #synced = new Emitter<void>();
   readonly #failure = new Emitter<Error>();
+  readonly #slowWrite = new Emitter<number>();
   /** Fires when more entries are durable. */
   readonly onSynced = this.#synced.event;
   /** Fires once, when the disk fails. */
   readonly onFailure = this.#failure.event;
+  /** Fires with the duration of a slow write, in milliseconds. */
+  readonly onSlowWrite = this.#slowWrite.event;
+  #clock: IClock;
 
   /** Takes the entries that follow the base position. */
-  constructor(wal: WriteAheadLog, base: ILogPosition, entries: Entry[]) {
+  constructor(
+    wal: WriteAheadLog,
+    base: ILogPosition,
+    options: { entries: Entry[]; clock: IClock },
+  ) {
+    const { entries, clock } = options;
     this.#wal = wal;
     this.#base = base;
+    this.#clock = clock;
     this.#entries = entries;
     this.#sizes = entries.map((entry) => JSON.stringify(entry).length);
     this.#bytes = this.#sizes.reduce((sum, size) => sum + size, 0);
@@ -201,8 +214,11 @@
       this.#pending = [];
       const records = this.#inWriting.flatMap((write) => write.records);
       const indexes = this.#inWriting.map(({ lastIndex }) => lastIndex);
+      const begun = this.#clock.monotonic();
       await this.#guard(() => this.#wal.append(records, Math.max(...indexes)));
       if (this.#failed) break;
+      const duration = this.#clock.monotonic() - begun;
+      if (duration > SLOW_WRITE_MILLISECONDS) this.#slowWrite.fire(duration);
       const written = this.#inWriting;
       this.#inWriting = [];
       for (const { finish } of written) {
--- a/src/consensus/process_test.ts
+++ b/src/consensus/process_test.ts
@@ -1,4 +1,6 @@
 import test from "ava";
+import { rm } from "node:fs/promises";
+import { eventually } from "../../testing/eventually.ts";
 import { Fleet, type IFleetInstance, kill } from "../../testing/fleet.ts";
 import { fetchJson, postJson } from "../../testing/http.ts";
 
@@ -99,3 +101,37 @@
   }
   t.is(new Set(kept.values()).size, kept.size);
 });
+
+test("lost data folder and hand-over", async (t) => {
+  const fleet = await Fleet.start({ instances: 3, voters: 3, engines: 1 });
+  t.teardown(() => fleet.stop());
+  const voters = async () => {
+    for (const { operators } of fleet.instances) {
+      try {
+        const { status, body } = await fetchJson(`${operators}/voters`);
+        if (status === 200) return body;
+      } catch {
+        // The instance is down.
+      }
+    }
+    return { voters: [] };
+  };
+  const before = await voters();
+  const lost = fleet.instances.find(({ id }) => id !== before.leader);
+  if (!lost) return t.fail();
+  await kill(lost.process, "SIGKILL");
+  await rm(lost.dataFolder ?? "", { recursive: true });
+  await fleet.restart(lost);
+  // deno-lint-ignore no-explicit-any
+  const storageOf = ({ voters }: any) =>
+    // deno-lint-ignore no-explicit-any
+    voters.find(({ id }: any) => id === lost.id)?.storage;
+  await eventually("votes under a new identity", async () => {
+    const storage = storageOf(await voters());
+    return storage !== undefined && storage !== storageOf(before);
+  });
+  const order = { action: "transfer", voter: { id: lost.id } };
+  const answer = await postJson(`${lost.operators}/voters`, order);
+  t.is(answer.status, 200);
+  await eventually("leads", async () => (await voters()).leader === lost.id);
+});
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -110,7 +110,10 @@
     if (recovered.cutBytes > 0) {
       events.emit(tailCut, { bytes: recovered.cutBytes });
     }
-    const log = await openLog(wal, recovered, snapshot);
+    const log = await openLog(wal, recovered, {
+      snapshot,
+      clock: options.clock,
+    });
     const base = { voters: founders, learners: [] };
     const tracker = new ReplicaTracker(
       snapshot?.index ?? 0,
@@ -264,8 +267,9 @@
 async function openLog(
   wal: WriteAheadLog,
   recovered: IRecoveredLog,
-  snapshot: Snapshot | undefined,
+  options: { snapshot: Snapshot | undefined; clock: IClock },
 ): Promise<LogStore> {
+  const { snapshot, clock } = options;
   const position = snapshot
     ? { index: snapshot.index, term: snapshot.term }
     : { index: 0, term: 0 };
@@ -276,7 +280,7 @@
     covered?.term === position.term;
   if (isJoined) {
     const kept = entries.filter(({ index }) => index > position.index);
-    return new LogStore(wal, position, kept);
+    return new LogStore(wal, position, { entries: kept, clock });
   }
   const last = entries.at(-1)?.index ?? 0;
   if (first > position.index + 1) {
@@ -285,7 +289,7 @@
     );
   }
   // The snapshot was installed and the crash came before the log was told.
-  const log = new LogStore(wal, position, []);
+  const log = new LogStore(wal, position, { entries: [], clock });
   await log.restartAfter(position);
   if (last >= position.index && covered === undefined) {
     throw new CorruptionError(`no entry at ${position.index}`);
--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -6,7 +6,7 @@
 } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { Entry } from "./entry.ts";
-import { leadershipLost, otherLog, replicaFailed } from "./events.ts";
+import { leadershipLost, otherLog, replicaFailed, syncSlow } from "./events.ts";
 import type { ILogPosition, LogStore } from "./log_store.ts";
 import type { ReplicaHead } from "./messages.ts";
 import { isVoter, type ReplicaMember, type ReplicaSet } from "./replica_set.ts";
@@ -69,6 +69,9 @@
       ? Number.NEGATIVE_INFINITY as Deadline
       : parts.clock.monotonic();
     parts.log.onFailure((error) => this.fail(error));
+    parts.log.onSlowWrite((milliseconds) =>
+      this.events.emit(syncSlow, { milliseconds: Math.round(milliseconds) })
+    );
     parts.terms.onFailure((error) => this.fail(error));
   }
 
--- a/src/consensus/replicated_log_test.ts
+++ b/src/consensus/replicated_log_test.ts
@@ -137,6 +137,16 @@
   t.deepEqual(cluster.faults(), []);
 });
 
+test("failing disk acknowledges nothing", async (t) => {
+  const cluster = await LogCluster.start(1, 22);
+  await cluster.commit(5);
+  const [node] = cluster.nodes;
+  if (!node) return t.fail();
+  node.disk.isFailing = true;
+  t.false(await cluster.settle(cluster.propose()));
+  t.true(node.hasEvent("replica-failed"));
+});
+
 test("slow sync of the leader", async (t) => {
   const cluster = await LogCluster.start(3, 9);
   const leader = await cluster.untilLeader();
@@ -159,6 +169,7 @@
   leader.disk.syncMilliseconds = 3_000;
   t.false(await cluster.settle(cluster.propose(leader)));
   await cluster.time.pass(4_000);
+  t.true(leader.hasEvent("sync-slow"));
   cluster.network.isolated.clear();
   leader.disk.syncMilliseconds = 1;
   await cluster.untilEqual();
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -74,6 +74,13 @@
   readonly isLeader: boolean;
 }
 
+/** Member of the log, for operators. */
+export const memberStatusSchema = peerAddressSchema.extend({
+  failureDomain: z.string().optional(),
+  /** Identity of the data folder. */
+  storage: z.string().optional(),
+});
+
 /** State of a replica, for operators and metrics. */
 export const logStatusSchema = z.object({
   id: z.string(),
@@ -84,8 +91,8 @@
   lastIndex: z.number(),
   commitIndex: z.number(),
   appliedIndex: z.number(),
-  voters: z.array(peerAddressSchema),
-  learners: z.array(peerAddressSchema),
+  voters: z.array(memberStatusSchema),
+  learners: z.array(memberStatusSchema),
 });
 export type LogStatus = z.infer<typeof logStatusSchema>;
 
