--- a/measure/consensus.ts
+++ b/measure/consensus.ts
@@ -20,6 +20,7 @@
 const RUNS = 3;
 const LOAD_MILLISECONDS = 2_000;
 const IDLE_MILLISECONDS = 20_000;
+const ELECTION_RUNS = 7;
 const NO_MAXIMUM = 1_000_000;
 const NO_COMPACTION = 10_000_000;
 const MEMORY_ENTRIES = 8_000;
@@ -73,6 +74,11 @@
     }
   }
 
+  async isAnyLeader(voters: readonly IVoter[]): Promise<boolean> {
+    const reports = voters.map((voter) => this.report(voter));
+    return (await Promise.all(reports)).some(({ isLeader }) => isLeader);
+  }
+
   async load(
     proposers: number,
     bytes: number,
@@ -141,6 +147,7 @@
   await group.stop();
 }
 
+/** Processor time, bytes and memory of voters without commands. */
 export async function measureIdle(voters: number): Promise<void> {
   const group = await VoterGroup.start(voters);
   const leader = await group.leader();
@@ -171,6 +178,28 @@
   await group.stop();
 }
 
+/** Time without a leader after the leader is killed. */
+export async function measureElection(voters: number): Promise<void> {
+  const group = await VoterGroup.start(voters);
+  const gaps: number[] = [];
+  for (let run = 0; run < ELECTION_RUNS; run++) {
+    const old = await group.leader();
+    await sleep(1_000);
+    const killedAt = performance.now();
+    await end(old.process);
+    const others = group.voters.filter((voter) => voter !== old);
+    while (!await group.isAnyLeader(others)) await sleep(10);
+    gaps.push(performance.now() - killedAt);
+    await group.restart(old);
+  }
+  row([
+    `${voters} voters, leader killed`,
+    `median ${median(gaps).toFixed(0)} ms`,
+    `longest ${Math.max(...gaps).toFixed(0)} ms of ${ELECTION_RUNS}`,
+  ]);
+  await group.stop();
+}
+
 async function measureMemory(): Promise<void> {
   const sizes: number[] = [];
   for (let run = 0; run < RUNS; run++) {
@@ -217,6 +246,7 @@
 export async function measureConsensus(): Promise<void> {
   for (const voters of [1, 3, 5]) await measureCommits(voters);
   for (const voters of [1, 3, 5]) await measureIdle(voters);
+  for (const voters of [3, 5]) await measureElection(voters);
   await measureMemory();
   await measureRestart();
 }
