--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -47,6 +47,7 @@
   const soak = await SoakFleet.start(options);
   const { fleet, plain } = soak;
   const print = options.onProgress ?? (() => {});
+  let isClean = false;
   try {
     const load = new AbortController();
     const watch = new AbortController();
@@ -72,8 +73,11 @@
     await checkChanges(fleet, record);
     watch.abort();
     await watching;
+    isClean = record.violations.length === 0;
+  } catch (error) {
+    record.violate(String(error));
   } finally {
-    await soak.stop({ keepFiles: record.violations.length > 0 });
+    await soak.stop({ keepFiles: !isClean });
   }
   return { record, schedule, folder: fleet.folder };
 }
