--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -73,6 +73,7 @@
   OperatorsServer,
   reportRoutes,
   statusRoutes,
+  voterRoutes,
 } from "../operators/mod.ts";
 import {
   BalancedSelector,
@@ -114,7 +115,9 @@
   };
   const rpc = store.add(new RpcClient(self.id, clock, { events }));
   const voters = settings.voters.map((voter) =>
-    voter.id === self.id ? { ...voter, port: peerPort } : voter
+    voter.port === 0 && voter.id === self.id
+      ? { ...voter, port: peerPort }
+      : voter
   );
   const control = new ControlClient(() => voters, rpc, { clock });
 
@@ -160,8 +163,9 @@
     const section = new ConfigurationSection();
     const jobs = new JobsSection(join(dataFolder, "jobs"));
     const sections = [section, jobs, new OperationsSection()];
+    const own = voters.find(({ id }) => id === self.id);
     const { failureDomain } = settings.instance;
-    log = new ReplicatedLog({ ...self, failureDomain }, sections, {
+    log = new ReplicatedLog(own ?? { ...self, failureDomain }, sections, {
       ...{ rpc, server, clock, events, founders: voters, start },
       storage: new FolderStorage(dataFolder),
     });
@@ -295,6 +299,7 @@
           permission.mayServe,
       }),
       ...configurationRoutes(control, clock),
+      ...voterRoutes(control, clock),
       ...reportRoutes({
         explain: new ExplainCollector(heartbeat, rpc),
         burn: new BurnReporter(heartbeat, rpc, { configuration, clock }),
