--- a/src/cli/figroad_test.ts
+++ b/src/cli/figroad_test.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from "node:net";
 import { join } from "node:path";
 import test from "ava";
-import { COMMITTEE_KEY, Fleet } from "../../testing/fleet.ts";
+import { COMMITTEE_KEY, Fleet, STATION_KEY } from "../../testing/fleet.ts";
 import { fetchJson, postJson } from "../../testing/http.ts";
 import { type ICliRun, runCli } from "../../testing/run_cli.ts";
 import { ExitCode } from "./exit_code.ts";
@@ -206,6 +206,34 @@
   t.regex(await readFile(page, "utf8"), /^<!doctype html>/);
 });
 
+test("a live request in the reports", async (t) => {
+  const answer = await postJson(
+    `${fleet.instances[0]?.callers}/v1/completions`,
+    { model: "alert-writer", prompt: "green glow", max_tokens: 3 },
+    { authorization: `Bearer ${STATION_KEY}` },
+  );
+  t.is(answer.status, 200);
+  const id = answer.headers.get("x-request-id") ?? "";
+  const explained = await run("explain", id, "--json");
+  t.is(explained.exitCode, ExitCode.done, explained.stderr);
+  const { steps, answered, unanswered } = JSON.parse(explained.stdout);
+  t.true(steps.length > 0);
+  t.true(
+    steps.every(({ instance }: { instance: string }) =>
+      instance === fleet.instances[0]?.id
+    ),
+  );
+  t.is(answered.length, 2);
+  t.deepEqual(unanswered, []);
+  const burn = await run("report", "burn", "--json");
+  const [entry] = JSON.parse(burn.stdout).entries;
+  t.is(entry.service, "alerts");
+  t.is(entry.callerGroup, "live");
+  t.is(entry.counts.good + entry.counts.late, 1);
+  const metrics = await fetch(`${fleet.instances[0]?.operators}/metrics`);
+  t.regex(await metrics.text(), /figroad_live_requests_total\{[^}]*\} 1\n/);
+});
+
 test("documents checked", async (t) => {
   const path = join(fleet.folder, "bad.jsonc");
   await writeFile(path, '{\n  // a comment\n  "places": []\n}');
--- /dev/null
+++ b/src/operators/ask_members_test.ts
@@ -0,0 +1,76 @@
+import test from "ava";
+import { err, ok } from "neverthrow";
+import { mayHaveRun } from "../common/mod.ts";
+import type { IMembership, Member } from "../membership/mod.ts";
+import { askMembers } from "./ask_members.ts";
+
+function member(id: string, health: Member["health"]): Member {
+  return {
+    id,
+    address: "127.0.0.1",
+    port: 1,
+    region: "west",
+    failureDomain: "west-1",
+    state: "serving",
+    incarnation: id,
+    configurationVersion: 0,
+    health,
+  };
+}
+
+function membership(members: Member[]): IMembership {
+  const self = member("self", "live");
+  const onChange = () => ({ dispose() {} });
+  return { self, members, onChange, isConnected: true };
+}
+
+test("lost and silent members named", async (t) => {
+  const fleet = membership([
+    member("self", "live"),
+    member("c", "suspect"),
+    member("b", "live"),
+    member("a", "lost"),
+  ]);
+  const asked: string[] = [];
+  const { answers, unanswered } = await askMembers(fleet, ({ id }) => {
+    asked.push(id);
+    return Promise.resolve(
+      id === "c" ? err(mayHaveRun("deadline-exceeded", "no answer")) : ok(id),
+    );
+  });
+  t.deepEqual(answers.map(({ id }) => id), ["b", "self"]);
+  t.deepEqual(unanswered, [
+    { id: "a", reason: "lost: sends no heartbeats" },
+    { id: "c", reason: "no answer" },
+  ]);
+  t.false(asked.includes("a"));
+});
+
+test("this instance before the first member list", async (t) => {
+  const { answers } = await askMembers(
+    membership([]),
+    () => Promise.resolve(ok(1)),
+  );
+  t.deepEqual(answers.map(({ id }) => id), ["self"]);
+});
+
+test("many members, few questions at once", async (t) => {
+  const members = Array.from(
+    { length: 360 },
+    (_, index) => member(`instance-${index}`, "live"),
+  );
+  let open = 0;
+  let most = 0;
+  const { answers } = await askMembers(
+    membership([...members, member("self", "live")]),
+    async () => {
+      open += 1;
+      most = Math.max(most, open);
+      await Promise.resolve();
+      open -= 1;
+      return ok(1);
+    },
+  );
+  t.is(answers.length, 361);
+  t.true(most <= 32);
+});
