--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -83,11 +83,8 @@
 import { RpcClient, RpcServer } from "../rpc/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { HttpEngineAdapter, HttpPlainAdapter } from "../targets/mod.ts";
-<<<<<<< HEAD
 import { GracefulStop } from "./graceful_stop.ts";
-=======
 import { defineInstanceMetrics } from "./instance_metrics.ts";
->>>>>>> product-ready
 import type { IDaemon } from "./types.ts";
 
 /** Bound of the seeds of random choices. */
--- a/src/settings/describe_allowed.ts
+++ b/src/settings/describe_allowed.ts
@@ -68,17 +68,22 @@
 
 function describeNumber(kind: string, node: SchemaNode): string {
   const { exclusiveMinimum, exclusiveMaximum } = node;
-  if (exclusiveMinimum !== undefined && exclusiveMaximum !== undefined) {
-    return `${kind} above ${exclusiveMinimum} and below ${exclusiveMaximum}`;
-  }
-  if (exclusiveMinimum !== undefined) {
-    return `${kind} above ${exclusiveMinimum}`;
-  }
   const minimum = boundOf(node.minimum);
   const maximum = boundOf(node.maximum);
-  if (minimum === undefined) return kind;
-  if (maximum === undefined) return `${kind}, at least ${minimum}`;
-  return `${kind} from ${minimum} to ${maximum}`;
+  if (minimum !== undefined && maximum !== undefined) {
+    return `${kind} from ${minimum} to ${maximum}`;
+  }
+  const bounds = [
+    boundText("above", exclusiveMinimum),
+    boundText("at least", minimum),
+    boundText("below", exclusiveMaximum),
+    boundText("at most", maximum),
+  ].filter((bound) => bound !== "");
+  return bounds.length === 0 ? kind : `${kind} ${bounds.join(" and ")}`;
+}
+
+function boundText(relation: string, bound: number | undefined): string {
+  return bound === undefined ? "" : `${relation} ${bound}`;
 }
 
 /** Bounds that come from the number format alone say nothing to a person. */
