A log's identity comes from its founders, not from their addresses

Ruled out: a clash of ports with a soak run beside it (the foreign cluster was that of instance-2 of the same fleet). Before: test 'founders that see other ports found one log' fails ('never: equal'). Conclusion: identities are hashed, addresses are not.

--- a/src/consensus/formation.ts
+++ b/src/consensus/formation.ts
@@ -79,7 +79,7 @@
       const known = hellos.find((hello) => hello?.cluster !== undefined);
       if (known) return await this.#adopt(known);
       const members = this.#members(hellos);
-      const agreed = members && JSON.stringify(members);
+      const agreed = members && identitiesOf(members);
       if (agreed !== undefined && agreed === earlier) {
         const cluster = createHash("sha256").update(agreed).digest("hex");
         await this.#belong(cluster.slice(0, 32), members);
@@ -173,3 +173,11 @@
     await clock.sleepUntil(clock.deadlineIn(ROUND_MILLISECONDS), signal);
   }
 }
+
+/**
+ * What all founders agree on. Addresses are left out, because an instance may
+ * name another port for itself than the others reach it at.
+ */
+function identitiesOf(members: readonly ReplicaMember[]): string {
+  return JSON.stringify(members.map(({ id, storage }) => [id, storage]));
+}
--- a/src/consensus/replicated_log_test.ts
+++ b/src/consensus/replicated_log_test.ts
@@ -49,6 +49,18 @@
   t.deepEqual(cluster.faults(), []);
 });
 
+test("founders that see other ports found one log", async (t) => {
+  for (let seed = 1; seed <= 5; seed++) {
+    const cluster = new LogCluster(3, seed);
+    cluster.isTranslatingPorts = true;
+    for (const node of cluster.nodes) void node.start();
+    await cluster.untilLeader();
+    await cluster.commit(5);
+    await cluster.untilEqual();
+    t.deepEqual(cluster.faults(), []);
+  }
+});
+
 test("isolated leader steps down", async (t) => {
   const cluster = await LogCluster.start(3, 3);
   const old = await cluster.untilLeader();
--- a/testing/log_cluster.ts
+++ b/testing/log_cluster.ts
@@ -114,7 +114,8 @@
   }
 
   async start(mode: "bootstrap" | "join" = "bootstrap"): Promise<void> {
-    const { time, network, random, founders, compaction, seen } = this.#cluster;
+    const { time, network, random, compaction, seen } = this.#cluster;
+    const founders = this.#cluster.foundersSeenBy(this.address);
     this.clock = new VirtualClock(time, this.#rate);
     this.#storage = new FakeStorage(this.disk, this.clock);
     const endpoint = network.connect(this.address.id, this.clock);
@@ -161,6 +162,8 @@
   readonly random: SeededRandom;
   readonly network: FakeNetwork;
   readonly founders: FounderAddress[] = [];
+  /** Makes every node name another port for itself than the others do. */
+  isTranslatingPorts = false;
   readonly nodes: ClusterNode[] = [];
   readonly compaction: ICompaction;
   /** What any replica has applied at each index. */
@@ -201,6 +204,14 @@
     return cluster;
   }
 
+  /** The founders as the settings of a node name them. */
+  foundersSeenBy(node: FounderAddress): FounderAddress[] {
+    if (!this.isTranslatingPorts) return this.founders;
+    return this.founders.map((founder) =>
+      founder.id === node.id ? { ...founder, port: founder.port + 1 } : founder
+    );
+  }
+
   /** Adds a node whose clock is off by at most the bound on drift. */
   add(address: FounderAddress): ClusterNode {
     const rate = 1 + this.random.integer(-20, 20) / 1_000;
