--- a/src/daemon/stopping_test.ts
+++ b/src/daemon/stopping_test.ts
@@ -17,7 +17,7 @@
 
 test.before(async () => {
   const engineOptions = { stepMilliseconds: 15, maximumStreams: 16 };
-  const size = { instances: 4, voters: 1, engines: 2 };
+  const size = { instances: 5, voters: 3, engines: 2 };
   fleet = await Fleet.start({ ...size, engineOptions });
 });
 
@@ -55,6 +55,20 @@
   );
 }
 
+/** Position of the instance whose replica leads. */
+async function leading(): Promise<number> {
+  let found = -1;
+  await eventually("a leader", async () => {
+    for (const index of [0, 1, 2]) {
+      const url = `${instance(index).operators}/status`;
+      const status = await fetchJson(url).catch(() => undefined);
+      if (status?.body.log?.role === "leader") found = index;
+    }
+    return found >= 0;
+  });
+  return found;
+}
+
 async function ready(index: number): Promise<boolean> {
   const url = `${instance(index).operators}/ready`;
   return (await fetchJson(url)).status === 200;
@@ -63,14 +77,14 @@
 test.serial("streams are not cut off", async (t) => {
   let tokens = 0;
   const texts = ["first", "second"].map((prompt) =>
-    stream(1, prompt, () => tokens += 1)
+    stream(3, prompt, () => tokens += 1)
   );
   await eventually("streams run", () => tokens > 10);
-  const exit = ended(1);
-  instance(1).process.kill("SIGTERM");
-  await eventually("not ready", async () => !await ready(1));
+  const exit = ended(3);
+  instance(3).process.kill("SIGTERM");
+  await eventually("not ready", async () => !await ready(3));
   // The balancer may not have noticed yet: new requests are still served.
-  const late = stream(1, "late", () => {});
+  const late = stream(3, "late", () => {});
   t.is(await late, expectedText("late", TOKENS));
   const [first, second] = await Promise.all(texts);
   t.is(first, expectedText("first", TOKENS));
@@ -78,9 +92,11 @@
   t.is(await exit, 0);
   const { body } = await fetchJson(`${instance(0).operators}/status`);
   const member = body.members.find((member: { id: string }) =>
-    member.id === "instance-1"
+    member.id === "instance-3"
   );
   t.is(member.state, "leaving");
+  await fleet.restart(instance(3));
+  await fleet.waitUntilReady();
 });
 
 test.serial("batch job loses nothing", async (t) => {
@@ -106,13 +122,15 @@
     return batch.request_counts?.completed ?? 0;
   };
   await eventually("the job runs", async () => await done() > 20);
-  const exits = [ended(2), ended(0)];
-  instance(2).process.kill("SIGTERM");
-  t.is(await exits[0], 0);
-  // The only voter, which leads, stops and comes back while the job runs.
-  instance(0).process.kill("SIGTERM");
-  t.is(await exits[1], 0);
-  await fleet.restart(instance(0));
+  const worker = ended(4);
+  instance(4).process.kill("SIGTERM");
+  t.is(await worker, 0);
+  const index = await leading();
+  const leader = ended(index);
+  instance(index).process.kill("SIGTERM");
+  t.is(await leader, 0);
+  t.not(await leading(), index);
+  await fleet.restart(instance(index));
   await eventually("the job ends", async () => {
     await done().catch(() => 0);
     return batch.status === "completed";
@@ -126,13 +144,13 @@
 });
 
 test.serial("told to stop while it starts", async (t) => {
-  await fleet.restart(instance(1));
-  const exit = ended(1);
+  await fleet.restart(instance(4));
+  const exit = ended(4);
   await eventually("listens", async () => {
-    const url = `${instance(1).operators}/health`;
+    const url = `${instance(4).operators}/health`;
     return (await fetchJson(url).catch(() => undefined))?.status === 200;
   });
-  instance(1).process.kill("SIGTERM");
-  instance(1).process.kill("SIGTERM");
+  instance(4).process.kill("SIGTERM");
+  instance(4).process.kill("SIGTERM");
   t.is(await exit, 0);
 });
