--- /dev/null
+++ b/measure/control.ts
@@ -0,0 +1,184 @@
+// Measures heartbeats, changes and rollouts: node dist/measure/control.js
+import { type ChildProcess, fork } from "node:child_process";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import { Fleet } from "../testing/fleet.ts";
+import { fetchJson, postJson } from "../testing/http.ts";
+import { letterConfiguration } from "./letter_configuration.ts";
+import type { ControlCommand, ControlReport } from "./control_part.ts";
+import { readUsage } from "./process_usage.ts";
+import { fitLine, median, quantile } from "./statistics.ts";
+
+const PART = fileURLToPath(new URL("./control_part.js", import.meta.url));
+
+const MEMBER_COUNTS = [90, 180, 360];
+const PROCESSES = 2;
+const WARM_UP_MILLISECONDS = 4_000;
+const MEASURED_MILLISECONDS = 10_000;
+const FLEET_INSTANCES = 12;
+const FLEET_CHANGES = 30;
+
+/** A process of the measurement. */
+class Part {
+  readonly child: ChildProcess;
+
+  constructor() {
+    this.child = fork(PART, { stdio: ["ignore", "ignore", "inherit", "ipc"] });
+  }
+
+  ask(command: ControlCommand): Promise<ControlReport> {
+    return new Promise((resolve) => {
+      this.child.once("message", (report) => resolve(report as ControlReport));
+      this.child.send(command);
+    });
+  }
+
+  usage() {
+    return readUsage(this.child.pid ?? 0);
+  }
+
+  stop(): void {
+    this.child.kill("SIGKILL");
+  }
+}
+
+/** Cost of heartbeats with nothing new, and of one small change. */
+async function measureHeartbeats(members: number) {
+  const leader = new Part();
+  const { port } = await leader.ask({ kind: "lead" });
+  const parts = Array.from({ length: PROCESSES }, () => new Part());
+  await Promise.all(parts.map((part, index) =>
+    part.ask({
+      kind: "join",
+      port,
+      first: index * members / PROCESSES,
+      count: members / PROCESSES,
+    })
+  ));
+  await sleep(WARM_UP_MILLISECONDS);
+  const count = async () => {
+    const reports = await Promise.all(
+      parts.map((part) => part.ask({ kind: "count" })),
+    );
+    const usages = await Promise.all(parts.map((part) => part.usage()));
+    return {
+      at: performance.now(),
+      bytes: reports.reduce((sum, { bytes }) => sum + bytes, 0),
+      calls: reports.reduce((sum, { calls }) => sum + calls, 0),
+      memberTime: usages.reduce(
+        (sum, { processorMilliseconds }) => sum + processorMilliseconds,
+        0,
+      ),
+      leaderTime: (await leader.usage()).processorMilliseconds,
+    };
+  };
+  const before = await count();
+  await sleep(MEASURED_MILLISECONDS);
+  const after = await count();
+  const seconds = (after.at - before.at) / 1_000;
+  const document = letterConfiguration(1);
+  await leader.ask({ kind: "apply", version: 0, document });
+  await sleep(WARM_UP_MILLISECONDS * 3);
+  const beforeChange = await count();
+  // deno-lint-ignore no-explicit-any
+  const changed = structuredClone(document) as any;
+  changed.engines[0].port += 1;
+  await leader.ask({ kind: "apply", version: 1, document: changed });
+  await sleep(WARM_UP_MILLISECONDS * 2);
+  const afterChange = await count();
+  const reports = await Promise.all(
+    parts.map((part) => part.ask({ kind: "count" })),
+  );
+  const idleBytes = (after.bytes - before.bytes) / seconds / members;
+  const changeSeconds = (afterChange.at - beforeChange.at) / 1_000;
+  const leaderMegabytes = (await leader.usage()).anonymousMegabytes;
+  for (const part of [leader, ...parts]) part.stop();
+  return {
+    members,
+    callsPerSecond: (after.calls - before.calls) / seconds / members,
+    bytesPerSecond: idleBytes,
+    leaderPercent: (after.leaderTime - before.leaderTime) / seconds / 10,
+    memberPercent: (after.memberTime - before.memberTime) / seconds / 10 /
+      members,
+    bytesOfChange: (afterChange.bytes - beforeChange.bytes) / members -
+      idleBytes * changeSeconds,
+    leaderTimeOfChange: afterChange.leaderTime - beforeChange.leaderTime,
+    haveVersion: reports.reduce((sum, report) => sum + report.inForce, 0),
+    leaderMegabytes,
+  };
+}
+
+/** Time from the acceptance until the leader knows it everywhere. */
+async function measureRollout(): Promise<void> {
+  const fleet = await Fleet.start({
+    instances: FLEET_INSTANCES,
+    voters: 3,
+    engines: 1,
+  });
+  const [first] = fleet.instances;
+  const operators = first?.operators ?? "";
+  const accepts: number[] = [];
+  const everywhere: number[] = [];
+  for (let change = 0; change < FLEET_CHANGES; change++) {
+    const shown = await fetchJson(`${operators}/configuration`);
+    const { version, document } = shown.body.accepted;
+    document.callers[0].limits.queuedItems += 1;
+    const began = performance.now();
+    const answer = await postJson(`${operators}/configuration`, {
+      changeId: `measure-${change}`,
+      operator: "measure",
+      expectedVersion: version,
+      document,
+    });
+    if (answer.status !== 200) throw new Error(JSON.stringify(answer.body));
+    accepts.push(performance.now() - began);
+    let inForce = 0;
+    while (inForce < FLEET_INSTANCES) {
+      const url = `${operators}/configuration/rollout?version=${version + 1}`;
+      inForce = (await fetchJson(url)).body.inForce?.length ?? 0;
+    }
+    everywhere.push(performance.now() - began);
+    await sleep(150);
+  }
+  await fleet.stop();
+  const line = (name: string, values: number[]) => ({
+    name,
+    "median (ms)": median(values).toFixed(1),
+    "largest (ms)": quantile(values, 1).toFixed(1),
+  });
+  console.log(`${FLEET_CHANGES} changes at ${FLEET_INSTANCES} instances`);
+  console.table([
+    line("accepted", accepts),
+    line("known to be in force everywhere", everywhere),
+  ]);
+}
+
+console.log("heartbeats and one change of one engine at the letter's size");
+const points = [];
+for (const members of MEMBER_COUNTS) {
+  points.push(await measureHeartbeats(members));
+  console.log(JSON.stringify(points.at(-1)));
+}
+console.table(points.map((point) => ({
+  "members": point.members,
+  "calls/s a member": point.callsPerSecond.toFixed(2),
+  "bytes/s a member": point.bytesPerSecond.toFixed(0),
+  "leader (% of a core)": point.leaderPercent.toFixed(2),
+  "member (% of a core)": point.memberPercent.toFixed(3),
+  "change (bytes a member)": point.bytesOfChange.toFixed(0),
+  "change (ms of the leader)": point.leaderTimeOfChange.toFixed(0),
+  "have it": point.haveVersion,
+  "leader (MB)": point.leaderMegabytes.toFixed(0),
+})));
+const slope = fitLine(points.map(({ members, leaderPercent }) => ({
+  x: members,
+  y: leaderPercent,
+})));
+console.log(
+  `leader: ${slope.slope.toFixed(4)}% of a core a member, spread ${
+    slope.spread.toFixed(2)
+  }%`,
+);
+await measureRollout();
+process.exit(0);
--- /dev/null
+++ b/measure/control_part.ts
@@ -0,0 +1,68 @@
+// One process of the control measurement; told what to do by messages.
+import process from "node:process";
+import {
+  change,
+  ControlLeader,
+  ControlMember,
+} from "../testing/control_parts.ts";
+
+/** What the measurement asks of a process. */
+export type ControlCommand =
+  | { kind: "lead" }
+  | { kind: "join"; port: number; first: number; count: number }
+  | { kind: "apply"; version: number; document: object }
+  | { kind: "count" };
+
+/** What a process answers; figures are sums over its members. */
+export interface ControlReport {
+  port: number;
+  bytes: number;
+  calls: number;
+  /** Members that have the second version or a newer one. */
+  inForce: number;
+}
+
+const members: ControlMember[] = [];
+let port = 0;
+
+function voter() {
+  return { id: "voter-0", address: "127.0.0.1", port };
+}
+
+async function carryOut(command: ControlCommand): Promise<void> {
+  if (command.kind === "lead") {
+    port = (await new ControlLeader().listen()).port;
+  } else if (command.kind === "join") {
+    port = command.port;
+    for (let index = 0; index < command.count; index++) {
+      const id = `member-${command.first + index}`;
+      members.push(await ControlMember.start({ id, voters: () => [voter()] }));
+    }
+  } else if (command.kind === "apply") {
+    const voters = () => [voter()];
+    const operator = await ControlMember.start({ id: "operator", voters });
+    const { version, document } = command;
+    const changeId = `change-${version}`;
+    await change(operator, { changeId, version, document });
+    operator.store.dispose();
+  }
+}
+
+function report(): ControlReport {
+  const statistics = members.map(({ rpc }) => rpc.statistics);
+  return {
+    port,
+    bytes: statistics.reduce(
+      (sum, { bytesSent, bytesReceived }) => sum + bytesSent + bytesReceived,
+      0,
+    ),
+    calls: statistics.reduce((sum, { callsStarted }) => sum + callsStarted, 0),
+    inForce: members.filter(({ holder }) => (holder.current?.version ?? 0) >= 2)
+      .length,
+  };
+}
+
+process.on("message", (command) => {
+  void carryOut(command as ControlCommand).then(() => process.send?.(report()));
+});
+process.on("disconnect", () => process.exit(0));
--- a/src/membership/member_registry.ts
+++ b/src/membership/member_registry.ts
@@ -75,7 +75,7 @@
   #list = new MemberList();
   #leaving: LeavingTargets;
   #epoch: string = randomUUID();
-  #wake = new AbortController();
+  #wake = wakeController();
   #reviewedAt: Deadline;
   #beganAt: Deadline;
   #store = new DisposableStore();
@@ -203,8 +203,7 @@
 
   #news(): void {
     this.#wake.abort();
-    this.#wake = new AbortController();
-    setMaxListeners(0, this.#wake.signal);
+    this.#wake = wakeController();
   }
 
   /** Takes in a heartbeat; returns whether the instance changed its state. */
@@ -268,6 +267,13 @@
   }
 }
 
+/** Wakes as many held answers as there are instances. */
+function wakeController(): AbortController {
+  const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
+  return controller;
+}
+
 function healthAfter(silence: number): Member["health"] {
   if (silence > LOST_AFTER_MILLISECONDS) return "lost";
   if (silence > SUSPECT_AFTER_MILLISECONDS) return "suspect";
