--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -11,6 +11,7 @@
 } from "../../configuration/mod.ts";
 import type { Member } from "../../membership/mod.ts";
 import { readRollout } from "../rollout.ts";
+import { type Voters, votersSchema } from "./voters.ts";
 import { shownConfigurationSchema } from "./config_show.ts";
 
 /** `figroad status`: instances, targets, leader, versions in force. */
@@ -31,17 +32,20 @@
     const accepted = shown.map(({ accepted }) => accepted ?? undefined);
     const configuration = accepted.unwrapOr(undefined);
     const rollout = await readRollout(client, configuration?.version ?? 0);
+    const voters = await client.fetch({ path: "/voters" }, votersSchema);
     return read.map((status) => {
+      const control = voters.unwrapOr(status.log);
       const targets = configuration?.document.engines ?? [];
       output.result(
         {
           ...status,
+          control,
           acceptedVersion: configuration?.version,
           rollout: rollout.unwrapOr(undefined),
           targets,
         },
         () => [
-          ...headLines(status, configuration),
+          ...headLines(status, control, configuration),
           "",
           ...instanceLines(status, rollout.unwrapOr(undefined)),
           "",
@@ -57,17 +61,17 @@
 });
 
 function headLines(
-  status: Status,
+  { instance, connected }: Status,
+  control: Voters | undefined,
   configuration: AcceptedConfiguration | undefined,
 ): string[] {
-  const { instance, connected, log } = status;
   const link = connected
     ? "connected to the leader"
     : "NOT connected to the leader";
-  const leader = log
-    ? `leader: ${log.leader ?? "none known"} (term ${log.term}), ` +
-      `voters: ${log.voters.map(({ id }) => id).join(", ")}`
-    : "leader: ask an instance that is a control voter";
+  const leader = control
+    ? `leader: ${control.leader ?? "none known"}, ` +
+      `voters: ${control.voters.map(({ id }) => id).join(", ")}`
+    : "leader: none answers, and this instance is no control voter";
   return [
     `asked ${instance.id}, which is ${link}`,
     leader,
--- a/src/cli/commands/voters.ts
+++ b/src/cli/commands/voters.ts
@@ -15,12 +15,12 @@
 type Replica = z.infer<typeof replicaSchema>;
 
 /** Answer of `GET /voters` and `POST /voters`. */
-const votersSchema = z.looseObject({
+export const votersSchema = z.looseObject({
   leader: z.string().nullish(),
   voters: z.array(replicaSchema),
   learners: z.array(replicaSchema).default([]),
 });
-type Voters = z.infer<typeof votersSchema>;
+export type Voters = z.infer<typeof votersSchema>;
 
 /** `figroad voters list`: who holds the control log. */
 export const votersList = defineCliCommand({
@@ -84,11 +84,23 @@
   "Take a replica out of the control log",
 );
 
-/** `figroad voters transfer ID`: another voter leads. */
-export const votersTransfer = changeOfKnown(
-  "transfer",
-  "Hand leadership to another voter",
-);
+/** `figroad voters transfer [ID]`: another voter leads. */
+export const votersTransfer = defineCliCommand({
+  name: "transfer",
+  description: "Hand leadership to another voter",
+  args: {
+    id: {
+      type: "positional",
+      required: false,
+      description: "Voter to lead; any that has caught up by default",
+    },
+    ...operatorsArgument,
+  },
+  run: (args, output) => {
+    const voter = args.id === undefined ? undefined : { id: args.id };
+    return change(args, { action: "transfer", voter }, output);
+  },
+});
 
 function changeOfKnown(action: string, description: string) {
   return defineCliCommand({
@@ -109,7 +121,7 @@
 
 async function change(
   args: { operators?: string },
-  body: { action: string; voter: Replica },
+  body: { action: string; voter: Replica | undefined },
   output: Output,
 ): Promise<Result<ExitCode, ICliFailure>> {
   const edge = operatorsEdge(args);
@@ -117,7 +129,7 @@
   const message = { method: "POST", path: "/voters", json: body } as const;
   const changed = await edge.value.fetch(message, z.unknown());
   if (changed.isErr()) return err(changed.error);
-  output.note(`done: ${body.action} ${body.voter.id}`);
+  output.note(["done:", body.action, body.voter?.id].filter(Boolean).join(" "));
   const read = await edge.value.fetch({ path: "/voters" }, votersSchema);
   return read.map((voters) => show(voters, output));
 }
--- a/src/cli/figroad_test.ts
+++ b/src/cli/figroad_test.ts
@@ -162,6 +162,42 @@
   t.regex(applied.stderr, /three is lost/);
 });
 
+test("voters", async (t) => {
+  const bodies: object[] = [];
+  const voter = { id: "one", address: "127.0.0.1", port: 8002 };
+  const edge = await standin(({ method }, body) => {
+    if (method === "POST") bodies.push(JSON.parse(body));
+    return { leader: "one", voters: [voter], learners: [] };
+  });
+  const voters = (...args: string[]) =>
+    run("voters", ...args, "--operators", edge.url);
+  const list = await voters("list");
+  t.regex(list.stdout, /^one +leader +127\.0\.0\.1:8002$/m);
+  const place = ["--address", "127.0.0.1", "--failure-domain", "west-1"];
+  const added = await voters("add", "two", "--port", "8012", ...place);
+  t.is(added.exitCode, ExitCode.done, added.stderr);
+  t.is((await voters("promote", "two")).exitCode, ExitCode.done);
+  t.is((await voters("transfer")).exitCode, ExitCode.done);
+  t.is(
+    (await voters("add", "two", "--port", "x", ...place)).exitCode,
+    ExitCode.usage,
+  );
+  edge.close();
+  t.deepEqual(bodies, [
+    {
+      action: "add",
+      voter: {
+        id: "two",
+        address: "127.0.0.1",
+        port: 8012,
+        failureDomain: "west-1",
+      },
+    },
+    { action: "promote", voter: { id: "two" } },
+    { action: "transfer" },
+  ]);
+});
+
 test("job", async (t) => {
   const path = join(fleet.folder, "input.jsonl");
   const lines = Array.from({ length: ITEMS }, (_, index) =>
