--- a/src/metrics/latency_histogram.ts
+++ b/src/metrics/latency_histogram.ts
@@ -66,21 +66,17 @@
    * @param bounds in milliseconds, ascending.
    */
   countsWithin(bounds: readonly number[]): number[] {
-    const counts = bounds.map(() => 0);
-    const iterator = this.#histogram.recordedValuesIterator;
-    iterator.reset();
-    while (iterator.hasNext()) {
-      const step = iterator.next();
-      const lowest = this.#histogram.lowestEquivalentValue(
-        step.valueIteratedTo,
+    const histogram = this.#histogram;
+    let index = 0;
+    let count = 0;
+    return bounds.map((bound) => {
+      const last = Math.min(
+        histogram.countsArrayIndex(bound * MICROSECONDS_PER_MILLISECOND),
+        histogram.countsArrayLength - 1,
       );
-      const milliseconds = lowest / MICROSECONDS_PER_MILLISECOND;
-      bounds.forEach((bound, index) => {
-        if (milliseconds > bound) return;
-        counts[index] = step.totalCountToThisValue;
-      });
-    }
-    return counts;
+      for (; index <= last; index++) count += histogram.getCountAtIndex(index);
+      return count;
+    });
   }
 
   /** Compressed text form, for messages between instances. */
