figroad: no waiting for ever on a silent edge

Cause: without a quorum `job submit` was still waiting after 120 s (seen): uploads had no limit. 30 s of silence end any request now; the upload is sent four times. Seen against a listener that never answers: code 4 after 123 s, `status` after 30 s. Before: no end.

`status` says that a list without a leader is the last one told.

--- a/src/cli/commands/job_submit.ts
+++ b/src/cli/commands/job_submit.ts
@@ -17,7 +17,7 @@
 import { exitCodeOf, waitForJob } from "../wait_for_job.ts";
 
 /** Times that a step is sent before its outcome counts as unknown. */
-const MAXIMUM_SENDINGS = 6;
+const MAXIMUM_SENDINGS = 4;
 
 /** Wait before a step is sent again, in milliseconds. */
 const RESEND_DELAY_MILLISECONDS = 1_000;
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -55,6 +55,9 @@
       if (accepted.isErr()) {
         output.note(`configuration not readable: ${accepted.error.message}`);
       }
+      if (!status.connected) {
+        output.note("instances are listed as the last leader told them");
+      }
       return status.connected ? ExitCode.done : ExitCode.incomplete;
     });
   },
--- a/src/cli/http_client.ts
+++ b/src/cli/http_client.ts
@@ -5,8 +5,11 @@
 import { z } from "zod";
 import { ExitCode, type ICliFailure } from "./exit_code.ts";
 
-/** Time until the head of an answer must arrive, in milliseconds. */
-const ANSWER_TIMEOUT_MILLISECONDS = 30_000;
+/** Silence after which no answer is expected any more, in milliseconds. */
+const SILENCE_LIMIT_MILLISECONDS = 30_000;
+
+/** Milliseconds in one second. */
+const SECOND_MILLISECONDS = 1_000;
 
 /** Error body of both edges of figroad. */
 const errorBodySchema = z.object({
@@ -94,9 +97,11 @@
           ...this.#headers,
           ...message.headers,
         },
-        signal: upload?.body ? undefined : AbortSignal.timeout(
-          ANSWER_TIMEOUT_MILLISECONDS,
-        ),
+        timeout: SILENCE_LIMIT_MILLISECONDS,
+      });
+      outgoing.on("timeout", () => {
+        const seconds = SILENCE_LIMIT_MILLISECONDS / SECOND_MILLISECONDS;
+        outgoing.destroy(new Error(`silent for ${seconds} s`));
       });
       outgoing.on("response", resolve);
       outgoing.on("error", reject);
