--- /dev/null
+++ b/measure/live_clients.ts
@@ -0,0 +1,149 @@
+import { Agent, request } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
+import { type Fleet, STATION_KEY } from "../testing/fleet.ts";
+
+/** Tokens of a live answer. */
+const LIVE_TOKENS = 32;
+
+/** Resolution of random numbers. */
+const RANDOM_STEPS = 1_000_000;
+
+/** Requests a second, and bursts on top of them. */
+export interface ILivePattern {
+  readonly requestsPerSecond: number;
+  readonly burstRequests: number;
+  /** Time between the beginnings of two bursts, in milliseconds. */
+  readonly burstInterval: number;
+  /** Time over which the requests of a burst begin, in milliseconds. */
+  readonly burstWidth: number;
+}
+
+/** What callers saw, in milliseconds. */
+export interface ILiveSample {
+  readonly firstTokens: number[];
+  readonly gaps: number[];
+  tokens: number;
+  requests: number;
+  /** Answers that were refused, broken off or incomplete. */
+  failures: number;
+}
+
+/** Sends live requests by a seeded schedule that waits for no answer. */
+export class LiveClients {
+  #fleet: Fleet;
+  #agent = new Agent({ keepAlive: true });
+  #generator: ReturnType<typeof xoroshiro128plus>;
+  #open = new Set<Promise<void>>();
+  #sent = 0;
+
+  constructor(fleet: Fleet, seed: number) {
+    this.#fleet = fleet;
+    this.#generator = xoroshiro128plus(seed);
+  }
+
+  /** Runs the pattern for some time and waits for the last answer. */
+  async run(
+    pattern: ILivePattern,
+    milliseconds: number,
+  ): Promise<ILiveSample> {
+    const sample: ILiveSample = {
+      firstTokens: [],
+      gaps: [],
+      tokens: 0,
+      requests: 0,
+      failures: 0,
+    };
+    const began = performance.now();
+    for (const at of this.#schedule(pattern, milliseconds)) {
+      await sleep(Math.max(0, began + at - performance.now()));
+      this.#begin(sample);
+    }
+    await sleep(Math.max(0, began + milliseconds - performance.now()));
+    return sample;
+  }
+
+  /** Resolves when no request is open. */
+  async settle(): Promise<void> {
+    await Promise.all(this.#open);
+  }
+
+  #schedule(pattern: ILivePattern, milliseconds: number): number[] {
+    const times: number[] = [];
+    const mean = 1_000 / pattern.requestsPerSecond;
+    let next = 0;
+    while (next < milliseconds) {
+      times.push(next);
+      next += -Math.log(this.#random()) * mean;
+    }
+    const { burstRequests, burstInterval, burstWidth } = pattern;
+    if (burstRequests === 0) return times;
+    for (let at = 500; at < milliseconds; at += burstInterval) {
+      for (let count = 0; count < burstRequests; count++) {
+        times.push(at + this.#random() * burstWidth);
+      }
+    }
+    return times.sort((first, second) => first - second);
+  }
+
+  #random(): number {
+    const value = unsafeUniformIntDistribution(
+      1,
+      RANDOM_STEPS,
+      this.#generator,
+    );
+    return value / RANDOM_STEPS;
+  }
+
+  #begin(sample: ILiveSample): void {
+    const alive = this.#fleet.instances.filter(({ process }) =>
+      process.exitCode === null && process.signalCode === null
+    );
+    const instance = alive[Math.floor(this.#random() * alive.length * 0.999)];
+    if (!instance) return;
+    const sending = this.#send(instance.callers, sample);
+    this.#open.add(sending);
+    void sending.finally(() => this.#open.delete(sending));
+  }
+
+  #send(url: string, sample: ILiveSample): Promise<void> {
+    this.#sent += 1;
+    sample.requests += 1;
+    const began = performance.now();
+    let latest: number | undefined;
+    let tokens = 0;
+    const count = (text: string) => {
+      const events = text.split('"content":').length - 1;
+      for (let event = 0; event < events; event++) {
+        const now = performance.now();
+        if (latest === undefined) sample.firstTokens.push(now - began);
+        else sample.gaps.push(now - latest);
+        latest = now;
+        tokens += 1;
+      }
+      sample.tokens += events;
+    };
+    return new Promise((resolve) => {
+      const finish = () => {
+        if (tokens !== LIVE_TOKENS) sample.failures += 1;
+        resolve();
+      };
+      const outgoing = request(`${url}/v1/chat/completions`, {
+        method: "POST",
+        agent: this.#agent,
+        headers: { authorization: `Bearer ${STATION_KEY}` },
+      }, (response) => {
+        response.setEncoding("utf8");
+        response.on("data", count);
+        response.on("close", finish);
+      });
+      outgoing.on("error", finish);
+      outgoing.end(JSON.stringify({
+        model: "alert-writer",
+        messages: [{ role: "user", content: `alert ${this.#sent}` }],
+        max_tokens: LIVE_TOKENS,
+        stream: true,
+      }));
+    });
+  }
+}
--- /dev/null
+++ b/src/allotment/concentrating_policy.ts
@@ -0,0 +1,55 @@
+import type { Engine } from "../configuration/mod.ts";
+import type { IBatchLimitPolicy, IEngineSituation } from "./types.ts";
+
+/** Share of an engine's slots that live streams are meant to fill. */
+const LIVE_FILL = 0.6;
+
+/** Share of a live engine's slots that all streams together may fill. */
+const LIVE_ENGINE_SHARE = 0.75;
+
+/**
+ * Keeps most batch off as many engines as the live streams need.
+ *
+ * Routing takes the engine with the fewest streams, so live requests gather
+ * there, and the other engines run full of batch.
+ */
+export class ConcentratingPolicy implements IBatchLimitPolicy {
+  #inner: IBatchLimitPolicy;
+
+  constructor(inner: IBatchLimitPolicy) {
+    this.#inner = inner;
+  }
+
+  limitOf(situation: IEngineSituation): number {
+    const limit = this.#inner.limitOf(situation);
+    const { engine, live } = situation;
+    if (!isLiveEngine(situation)) return limit;
+    const share = Math.floor(engine.maximumStreams * LIVE_ENGINE_SHARE);
+    return Math.max(0, Math.min(limit, share - live));
+  }
+}
+
+function isLiveEngine({ engine, peers }: IEngineSituation): boolean {
+  const live = peers.reduce((sum, peer) => sum + peer.live, 0);
+  const ordered = spreadOverDomains(peers.map((peer) => peer.engine));
+  let slots = 0;
+  for (const candidate of ordered) {
+    if (slots >= live) return false;
+    if (candidate.id === engine.id) return true;
+    slots += candidate.maximumStreams * LIVE_FILL;
+  }
+  return false;
+}
+
+/** Orders engines so that neighbours are in different failure domains. */
+function spreadOverDomains(engines: readonly Engine[]): Engine[] {
+  const ranks = new Map<string, number>();
+  return engines
+    .map((engine) => {
+      const rank = ranks.get(engine.failureDomain) ?? 0;
+      ranks.set(engine.failureDomain, rank + 1);
+      return { engine, rank };
+    })
+    .sort((first, second) => first.rank - second.rank)
+    .map(({ engine }) => engine);
+}
--- /dev/null
+++ b/src/allotment/engine_assigner.ts
@@ -0,0 +1,166 @@
+import { randomUUID } from "node:crypto";
+import { ok } from "neverthrow";
+import type { z } from "zod";
+import {
+  type Deadline,
+  DisposableStore,
+  type IClock,
+  type IDisposable,
+} from "../common/mod.ts";
+import type { Configuration } from "../configuration/mod.ts";
+import type { IReplicatedLog } from "../consensus/mod.ts";
+import type { IRpcServer, PeerAddress } from "../rpc/mod.ts";
+import { claimEnginesMethod } from "./messages.ts";
+
+/** Time without a claim after which an engine is given away. */
+export const OWNERSHIP_MILLISECONDS = 3_000;
+
+type Claim = z.infer<typeof claimEnginesMethod["params"]>;
+
+interface IOwner {
+  address: PeerAddress;
+  region: string;
+  heardAt: Deadline;
+  engines: Set<string>;
+  /** Engines to be given up; kept until a claim without them arrives. */
+  revoked: Set<string>;
+}
+
+/**
+ * Gives each engine's batch streams to one instance, on the log's leader.
+ *
+ * The assignment is not in the log: with two owners for a moment batch would
+ * only exceed its limit. A new leader hears the owners' claims for one term
+ * before it gives away an engine.
+ */
+export class EngineAssigner implements IDisposable {
+  #clock: IClock;
+  #document: () => Configuration | undefined;
+  #owners = new Map<string, IOwner>();
+  #revision: string = randomUUID();
+  #leadsSince: Deadline;
+  #store = new DisposableStore();
+
+  constructor(log: IReplicatedLog, server: IRpcServer, options: {
+    clock: IClock;
+    document: () => Configuration | undefined;
+  }) {
+    this.#clock = options.clock;
+    this.#document = options.document;
+    this.#leadsSince = options.clock.monotonic();
+    this.#store.add(log.onLeadershipChange(() => {
+      this.#owners.clear();
+      this.#leadsSince = this.#clock.monotonic();
+      this.#revision = randomUUID();
+    }));
+    this.#store.add(
+      server.handle(claimEnginesMethod, async (claim, context) => {
+        const barrier = await log.barrier(context);
+        return barrier.andThen(() => ok(this.claim(claim)));
+      }),
+    );
+  }
+
+  /** Answers a claim with the engines that the instance now owns. */
+  claim(claim: Claim): z.infer<typeof claimEnginesMethod["result"]> {
+    this.#dropSilent();
+    const owner = this.#hear(claim);
+    this.#settle(owner, claim);
+    if (claim.accepting) this.#balance(owner);
+    else this.#forget(claim.address.id);
+    const owned = [...owner.engines].filter((id) => !owner.revoked.has(id));
+    const revision = this.#revision;
+    if (revision === claim.revision) return { owned, revision };
+    return { owned, revision, owners: this.#list() };
+  }
+
+  dispose(): void {
+    this.#store.dispose();
+  }
+
+  #dropSilent(): void {
+    const now = this.#clock.monotonic();
+    for (const [id, { heardAt }] of this.#owners) {
+      if (now - heardAt > OWNERSHIP_MILLISECONDS) this.#forget(id);
+    }
+  }
+
+  #forget(id: string): void {
+    this.#owners.delete(id);
+    this.#revision = randomUUID();
+  }
+
+  #hear(claim: Claim): IOwner {
+    const { address, region } = claim;
+    const heardAt = this.#clock.monotonic();
+    const known = this.#owners.get(address.id);
+    const owner: IOwner = known ??
+      { address, region, heardAt, engines: new Set(), revoked: new Set() };
+    owner.address = address;
+    owner.heardAt = heardAt;
+    this.#owners.set(address.id, owner);
+    return owner;
+  }
+
+  /** Takes over claims that nobody else has and drops what was given up. */
+  #settle(owner: IOwner, claim: Claim): void {
+    const claims = new Set(claim.claims);
+    for (const id of owner.revoked) {
+      if (claims.has(id)) continue;
+      owner.revoked.delete(id);
+      owner.engines.delete(id);
+      this.#revision = randomUUID();
+    }
+    const engines = this.#engineIds(owner.region);
+    for (const id of owner.engines) {
+      if (!engines.includes(id)) owner.engines.delete(id);
+    }
+    for (const id of claims) {
+      if (engines.includes(id) && !this.#ownerOf(id)) this.#give(owner, id);
+    }
+  }
+
+  #balance(owner: IOwner): void {
+    const engines = this.#engineIds(owner.region);
+    const instances = [...this.#owners.values()]
+      .filter(({ region }) => region === owner.region).length;
+    const share = Math.ceil(engines.length / instances);
+    const surplus = owner.engines.size - owner.revoked.size - share;
+    const kept = [...owner.engines].filter((id) => !owner.revoked.has(id));
+    kept.slice(0, Math.max(0, surplus)).forEach((id) => owner.revoked.add(id));
+    const waited = this.#clock.monotonic() - this.#leadsSince;
+    if (waited < OWNERSHIP_MILLISECONDS) return;
+    for (const id of engines) {
+      if (owner.engines.size >= share) return;
+      if (!this.#ownerOf(id)) this.#give(owner, id);
+    }
+  }
+
+  #give(owner: IOwner, engineId: string): void {
+    owner.engines.add(engineId);
+    this.#revision = randomUUID();
+  }
+
+  #ownerOf(engineId: string): IOwner | undefined {
+    return [...this.#owners.values()]
+      .find(({ engines }) => engines.has(engineId));
+  }
+
+  /** Engines of a region; batch streams stay within it. */
+  #engineIds(region: string): string[] {
+    const document = this.#document();
+    const domains = document?.places
+      .filter((place) => place.region === region)
+      .flatMap(({ failureDomains }) => failureDomains) ?? [];
+    return document?.engines
+      .filter(({ failureDomain }) => domains.includes(failureDomain))
+      .map(({ id }) => id) ?? [];
+  }
+
+  #list() {
+    return [...this.#owners.values()].map(({ address, engines }) => ({
+      address,
+      engines: [...engines],
+    }));
+  }
+}
--- /dev/null
+++ b/src/allotment/engine_assigner_test.ts
@@ -0,0 +1,90 @@
+import test, { type ExecutionContext } from "ava";
+import type { Deadline, IClock } from "../common/mod.ts";
+import { SystemClock } from "../common/mod.ts";
+import type { Configuration } from "../configuration/mod.ts";
+import type { IRpcServer } from "../rpc/mod.ts";
+import { FakeLog } from "../../testing/fake_log.ts";
+import { EngineAssigner, OWNERSHIP_MILLISECONDS } from "./engine_assigner.ts";
+
+const ENGINES = 8;
+
+/** A clock that moves when told to. */
+class ManualClock extends SystemClock {
+  now = 1_000;
+
+  override monotonic(): Deadline {
+    return this.now as Deadline;
+  }
+}
+
+function documentOf(engines: number): Configuration {
+  return {
+    places: [{ region: "here", failureDomains: ["a"] }],
+    engines: Array.from({ length: engines }, (_, index) => ({
+      id: `engine-${index}`,
+      failureDomain: "a",
+    })),
+  } as Configuration;
+}
+
+function start(t: ExecutionContext) {
+  const clock = new ManualClock();
+  const log = new FakeLog();
+  const server: IRpcServer = { handle: () => ({ dispose: () => {} }) };
+  const assigner = new EngineAssigner(log, server, {
+    clock: clock as IClock,
+    document: () => documentOf(ENGINES),
+  });
+  t.teardown(() => assigner.dispose());
+  const claim = (id: string, claims: string[] = [], region = "here") =>
+    assigner.claim({
+      address: { id, address: "127.0.0.1", port: 1 },
+      region,
+      claims,
+      accepting: true,
+      revision: "",
+    }).owned;
+  return { clock, log, claim };
+}
+
+test("engines are shared out", (t) => {
+  const { clock, claim } = start(t);
+  clock.now += OWNERSHIP_MILLISECONDS;
+  const first = claim("one");
+  t.is(first.length, ENGINES);
+  const second = claim("two");
+  t.deepEqual(second, []);
+  const kept = claim("one", first);
+  t.is(kept.length, ENGINES / 2);
+  t.deepEqual(claim("two"), [], "not before the owner has let go");
+  claim("one", kept);
+  const moved = claim("two");
+  t.is(moved.length, ENGINES / 2);
+  t.deepEqual(moved.filter((id) => kept.includes(id)), []);
+});
+
+test("a silent owner loses its engines after the term", (t) => {
+  const { clock, claim } = start(t);
+  clock.now += OWNERSHIP_MILLISECONDS;
+  t.is(claim("one").length, ENGINES);
+  clock.now += OWNERSHIP_MILLISECONDS;
+  t.deepEqual(claim("two"), []);
+  clock.now += 1;
+  t.is(claim("two").length, ENGINES);
+});
+
+test("a new leader keeps the owners", (t) => {
+  const { clock, log, claim } = start(t);
+  log.lead(2, true);
+  t.deepEqual(claim("two"), []);
+  t.deepEqual(claim("one", ["engine-1"]), ["engine-1"]);
+  clock.now += OWNERSHIP_MILLISECONDS;
+  t.false(claim("two").includes("engine-1"));
+});
+
+test("other regions own nothing here", (t) => {
+  const { clock, claim } = start(t);
+  clock.now += OWNERSHIP_MILLISECONDS;
+  t.deepEqual(claim("far", ["engine-1"], "elsewhere"), []);
+  t.is(claim("one").length, ENGINES);
+});
--- /dev/null
+++ b/src/allotment/load_exchange.ts
@@ -0,0 +1,200 @@
+import { ok } from "neverthrow";
+import {
+  type Deadline,
+  DisposableStore,
+  Emitter,
+  type IClock,
+  type IDisposable,
+} from "../common/mod.ts";
+import type { IRpcClient, IRpcServer } from "../rpc/mod.ts";
+import { reportLiveMethod } from "./messages.ts";
+import type {
+  IBatchStreams,
+  IEngineLoad,
+  IEngineLoadView,
+  IEngineOwner,
+  IEngineOwnership,
+  ILiveActivity,
+} from "./types.ts";
+
+/** Time over which changes are told together, in milliseconds. */
+const COALESCING_MILLISECONDS = 10;
+
+/** Longest time without telling an owner, in milliseconds. */
+const REPORT_INTERVAL_MILLISECONDS = 250;
+
+/** Added to that for each owner, so that the calls a second are bounded. */
+const INTERVAL_PER_OWNER_MILLISECONDS = 10;
+
+/** Time that a report may take, in milliseconds. */
+const REPORT_TIMEOUT_MILLISECONDS = 500;
+
+/** Age at which what was heard counts no more, in milliseconds. */
+const FORGET_AFTER_MILLISECONDS = 3_000;
+
+interface IHeardLive {
+  streams: number;
+  heardAt: Deadline;
+}
+
+interface IHeardLoad {
+  otherLive: number;
+  batch: number;
+  heardAt: Deadline;
+}
+
+interface IReporter {
+  busy: boolean;
+  changed: boolean;
+  dueAt: Deadline;
+}
+
+/** Collaborators of the exchange. */
+export interface ILoadExchangeOptions {
+  readonly rpc: IRpcClient;
+  readonly server: IRpcServer;
+  readonly clock: IClock;
+  readonly activity: ILiveActivity;
+  readonly batch: IBatchStreams;
+}
+
+/**
+ * Tells owners of this instance's live streams and learns the totals.
+ *
+ * Each report holds all counts for the owner's engines, so a lost one is
+ * mended by the next.
+ */
+export class LoadExchange implements IEngineLoadView, IDisposable {
+  #ownership: IEngineOwnership;
+  #options: ILoadExchangeOptions;
+  /** Live streams of other instances, by engine and instance. */
+  #told = new Map<string, Map<string, IHeardLive>>();
+  #learned = new Map<string, IHeardLoad>();
+  #ownerOf = new Map<string, IEngineOwner>();
+  #reporters = new Map<string, IReporter>();
+  #change = new Emitter<string>();
+  /** Fires with an engine's id when its live streams change. */
+  readonly onChange = this.#change.event;
+  #store = new DisposableStore();
+
+  constructor(ownership: IEngineOwnership, options: ILoadExchangeOptions) {
+    this.#ownership = ownership;
+    this.#options = options;
+    const { activity, server } = options;
+    this.#store.add(server.handle(
+      reportLiveMethod,
+      ({ live }, { from }) => Promise.resolve(ok(this.#hear(live, from))),
+    ));
+    this.#store.add(activity.onChange((id) => this.#noteChange(id)));
+    this.#store.add(ownership.onChange(() => this.#indexOwners()));
+    const timer = setInterval(() => this.#reportDue(), COALESCING_MILLISECONDS);
+    this.#store.add({ dispose: () => clearInterval(timer) });
+  }
+
+  loadOf(engineId: string): IEngineLoad {
+    const ownLive = this.#options.activity.liveStreams(engineId);
+    const now = this.#options.clock.monotonic();
+    if (this.#ownership.owned.has(engineId)) {
+      const otherLive = this.#liveOfOthers(engineId, "");
+      const batch = this.#options.batch.batchStreams(engineId);
+      return { ownLive, otherLive, batch, heardAt: now, reported: undefined };
+    }
+    const heard = this.#learned.get(engineId);
+    const known = heard && now - heard.heardAt < FORGET_AFTER_MILLISECONDS;
+    return {
+      ownLive,
+      otherLive: known ? heard.otherLive : 0,
+      batch: known ? heard.batch : 0,
+      heardAt: known ? heard.heardAt : undefined,
+      reported: undefined,
+    };
+  }
+
+  dispose(): void {
+    this.#store.dispose();
+    this.#change.dispose();
+  }
+
+  #hear(live: { engineId: string; streams: number }[], from: string) {
+    const heardAt = this.#options.clock.monotonic();
+    for (const { engineId, streams } of live) {
+      const told = this.#told.get(engineId) ?? new Map();
+      this.#told.set(engineId, told);
+      const before = told.get(from)?.streams ?? 0;
+      told.set(from, { streams, heardAt });
+      if (before !== streams) this.#change.fire(engineId);
+    }
+    return {
+      engines: live.map(({ engineId }) => ({
+        engineId,
+        otherLive: this.#options.activity.liveStreams(engineId) +
+          this.#liveOfOthers(engineId, from),
+        batch: this.#options.batch.batchStreams(engineId),
+      })),
+    };
+  }
+
+  #liveOfOthers(engineId: string, except: string): number {
+    const told = this.#told.get(engineId);
+    if (!told) return 0;
+    const now = this.#options.clock.monotonic();
+    let sum = 0;
+    for (const [instance, { streams, heardAt }] of told) {
+      if (now - heardAt > FORGET_AFTER_MILLISECONDS) told.delete(instance);
+      else if (instance !== except) sum += streams;
+    }
+    return sum;
+  }
+
+  #noteChange(engineId: string): void {
+    if (this.#ownership.owned.has(engineId)) this.#change.fire(engineId);
+    const owner = this.#ownerOf.get(engineId);
+    const reporter = owner && this.#reporters.get(owner.address.id);
+    if (reporter) reporter.changed = true;
+  }
+
+  #indexOwners(): void {
+    this.#ownerOf.clear();
+    const reporters = new Map<string, IReporter>();
+    for (const owner of this.#ownership.others) {
+      owner.engines.forEach((id) => this.#ownerOf.set(id, owner));
+      const { id } = owner.address;
+      const dueAt = this.#options.clock.monotonic();
+      const known = this.#reporters.get(id);
+      reporters.set(id, known ?? { busy: false, changed: true, dueAt });
+    }
+    this.#reporters = reporters;
+  }
+
+  #reportDue(): void {
+    for (const owner of this.#ownership.others) {
+      const reporter = this.#reporters.get(owner.address.id);
+      if (!reporter || reporter.busy || owner.engines.length === 0) continue;
+      const due = this.#options.clock.isPast(reporter.dueAt);
+      if (due || reporter.changed) void this.#report(owner, reporter);
+    }
+  }
+
+  async #report(owner: IEngineOwner, reporter: IReporter): Promise<void> {
+    const { clock, rpc, activity } = this.#options;
+    reporter.busy = true;
+    reporter.changed = false;
+    const interval = REPORT_INTERVAL_MILLISECONDS +
+      INTERVAL_PER_OWNER_MILLISECONDS * this.#reporters.size;
+    reporter.dueAt = clock.deadlineIn(interval);
+    const live = owner.engines.map((engineId) => ({
+      engineId,
+      streams: activity.liveStreams(engineId),
+    }));
+    const deadline = clock.deadlineIn(REPORT_TIMEOUT_MILLISECONDS);
+    const answer = await rpc.call(owner.address, reportLiveMethod, { live }, {
+      deadline,
+    });
+    reporter.busy = false;
+    if (answer.isErr()) return;
+    const heardAt = clock.monotonic();
+    for (const { engineId, otherLive, batch } of answer.value.engines) {
+      this.#learned.set(engineId, { otherLive, batch, heardAt });
+    }
+  }
+}
--- /dev/null
+++ b/src/allotment/stream_times.ts
@@ -0,0 +1,46 @@
+import type { Deadline, IClock } from "../common/mod.ts";
+import type { IStreamTimes } from "./types.ts";
+
+/** Gaps that are remembered for each engine. */
+const REMEMBERED_GAPS = 128;
+
+/** Gaps without which there is no estimate. */
+const MINIMUM_GAPS = 16;
+
+/**
+ * Share of the gaps that are at most as long as the estimate. Streams beyond
+ * what an engine can carry slow all its steps; a pause of an engine makes few
+ * gaps long and must not count.
+ */
+const QUANTILE = 0.75;
+
+interface IGap {
+  readonly milliseconds: number;
+  readonly at: Deadline;
+}
+
+/** Remembers the latest times between tokens by engine. */
+export class StreamTimes implements IStreamTimes {
+  #clock: IClock;
+  #gaps = new Map<string, IGap[]>();
+
+  constructor(clock: IClock) {
+    this.#clock = clock;
+  }
+
+  recordGap(engineId: string, milliseconds: number): void {
+    const gaps = this.#gaps.get(engineId) ?? [];
+    this.#gaps.set(engineId, gaps);
+    gaps.push({ milliseconds, at: this.#clock.monotonic() });
+    if (gaps.length > 2 * REMEMBERED_GAPS) gaps.splice(0, REMEMBERED_GAPS);
+  }
+
+  gapSince(engineId: string, since: Deadline): number | undefined {
+    const recent = (this.#gaps.get(engineId) ?? [])
+      .filter(({ at }) => at > since)
+      .map(({ milliseconds }) => milliseconds);
+    if (recent.length < MINIMUM_GAPS) return undefined;
+    recent.sort((first, second) => first - second);
+    return recent[Math.floor(recent.length * QUANTILE)];
+  }
+}
--- a/src/allotment/types.ts
+++ b/src/allotment/types.ts
@@ -1,4 +1,6 @@
 import type { Deadline, IEvent } from "../common/mod.ts";
+import type { Engine } from "../configuration/mod.ts";
+import type { PeerAddress } from "../rpc/mod.ts";
 import type { LoadReport } from "../targets/mod.ts";
 
 /** Live streams that this instance has at each engine. */
@@ -46,3 +48,52 @@
    */
   readonly onChange: IEvent<string>;
 }
+
+/** Batch streams of this instance by engine. */
+export interface IBatchStreams {
+  batchStreams(engineId: string): number;
+  /** Counts a batch stream; disposing of the result ends the count. */
+  begin(engineId: string): { dispose(): void };
+}
+
+/** Times between the tokens of this instance's batch streams. */
+export interface IStreamTimes {
+  /** Notes the time between two tokens of one stream, in milliseconds. */
+  recordGap(engineId: string, milliseconds: number): void;
+  /** Usual gap after a point in time; undefined before there are enough. */
+  gapSince(engineId: string, since: Deadline): number | undefined;
+}
+
+/** What a policy knows of an engine when it sets the limit. */
+export interface IEngineSituation {
+  readonly engine: Engine;
+  /** Live streams of all instances at the engine. */
+  readonly live: number;
+  /** Engines of the same service with the live streams at each. */
+  readonly peers: readonly { readonly engine: Engine; readonly live: number }[];
+  /** Usual time between tokens after a point in time, in milliseconds. */
+  readonly gapSince: (since: Deadline) => number | undefined;
+  /** Time between tokens that the service promises, in milliseconds. */
+  readonly promisedGap: number;
+  readonly now: Deadline;
+}
+
+/** Decides how many batch streams an engine runs. */
+export interface IBatchLimitPolicy {
+  limitOf(situation: IEngineSituation): number;
+}
+
+/** The owners of the engines' batch streams. */
+export interface IEngineOwnership {
+  /** Engines that this instance owns now. */
+  readonly owned: ReadonlySet<string>;
+  /** Instances that own engines, without this one, and their engines. */
+  readonly others: readonly IEngineOwner[];
+  readonly onChange: IEvent<void>;
+}
+
+/** An instance that owns the batch streams of engines. */
+export interface IEngineOwner {
+  readonly address: PeerAddress;
+  readonly engines: readonly string[];
+}
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -7,7 +7,16 @@
   RetryBudget,
   ServiceGate,
 } from "../admission/mod.ts";
-import { LiveActivity, LocalLoadView } from "../allotment/mod.ts";
+import {
+  BatchAllowance,
+  BatchStreams,
+  createLimitPolicy,
+  EngineAssigner,
+  EngineOwnership,
+  LiveActivity,
+  LoadExchange,
+  StreamTimes,
+} from "../allotment/mod.ts";
 import {
   BurnReporter,
   handleServiceLevels,
@@ -44,7 +53,6 @@
 } from "../explain/mod.ts";
 import {
   handleJobs,
-  ItemRunner,
   JobGateway,
   JobRunner,
   JobsSection,
@@ -159,6 +167,12 @@
     );
     store.add(handleJobs(server, log, { section: jobs }));
     store.add(new LeaseManager(log, jobs, { clock, server }));
+    store.add(
+      new EngineAssigner(log, server, {
+        clock,
+        document: () => section.current?.document,
+      }),
+    );
   }
 
   store.add(handleExplain(server, trace));
@@ -170,7 +184,23 @@
   const plainTargets = store.add(new HttpPlainAdapter(clock));
   const health = new TargetHealth({ clock, random, events });
   const activity = store.add(new LiveActivity());
-  const load = new LocalLoadView(activity);
+  const batchStreams = new BatchStreams();
+  const ownership = store.add(
+    new EngineOwnership(
+      { address: self, region: settings.instance.region },
+      control,
+      { clock },
+    ),
+  );
+  const load = store.add(
+    new LoadExchange(ownership, {
+      rpc,
+      server,
+      clock,
+      activity,
+      batch: batchStreams,
+    }),
+  );
   const reports = store.add(
     new LoadReportPoller(engines, configuration, { clock }),
   );
@@ -229,9 +259,25 @@
     metrics,
   });
   const jobs = new JobGateway(control, clock);
-  const items = new ItemRunner(dispatcher, configuration, { clock });
+  const times = new StreamTimes(clock);
+  const allowance = store.add(
+    new BatchAllowance(
+      ownership,
+      createLimitPolicy(settings.batch.limitPolicy),
+      { clock, configuration, availability, load, times },
+    ),
+  );
   const runner = store.add(
-    new JobRunner(control, items, { configuration, clock }),
+    new JobRunner(control, {
+      clock,
+      configuration,
+      engines,
+      times,
+      allowance,
+      streams: batchStreams,
+      health,
+      trace,
+    }),
   );
 
   const callers = store.add(
@@ -270,6 +316,7 @@
   heartbeat.start();
   reports.start();
   admission.start();
+  ownership.start();
   runner.start();
   const ports = {
     callers: await callers.listen(
@@ -288,7 +335,8 @@
       stopping = true;
       await heartbeat.setState("leaving");
       await callers.drain();
-      runner.dispose();
+      await ownership.leave();
+      await runner.stop();
       await log?.stop();
       store.dispose();
     },
--- a/src/jobs/job_runner.ts
+++ b/src/jobs/job_runner.ts
@@ -1,66 +1,164 @@
-import { randomUUID } from "node:crypto";
-import type { IClock, IDisposable } from "../common/mod.ts";
-import type { IConfigurationSource } from "../configuration/mod.ts";
+import { match } from "ts-pattern";
+import type { Failure, IClock, IDisposable } from "../common/mod.ts";
+import type { Engine } from "../configuration/mod.ts";
 import type { IControlClient } from "../consensus/mod.ts";
-import type { ItemRunner } from "./item_runner.ts";
 import {
-  type ItemOutcome,
-  jobsSection,
-  type LeasedItem,
-  leaseItemsMethod,
-  renewLeaseMethod,
-} from "./messages.ts";
+  type CancelReason,
+  EngineStreams,
+  type IEngineStreamsOptions,
+  type IItemSource,
+} from "./engine_streams.ts";
+import { HeldItems } from "./held_items.ts";
+import type { IHeldItem } from "./item_attempt.ts";
+import { ItemLeaseHolder } from "./item_lease.ts";
+import type { ItemOutcome } from "./messages.ts";
+import { OutcomeSender } from "./outcome_sender.ts";
+import { errorLine } from "./result_line.ts";
 
-/** Batch streams of one service that one instance runs at once. */
-const STREAMS_PER_SERVICE = 8;
+/** Pause between two looks for free streams, in milliseconds. */
+const LEASE_INTERVAL_MILLISECONDS = 50;
 
 /** Pause after a service had no items, in milliseconds. */
-const IDLE_PAUSE_MILLISECONDS = 200;
+const IDLE_PAUSE_MILLISECONDS = 250;
 
-/** How often leases are renewed, in milliseconds. */
+/** How often the lease is renewed, in milliseconds. */
 const RENEWAL_INTERVAL_MILLISECONDS = 1_000;
 
-/** How often outcomes are sent, in milliseconds. */
-const FLUSH_INTERVAL_MILLISECONDS = 50;
+/** How often the holder looks at its lease's end, in milliseconds. */
+const LEASE_CHECK_INTERVAL_MILLISECONDS = 100;
 
-/** Time that a call to the leader may take, in milliseconds. */
-const CONTROL_TIMEOUT_MILLISECONDS = 5_000;
+/** Items held in waiting, as a share of the streams allowed. */
+const WAITING_SHARE = 0.25;
 
-/** Leases items, runs them and records their outcomes. */
-export class JobRunner implements IDisposable {
-  #control: IControlClient;
-  #items: ItemRunner;
-  #configuration: IConfigurationSource;
+/** Added to that, in items. */
+const WAITING_EXTRA = 2;
+
+/** Items that one call may lease. */
+const MAXIMUM_LEASED_AT_ONCE = 200;
+
+/** Waiting time after which an item goes back, in milliseconds. */
+const MAXIMUM_WAIT_MILLISECONDS = 5_000;
+
+/** Attempts with an unknown outcome after which an item goes back. */
+const MAXIMUM_LOCAL_FAILURES = 2;
+
+/** Longest wait for streams and outcomes when stopping, in milliseconds. */
+const STOP_TIMEOUT_MILLISECONDS = 10_000;
+
+/** Pause between two looks while stopping, in milliseconds. */
+const STOP_POLL_MILLISECONDS = 20;
+
+/** Leases items, runs them at the engines it owns, records outcomes. */
+export class JobRunner implements IItemSource, IDisposable {
+  #options: IEngineStreamsOptions;
   #clock: IClock;
+  #lease: ItemLeaseHolder;
+  #outcomes: OutcomeSender;
+  #waiting = new HeldItems();
+  #streams: EngineStreams;
+  #idleUntil = new Map<string, number>();
   #stop = new AbortController();
-  #leaseId: string = randomUUID();
-  #running = new Map<string, AbortController>();
-  #outcomes: ItemOutcome[] = [];
-
-  constructor(
-    control: IControlClient,
-    items: ItemRunner,
-    options: { configuration: IConfigurationSource; clock: IClock },
-  ) {
-    this.#control = control;
-    this.#items = items;
-    this.#configuration = options.configuration;
+
+  constructor(control: IControlClient, options: IEngineStreamsOptions) {
+    this.#options = options;
     this.#clock = options.clock;
+    this.#lease = new ItemLeaseHolder(control, options.clock);
+    this.#outcomes = new OutcomeSender(control, options.clock);
+    this.#streams = new EngineStreams(this, options);
+  }
+
+  /** Streams that run now. */
+  get streams(): number {
+    return this.#streams.size;
   }
 
   /** Starts the tasks that lease, renew and record. */
   start(): void {
+    this.#outcomes.start();
     void this.#every(RENEWAL_INTERVAL_MILLISECONDS, () => this.#renew());
-    void this.#every(FLUSH_INTERVAL_MILLISECONDS, () => this.#flush());
-    void this.#every(IDLE_PAUSE_MILLISECONDS, () => this.#leaseAll());
+    void this.#every(LEASE_INTERVAL_MILLISECONDS, () => this.#fill());
+    void this.#every(LEASE_CHECK_INTERVAL_MILLISECONDS, () => this.#check());
+  }
+
+  /** Gives back what it holds, once non-idempotent items have ended. */
+  async stop(): Promise<void> {
+    this.#stop.abort();
+    this.#waiting.remove(() => true).forEach((held) => this.#release(held));
+    this.#streams.cancel("stopped", ({ item }) => item.idempotent);
+    const limit = this.#clock.deadlineIn(STOP_TIMEOUT_MILLISECONDS);
+    while (this.#streams.size + this.#outcomes.waiting > 0) {
+      if (this.#clock.isPast(limit)) break;
+      await this.#clock.sleepUntil(
+        this.#clock.deadlineIn(STOP_POLL_MILLISECONDS),
+      );
+    }
+    this.dispose();
   }
 
   dispose(): void {
     this.#stop.abort();
-    for (const abort of this.#running.values()) abort.abort();
+    this.#streams.dispose();
+    this.#outcomes.dispose();
+  }
+
+  take(engine: Engine): IHeldItem | undefined {
+    if (this.#stop.signal.aborted || !this.#lease.isHeld) return undefined;
+    return this.#waiting.take(engine, this.#clock.monotonic());
   }
 
-  async #every(interval: number, step: () => Promise<void>): Promise<void> {
+  done({ item }: IHeldItem, line: string): void {
+    this.#outcomes.add(outcomeOf(item, "done", line));
+  }
+
+  failed(held: IHeldItem, engine: Engine, failure: Failure): void {
+    const { item } = held;
+    const line = errorLine(item, failure);
+    if (failure.code === "bad-request") {
+      return this.#outcomes.add(outcomeOf(item, "failed", line));
+    }
+    if (failure.verdict === "not-run") return this.#wait(held, engine.id);
+    if (!item.idempotent) {
+      return this.#outcomes.add(outcomeOf(item, "may-have-run", line));
+    }
+    held.failures += 1;
+    held.failureLine = line;
+    if (held.failures < MAXIMUM_LOCAL_FAILURES) {
+      return this.#wait(held, engine.id);
+    }
+    this.#outcomes.add(outcomeOf(item, "again", line));
+  }
+
+  cancelled(held: IHeldItem, reason: CancelReason): void {
+    match(reason)
+      .with("yield", () => this.#wait(held, undefined))
+      .with("stopped", () => this.#giveUp(held))
+      .with("lost", () => {})
+      .exhaustive();
+  }
+
+  #wait(held: IHeldItem, avoid: string | undefined): void {
+    if (this.#stop.signal.aborted) return this.#release(held);
+    if (!this.#lease.isHeld) return;
+    held.avoid = avoid;
+    held.waitingSince = this.#clock.monotonic();
+    this.#waiting.add(held);
+  }
+
+  /** Gives an item back whose stream was cancelled. */
+  #giveUp(held: IHeldItem): void {
+    if (held.item.idempotent) return this.#release(held);
+    this.#outcomes.add(outcomeOf(held.item, "may-have-run", ""));
+  }
+
+  /** Gives an item back without counting an attempt. */
+  #release({ item }: IHeldItem): void {
+    this.#outcomes.add(outcomeOf(item, "released", ""));
+  }
+
+  async #every(
+    interval: number,
+    step: () => Promise<void> | void,
+  ): Promise<void> {
     const { signal } = this.#stop;
     while (!signal.aborted) {
       await step();
@@ -68,62 +166,84 @@
     }
   }
 
-  async #leaseAll(): Promise<void> {
-    const services = this.#configuration.current?.document.services ?? [];
-    for (const service of services) {
-      const maximum = STREAMS_PER_SERVICE - this.#running.size;
-      if (maximum <= 0) return;
-      const leased = await this.#control.call(leaseItemsMethod, {
-        leaseId: this.#leaseId,
-        service: service.name,
-        maximum,
-      }, this.#deadline());
-      if (leased.isErr()) continue;
-      for (const item of leased.value.items) void this.#run(item);
-    }
+  async #fill(): Promise<void> {
+    this.#releaseStale();
+    this.#streams.adjustAll();
+    const services = this.#options.configuration.current?.document.services;
+    await Promise.all((services ?? []).map(({ name }) => this.#leaseFor(name)));
+    this.#streams.adjustAll();
   }
 
-  async #run(item: LeasedItem): Promise<void> {
-    const key = `${item.jobId}/${item.index}`;
-    const abort = new AbortController();
-    this.#running.set(key, abort);
-    const outcome = await this.#items.run(item, abort.signal);
-    this.#running.delete(key);
-    this.#outcomes.push(outcome);
+  async #leaseFor(service: string): Promise<void> {
+    const { configuration, allowance } = this.#options;
+    const idleUntil = this.#idleUntil.get(service) ?? 0;
+    if (this.#outcomes.isFull || idleUntil > this.#clock.monotonic()) return;
+    const owned = new Set(allowance.ownedEngines);
+    const allowed = (configuration.current?.enginesOf(service) ?? [])
+      .filter(({ id }) => owned.has(id))
+      .reduce((sum, { id }) => sum + allowance.limitOf(id), 0);
+    if (allowed === 0) return;
+    const running = this.#streams.items
+      .filter(({ item }) => item.service === service).length;
+    const buffer = Math.ceil(allowed * WAITING_SHARE) + WAITING_EXTRA;
+    const held = running + this.#waiting.count(service);
+    const wanted = Math.min(allowed + buffer - held, MAXIMUM_LEASED_AT_ONCE);
+    if (wanted < buffer / 2) return;
+    const taken = await this.#lease.take(service, wanted);
+    const items = taken.unwrapOr([]);
+    if (items.length === 0) {
+      const pause = this.#clock.deadlineIn(IDLE_PAUSE_MILLISECONDS);
+      this.#idleUntil.set(service, pause);
+    }
+    for (const item of items) {
+      this.#waiting.add({
+        item,
+        text: "",
+        tokens: 0,
+        failures: 0,
+        failureLine: "",
+        avoid: undefined,
+        waitingSince: this.#clock.monotonic(),
+      });
+    }
   }
 
-  async #renew(): Promise<void> {
-    const jobOf = (key: string) => key.slice(0, key.lastIndexOf("/"));
-    const jobIds = [...new Set([...this.#running.keys()].map(jobOf))];
-    if (jobIds.length === 0) return;
-    const answer = await this.#control.call(
-      renewLeaseMethod,
-      { leaseId: this.#leaseId, jobIds },
-      this.#deadline(),
-    );
-    if (answer.isErr()) return;
-    const { held, stoppedJobs } = answer.value;
-    if (!held) this.#leaseId = randomUUID();
-    for (const [key, abort] of this.#running) {
-      if (!held || stoppedJobs.includes(jobOf(key))) abort.abort();
+  #releaseStale(): void {
+    const oldest = this.#clock.monotonic() - MAXIMUM_WAIT_MILLISECONDS;
+    const stale = this.#waiting.remove((held) => held.waitingSince < oldest);
+    // A waiting item is idempotent or provably did not run.
+    for (const { item, failures, failureLine } of stale) {
+      const status = failures > 0 ? "again" : "released";
+      this.#outcomes.add(outcomeOf(item, status, failureLine));
     }
   }
 
-  async #flush(): Promise<void> {
-    const outcomes = this.#outcomes;
-    if (outcomes.length === 0) return;
-    this.#outcomes = [];
-    const command = { kind: "complete" as const, outcomes };
-    const answer = await this.#control.propose(
-      jobsSection,
-      command,
-      this.#deadline(),
-    );
-    // Recording an outcome twice is harmless, so it is sent until it arrives.
-    if (answer.isErr()) this.#outcomes.unshift(...outcomes);
+  async #renew(): Promise<void> {
+    const held = [...this.#streams.items, ...this.#waiting.all];
+    if (held.length === 0) return;
+    const jobIds = [...new Set(held.map(({ item }) => item.jobId))];
+    const stopped = new Set(await this.#lease.renew(jobIds));
+    const isStopped = ({ item }: IHeldItem) => stopped.has(item.jobId);
+    this.#waiting.remove(isStopped);
+    this.#streams.cancel("lost", isStopped);
+    this.#check();
   }
 
-  #deadline() {
-    return { deadline: this.#clock.deadlineIn(CONTROL_TIMEOUT_MILLISECONDS) };
+  /** Stops everything as soon as the lease has ended. */
+  #check(): void {
+    if (this.#lease.isHeld) return;
+    if (this.#streams.size === 0 && this.#waiting.all.length === 0) return;
+    this.#streams.cancel("lost", () => true);
+    this.#waiting.remove(() => true);
+    this.#lease.restart();
   }
 }
+
+function outcomeOf(
+  item: { jobId: string; index: number; attempt: number },
+  status: ItemOutcome["status"],
+  line: string,
+): ItemOutcome {
+  const { jobId, index, attempt } = item;
+  return { jobId, index, attempt, status, line };
+}
--- /dev/null
+++ b/src/jobs/job_runner_test.ts
@@ -0,0 +1,277 @@
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import test, { type ExecutionContext } from "ava";
+import { BatchStreams, StreamTimes } from "../allotment/mod.ts";
+import { Emitter, SystemClock } from "../common/mod.ts";
+import type { IConfigurationSource } from "../configuration/mod.ts";
+import type { IControlClient } from "../consensus/mod.ts";
+import type { ITraceRecorder } from "../explain/types.ts";
+import type { ITargetHealth } from "../routing/mod.ts";
+import type { IRpcServer } from "../rpc/mod.ts";
+import { HttpEngineAdapter } from "../targets/mod.ts";
+import { EngineStandin, expectedText } from "../../testing/engine_standin.ts";
+import { eventually } from "../../testing/eventually.ts";
+import { FakeLog } from "../../testing/fake_log.ts";
+import { JobRunner } from "./job_runner.ts";
+import { JobsSection } from "./jobs_section.ts";
+import { LeaseManager } from "./lease_manager.ts";
+import { ResultPages } from "./result_pages.ts";
+
+const TOKENS = 40;
+
+/** Allowance that the test sets. */
+class Allowance {
+  #limits = new Map<string, number>();
+  #change = new Emitter<string>();
+  readonly onChange = this.#change.event;
+
+  get ownedEngines(): string[] {
+    return [...this.#limits.keys()];
+  }
+
+  limitOf(engineId: string): number {
+    return this.#limits.get(engineId) ?? 0;
+  }
+
+  set(engineId: string, limit: number): void {
+    this.#limits.set(engineId, limit);
+    this.#change.fire(engineId);
+  }
+}
+
+/** One leader, one runner and stand-in engines in this process. */
+class Bench {
+  readonly folder = mkdtempSync(join(tmpdir(), "figroad-runner-"));
+  readonly section = new JobsSection(this.folder);
+  readonly allowance = new Allowance();
+  readonly log = new FakeLog([this.section]);
+  engines: EngineStandin[] = [];
+  runner!: JobRunner;
+  /** While false, the leader does not answer. */
+  connected = true;
+
+  static async start(t: ExecutionContext, engines: number): Promise<Bench> {
+    const bench = new Bench();
+    await bench.#start(engines);
+    t.teardown(() => bench.#dispose());
+    return bench;
+  }
+
+  async submit(
+    prompts: string[],
+    options: { idempotent?: boolean; tokens?: number } = {},
+  ): Promise<void> {
+    const { idempotent = true, tokens = TOKENS } = options;
+    const lines = prompts.map((prompt, index) =>
+      JSON.stringify({
+        custom_id: `${index}`,
+        body: { prompt, max_tokens: tokens },
+      })
+    );
+    const propose = (command: object) => this.log.propose("jobs", command);
+    const file = { fileId: "file", caller: "station" };
+    await propose({ kind: "open-file", ...file, name: "in.jsonl" });
+    await propose({ kind: "append-lines", ...file, after: 0, lines });
+    await propose({ kind: "close-file", ...file });
+    await propose({
+      kind: "submit",
+      jobId: "job",
+      key: "key",
+      fingerprint: "",
+      ...file,
+      service: "alerts",
+      endpoint: "/v1/completions",
+      idempotent,
+      deadlineAt: Date.now() + 3_600_000,
+      metadata: {},
+      queuedItemsLimit: 1_000,
+    });
+  }
+
+  finished(): Promise<void> {
+    return eventually(
+      "the job ends",
+      () => this.section.job("job")?.state === "finished",
+    );
+  }
+
+  get running(): number {
+    return this.engines.reduce((sum, engine) => sum + engine.runningStreams, 0);
+  }
+
+  // deno-lint-ignore no-explicit-any
+  results(): any[] {
+    const request = { from: 0, limit: 1_000, kind: "all" as const };
+    const pages = new ResultPages(this.section);
+    return pages.read("job", { ...request, order: "item" }).lines
+      .map((line) => JSON.parse(line));
+  }
+
+  texts(): unknown[] {
+    return this.results().map(({ response }) => response?.body.choices[0].text);
+  }
+
+  async #start(count: number): Promise<void> {
+    const clock = new SystemClock();
+    const options = { stepMilliseconds: 5, maximumStreams: 16 };
+    this.engines = Array.from(
+      { length: count },
+      () => new EngineStandin(options),
+    );
+    const ports = await Promise.all(this.engines.map((each) => each.listen()));
+    const engines = ports.map((port, index) => ({
+      id: `engine-${index}`,
+      service: "alerts",
+      address: "127.0.0.1",
+      port,
+      maximumStreams: 16,
+    }));
+    const service = { name: "alerts", model: "alert-writer" };
+    const view = {
+      document: { services: [service], engines },
+      enginesOf: () => engines,
+      grantsOf: () => [{ service }],
+    };
+    // deno-lint-ignore no-explicit-any
+    const handlers = new Map<string, (params: any, context: any) => any>();
+    const server = {
+      // deno-lint-ignore no-explicit-any
+      handle: (method: any, handler: any) => {
+        handlers.set(method.name, handler);
+        return { dispose: () => {} };
+      },
+    };
+    this.#leases = new LeaseManager(this.log, this.section, {
+      clock,
+      server: server as unknown as IRpcServer,
+    });
+    const unanswered = () => new Promise<never>(() => {});
+    const control = {
+      // deno-lint-ignore no-explicit-any
+      propose: (section: any, command: unknown) =>
+        this.connected ? this.log.propose(section.name, command) : unanswered(),
+      // deno-lint-ignore no-explicit-any
+      call: (method: any, params: unknown, { deadline }: any) =>
+        this.connected
+          ? handlers.get(method.name)?.(params, { from: "runner", deadline })
+          : unanswered(),
+    };
+    this.runner = new JobRunner(control as unknown as IControlClient, {
+      clock,
+      configuration: { current: view } as unknown as IConfigurationSource,
+      engines: new HttpEngineAdapter(clock),
+      times: new StreamTimes(clock),
+      allowance: this.allowance,
+      streams: new BatchStreams(),
+      health: { stateOf: () => "healthy" } as unknown as ITargetHealth,
+      trace: { record: () => {} } as unknown as ITraceRecorder,
+    });
+    this.runner.start();
+  }
+
+  #leases: LeaseManager | undefined;
+
+  #dispose(): void {
+    this.runner.dispose();
+    this.#leases?.dispose();
+    this.engines.forEach((engine) => engine.die());
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+}
+
+function prompts(count: number): string[] {
+  return Array.from({ length: count }, (_, index) => `report ${index}`);
+}
+
+test("yield and resume", async (t) => {
+  const bench = await Bench.start(t, 1);
+  const [engine] = bench.engines;
+  const items = prompts(4);
+  await bench.submit(items);
+  bench.allowance.set("engine-0", 4);
+  await eventually("streams run", () => (engine?.tokensGenerated ?? 0) > 20);
+  bench.allowance.set("engine-0", 1);
+  await eventually("streams yield", () => bench.running === 1);
+  t.is(bench.section.job("job")?.counts.leased, 4);
+  bench.allowance.set("engine-0", 4);
+  await bench.finished();
+  t.deepEqual(bench.texts(), items.map((item) => expectedText(item, TOKENS)));
+  t.deepEqual([...engine?.begun.values() ?? []], [1, 1, 1, 1]);
+  const attempts = [...engine?.attempts.values() ?? []];
+  t.is(attempts.reduce((sum, count) => sum + count, 0), 7);
+});
+
+test("an engine dies with items in flight", async (t) => {
+  const bench = await Bench.start(t, 2);
+  const items = prompts(30);
+  await bench.submit(items);
+  bench.allowance.set("engine-0", 15);
+  bench.allowance.set("engine-1", 15);
+  await eventually("streams run", () => bench.running === 30);
+  bench.engines[0]?.die();
+  await bench.finished();
+  t.deepEqual(bench.texts(), items.map((item) => expectedText(item, TOKENS)));
+});
+
+test("items that can never be done", async (t) => {
+  const bench = await Bench.start(t, 1);
+  const items = ["[crash] now", "[refuse] this", ...prompts(3)];
+  await bench.submit(items);
+  bench.allowance.set("engine-0", 4);
+  await bench.finished();
+  t.like(bench.section.job("job")?.counts, { done: 3, failed: 2 });
+  const [crashed, refused] = bench.results();
+  t.is(crashed.error.code, "target-error");
+  t.is(refused.error.code, "bad-request");
+  t.is(bench.engines[0]?.attempts.get("[crash] now"), 6);
+});
+
+test("cancel while running", async (t) => {
+  const bench = await Bench.start(t, 1);
+  await bench.submit(prompts(20), { tokens: 100_000 });
+  bench.allowance.set("engine-0", 4);
+  await eventually("streams run", () => bench.running === 4);
+  await bench.log.propose("jobs", { kind: "cancel", jobId: "job" });
+  await eventually("streams stop", () => bench.running === 0);
+  t.is(bench.results().length, 20);
+  t.like(bench.section.job("job"), { state: "cancelled" });
+});
+
+test("an isolated holder stops before its items come back", async (t) => {
+  const bench = await Bench.start(t, 1);
+  await bench.submit(["slow report"]);
+  bench.allowance.set("engine-0", 1);
+  await eventually("the stream runs", () => bench.running === 1);
+  bench.connected = false;
+  bench.engines[0]?.freeze(9_000);
+  let runningAtExpiry: number | undefined;
+  await eventually("the item comes back", () => {
+    if (bench.section.job("job")?.counts.leased !== 0) return false;
+    runningAtExpiry = bench.runner.streams;
+    return true;
+  });
+  t.is(runningAtExpiry, 0);
+});
+
+test("non-idempotent items run at most once", async (t) => {
+  const bench = await Bench.start(t, 1);
+  const [engine] = bench.engines;
+  await bench.submit(["[crash] once", ...prompts(2)], { idempotent: false });
+  bench.allowance.set("engine-0", 3);
+  await eventually("streams run", () => bench.running > 0);
+  bench.allowance.set("engine-0", 0);
+  await bench.finished();
+  t.like(bench.section.job("job")?.counts, { done: 2, mayHaveRun: 1 });
+  t.deepEqual([...engine?.attempts.values() ?? []], [1, 1, 1]);
+});
+
+test("stop gives items back", async (t) => {
+  const bench = await Bench.start(t, 1);
+  await bench.submit(prompts(6));
+  bench.allowance.set("engine-0", 4);
+  await eventually("streams run", () => bench.running === 4);
+  await bench.runner.stop();
+  t.like(bench.section.job("job")?.counts, { pending: 6, leased: 0 });
+  t.is(bench.runner.streams, 0);
+});
--- a/src/jobs/job_schedule.ts
+++ b/src/jobs/job_schedule.ts
@@ -48,6 +48,11 @@
     if (queue.jobs.length === 0) callers?.delete(caller);
   }
 
+  /** Whether a job of the service has available items. */
+  hasJobs(service: string): boolean {
+    return (this.#services.get(service)?.size ?? 0) > 0;
+  }
+
   /** Job of the next item; undefined when none has an available one. */
   next(service: string): BatchJob | undefined {
     const callers = this.#services.get(service);
--- a/src/jobs/jobs_section.ts
+++ b/src/jobs/jobs_section.ts
@@ -108,6 +108,11 @@
     return job ? this.#files.line(job.record.fileId, index) : "";
   }
 
+  /** Whether a grant for the service may find items. */
+  hasItemsFor(service: string, now: number): boolean {
+    return this.#schedule.hasJobs(service) || this.#retries.isDue(now);
+  }
+
   /** Whether a sweep would drop anything. */
   isSweepDue(now: number): boolean {
     return this.#files.isSweepDue(now) || this.#expiredJob(now) !== undefined;
--- a/src/jobs/lease_manager.ts
+++ b/src/jobs/lease_manager.ts
@@ -86,6 +86,14 @@
     params: { leaseId: string; service: string; maximum: number },
     context: IDeadlineOptions & { from: string },
   ): Promise<Result<{ items: LeasedItem[] }, Failure>> {
+    const barrier = await this.#log.barrier(context);
+    if (barrier.isErr()) return err(barrier.error);
+    // Idle instances ask all the time; that must not fill the log.
+    if (!this.#section.hasItemsFor(params.service, this.#clock.wall())) {
+      return ok({ items: [] });
+    }
+    // Keeps the lease from being expired while the grant is committed.
+    this.#extend(params.leaseId);
     const granted = await this.#propose({
       kind: "grant",
       holder: context.from,
--- a/src/jobs/mod.ts
+++ b/src/jobs/mod.ts
@@ -1,4 +1,3 @@
-export * from "./item_runner.ts";
 export * from "./job_gateway.ts";
 export * from "./job_runner.ts";
 export * from "./jobs_handlers.ts";
--- a/src/jobs/retry_queue.ts
+++ b/src/jobs/retry_queue.ts
@@ -28,6 +28,14 @@
     this.#queues[options.failures]?.add({ jobId, index, dueAt });
   }
 
+  /** Whether the pause of an item is over. */
+  isDue(now: number): boolean {
+    return this.#queues.some((queue) => {
+      const [first] = queue;
+      return first !== undefined && first.dueAt <= now;
+    });
+  }
+
   /** Removes and yields the items whose pause is over. */
   *due(now: number): Generator<{ jobId: string; index: number }> {
     for (const queue of this.#queues) {
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -67,6 +67,16 @@
     address: ipNumberSchema,
     port: portSchema,
   }).optional(),
+  batch: z.strictObject({
+    /** Policy for the batch streams at each engine. */
+    limitPolicy: z.enum([
+      "spare-slots",
+      "learned",
+      "concentrating",
+      "fixed-share",
+      "unlimited",
+    ]).default("learned"),
+  }).prefault({}),
   log: z.strictObject({
     level: z.enum(["debug", "info", "warn", "error"]).default("info"),
   }).prefault({}),
--- a/testing/fleet.ts
+++ b/testing/fleet.ts
@@ -50,6 +50,9 @@
   /** Changes the generated configuration before it is applied. */
   // deno-lint-ignore no-explicit-any
   configure?: (document: any) => void;
+  /** Changes the generated settings of each instance. */
+  // deno-lint-ignore no-explicit-any
+  settings?: (settings: any) => void;
 }
 
 /** Key of the caller `station` in the configuration of a fleet. */
@@ -160,6 +163,7 @@
         voters,
         control: dataFolder ? { dataFolder } : undefined,
       };
+      options.settings?.(settings);
       const settingsPath = join(this.folder, `${id}.jsonc`);
       await writeFile(settingsPath, JSON.stringify(settings, undefined, 2));
       this.instances.push({
