--- a/src/allotment/engine_ownership.ts
+++ b/src/allotment/engine_ownership.ts
@@ -5,8 +5,10 @@
   type IDisposable,
 } from "../common/mod.ts";
 import type { IControlClient } from "../consensus/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
 import type { PeerAddress } from "../rpc/mod.ts";
 import { OWNERSHIP_MILLISECONDS } from "./engine_assigner.ts";
+import { enginesOwned } from "./events.ts";
 import { claimEnginesMethod } from "./messages.ts";
 import type { IEngineOwner, IEngineOwnership } from "./types.ts";
 
@@ -24,6 +26,7 @@
   #self: { address: PeerAddress; region: string };
   #control: IControlClient;
   #clock: IClock;
+  #events: IEventLog;
   #owned = new Set<string>();
   #until: Deadline;
   #others: readonly IEngineOwner[] = [];
@@ -35,11 +38,12 @@
   constructor(
     self: { address: PeerAddress; region: string },
     control: IControlClient,
-    options: { clock: IClock },
+    options: { clock: IClock; events: IEventLog },
   ) {
     this.#self = self;
     this.#control = control;
     this.#clock = options.clock;
+    this.#events = options.events;
     this.#until = options.clock.monotonic();
   }
 
@@ -102,6 +106,8 @@
       this.#others = owners.filter(({ address }) => address.id !== self);
       this.#revision = revision;
     }
-    if (owners || before !== [...owned].sort().join()) this.#change.fire();
+    const changed = before !== [...owned].sort().join();
+    if (changed) this.#events.emit(enginesOwned, { engines: owned.length });
+    if (owners || changed) this.#change.fire();
   }
 }
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -191,7 +191,7 @@
     );
     reconciler.start();
     store.add(handleJobs(server, log, { section: jobs }));
-    store.add(new LeaseManager(log, jobs, { clock, server }));
+    store.add(new LeaseManager(log, jobs, { clock, server, events }));
     store.add(
       new EngineAssigner(log, server, {
         clock,
@@ -214,7 +214,7 @@
     new EngineOwnership(
       { address: self, region: settings.instance.region },
       control,
-      { clock },
+      { clock, events },
     ),
   );
   const load = store.add(
@@ -302,6 +302,7 @@
       streams: batchStreams,
       health,
       trace,
+      events,
     }),
   );
 
--- a/src/jobs/engine_streams.ts
+++ b/src/jobs/engine_streams.ts
@@ -1,6 +1,7 @@
 import type { IBatchAllowance, IBatchStreams } from "../allotment/mod.ts";
 import type { Deadline, Failure, IDisposable } from "../common/mod.ts";
 import type { Engine } from "../configuration/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
 import type { ITraceRecorder } from "../explain/types.ts";
 import type { ITargetHealth } from "../routing/mod.ts";
 import {
@@ -31,6 +32,7 @@
   readonly streams: IBatchStreams;
   readonly health: ITargetHealth;
   readonly trace: ITraceRecorder;
+  readonly events: IEventLog;
 }
 
 interface IRunning {
--- a/src/jobs/job_runner.ts
+++ b/src/jobs/job_runner.ts
@@ -8,6 +8,7 @@
   type IEngineStreamsOptions,
   type IItemSource,
 } from "./engine_streams.ts";
+import { leaseLost } from "./events.ts";
 import { HeldItems } from "./held_items.ts";
 import type { IHeldItem } from "./item_attempt.ts";
 import { ItemLeaseHolder } from "./item_lease.ts";
@@ -63,7 +64,7 @@
     this.#options = options;
     this.#clock = options.clock;
     this.#lease = new ItemLeaseHolder(control, options.clock);
-    this.#outcomes = new OutcomeSender(control, options.clock);
+    this.#outcomes = new OutcomeSender(control, options);
     this.#streams = new EngineStreams(this, options);
   }
 
@@ -233,6 +234,8 @@
   #check(): void {
     if (this.#lease.isHeld) return;
     if (this.#streams.size === 0 && this.#waiting.all.length === 0) return;
+    const items = this.#streams.size + this.#waiting.all.length;
+    this.#options.events.emit(leaseLost, { items });
     this.#streams.cancel("lost", () => true);
     this.#waiting.remove(() => true);
     this.#lease.restart();
--- a/src/jobs/job_runner_test.ts
+++ b/src/jobs/job_runner_test.ts
@@ -6,6 +6,7 @@
 import { Emitter, SystemClock } from "../common/mod.ts";
 import type { IConfigurationSource } from "../configuration/mod.ts";
 import type { IControlClient } from "../consensus/mod.ts";
+import { SilentEventLog } from "../events/mod.ts";
 import type { ITraceRecorder } from "../explain/types.ts";
 import type { ITargetHealth } from "../routing/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
@@ -145,6 +146,7 @@
     this.#leases = new LeaseManager(this.log, this.section, {
       clock,
       server: server as unknown as IRpcServer,
+      events: new SilentEventLog(),
     });
     const unanswered = () => new Promise<never>(() => {});
     const control = {
@@ -166,6 +168,7 @@
       streams: new BatchStreams(),
       health: { stateOf: () => "healthy" } as unknown as ITargetHealth,
       trace: { record: () => {} } as unknown as ITraceRecorder,
+      events: new SilentEventLog(),
     });
     this.runner.start();
   }
--- a/src/jobs/lease_manager.ts
+++ b/src/jobs/lease_manager.ts
@@ -8,7 +8,9 @@
   mayHaveRun,
 } from "../common/mod.ts";
 import type { IDeadlineOptions, IReplicatedLog } from "../consensus/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
+import { leaseExpired } from "./events.ts";
 import type { JobsSection } from "./jobs_section.ts";
 import {
   type ItemReference,
@@ -41,6 +43,7 @@
   #log: IReplicatedLog;
   #section: JobsSection;
   #clock: IClock;
+  #events: IEventLog;
   #deadlines = new Map<string, Deadline>();
   #expiring = false;
   #lookedAt: Deadline;
@@ -49,9 +52,10 @@
   constructor(
     log: IReplicatedLog,
     section: JobsSection,
-    options: { clock: IClock; server: IRpcServer },
+    options: { clock: IClock; server: IRpcServer; events: IEventLog },
   ) {
     this.#log = log;
+    this.#events = options.events;
     this.#section = section;
     this.#clock = options.clock;
     this.#lookedAt = options.clock.monotonic();
@@ -162,6 +166,11 @@
 
   async #expire(leaseId: string): Promise<void> {
     const command = { kind: "expire" as const, leaseId };
+    const lease = this.#section.leases.get(leaseId);
+    if (lease && lease.items.size > 0) {
+      const { holder, items } = lease;
+      this.#events.emit(leaseExpired, { holder, items: items.size });
+    }
     await this.#propose(command, this.#expiryDeadline());
     this.#lookedAt = this.#clock.monotonic();
   }
--- a/src/jobs/outcome_sender.ts
+++ b/src/jobs/outcome_sender.ts
@@ -1,5 +1,7 @@
 import type { IClock, IDisposable } from "../common/mod.ts";
 import type { IControlClient } from "../consensus/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
+import { outcomesWaiting } from "./events.ts";
 import { type ItemOutcome, jobsSection } from "./messages.ts";
 
 /** Time over which outcomes are recorded together, in milliseconds. */
@@ -25,13 +27,18 @@
 export class OutcomeSender implements IDisposable {
   #control: IControlClient;
   #clock: IClock;
+  #events: IEventLog;
   #waiting: ItemOutcome[] = [];
   #characters = 0;
   #stop = new AbortController();
 
-  constructor(control: IControlClient, clock: IClock) {
+  constructor(
+    control: IControlClient,
+    options: { clock: IClock; events: IEventLog },
+  ) {
     this.#control = control;
-    this.#clock = clock;
+    this.#clock = options.clock;
+    this.#events = options.events;
   }
 
   /** Whether so much waits that no new items should be taken. */
@@ -72,7 +79,11 @@
       { kind: "complete", outcomes },
       { deadline: this.#clock.deadlineIn(RECORD_TIMEOUT_MILLISECONDS) },
     );
-    if (answer.isErr()) return;
+    if (answer.isErr()) {
+      const waiting = { outcomes: this.#waiting.length };
+      if (this.isFull) this.#events.emit(outcomesWaiting, waiting);
+      return;
+    }
     this.#waiting.splice(0, outcomes.length);
     for (const { line } of outcomes) this.#characters -= line.length;
   }
