--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -7,7 +7,16 @@
   RetryBudget,
   ServiceGate,
 } from "../admission/mod.ts";
-import { LiveActivity, LocalLoadView } from "../allotment/mod.ts";
+import {
+  BatchAllowance,
+  BatchStreams,
+  createLimitPolicy,
+  EngineAssigner,
+  EngineOwnership,
+  LiveActivity,
+  LoadExchange,
+  StreamTimes,
+} from "../allotment/mod.ts";
 import {
   BurnReporter,
   handleServiceLevels,
@@ -44,7 +53,6 @@
 } from "../explain/mod.ts";
 import {
   handleJobs,
-  ItemRunner,
   JobGateway,
   JobRunner,
   JobsSection,
@@ -187,7 +195,13 @@
     );
     reconciler.start();
     store.add(handleJobs(server, log, { section: jobs }));
-    store.add(new LeaseManager(log, jobs, { clock, server }));
+    store.add(new LeaseManager(log, jobs, { clock, server, events }));
+    store.add(
+      new EngineAssigner(log, server, {
+        clock,
+        document: () => section.current?.document,
+      }),
+    );
     await log.start();
   }
 
@@ -199,7 +213,23 @@
   const plainTargets = store.add(new HttpPlainAdapter(clock));
   const health = new TargetHealth({ clock, random, events });
   const activity = store.add(new LiveActivity());
-  const load = new LocalLoadView(activity);
+  const batchStreams = new BatchStreams();
+  const ownership = store.add(
+    new EngineOwnership(
+      { address: self, region: settings.instance.region },
+      control,
+      { clock, events },
+    ),
+  );
+  const load = store.add(
+    new LoadExchange(ownership, {
+      rpc,
+      server,
+      clock,
+      activity,
+      batch: batchStreams,
+    }),
+  );
   const reports = store.add(
     new LoadReportPoller(engines, configuration, { clock }),
   );
@@ -258,9 +288,26 @@
     metrics,
   });
   const jobs = new JobGateway(control, clock);
-  const items = new ItemRunner(dispatcher, configuration, { clock });
+  const times = new StreamTimes(clock);
+  const allowance = store.add(
+    new BatchAllowance(
+      ownership,
+      createLimitPolicy(settings.batch.limitPolicy),
+      { clock, configuration, availability, load, times },
+    ),
+  );
   const runner = store.add(
-    new JobRunner(control, items, { configuration, clock }),
+    new JobRunner(control, {
+      clock,
+      configuration,
+      engines,
+      times,
+      allowance,
+      streams: batchStreams,
+      health,
+      trace,
+      events,
+    }),
   );
 
   const callers = store.add(
@@ -282,7 +329,12 @@
       membership: heartbeat,
       log,
       callers,
-      batch: { stop: () => Promise.resolve(runner.dispose()) },
+      batch: {
+        async stop() {
+          await ownership.leave();
+          await runner.stop();
+        },
+      },
       rest: store,
     },
     settings.stopping,
@@ -319,6 +371,7 @@
   heartbeat.start();
   reports.start();
   admission.start();
+  ownership.start();
   runner.start();
   const ports = {
     callers: await callers.listen(
