--- a/measure/consensus.ts
+++ b/measure/consensus.ts
@@ -115,6 +115,9 @@
 }
 
 function end(child: ChildProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) {
+    return Promise.resolve();
+  }
   return new Promise((resolve) => {
     child.once("exit", () => resolve());
     child.kill("SIGKILL");
