Voters with their failure domains; events on pages checked

Shown to fail: with event 502 written as 599 on a page, "events named by the operators' pages exist" fails.

--- a/src/cli/commands/voters.ts
+++ b/src/cli/commands/voters.ts
@@ -4,6 +4,9 @@
 import { defineCliCommand } from "../define_cli_command.ts";
 import { operatorsArgument, operatorsEdge, usage } from "../edges.ts";
 import { ExitCode, type ICliFailure } from "../exit_code.ts";
+import type { HttpClient } from "../http_client.ts";
+import type { Member } from "../../membership/mod.ts";
+import { statusSchema } from "../../operators/mod.ts";
 import { formatTable, type Output } from "../output.ts";
 
 const replicaSchema = z.looseObject({
@@ -28,10 +31,9 @@
   description: "List the control voters and learners",
   args: operatorsArgument,
   async run(args, output) {
-    const read = await operatorsEdge(args).asyncAndThen((client) =>
-      client.fetch({ path: "/voters" }, votersSchema)
-    );
-    return read.map((voters) => show(voters, output));
+    const edge = operatorsEdge(args);
+    if (edge.isErr()) return err(edge.error);
+    return await show(edge.value, output);
   },
 });
 
@@ -130,24 +132,35 @@
   const changed = await edge.value.fetch(message, z.unknown());
   if (changed.isErr()) return err(changed.error);
   output.note(["done:", body.action, body.voter?.id].filter(Boolean).join(" "));
-  const read = await edge.value.fetch({ path: "/voters" }, votersSchema);
-  return read.map((voters) => show(voters, output));
+  return await show(edge.value, output);
 }
 
-function show(voters: Voters, output: Output): ExitCode {
-  const row = (kind: string) => (replica: Replica) => [
-    replica.id,
-    replica.id === voters.leader ? "leader" : kind,
-    replica.failureDomain ?? "",
-    replica.address ? `${replica.address}:${replica.port}` : "",
+/** Prints the replicas with the failure domains that they tell themselves. */
+async function show(
+  client: HttpClient,
+  output: Output,
+): Promise<Result<ExitCode, ICliFailure>> {
+  const read = await client.fetch({ path: "/voters" }, votersSchema);
+  const status = await client.fetch({ path: "/status" }, statusSchema);
+  const members = status.map(({ members }) => members).unwrapOr([]);
+  return read.map((voters) => {
+    output.result(voters, () => replicaLines(voters, members));
+    return ExitCode.done;
+  });
+}
+
+function replicaLines(
+  { leader, voters, learners }: Voters,
+  members: readonly Member[],
+): string[] {
+  const row = (kind: string) => ({ id, address, port }: Replica) => [
+    id,
+    id === leader ? "leader" : kind,
+    members.find((member) => member.id === id)?.failureDomain ?? "unknown",
+    address ? `${address}:${port}` : "",
   ];
-  output.result(
-    voters,
-    () =>
-      formatTable(["INSTANCE", "ROLE", "FAILURE DOMAIN", "ADDRESS"], [
-        ...voters.voters.map(row("voter")),
-        ...voters.learners.map(row("learner")),
-      ]),
-  );
-  return ExitCode.done;
+  return formatTable(["INSTANCE", "ROLE", "FAILURE DOMAIN", "ADDRESS"], [
+    ...voters.map(row("voter")),
+    ...learners.map(row("learner")),
+  ]);
 }
--- a/src/cli/figroad_test.ts
+++ b/src/cli/figroad_test.ts
@@ -172,7 +172,7 @@
   const voters = (...args: string[]) =>
     run("voters", ...args, "--operators", edge.url);
   const list = await voters("list");
-  t.regex(list.stdout, /^one +leader +127\.0\.0\.1:8002$/m);
+  t.regex(list.stdout, /^one +leader +unknown +127\.0\.0\.1:8002$/m);
   const place = ["--address", "127.0.0.1", "--failure-domain", "west-1"];
   const added = await voters("add", "two", "--port", "8012", ...place);
   t.is(added.exitCode, ExitCode.done, added.stderr);
@@ -198,6 +198,15 @@
   ]);
 });
 
+test("voters of a fleet", async (t) => {
+  const list = await run("voters", "list");
+  t.regex(list.stdout, /^instance-0 +leader +domain-0 +127\.0\.0\.1:\d+$/m);
+  const status = await run("status");
+  t.regex(status.stdout, /^leader: instance-0, voters: instance-0$/m);
+  const removed = await run("voters", "remove", "nobody");
+  t.is(removed.exitCode, ExitCode.notFound);
+});
+
 test("job", async (t) => {
   const path = join(fleet.folder, "input.jsonl");
   const lines = Array.from({ length: ITEMS }, (_, index) =>
--- a/src/events/catalogue_test.ts
+++ b/src/events/catalogue_test.ts
@@ -40,3 +40,22 @@
     "100 is not in the range of jobs",
   ]);
 });
+
+test("events named by the operators' pages exist", async (t) => {
+  const numbers = new Set(
+    (await loadCatalogue()).map(({ event }) => String(event.number)),
+  );
+  const folder = join("docs", "operations");
+  for (const page of await readdir(folder)) {
+    const text = await readFile(join(folder, page), "utf8");
+    const named = text.matchAll(
+      /\bevents? (\d{3})(?:,? (?:and|or) (\d{3}))?/gi,
+    );
+    for (const [, first, second] of named) {
+      for (const number of [first, second]) {
+        if (number) t.true(numbers.has(number), `${page}: event ${number}`);
+      }
+    }
+  }
+  t.pass();
+});
