--- /dev/null
+++ b/measure/serving.ts
@@ -0,0 +1,374 @@
+// Batch throughput and the harm it does to live requests, by policy.
+import { readFile } from "node:fs/promises";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { COMMITTEE_KEY, Fleet, kill } from "../testing/fleet.ts";
+import { fetchJson, postJson } from "../testing/http.ts";
+import {
+  type ILivePattern,
+  type ILiveSample,
+  LiveClients,
+} from "./live_clients.ts";
+import { readUsage } from "./process_usage.ts";
+import { median, quantile } from "./statistics.ts";
+
+const SEED = 20_261_203;
+const INSTANCES = 12;
+const ENGINES = 8;
+const ROUNDS = 3;
+const ITEMS = 2_000;
+const ITEM_TOKENS = 64;
+
+const ENGINE_OPTIONS = {
+  maximumStreams: 16,
+  stepMilliseconds: 20,
+  perStreamMilliseconds: 0.1,
+  perPrefillWordMilliseconds: 0.02,
+};
+
+/** Engines whose steps grow steeply with their streams. */
+const STEEP_ENGINE_OPTIONS = { ...ENGINE_OPTIONS, perStreamMilliseconds: 0.6 };
+
+/** Length of a phase, in milliseconds. */
+const PHASE_MILLISECONDS = 2_500;
+
+/** How often the processes that want a processor are counted. */
+const COUNT_INTERVAL_MILLISECONDS = 20;
+
+/** Wait until the engines have owners, in milliseconds. */
+const OWNERS_MILLISECONDS = 4_500;
+
+/** Wait until a submitted job fills the engines, in milliseconds. */
+const FILL_MILLISECONDS = 1_200;
+
+/** Wait until a cancelled job has left the engines, in milliseconds. */
+const EMPTY_MILLISECONDS = 1_200;
+
+/** Pause of an engine in the phase with faults, in milliseconds. */
+const FREEZE_MILLISECONDS = 700;
+
+const STEADY: ILivePattern = {
+  requestsPerSecond: 36,
+  burstRequests: 0,
+  burstInterval: 2_000,
+  burstWidth: 150,
+};
+const BURSTS: ILivePattern = { ...STEADY, burstRequests: 48 };
+
+const VARIANTS = [
+  "unlimited",
+  "fixed-share",
+  "spare-slots",
+  "learned",
+  "concentrating",
+];
+
+interface IPhase {
+  readonly live: ILiveSample;
+  /** Batch tokens a second that engines generated. */
+  readonly batchRate: number;
+  readonly liveRate: number;
+  /** Batch items a second whose results were recorded. */
+  readonly itemRate: number;
+  /** Processor time of all instances, in cores. */
+  readonly cores: number;
+  /** Processes on the whole machine that wanted a processor, on average. */
+  readonly busy: number;
+}
+
+/** The same load without and with batch, one right after the other. */
+interface IPair {
+  readonly without: IPhase;
+  readonly with: IPhase;
+}
+
+interface IVariant {
+  readonly name: string;
+  /** Batch tokens a second without live requests. */
+  readonly alone: number;
+  readonly pairs: Map<string, IPair[]>;
+}
+
+/**
+ * Runs every variant, or those named, and prints one table for each load. The
+ * word `steep` takes engines that slow down more with each stream.
+ */
+export async function measure(options: readonly string[]): Promise<void> {
+  const chosen = options.filter((word) => VARIANTS.includes(word));
+  const engineOptions = options.includes("steep")
+    ? STEEP_ENGINE_OPTIONS
+    : ENGINE_OPTIONS;
+  const names = chosen.length > 0 ? chosen : VARIANTS;
+  const variants: IVariant[] = [];
+  for (const name of names) {
+    print(`# ${name}`);
+    variants.push(await runVariant(name, engineOptions));
+  }
+  const { maximumStreams, stepMilliseconds, perStreamMilliseconds } =
+    engineOptions;
+  const full = ENGINES * maximumStreams * 1_000 /
+    (stepMilliseconds + perStreamMilliseconds * maximumStreams);
+  const measured = Math.max(...variants.map(({ alone }) => alone));
+  print(`capacity by the engines' parameters: ${full.toFixed(0)} tokens/s`);
+  print(`measured with batch alone, best variant: ${measured.toFixed(0)}`);
+  for (const load of ["steady", "bursts", "faults"]) {
+    printTable(load, variants, measured);
+  }
+}
+
+async function runVariant(
+  name: string,
+  engineOptions: typeof ENGINE_OPTIONS,
+): Promise<IVariant> {
+  const fleet = await Fleet.start({
+    instances: INSTANCES,
+    voters: 1,
+    engines: ENGINES,
+    engineOptions,
+    // deno-lint-ignore no-explicit-any
+    configure: (document: any) => {
+      for (const engine of document.engines) {
+        engine.maximumStreams = ENGINE_OPTIONS.maximumStreams;
+      }
+    },
+    // deno-lint-ignore no-explicit-any
+    settings: (settings: any) => {
+      settings.batch = { limitPolicy: name };
+    },
+  });
+  try {
+    return await runPhases(name, fleet);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function runPhases(name: string, fleet: Fleet): Promise<IVariant> {
+  const clients = new LiveClients(fleet, SEED);
+  await sleep(OWNERS_MILLISECONDS);
+  const pairs = new Map<string, IPair[]>();
+  const loads = { steady: STEADY, bursts: BURSTS };
+  let alone = 0;
+  for (let round = 0; round < ROUNDS; round++) {
+    const without = new Map<string, IPhase>();
+    for (const [key, load] of Object.entries(loads)) {
+      without.set(key, await runPhase(fleet, { clients, load }));
+    }
+    const jobId = await submitJob(fleet, `${round}`);
+    await sleep(FILL_MILLISECONDS);
+    for (const [key, load] of Object.entries(loads)) {
+      const phase = await runPhase(fleet, { clients, jobId, load });
+      const pair = { without: without.get(key) ?? phase, with: phase };
+      pairs.set(key, [...pairs.get(key) ?? [], pair]);
+    }
+    const idle = { ...STEADY, requestsPerSecond: 0.001 };
+    const only = await runPhase(fleet, { clients, jobId, load: idle });
+    alone = Math.max(alone, only.batchRate);
+    await cancelJob(fleet, jobId);
+    await sleep(EMPTY_MILLISECONDS);
+  }
+  pairs.set("faults", [await runFaultPair(fleet, clients)]);
+  return { name, alone, pairs };
+}
+
+async function runFaultPair(
+  fleet: Fleet,
+  clients: LiveClients,
+): Promise<IPair> {
+  const options = { clients, load: BURSTS };
+  const [without] = await Promise.all([
+    runPhase(fleet, options),
+    causeFaults(fleet, fleet.instances.length - 1),
+  ]);
+  const jobId = await submitJob(fleet, "faults");
+  await sleep(FILL_MILLISECONDS);
+  const [phase] = await Promise.all([
+    runPhase(fleet, { ...options, jobId }),
+    causeFaults(fleet, fleet.instances.length - 2),
+  ]);
+  return { without, with: phase };
+}
+
+interface IPhaseOptions {
+  readonly clients: LiveClients;
+  readonly jobId?: string;
+  readonly load: ILivePattern;
+}
+
+async function runPhase(
+  fleet: Fleet,
+  options: IPhaseOptions,
+): Promise<IPhase> {
+  const { clients, jobId, load } = options;
+  const before = await readCounts(fleet, jobId);
+  const counting = countBusy(PHASE_MILLISECONDS);
+  const live = await clients.run(load, PHASE_MILLISECONDS);
+  const tokens = live.tokens;
+  const after = await readCounts(fleet, jobId);
+  const busy = await counting;
+  await clients.settle();
+  const seconds = (after.at - before.at) / 1_000;
+  const generated = after.tokens - before.tokens;
+  return {
+    live,
+    batchRate: jobId ? (generated - tokens) / seconds : 0,
+    liveRate: tokens / seconds,
+    itemRate: (after.items - before.items) / seconds,
+    cores: processorOf(before.usage, after.usage) / seconds / 1_000,
+    busy,
+  };
+}
+
+/** Average of the kernel's count of processes that can run now. */
+async function countBusy(milliseconds: number): Promise<number> {
+  const counts: number[] = [];
+  const until = performance.now() + milliseconds;
+  while (performance.now() < until) {
+    const text = await readFile("/proc/loadavg", "utf8");
+    counts.push(Number(/ (\d+)\//.exec(text)?.[1] ?? 0));
+    await sleep(COUNT_INTERVAL_MILLISECONDS);
+  }
+  return sum(counts) / counts.length;
+}
+
+/** Freezes an engine and kills an instance without a disk. */
+async function causeFaults(fleet: Fleet, killed: number): Promise<void> {
+  await sleep(300);
+  const [engine] = fleet.engines;
+  await postJson(`${engine?.url}/standin/faults`, {
+    freezeMilliseconds: FREEZE_MILLISECONDS,
+  });
+  await sleep(300);
+  const instance = fleet.instances[killed];
+  if (instance) await kill(instance.process, "SIGKILL");
+}
+
+async function readCounts(fleet: Fleet, jobId: string | undefined) {
+  const counts = await Promise.all(
+    fleet.engines.map(({ url }) => fetchJson(`${url}/standin/counts`)),
+  );
+  const at = performance.now();
+  const usage = new Map<string, number>();
+  for (const { id, process } of fleet.instances) {
+    if (process.exitCode !== null || process.signalCode !== null) continue;
+    const { processorMilliseconds } = await readUsage(process.pid ?? 0);
+    usage.set(id, processorMilliseconds);
+  }
+  const job = jobId ? await readJob(fleet, jobId) : undefined;
+  return {
+    at,
+    tokens: sum(counts.map(({ body }) => body.tokensGenerated)),
+    items: job?.request_counts.completed ?? 0,
+    usage,
+  };
+}
+
+/** Processor time of the instances that live, in milliseconds. */
+function processorOf(
+  before: Map<string, number>,
+  after: Map<string, number>,
+): number {
+  return sum(
+    [...after].map(([id, used]) => used - (before.get(id) ?? used)),
+  );
+}
+
+async function cancelJob(fleet: Fleet, jobId: string): Promise<void> {
+  const url = `${fleet.instances[0]?.callers}/v1/batches/${jobId}/cancel`;
+  await postJson(url, {}, { authorization: `Bearer ${COMMITTEE_KEY}` });
+}
+
+async function submitJob(fleet: Fleet, name: string): Promise<string> {
+  const authorization = `Bearer ${COMMITTEE_KEY}`;
+  const url = fleet.instances[0]?.callers ?? "";
+  const lines = Array.from({ length: ITEMS }, (_, index) =>
+    JSON.stringify({
+      custom_id: `item-${index}`,
+      body: { prompt: `report ${name} ${index}`, max_tokens: ITEM_TOKENS },
+    }));
+  const form = new FormData();
+  form.set("purpose", "batch");
+  form.set("file", new Blob([lines.join("\n")]), "in.jsonl");
+  const headers = { authorization };
+  const options = { method: "POST", headers, body: form };
+  const file = await fetchJson(`${url}/v1/files`, options);
+  const job = await postJson(`${url}/v1/batches`, {
+    input_file_id: file.body.id,
+    endpoint: "/v1/completions",
+    completion_window: "24h",
+  }, headers);
+  return job.body.id;
+}
+
+async function readJob(fleet: Fleet, jobId: string) {
+  const url = `${fleet.instances[0]?.callers}/v1/batches/${jobId}`;
+  const headers = { authorization: `Bearer ${COMMITTEE_KEY}` };
+  return (await fetchJson(url, { headers })).body;
+}
+
+function printTable(
+  load: string,
+  variants: readonly IVariant[],
+  capacity: number,
+): void {
+  print(`\n## ${load}\n`);
+  print(
+    "| variant | batch tokens/s | items/s | of idle | first p50 | p95 | p99 " +
+      "| gap p50 | p95 | p99 | first p99 ratio | gap p99 ratio | failed " +
+      "| instances' cores | busy |",
+  );
+  print(`|${" --- |".repeat(15)}`);
+  for (const { name, pairs } of variants) {
+    const runs = pairs.get(load) ?? [];
+    printRow(`without (${name})`, runs.map(({ without }) => without), capacity);
+    printRow(name, runs.map((pair) => pair.with), capacity, [
+      ratio(runs, ({ live }) => quantile(live.firstTokens, 0.99)),
+      ratio(runs, ({ live }) => quantile(live.gaps, 0.99)),
+    ]);
+  }
+}
+
+/** Median over the rounds of with by without. */
+function ratio(
+  pairs: readonly IPair[],
+  read: (phase: IPhase) => number,
+): number {
+  return median(pairs.map((pair) => read(pair.with) / read(pair.without)));
+}
+
+function printRow(
+  name: string,
+  runs: readonly IPhase[],
+  capacity: number,
+  ratios: readonly number[] = [],
+): void {
+  const of = (read: (phase: IPhase) => number) => median(runs.map(read));
+  const shares = [0.5, 0.95, 0.99];
+  const cells = [
+    name,
+    of(({ batchRate }) => batchRate).toFixed(0),
+    of(({ itemRate }) => itemRate).toFixed(1),
+    `${
+      (100 * of((run) => run.batchRate / (capacity - run.liveRate))).toFixed(1)
+    } %`,
+    ...shares.map((share) =>
+      of(({ live }) => quantile(live.firstTokens, share)).toFixed(1)
+    ),
+    ...shares.map((share) =>
+      of(({ live }) => quantile(live.gaps, share)).toFixed(1)
+    ),
+    ...[0, 1].map((index) => ratios[index]?.toFixed(2) ?? "-"),
+    sum(runs.map(({ live }) => live.failures)),
+    of(({ cores }) => cores).toFixed(2),
+    of(({ busy }) => busy).toFixed(1),
+  ];
+  print(`| ${cells.join(" | ")} |`);
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
