--- a/src/cli/commands/job_submit.ts
+++ b/src/cli/commands/job_submit.ts
@@ -14,6 +14,8 @@
 import { ExitCode, type ICliFailure } from "../exit_code.ts";
 import type { HttpClient } from "../http_client.ts";
 import type { Output } from "../output.ts";
+import { Progress } from "../progress.ts";
+import { uploadBody } from "../upload_body.ts";
 import { exitCodeOf, waitForJob } from "../wait_for_job.ts";
 
 /** Times that a step is sent before its outcome counts as unknown. */
@@ -104,12 +106,11 @@
   }
   output.note(`uploading ${path}, ${blob.size} bytes`);
   const sent = await sendAgain(output, () => {
-    const form = new FormData();
-    form.set("purpose", "batch");
-    form.set("file", blob, basename(path));
-    const body = new Response(form);
+    const progress = new Progress("bytes sent");
+    const body = uploadBody(blob, basename(path), progress);
     const message = { method: "POST", path: "/v1/files", body } as const;
-    return client.fetch(message, fileObjectSchema);
+    return client.fetch(message, fileObjectSchema)
+      .andTee(() => progress.finish());
   });
   return sent.map(({ id }) => id);
 }
