--- a/testing/ports.ts
+++ b/testing/ports.ts
@@ -1,30 +1,58 @@
-import { createServer } from "node:net";
+import { createServer, type Server } from "node:net";
 import process from "node:process";
 
 /** Ports below the range that the system gives to outgoing connections. */
 const FIRST_PORT = 10_000;
 const PORT_COUNT = 20_000;
 
-/** Distance between the ports that two neighbouring processes begin with. */
-const PORTS_PER_PROCESS = 200;
+/** Ports that one process takes at a time. */
+const BLOCK_PORTS = 200;
+const BLOCK_COUNT = PORT_COUNT / BLOCK_PORTS;
 
-let next = (process.pid * PORTS_PER_PROCESS) % PORT_COUNT;
+/** Ports of the claimed block that have not been given out. */
+let left: number[] = [];
 
 /** Returns ports of the loopback interface that nothing listens on. */
 export async function reservePorts(count: number): Promise<number[]> {
   const ports: number[] = [];
   while (ports.length < count) {
-    const port = FIRST_PORT + next;
-    next = (next + 1) % PORT_COUNT;
-    if (await isFree(port)) ports.push(port);
+    if (left.length === 0) left = await claimBlock();
+    const port = left.shift();
+    if (port !== undefined && await isFree(port)) ports.push(port);
   }
   return ports;
 }
 
-function isFree(port: number): Promise<boolean> {
+/**
+ * Claims a block by listening on its first port until the process ends, so
+ * that processes side by side never share one.
+ */
+async function claimBlock(): Promise<number[]> {
+  for (let attempt = 0; attempt < BLOCK_COUNT; attempt++) {
+    const block = (process.pid + attempt) % BLOCK_COUNT;
+    const first = FIRST_PORT + block * BLOCK_PORTS;
+    const claim = await listen(first);
+    if (!claim) continue;
+    claim.unref();
+    return Array.from(
+      { length: BLOCK_PORTS - 1 },
+      (_, index) => first + 1 + index,
+    );
+  }
+  throw new Error("every block of ports is claimed");
+}
+
+async function isFree(port: number): Promise<boolean> {
+  const server = await listen(port);
+  if (!server) return false;
+  await new Promise((resolve) => server.close(resolve));
+  return true;
+}
+
+function listen(port: number): Promise<Server | undefined> {
   return new Promise((resolve) => {
     const server = createServer();
-    server.once("error", () => resolve(false));
-    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+    server.once("error", () => resolve(undefined));
+    server.listen(port, "127.0.0.1", () => resolve(server));
   });
 }
