--- a/src/entry/callers_server.ts
+++ b/src/entry/callers_server.ts
@@ -24,13 +24,28 @@
 /** Seconds after which callers of a stopping instance may come back. */
 const DRAIN_RETRY_AFTER_SECONDS = 1;
 
+/** Time for a request's headers to arrive, in milliseconds. */
+const HEADERS_TIMEOUT_MILLISECONDS = 10_000;
+
+/** Time for a whole request to arrive, files included, in milliseconds. */
+const REQUEST_TIMEOUT_MILLISECONDS = 300_000;
+
+/** How often slow connections are looked for, in milliseconds. */
+const CONNECTION_CHECK_MILLISECONDS = 2_000;
+
+/** Requests that are answered at the same time. */
+const MAXIMUM_ACTIVE_REQUESTS = 4_096;
+
+/** Seconds after which a caller may return when too many are answered. */
+const OVERLOAD_RETRY_AFTER_SECONDS = 1;
+
 /** The callers' HTTP edge: authenticates and hands on to endpoints. */
 export class CallersServer implements ICallersServer, IDisposable {
   #configuration: IConfigurationSource;
   #endpoints: readonly IEndpoint[];
   #events: IEventLog;
   #server: Server;
-  #active = new Set<ServerResponse>();
+  #active = 0;
   #draining = false;
   #onIdle: (() => void) | undefined;
 
@@ -42,13 +57,15 @@
     this.#configuration = configuration;
     this.#endpoints = endpoints;
     this.#events = options.events;
-    this.#server = createServer((message, response) => {
-      void this.#serve(message, response);
-    });
+    this.#server = createServer({
+      headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
+      requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+      connectionsCheckingInterval: CONNECTION_CHECK_MILLISECONDS,
+    }, (message, response) => void this.#track(message, response));
   }
 
   get activeRequests(): number {
-    return this.#active.size;
+    return this.#active;
   }
 
   listen(address: string, port: number): Promise<number> {
@@ -65,7 +82,7 @@
     this.#draining = true;
     this.#server.close();
     this.#server.closeIdleConnections();
-    if (this.#active.size === 0) return;
+    if (this.#active === 0) return;
     await new Promise<void>((resolve) => this.#onIdle = resolve);
   }
 
@@ -74,15 +91,36 @@
     this.#server.closeAllConnections();
   }
 
+  /**
+   * Counts a request until its answer has been sent and its work is done: a
+   * non-idempotent request goes on when its caller has hung up.
+   */
+  async #track(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.#active += 1;
+    const closed = new Promise<void>((resolve) =>
+      response.once("close", resolve)
+    );
+    if (this.#draining) response.setHeader("connection", "close");
+    await this.#serve(message, response);
+    await closed;
+    this.#active -= 1;
+    if (this.#active === 0) this.#onIdle?.();
+  }
+
   async #serve(
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
     const id = `req-${randomUUID()}`;
     response.setHeader(REQUEST_ID_HEADER, id);
-    this.#track(response);
     const opened = this.#open(id, message, response);
-    if (opened.isErr()) return sendFailure(response, opened.error);
+    if (opened.isErr()) {
+      message.resume();
+      return sendFailure(response, opened.error);
+    }
     const { request, endpoint } = opened.value;
     try {
       await endpoint.handle(request);
@@ -90,19 +128,10 @@
       if (request.signal.aborted) return;
       this.#events.emit(requestCrashed, { request: id, error: String(error) });
       sendFailure(response, mayHaveRun("internal", "internal error"));
-      response.destroy();
+      if (!response.writableEnded) response.destroy();
     }
   }
 
-  #track(response: ServerResponse): void {
-    this.#active.add(response);
-    if (this.#draining) response.setHeader("connection", "close");
-    response.once("close", () => {
-      this.#active.delete(response);
-      if (this.#active.size === 0) this.#onIdle?.();
-    });
-  }
-
   #open(
     id: string,
     message: IncomingMessage,
@@ -113,6 +142,11 @@
         retryAfterSeconds: DRAIN_RETRY_AFTER_SECONDS,
       }));
     }
+    if (this.#active > MAXIMUM_ACTIVE_REQUESTS) {
+      return err(notRun("overloaded", "too many requests at this instance", {
+        retryAfterSeconds: OVERLOAD_RETRY_AFTER_SECONDS,
+      }));
+    }
     const configuration = this.#configuration.current;
     if (!configuration) {
       return err(notRun("unavailable", "no configuration is in force yet", {
--- a/src/targets/http_exchange.ts
+++ b/src/targets/http_exchange.ts
@@ -46,8 +46,26 @@
   readonly freshConnection?: boolean;
 }
 
-/** Sends a request and resolves with the response once its head is there. */
-export function exchange(
+/**
+ * Sends a request and resolves with the response once its head is there.
+ *
+ * Rejects with an `HttpExchangeError`. Nothing is sent once the deadline has
+ * passed, so that a process that was stopped sends nothing when it goes on.
+ */
+export async function exchange(
+  message: IHttpRequest,
+  options: IExchangeOptions,
+): Promise<IncomingMessage> {
+  if (options.signal.aborted) {
+    throw new HttpExchangeError("cancelled", "request cancelled", false);
+  }
+  if (options.clock.isPast(options.deadline)) {
+    throw new HttpExchangeError("timeout", "deadline has passed", false);
+  }
+  return await send(message, options);
+}
+
+function send(
   message: IHttpRequest,
   options: IExchangeOptions,
 ): Promise<IncomingMessage> {
@@ -61,31 +79,29 @@
       path: message.path,
       headers: message.headers as OutgoingHttpHeaders,
     });
-    const fail = (
-      code: "timeout" | "cancelled" | "connection",
-      reason: string,
-    ) => {
+    const settle = () => {
       clearTimeout(timer);
       options.signal.removeEventListener("abort", cancel);
-      outgoing.destroy();
+    };
+    const fail = (code: HttpExchangeError["code"], reason: string) => {
+      settle();
       reject(new HttpExchangeError(code, reason, connected));
+      outgoing.destroy();
     };
+    const cancel = () => fail("cancelled", "request cancelled");
     const timer = setTimeout(
       () => fail("timeout", "no response in time"),
-      options.clock.remaining(options.deadline),
+      Math.ceil(options.clock.remaining(options.deadline)),
     );
-    const cancel = () => fail("cancelled", "request cancelled");
-    if (options.signal.aborted) return cancel();
     options.signal.addEventListener("abort", cancel, { once: true });
+    outgoing.on("error", (error) => fail("connection", error.message));
     outgoing.on("socket", (socket) => {
       const begin = () => connected = true;
       if (socket.connecting) socket.once("connect", begin);
       else begin();
     });
-    outgoing.on("error", (error) => fail("connection", error.message));
     outgoing.on("response", (response) => {
-      clearTimeout(timer);
-      options.signal.removeEventListener("abort", cancel);
+      settle();
       response.on("error", () => {});
       resolve(response);
     });
--- a/testing/engine_standin.ts
+++ b/testing/engine_standin.ts
@@ -81,6 +81,8 @@
   tokensGenerated = 0;
   /** Delay before each answer begins, in milliseconds. */
   lateMilliseconds = 0;
+  /** Status with which generation is refused; 0 refuses nothing. */
+  refuseStatus = 0;
   #options: IEngineStandinOptions;
   #server: Server;
   #waiting: IStream[] = [];
@@ -171,6 +173,9 @@
   ): Promise<void> {
     const chat = path === "/v1/chat/completions";
     const prompt = chat ? promptOfChat(body.messages) : String(body.prompt);
+    if (this.refuseStatus > 0) {
+      return sendJson(response, this.refuseStatus, { error: "refused" });
+    }
     if (prompt.includes("[refuse]")) {
       return sendJson(response, 400, { error: { message: "refused" } });
     }
