--- /dev/null
+++ b/src/entry/at_most_once_test.ts
@@ -0,0 +1,62 @@
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import test from "ava";
+import { eventually } from "../../testing/eventually.ts";
+import { Fleet, kill, STATION_KEY } from "../../testing/fleet.ts";
+import { fetchJson, postJson } from "../../testing/http.ts";
+
+let fleet: Fleet;
+
+test.before(async () => {
+  fleet = await Fleet.start({ instances: 3, voters: 1, engines: 2 });
+});
+
+test.after.always(() => fleet?.stop());
+
+function send(instance: number, prompt: string, tokens: number) {
+  const url = `${fleet.instances[instance]?.callers}/v1/completions`;
+  const body = { model: "alert-writer", prompt, max_tokens: tokens };
+  return postJson(url, body, {
+    authorization: `Bearer ${STATION_KEY}`,
+    "idempotency-key": prompt,
+    "figroad-idempotent": "false",
+  });
+}
+
+async function begun(prompt: string): Promise<number> {
+  const counts = await Promise.all(
+    fleet.engines.map(({ url }) => fetchJson(`${url}/standin/counts`)),
+  );
+  return counts.reduce(
+    (sum, { body }) => sum + (body.begun[prompt] ?? 0),
+    0,
+  );
+}
+
+test.serial("instance killed while it runs", async (t) => {
+  const lost = send(1, "killed", 2_000);
+  await eventually("it began", async () => await begun("killed") > 0);
+  const [, running] = fleet.instances;
+  if (running) await kill(running.process, "SIGKILL");
+  await t.throwsAsync(lost, { any: true });
+  const again = await send(2, "killed", 2_000);
+  t.is(again.status, 409);
+  t.is(again.headers.get("figroad-verdict"), "may-have-run");
+  await sleep(200);
+  t.is(await begun("killed"), 1);
+});
+
+test.serial("voter stopped at the beginning", async (t) => {
+  const [voter] = fleet.instances;
+  const pid = voter?.process.pid ?? 0;
+  process.kill(pid, "SIGSTOP");
+  const sent = send(2, "stopped", 4);
+  await sleep(500);
+  t.is(await begun("stopped"), 0);
+  process.kill(pid, "SIGCONT");
+  const first = await sent;
+  const second = await send(2, "stopped", 4);
+  t.is(first.status, 200);
+  t.deepEqual(second.body, first.body);
+  t.is(await begun("stopped"), 1);
+});
