--- /dev/null
+++ b/measure/herding.ts
@@ -0,0 +1,258 @@
+import type { IEngineLoadView } from "../src/allotment/mod.ts";
+import type { Deadline, IClock } from "../src/common/mod.ts";
+import type { IConfigurationSource } from "../src/configuration/mod.ts";
+import { SilentEventLog } from "../src/events/mod.ts";
+import {
+  BalancedSelector,
+  SeededRandom,
+  TargetHealth,
+} from "../src/routing/mod.ts";
+import {
+  alwaysAvailable,
+  configurationOf,
+  noReports,
+} from "../testing/live_parts.ts";
+import { median, quantile } from "./statistics.ts";
+
+const INSTANCES = 12;
+const ENGINES = 8;
+
+/** Simulated time of a run, and the part before counting, in milliseconds. */
+const RUN_MILLISECONDS = 20_000;
+const WARM_UP_MILLISECONDS = 3_000;
+
+/** Mean duration of a stream, in milliseconds. */
+const STREAM_MILLISECONDS = 1_000;
+
+/** Streams in progress on average, half of the engines' capacity. */
+const MEAN_STREAMS = 128;
+
+/** Age up to which instances know the streams of others, in milliseconds. */
+const HEARD_EVERY_MILLISECONDS = 100;
+
+/** Streams that arrive at once in a burst, and time between two bursts. */
+const BURST_STREAMS = 96;
+const BURST_EVERY_MILLISECONDS = 2_500;
+
+/** Result of one way to choose engines. */
+export interface IHerdingResult {
+  readonly variant: string;
+  /** Streams on the fullest engine above the mean, over the run. */
+  readonly excessP50: number;
+  readonly excessP99: number;
+  /** Most streams on one engine. */
+  readonly most: number;
+  /** Share of streams that began on an engine above its 32 streams. */
+  readonly queuedShare: number;
+}
+
+class SimulatedClock implements IClock {
+  now = 0;
+  monotonic = () => this.now as Deadline;
+  wall = () => this.now;
+  deadlineIn = (milliseconds: number) => (this.now + milliseconds) as Deadline;
+  remaining = (deadline: Deadline) => Math.max(0, deadline - this.now);
+  isPast = (deadline: Deadline) => this.now >= deadline;
+  sleepUntil = () => Promise.resolve();
+}
+
+/** Streams by instance and engine, and what instances last heard of them. */
+class Streams {
+  readonly counts = table();
+  heard = table();
+  readonly totals = new Array<number>(ENGINES).fill(0);
+
+  add(instance: number, engine: number, difference: number): void {
+    const row = this.counts[instance];
+    if (row) row[engine] = (row[engine] ?? 0) + difference;
+    this.totals[engine] = (this.totals[engine] ?? 0) + difference;
+  }
+
+  publish(): void {
+    this.heard = this.counts.map((row) => [...row]);
+  }
+
+  own(instance: number, engine: number): number {
+    return this.counts[instance]?.[engine] ?? 0;
+  }
+
+  others(instance: number, engine: number): number {
+    return this.heard.reduce(
+      (sum, row, index) => index === instance ? sum : sum + (row[engine] ?? 0),
+      0,
+    );
+  }
+}
+
+type Chooser = (instance: number) => number;
+type Variant = (
+  streams: Streams,
+  parts: { clock: IClock; seed: number },
+) => Chooser;
+
+const ENGINE_INDEXES = Array.from({ length: ENGINES }, (_, index) => index);
+
+const VARIANTS: Record<string, Variant> = {
+  "random": (_streams, { seed }) => {
+    const random = new SeededRandom(seed);
+    return () => random.below(ENGINES);
+  },
+  "round robin": (_streams, { seed }) => {
+    const random = new SeededRandom(seed);
+    const next = Array.from(
+      { length: INSTANCES },
+      () => random.below(ENGINES),
+    );
+    return (instance) => {
+      next[instance] = ((next[instance] ?? 0) + 1) % ENGINES;
+      return next[instance] ?? 0;
+    };
+  },
+  "least own count": (streams) => (instance) =>
+    least((engine) => streams.own(instance, engine)),
+  "least of all, others heard": (streams) => (instance) =>
+    least((engine) =>
+      streams.own(instance, engine) + streams.others(instance, engine)
+    ),
+  "figroad, others unheard": (streams, parts) =>
+    figroad(streams, parts, { hears: false }),
+  "figroad, others heard": (streams, parts) =>
+    figroad(streams, parts, { hears: true }),
+};
+
+/** Runs every variant over every seed; medians over the seeds. */
+export function measureHerding(seeds: readonly number[]): IHerdingResult[] {
+  return Object.entries(VARIANTS).map(([variant, build]) => {
+    const runs = seeds.map((seed) => simulate(build, seed));
+    const pick = (read: (run: IRun) => number) => median(runs.map(read));
+    return {
+      variant,
+      excessP50: pick(({ excess }) => quantile(excess, 0.5)),
+      excessP99: pick(({ excess }) => quantile(excess, 0.99)),
+      most: pick(({ most }) => most),
+      queuedShare: pick(({ queued, begun }) => queued / begun),
+    };
+  });
+}
+
+interface IRun {
+  excess: number[];
+  most: number;
+  queued: number;
+  begun: number;
+}
+
+function simulate(build: Variant, seed: number): IRun {
+  const clock = new SimulatedClock();
+  const streams = new Streams();
+  const choose = build(streams, { clock, seed });
+  const random = new SeededRandom(seed + 1_000);
+  const ends: { at: number; instance: number; engine: number }[][] = [];
+  const run: IRun = { excess: [], most: 0, queued: 0, begun: 0 };
+  const arrivals = MEAN_STREAMS / STREAM_MILLISECONDS;
+  for (clock.now = 0; clock.now < RUN_MILLISECONDS; clock.now++) {
+    for (const end of ends[clock.now] ?? []) {
+      streams.add(end.instance, end.engine, -1);
+    }
+    if (clock.now % HEARD_EVERY_MILLISECONDS === 0) streams.publish();
+    let count = poisson(arrivals, random);
+    if (clock.now % BURST_EVERY_MILLISECONDS === 0) count += BURST_STREAMS;
+    for (; count > 0; count--) {
+      const instance = random.below(INSTANCES);
+      const engine = choose(instance);
+      streams.add(instance, engine, 1);
+      const duration = 1 + random.below(2 * STREAM_MILLISECONDS);
+      const at = clock.now + duration;
+      (ends[at] ??= []).push({ at, instance, engine });
+      run.begun += 1;
+      if ((streams.totals[engine] ?? 0) > 32) run.queued += 1;
+    }
+    if (clock.now < WARM_UP_MILLISECONDS) continue;
+    const most = Math.max(...streams.totals);
+    const sum = streams.totals.reduce((total, value) => total + value, 0);
+    run.excess.push(most - sum / ENGINES);
+    run.most = Math.max(run.most, most);
+  }
+  return run;
+}
+
+function figroad(
+  streams: Streams,
+  parts: { clock: IClock; seed: number },
+  options: { hears: boolean },
+): Chooser {
+  const ports = ENGINE_INDEXES.map((index) => index + 1);
+  const configuration: IConfigurationSource = configurationOf(ports);
+  const selectors = Array.from({ length: INSTANCES }, (_, instance) => {
+    const random = new SeededRandom(parts.seed * INSTANCES + instance);
+    const { clock } = parts;
+    const load: IEngineLoadView = {
+      loadOf(engineId) {
+        const engine = indexOf(engineId);
+        return {
+          ownLive: streams.own(instance, engine),
+          otherLive: options.hears ? streams.others(instance, engine) : 0,
+          batch: 0,
+          heardAt: undefined,
+          reported: undefined,
+        };
+      },
+    };
+    return new BalancedSelector(configuration, {
+      clock,
+      random,
+      failureDomain: "a",
+      activity: {
+        liveStreams: () => 0,
+        begin: () => ({ dispose: () => {} }),
+        onChange: () => ({ dispose: () => {} }),
+      },
+      load,
+      reports: noReports,
+      health: new TargetHealth({
+        clock,
+        random,
+        events: new SilentEventLog(),
+      }),
+      availability: alwaysAvailable,
+    });
+  });
+  return (instance) => {
+    const chosen = selectors[instance]?.select({
+      service: "alerts",
+      kind: "live",
+      prompt: "p",
+      exclude: new Set(),
+    });
+    return chosen?.isOk() ? indexOf(chosen.value.engine.id) : 0;
+  };
+}
+
+function indexOf(engineId: string): number {
+  return Number(engineId.slice("engine-".length));
+}
+
+function least(count: (engine: number) => number): number {
+  return ENGINE_INDEXES.reduce(
+    (best, engine) => count(engine) < count(best) ? engine : best,
+    0,
+  );
+}
+
+function table(): number[][] {
+  return Array.from(
+    { length: INSTANCES },
+    () => new Array<number>(ENGINES).fill(0),
+  );
+}
+
+function poisson(mean: number, random: SeededRandom): number {
+  const limit = Math.exp(-mean);
+  let product = random.below(1_000_000) / 1_000_000;
+  let count = 0;
+  while (product > limit) {
+    product *= random.below(1_000_000) / 1_000_000;
+    count += 1;
+  }
+  return count;
+}
