--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -84,6 +84,7 @@
 import type { Settings } from "../settings/mod.ts";
 import { HttpEngineAdapter, HttpPlainAdapter } from "../targets/mod.ts";
 import { GracefulStop } from "./graceful_stop.ts";
+import { defineInstanceMetrics } from "./instance_metrics.ts";
 import type { IDaemon } from "./types.ts";
 
 /** Bound of the seeds of random choices. */
@@ -300,10 +301,16 @@
         metrics,
         clock,
       }),
-    ]),
+    ], { events }),
   );
 
   platform?.start();
+  defineInstanceMetrics(metrics, {
+    membership: heartbeat,
+    configuration,
+    rpc: rpc.statistics,
+    log,
+  });
   heartbeat.start();
   reports.start();
   admission.start();
