--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -44,7 +44,7 @@
 /** Limit of the store that engines load weights from. */
 export const weightsStoreSchema = z.strictObject({
   /** Loads that figroad orders in a minute, over the whole fleet. */
-  loadsPerMinute: z.number().positive().max(6_000),
+  loadsPerMinute: z.number().positive(),
 });
 
 /** A model engine. */
--- /dev/null
+++ b/src/orders/orders_http_test.ts
@@ -0,0 +1,96 @@
+import test from "ava";
+import { ok } from "neverthrow";
+import { SystemClock } from "../common/mod.ts";
+import {
+  configurationSchema,
+  ConfigurationSection,
+} from "../configuration/mod.ts";
+import { SilentEventLog } from "../events/mod.ts";
+import { RpcClient, RpcServer } from "../rpc/mod.ts";
+import { HttpEngineAdapter } from "../targets/mod.ts";
+import { testDocument } from "../../testing/control_parts.ts";
+import { EngineStandin } from "../../testing/engine_standin.ts";
+import { FakeLog } from "../../testing/fake_log.ts";
+import { handleCacheTransfers } from "./cache_transfer.ts";
+import { transferCacheMethod } from "./messages.ts";
+import { OrderIssuer } from "./order_issuer.ts";
+import { ordersFor } from "./desired_state.ts";
+
+const clock = new SystemClock();
+const events = new SilentEventLog();
+
+test("orders to an engine over HTTP", async (t) => {
+  const standin = new EngineStandin({ checksFencing: true });
+  const port = await standin.listen();
+  const engines = new HttpEngineAdapter(clock);
+  const [engine] = configurationSchema.parse({
+    ...testDocument(1, 1),
+    engines: [{
+      id: "engine-0",
+      service: "alerts",
+      address: "127.0.0.1",
+      port,
+      failureDomain: "domain-0",
+      checksFencing: true,
+      serves: {
+        models: ["alert-writer"],
+        adapters: [{ model: "alert-writer", adapter: "tone", version: "2" }],
+      },
+    }],
+  }).engines;
+  if (!engine) return t.fail();
+  const issuerOf = (term: number) => {
+    const log = new FakeLog();
+    log.lead(term, true);
+    return new OrderIssuer(log, { engines, clock, events });
+  };
+  const fresh = issuerOf(2);
+  const deadline = clock.deadlineIn(10_000);
+  const before = (await engines.state(engine, { deadline }))._unsafeUnwrap();
+  for (const order of ordersFor(engine, before)) {
+    t.true((await fresh.give(engine, order)).isOk());
+  }
+  const after = (await engines.state(engine, { deadline }))._unsafeUnwrap();
+  t.deepEqual(ordersFor(engine, after), []);
+  const old = issuerOf(1);
+  const refused = await old.give(engine, { kind: "set-role", role: "decode" });
+  t.is(refused._unsafeUnwrapErr().code, "conflict");
+  t.is(refused._unsafeUnwrapErr().verdict, "not-run");
+  engines.dispose();
+  standin.die();
+});
+
+test("cache transfer", async (t) => {
+  const section = new ConfigurationSection();
+  section.apply({
+    kind: "apply",
+    changeId: "1",
+    operator: "test",
+    expectedVersion: 0,
+    document: configurationSchema.parse(testDocument(1, 2)),
+  }, { index: 1, term: 1, proposedAt: 0 });
+  const given: string[] = [];
+  const server = new RpcServer(clock, events);
+  handleCacheTransfers(server, {
+    mayOrder: () => true,
+    give: (engine, order) => {
+      given.push(`${engine.id} ${order.kind}`);
+      const state = { models: [], adapters: [], fencingNumber: 1 };
+      return Promise.resolve(ok({ ...state, role: "both" as const }));
+    },
+  }, { section });
+  const port = await server.listen("127.0.0.1", 0);
+  const rpc = new RpcClient("client", clock, { events });
+  const move = async (to: string) => {
+    const params = { prefix: "hash", from: "engine-0", to };
+    const peer = { id: "server", address: "127.0.0.1", port };
+    const deadline = clock.deadlineIn(10_000);
+    return await rpc.call(peer, transferCacheMethod, params, { deadline });
+  };
+  t.true((await move("engine-1")).isOk());
+  t.deepEqual(given, ["engine-0 export-cache", "engine-1 import-cache"]);
+  t.is((await move("engine-9"))._unsafeUnwrapErr().code, "not-found");
+  t.is(given.length, 2);
+  rpc.dispose();
+  server.dispose();
+});
--- a/testing/engine_standin.ts
+++ b/testing/engine_standin.ts
@@ -91,6 +91,7 @@
   #frozenUntil = 0;
   #stopped = false;
   #models = new Set<string>();
+  #adapters = new Map<string, object>();
   #role = "both";
   #fencingNumber = 0;
 
@@ -302,9 +303,12 @@
       }
       this.#fencingNumber = message.fencingNumber;
     }
-    const { kind, model, role } = message.order;
+    const { kind, model, role, adapter, version } = message.order;
     if (kind === "load-model") this.#models.add(model);
     if (kind === "unload-model") this.#models.delete(model);
+    if (kind === "load-adapter") {
+      this.#adapters.set(`${model}/${adapter}`, { model, adapter, version });
+    }
     if (kind === "set-role") this.#role = role;
     sendJson(response, 200, this.#state());
   }
@@ -312,7 +316,7 @@
   #state(): object {
     return {
       models: [...this.#models],
-      adapters: [],
+      adapters: [...this.#adapters.values()],
       role: this.#role,
       fencingNumber: this.#fencingNumber,
     };
--- a/testing/eventually.ts
+++ b/testing/eventually.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 
 /** Longest wait for a condition, in milliseconds. */
-const CONDITION_TIMEOUT_MILLISECONDS = 30_000;
+const CONDITION_TIMEOUT_MILLISECONDS = 90_000;
 
 /** Resolves when the condition holds; rejects when it never does. */
 export async function eventually(
