Lost instances count among those that the leader has to hear

A group of half of the fleet that is cut off serves on by what its members have; after ten minutes the leader forgot it and accepted changes. Now nobody is forgotten while fewer than half are heard, and a new leader takes lost members over. Shown to fail: without them 'new leader counts lost members'.

--- a/src/membership/member_registry.ts
+++ b/src/membership/member_registry.ts
@@ -143,8 +143,7 @@
     this.#leaving.clear();
     if (this.#log.leadership.isLeader) {
       const { members, leavingTargets } = this.#copy();
-      for (const { health, ...instance } of members) {
-        if (health === "lost") continue;
+      for (const { health: _, ...instance } of members) {
         this.#records.set(instance.id, { instance, heardAt: this.#beganAt });
         this.#list.put({ ...instance, health: "suspect" });
       }
@@ -228,7 +227,11 @@
     this.#forgiveOwnStop(now);
     for (const [id, { instance, heardAt }] of this.#records) {
       const silence = now - heardAt;
-      if (silence > FORGET_AFTER_MILLISECONDS) this.#forget(id);
+      // Those that are cut off may together be half of the fleet and serve
+      // on, so they count until a majority of all is heard again.
+      const isForgotten = silence > FORGET_AFTER_MILLISECONDS &&
+        this.hearsMajority;
+      if (isForgotten) this.#forget(id);
       else this.#changeHealth(instance, healthAfter(silence));
     }
     if (now - this.#beganAt > LOST_AFTER_MILLISECONDS) {
--- a/src/membership/membership_test.ts
+++ b/src/membership/membership_test.ts
@@ -102,6 +102,37 @@
   t.false(second.registry.hearsMajority);
 });
 
+test("new leader counts lost members", async (t) => {
+  const members = ["a", "b", "c", "d"].map((id): Member => ({
+    id,
+    address: "127.0.0.1",
+    port: 1,
+    region: "test",
+    failureDomain: "domain-0",
+    state: "serving",
+    incarnation: "1",
+    configurationVersion: 1,
+    health: "lost",
+  }));
+  const leavingTargets = new Set<string>();
+  const leader = new ControlLeader(() => ({ members, leavingTargets }));
+  const address = await leader.listen();
+  leader.log.lead(2, true);
+  const voters = () => [address];
+  const heard = await Promise.all(
+    ["e", "f"].map((id) => ControlMember.start({ id, voters })),
+  );
+  await eventually(
+    "heard",
+    () =>
+      leader.registry.members.filter(({ health }) => health === "live")
+        .length === 2,
+  );
+  t.is(leader.registry.members.length, 6);
+  t.false(leader.registry.hearsMajority);
+  for (const { store } of [leader, ...heard]) store.dispose();
+});
+
 test("target called leaving by few for long", (t) => {
   let now = 0;
   const fake = Object.create(clock, { monotonic: { value: () => now } });
--- a/testing/control_parts.ts
+++ b/testing/control_parts.ts
@@ -17,6 +17,7 @@
 import { SilentEventLog } from "../src/events/mod.ts";
 import {
   Heartbeat,
+  type IFleetCopy,
   MemberRegistry,
   ServingPermission,
 } from "../src/membership/mod.ts";
@@ -37,7 +38,7 @@
   readonly registry: MemberRegistry;
   address!: PeerAddress;
 
-  constructor(copy?: () => Heartbeat) {
+  constructor(copy?: () => IFleetCopy) {
     this.registry = this.store.add(
       new MemberRegistry(this.log, this.section, {
         clock,
