An instance without the leader asks for versions before a document

Cause: probes of voters and peers returned the whole document from each that had a newer version; at 360 members a change cost 84,714 bytes a member in place of 1,010 at 90 (members of a measured process ran late and asked their peers). Now probes return versions and one peer is asked for the document.

--- a/measure/control.ts
+++ b/measure/control.ts
@@ -13,7 +13,7 @@
 const PART = fileURLToPath(new URL("./control_part.js", import.meta.url));
 
 const MEMBER_COUNTS = [90, 180, 360];
-const PROCESSES = 2;
+const PROCESSES = 6;
 const WARM_UP_MILLISECONDS = 4_000;
 const MEASURED_MILLISECONDS = 10_000;
 const FLEET_INSTANCES = 12;
--- a/src/configuration/configuration_fetcher.ts
+++ b/src/configuration/configuration_fetcher.ts
@@ -38,26 +38,33 @@
     return this.#running;
   }
 
-  /**
-   * Brings a peer's configuration into force if it is newer. Resolves with
-   * whether the peer answered.
-   */
-  async fetchFromPeer(
+  /** The version in force at a peer; undefined when it does not answer. */
+  async versionAtPeer(
     peer: PeerAddress,
     options: { deadline: Deadline },
-  ): Promise<boolean> {
-    const have = this.#holder.current?.version ?? 0;
-    const params = { have };
+  ): Promise<number | undefined> {
     const answer = await this.#rpc.call(
       peer,
       fetchFromPeerMethod,
-      params,
+      { whole: false },
       options,
     );
-    if (answer.isErr()) return false;
-    const { version, accepted } = answer.value;
-    if (accepted) this.#holder.offer(accepted);
-    return version <= (this.#holder.current?.version ?? 0);
+    return answer.isOk() ? answer.value.version : undefined;
+  }
+
+  /** Brings the configuration of a peer into force if it is newer. */
+  async fetchFromPeer(
+    peer: PeerAddress,
+    options: { deadline: Deadline },
+  ): Promise<void> {
+    const answer = await this.#rpc.call(
+      peer,
+      fetchFromPeerMethod,
+      { whole: true },
+      { ...options, lane: "bulk" },
+    );
+    const accepted = answer.unwrapOr({ accepted: undefined }).accepted;
+    if (accepted) this.#offer(accepted);
   }
 
   async #fetch(): Promise<void> {
--- a/src/configuration/configuration_handlers.ts
+++ b/src/configuration/configuration_handlers.ts
@@ -69,11 +69,11 @@
   server: IRpcServer,
   holder: IConfigurationSource,
 ): IDisposable {
-  return server.handle(fetchFromPeerMethod, ({ have }) => {
+  return server.handle(fetchFromPeerMethod, ({ whole }) => {
     const { accepted } = holder;
     const version = accepted?.version ?? 0;
-    const newer = version > have ? accepted : undefined;
-    return Promise.resolve(ok({ version, accepted: newer }));
+    const document = whole ? accepted : undefined;
+    return Promise.resolve(ok({ version, accepted: document }));
   });
 }
 
--- a/src/configuration/messages.ts
+++ b/src/configuration/messages.ts
@@ -92,11 +92,13 @@
 
 /** Fetches the configuration that any instance has in force. */
 export const fetchFromPeerMethod = defineMethod("configuration.fetch-peer", {
-  params: z.object({ have: z.number() }),
+  params: z.object({
+    /** Whether the document is wanted beside its version. */
+    whole: z.boolean(),
+  }),
   result: z.object({
     /** Version in force at the peer. */
     version: z.number(),
-    /** Present when the peer's version is higher. */
     accepted: acceptedConfigurationSchema.optional(),
   }),
 });
--- a/src/membership/serving_permission.ts
+++ b/src/membership/serving_permission.ts
@@ -28,6 +28,9 @@
 /** Time that asking the peers may take, in milliseconds. */
 const PROBE_TIMEOUT_MILLISECONDS = 1_000;
 
+/** Time that fetching a document from a peer may take, in milliseconds. */
+const FETCH_TIMEOUT_MILLISECONDS = 2_000;
+
 /** Peers that are asked beside the voters. */
 const MAXIMUM_PEERS_ASKED = 24;
 
@@ -42,6 +45,12 @@
   readonly events: IEventLog;
 }
 
+/** A peer and the version that it has in force. */
+interface IPeerVersion {
+  readonly peer: PeerAddress;
+  readonly version: number;
+}
+
 /**
  * Decides whether callers may be served by the configuration in force here.
  *
@@ -115,31 +124,58 @@
     const peers = membership.members.filter(({ id, health, state }) =>
       id !== self && health !== "lost" && state !== "leaving"
     );
+    const deadline = this.#clock.deadlineIn(PROBE_TIMEOUT_MILLISECONDS);
     const [voterAnswers, peerAnswers] = await Promise.all([
-      this.#ask(voters().filter(({ id }) => id !== self)),
-      this.#ask(sample(peers, MAXIMUM_PEERS_ASKED)),
+      this.#ask(voters().filter(({ id }) => id !== self), deadline),
+      this.#ask(sample(peers, MAXIMUM_PEERS_ASKED), deadline),
     ]);
+    await this.#takeNewest([...voterAnswers, ...peerAnswers]);
     const own = voters().some(({ id }) => id === self) ? 1 : 0;
-    if ((voterAnswers + own) * 2 > voters().length) return true;
+    const voterCount = this.#countNotNewer(voterAnswers) + own;
+    if (voterCount * 2 > voters().length) return true;
     const asked = Math.min(peers.length, MAXIMUM_PEERS_ASKED);
-    return peers.length > 0 && (peerAnswers + 1) * 2 >= asked + 1;
+    const peerCount = this.#countNotNewer(peerAnswers) + 1;
+    return peers.length > 0 && peerCount * 2 >= asked + 1;
   }
 
-  /** The number of peers that answered and have no newer configuration. */
-  async #ask(peers: readonly PeerAddress[]): Promise<number> {
-    const deadline = this.#clock.deadlineIn(PROBE_TIMEOUT_MILLISECONDS);
+  /** Asks peers for their versions; returns the answers that came in time. */
+  async #ask(
+    peers: readonly PeerAddress[],
+    deadline: Deadline,
+  ): Promise<IPeerVersion[]> {
     const { fetcher } = this.#options;
-    const answers = await Promise.all(
-      peers.map((peer) => fetcher.fetchFromPeer(peer, { deadline })),
+    const answers = await Promise.all(peers.map(async (peer) => ({
+      peer,
+      version: await fetcher.versionAtPeer(peer, { deadline }),
+    })));
+    return answers.flatMap(({ peer, version }) =>
+      version === undefined ? [] : [{ peer, version }]
+    );
+  }
+
+  /** Fetches the document from one peer only; it may be large. */
+  async #takeNewest(answers: readonly IPeerVersion[]): Promise<void> {
+    const [newest] = answers.toSorted((first, second) =>
+      second.version - first.version
     );
-    return answers.filter(Boolean).length;
+    if (!newest || newest.version <= this.#version) return;
+    const deadline = this.#clock.deadlineIn(FETCH_TIMEOUT_MILLISECONDS);
+    await this.#options.fetcher.fetchFromPeer(newest.peer, { deadline });
+  }
+
+  #countNotNewer(answers: readonly IPeerVersion[]): number {
+    return answers.filter(({ version }) => version <= this.#version).length;
+  }
+
+  get #version(): number {
+    return this.#options.configuration.current?.version ?? 0;
   }
 
   #report(): void {
     const isServing = this.mayServe;
     if (isServing === this.#wasServing) return;
     this.#wasServing = isServing;
-    const version = this.#options.configuration.current?.version ?? 0;
+    const version = this.#version;
     const { events } = this.#options;
     if (isServing) events.emit(servingResumed, { version });
     else events.emit(servingRefused, { version, reason: this.reason });
