--- a/src/entry/callers_server.ts
+++ b/src/entry/callers_server.ts
@@ -19,6 +19,9 @@
 import { sendFailure } from "./respond.ts";
 import type { ICallerRequest, ICallersServer, IEndpoint } from "./types.ts";
 
+/** Completes the paths of request lines. */
+const BASE_URL = "http://figroad";
+
 /** Header under which a response names its request. */
 const REQUEST_ID_HEADER = "x-request-id";
 
@@ -168,7 +171,11 @@
     if (!caller) {
       return err(notRun("unauthorized", "the API key is not known"));
     }
-    const url = new URL(message.url ?? "/", "http://figroad");
+    const target = message.url ?? "/";
+    if (!URL.canParse(target, BASE_URL)) {
+      return err(notRun("bad-request", "the request line has no valid URL"));
+    }
+    const url = new URL(target, BASE_URL);
     const endpoint = this.#endpoints.find((endpoint) =>
       endpoint.matches(message.method ?? "GET", url.pathname)
     );
--- a/src/entry/live_requests_test.ts
+++ b/src/entry/live_requests_test.ts
@@ -227,6 +227,19 @@
   await t.throwsAsync(wrong, { instanceOf: OpenAI.AuthenticationError });
 });
 
+test("request line without a valid URL", async (t) => {
+  const socket = connect(Number(new URL(fleet.url(0)).port), "127.0.0.1");
+  socket.setEncoding("utf8");
+  socket.write(
+    `GET // HTTP/1.1\r\nhost: f\r\nconnection: close\r\n` +
+      `authorization: Bearer ${FIRST_KEY}\r\n\r\n`,
+  );
+  let answer = "";
+  for await (const text of socket) answer += text;
+  t.regex(answer, /^HTTP\/1\.1 400 /);
+  t.is((await client(0).models.list()).data.length, 1);
+});
+
 test("unfinished body holds up nobody", async (t) => {
   const socket = connect(Number(new URL(fleet.url(0)).port), "127.0.0.1");
   socket.on("error", () => {});
