--- a/measure/herding.ts
+++ b/measure/herding.ts
@@ -60,6 +60,7 @@
 class Streams {
   readonly counts = table();
   heard = table();
+  heardAt = 0 as Deadline;
   readonly totals = new Array<number>(ENGINES).fill(0);
 
   add(instance: number, engine: number, difference: number): void {
@@ -68,7 +69,8 @@
     this.totals[engine] = (this.totals[engine] ?? 0) + difference;
   }
 
-  publish(): void {
+  publish(now: Deadline): void {
+    this.heardAt = now;
     this.heard = this.counts.map((row) => [...row]);
   }
 
@@ -154,7 +156,9 @@
     for (const end of ends[clock.now] ?? []) {
       streams.add(end.instance, end.engine, -1);
     }
-    if (clock.now % HEARD_EVERY_MILLISECONDS === 0) streams.publish();
+    if (clock.now % HEARD_EVERY_MILLISECONDS === 0) {
+      streams.publish(clock.monotonic());
+    }
     let count = poisson(arrivals, random);
     if (clock.now % BURST_EVERY_MILLISECONDS === 0) count += BURST_STREAMS;
     for (; count > 0; count--) {
@@ -193,7 +197,7 @@
           ownLive: streams.own(instance, engine),
           otherLive: options.hears ? streams.others(instance, engine) : 0,
           batch: 0,
-          heardAt: undefined,
+          heardAt: options.hears ? streams.heardAt : undefined,
           reported: undefined,
         };
       },
--- a/src/routing/balanced_selector.ts
+++ b/src/routing/balanced_selector.ts
@@ -5,6 +5,7 @@
 import type { ITargetAvailability } from "../membership/mod.ts";
 import { scoreEngine } from "./engine_score.ts";
 import { PrefixRanking } from "./prefix_ranking.ts";
+import { RecentChoices } from "./recent_choices.ts";
 import type {
   IEngineReservation,
   IEngineSelector,
@@ -45,6 +46,7 @@
   #options: ISelectorOptions;
   #ranking = new PrefixRanking();
   #batchStreams = new Map<string, number>();
+  #choices = new RecentChoices();
 
   constructor(configuration: IConfigurationSource, options: ISelectorOptions) {
     this.#configuration = configuration;
@@ -141,10 +143,15 @@
   ): number {
     const load = this.#options.load.loadOf(engine.id);
     const ownBatch = this.#batchStreams.get(engine.id) ?? 0;
+    const unheard = this.#choices.ofOthers(engine.id, load.heardAt);
     return scoreEngine({
       engine,
       kind: request.kind,
-      load: { ...load, batch: Math.max(load.batch, ownBatch) },
+      load: {
+        ...load,
+        otherLive: load.otherLive + unheard,
+        batch: Math.max(load.batch, ownBatch),
+      },
       report: this.#options.reports.reportOf(engine.id),
       sameDomain: this.#isNear(engine),
       prefers,
@@ -153,7 +160,10 @@
   }
 
   #reserve(engine: Engine, request: ISelectionRequest): IEngineReservation {
-    const { health, activity } = this.#options;
+    const { health, activity, load } = this.#options;
+    if (request.kind === "live") {
+      this.#choices.add(engine.id, load.loadOf(engine.id).heardAt);
+    }
     const probe = health.beginProbe(engine.id);
     const count = request.kind === "live"
       ? activity.begin(engine.id)
--- a/src/routing/balanced_selector_test.ts
+++ b/src/routing/balanced_selector_test.ts
@@ -71,6 +71,28 @@
   t.deepEqual(new Set(choose(parts, 20)), new Set(["engine-1"]));
 });
 
+test("burst on old counts", (t) => {
+  const counts = new Map<string, number>();
+  for (let seed = 1; seed <= 12; seed++) {
+    // All have heard that the first engine is emptier than the others.
+    const parts = new LiveParts(configurationOf(PORTS), {
+      seed,
+      load: (activity) => ({
+        loadOf: (id) => ({
+          ...LOAD,
+          ownLive: activity.liveStreams(id),
+          otherLive: id === "engine-0" ? 0 : 12,
+          heardAt: 0 as Deadline,
+        }),
+      }),
+    });
+    for (const id of choose(parts, 12)) {
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+  }
+  t.true((counts.get("engine-0") ?? 0) <= 27, `${counts.get("engine-0")}`);
+});
+
 test("half-open probing", (t) => {
   const clock = new SystemClock();
   let now = 0;
--- a/testing/live_parts.ts
+++ b/testing/live_parts.ts
@@ -1,5 +1,9 @@
 import { LatencyEstimates, RetryBudget } from "../src/admission/mod.ts";
-import { LiveActivity, LocalLoadView } from "../src/allotment/mod.ts";
+import {
+  type IEngineLoadView,
+  LiveActivity,
+  LocalLoadView,
+} from "../src/allotment/mod.ts";
 import { SystemClock } from "../src/common/mod.ts";
 import {
   type AcceptedConfiguration,
@@ -74,6 +78,7 @@
       seed: number;
       engines?: IEngineAdapter;
       availability?: ITargetAvailability;
+      load?: (activity: LiveActivity) => IEngineLoadView;
     },
   ) {
     const { clock, activity, budget } = this;
@@ -85,7 +90,7 @@
       random: this.random,
       failureDomain: "a",
       activity,
-      load: new LocalLoadView(activity),
+      load: options.load?.(activity) ?? new LocalLoadView(activity),
       reports: noReports,
       health: this.health,
       availability: options.availability ?? alwaysAvailable,
