--- /dev/null
+++ b/src/admission/service_gate_test.ts
@@ -0,0 +1,110 @@
+import test from "ava";
+import { alwaysAvailable, configurationOf } from "../../testing/live_parts.ts";
+import { SystemClock } from "../common/mod.ts";
+import type { Deadline } from "../common/mod.ts";
+import { callerSchema } from "../configuration/mod.ts";
+import { LatencyEstimates } from "./latency_estimates.ts";
+import { ServiceGate } from "./service_gate.ts";
+
+const CAPACITY = 64;
+const USUAL = {
+  firstTokenMilliseconds: 200,
+  tokenMilliseconds: 10,
+  tokensPerAnswer: 100,
+};
+const ALONE = { byCaller: 0, total: 0, callers: 1 };
+
+function bench(streams: number) {
+  const clock = new SystemClock();
+  let now = 0;
+  clock.monotonic = () => now as Deadline;
+  clock.deadlineIn = (milliseconds) => (now + milliseconds) as Deadline;
+  clock.isPast = (deadline) => now >= deadline;
+  clock.remaining = (deadline) => Math.max(0, deadline - now);
+  const configuration = configurationOf([1, 2]);
+  const estimates = new LatencyEstimates(clock);
+  const load = { ...LOAD, ownLive: streams / 2 };
+  const gate = new ServiceGate({
+    clock,
+    configuration,
+    load: { loadOf: () => load },
+    health: {
+      stateOf: () => "healthy",
+      beginProbe: () => ({ dispose: () => {} }),
+      reportSuccess: () => {},
+      reportFailure: () => {},
+    },
+    availability: alwaysAvailable,
+    estimates,
+  });
+  const [service] = configuration.current?.document.services ?? [];
+  if (!service) throw new Error("no service");
+  const rule = {
+    callers: ["c"],
+    services: ["alerts"],
+    batch: false,
+    deadlineMilliseconds: 1,
+  };
+  const caller = callerSchema.parse({
+    name: "c",
+    group: "g",
+    keySha256: "0".repeat(64),
+  });
+  const request = (milliseconds: number, maximumTokens?: number) => ({
+    caller,
+    grant: { service, rule },
+    deadline: clock.deadlineIn(milliseconds),
+    maximumTokens,
+  });
+  const pass = (milliseconds: number) => now += milliseconds;
+  return { gate, estimates, request, pass };
+}
+
+const LOAD = {
+  ownLive: 0,
+  otherLive: 0,
+  batch: 0,
+  heardAt: undefined,
+  reported: undefined,
+};
+
+test("refuses what cannot be in time", (t) => {
+  const { gate, estimates, request } = bench(0);
+  t.true(gate.check(request(500), ALONE).isOk());
+  estimates.observe("alerts", USUAL);
+  const refused = gate.check(request(500), ALONE);
+  t.like(refused._unsafeUnwrapErr(), {
+    code: "overloaded",
+    verdict: "not-run",
+    retryAfterSeconds: 1,
+  });
+  t.true(gate.check(request(1_300), ALONE).isOk());
+  t.true(gate.check(request(500, 10), ALONE).isOk());
+});
+
+test("queued streams make requests wait", (t) => {
+  const { gate, estimates, request } = bench(CAPACITY * 4);
+  estimates.observe("alerts", USUAL);
+  const refused = gate.check(request(2_000), ALONE);
+  t.is(refused._unsafeUnwrapErr().retryAfterSeconds, 3);
+  t.true(gate.check(request(10_000), ALONE).isOk());
+});
+
+test("estimates are forgotten", (t) => {
+  const { gate, estimates, request, pass } = bench(0);
+  estimates.observe("alerts", USUAL);
+  t.true(gate.check(request(500), ALONE).isErr());
+  pass(10_000);
+  t.true(gate.check(request(500), ALONE).isOk());
+});
+
+test("full service is shared between callers", (t) => {
+  const full = bench(CAPACITY);
+  const greedy = { byCaller: 60, total: 64, callers: 2 };
+  const modest = { byCaller: 4, total: 64, callers: 2 };
+  const { gate, request } = full;
+  t.true(gate.check(request(10_000), greedy).isErr());
+  t.true(gate.check(request(10_000), modest).isOk());
+  const free = bench(CAPACITY / 2);
+  t.true(free.gate.check(free.request(10_000), greedy).isOk());
+});
