--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -205,24 +205,20 @@
   }
   await sleep(fault.lasts);
   await fleet.fleet.restart(instance);
-  if (instance.dataFolder) await waitForVoter(fleet, instance);
+  if (instance.dataFolder && !await votesAgain(instance)) return;
   busy.delete(DATA_FOLDERS);
 }
 
-/** Waits until the instance votes again, for a bounded time. */
-async function waitForVoter(
-  fleet: SoakFleet,
-  instance: IFleetInstance,
-): Promise<void> {
+/** Waits for a bounded time; resolves with whether the instance votes. */
+async function votesAgain(instance: IFleetInstance): Promise<boolean> {
   const deadline = Date.now() + REJOIN_TIMEOUT_MILLISECONDS;
   while (Date.now() < deadline) {
     await sleep(REJOIN_PROBE_MILLISECONDS);
-    for (const { operators } of fleet.fleet.instances) {
-      const signal = AbortSignal.timeout(REJOIN_PROBE_MILLISECONDS);
-      const answer = await fetchJson(`${operators}/voters`, { signal })
-        .catch(() => undefined);
-      const voters: { id: string }[] = answer?.body?.voters ?? [];
-      if (voters.some(({ id }) => id === instance.id)) return;
-    }
+    const signal = AbortSignal.timeout(REJOIN_PROBE_MILLISECONDS);
+    const answer = await fetchJson(`${instance.operators}/status`, { signal })
+      .catch(() => undefined);
+    const role = answer?.body?.log?.role;
+    if (role === "leader" || role === "follower") return true;
   }
+  return false;
 }
