--- a/soak/live_load.ts
+++ b/soak/live_load.ts
@@ -41,7 +41,8 @@
       record.requests.push(request);
       request.end = await send(instance.callers, request, { tokens });
       request.endedAt = Date.now();
-      if (request.end.kind !== "broken" || resends-- === 0) break;
+      const isKnown = !["broken", "gave-up"].includes(request.end.kind);
+      if (isKnown || resends-- === 0) break;
       await sleep(random.integer(1, 500));
     }
     await sleep(random.integer(0, MAXIMUM_PAUSE_MILLISECONDS));
@@ -81,8 +82,9 @@
     const text = await response.text();
     if (response.status !== 200) return refusal(response);
     return readAnswer(request, text);
-  } catch {
-    return { kind: "broken", afterHead };
+  } catch (error) {
+    const gaveUp = (error as Error).name === "TimeoutError";
+    return gaveUp ? { kind: "gave-up" } : { kind: "broken", afterHead };
   }
 }
 
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -4,7 +4,9 @@
   | { kind: "not-run" }
   | { kind: "may-have-run" }
   /** The connection broke, so the caller knows nothing. */
-  | { kind: "broken"; afterHead: boolean };
+  | { kind: "broken"; afterHead: boolean }
+  /** The caller itself stopped waiting. */
+  | { kind: "gave-up" };
 
 /** A live or plain request and what its caller was told. */
 export interface IRequestRecord {
