--- a/src/entry/callers_server.ts
+++ b/src/entry/callers_server.ts
@@ -9,6 +9,7 @@
 import {
   type Failure,
   type IDisposable,
+  listen,
   mayHaveRun,
   notRun,
 } from "../common/mod.ts";
@@ -75,13 +76,7 @@
   }
 
   listen(address: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, address, () => {
-        const bound = this.#server.address();
-        resolve(typeof bound === "object" && bound ? bound.port : port);
-      });
-    });
+    return listen(this.#server, address, { port });
   }
 
   async drain(): Promise<void> {
--- a/src/operators/operators_server.ts
+++ b/src/operators/operators_server.ts
@@ -4,7 +4,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { type IDisposable, mayHaveRun, notRun } from "../common/mod.ts";
+import { type IDisposable, listen, mayHaveRun, notRun } from "../common/mod.ts";
 import { requestCrashed } from "../entry/events.ts";
 import { sendFailure } from "../entry/respond.ts";
 import type { IEventLog } from "../events/mod.ts";
@@ -31,13 +31,7 @@
   }
 
   listen(address: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, address, () => {
-        const bound = this.#server.address();
-        resolve(typeof bound === "object" && bound ? bound.port : port);
-      });
-    });
+    return listen(this.#server, address, { port });
   }
 
   dispose(): void {
--- a/src/rpc/rpc_server.ts
+++ b/src/rpc/rpc_server.ts
@@ -6,6 +6,7 @@
   type Failure,
   type IClock,
   type IDisposable,
+  listen,
   notRun,
 } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
@@ -35,13 +36,7 @@
 
   /** Starts to listen; resolves with the port once connections are taken. */
   listen(address: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, address, () => {
-        const bound = this.#server.address();
-        resolve(typeof bound === "object" && bound ? bound.port : port);
-      });
-    });
+    return listen(this.#server, address, { port });
   }
 
   handle<P extends z.ZodType, R extends z.ZodType>(
