--- a/src/cli/commands/voters.ts
+++ b/src/cli/commands/voters.ts
@@ -4,6 +4,9 @@
 import { defineCliCommand } from "../define_cli_command.ts";
 import { operatorsArgument, operatorsEdge, usage } from "../edges.ts";
 import { ExitCode, type ICliFailure } from "../exit_code.ts";
+import type { HttpClient } from "../http_client.ts";
+import type { Member } from "../../membership/mod.ts";
+import { statusSchema } from "../../operators/mod.ts";
 import { formatTable, type Output } from "../output.ts";
 
 const replicaSchema = z.looseObject({
@@ -15,12 +18,12 @@
 type Replica = z.infer<typeof replicaSchema>;
 
 /** Answer of `GET /voters` and `POST /voters`. */
-const votersSchema = z.looseObject({
+export const votersSchema = z.looseObject({
   leader: z.string().nullish(),
   voters: z.array(replicaSchema),
   learners: z.array(replicaSchema).default([]),
 });
-type Voters = z.infer<typeof votersSchema>;
+export type Voters = z.infer<typeof votersSchema>;
 
 /** `figroad voters list`: who holds the control log. */
 export const votersList = defineCliCommand({
@@ -28,10 +31,9 @@
   description: "List the control voters and learners",
   args: operatorsArgument,
   async run(args, output) {
-    const read = await operatorsEdge(args).asyncAndThen((client) =>
-      client.fetch({ path: "/voters" }, votersSchema)
-    );
-    return read.map((voters) => show(voters, output));
+    const edge = operatorsEdge(args);
+    if (edge.isErr()) return err(edge.error);
+    return await show(edge.value, output);
   },
 });
 
@@ -84,11 +86,23 @@
   "Take a replica out of the control log",
 );
 
-/** `figroad voters transfer ID`: another voter leads. */
-export const votersTransfer = changeOfKnown(
-  "transfer",
-  "Hand leadership to another voter",
-);
+/** `figroad voters transfer [ID]`: another voter leads. */
+export const votersTransfer = defineCliCommand({
+  name: "transfer",
+  description: "Hand leadership to another voter",
+  args: {
+    id: {
+      type: "positional",
+      required: false,
+      description: "Voter to lead; any that has caught up by default",
+    },
+    ...operatorsArgument,
+  },
+  run: (args, output) => {
+    const voter = args.id === undefined ? undefined : { id: args.id };
+    return change(args, { action: "transfer", voter }, output);
+  },
+});
 
 function changeOfKnown(action: string, description: string) {
   return defineCliCommand({
@@ -109,7 +123,7 @@
 
 async function change(
   args: { operators?: string },
-  body: { action: string; voter: Replica },
+  body: { action: string; voter: Replica | undefined },
   output: Output,
 ): Promise<Result<ExitCode, ICliFailure>> {
   const edge = operatorsEdge(args);
@@ -117,25 +131,36 @@
   const message = { method: "POST", path: "/voters", json: body } as const;
   const changed = await edge.value.fetch(message, z.unknown());
   if (changed.isErr()) return err(changed.error);
-  output.note(`done: ${body.action} ${body.voter.id}`);
-  const read = await edge.value.fetch({ path: "/voters" }, votersSchema);
-  return read.map((voters) => show(voters, output));
+  output.note(["done:", body.action, body.voter?.id].filter(Boolean).join(" "));
+  return await show(edge.value, output);
+}
+
+/** Prints the replicas with the failure domains that they tell themselves. */
+async function show(
+  client: HttpClient,
+  output: Output,
+): Promise<Result<ExitCode, ICliFailure>> {
+  const read = await client.fetch({ path: "/voters" }, votersSchema);
+  const status = await client.fetch({ path: "/status" }, statusSchema);
+  const members = status.map(({ members }) => members).unwrapOr([]);
+  return read.map((voters) => {
+    output.result(voters, () => replicaLines(voters, members));
+    return ExitCode.done;
+  });
 }
 
-function show(voters: Voters, output: Output): ExitCode {
-  const row = (kind: string) => (replica: Replica) => [
-    replica.id,
-    replica.id === voters.leader ? "leader" : kind,
-    replica.failureDomain ?? "",
-    replica.address ? `${replica.address}:${replica.port}` : "",
+function replicaLines(
+  { leader, voters, learners }: Voters,
+  members: readonly Member[],
+): string[] {
+  const row = (kind: string) => ({ id, address, port }: Replica) => [
+    id,
+    id === leader ? "leader" : kind,
+    members.find((member) => member.id === id)?.failureDomain ?? "unknown",
+    address ? `${address}:${port}` : "",
   ];
-  output.result(
-    voters,
-    () =>
-      formatTable(["INSTANCE", "ROLE", "FAILURE DOMAIN", "ADDRESS"], [
-        ...voters.voters.map(row("voter")),
-        ...voters.learners.map(row("learner")),
-      ]),
-  );
-  return ExitCode.done;
+  return formatTable(["INSTANCE", "ROLE", "FAILURE DOMAIN", "ADDRESS"], [
+    ...voters.map(row("voter")),
+    ...learners.map(row("learner")),
+  ]);
 }
--- a/src/cli/figroad_test.ts
+++ b/src/cli/figroad_test.ts
@@ -162,6 +162,51 @@
   t.regex(applied.stderr, /three is lost/);
 });
 
+test("voters", async (t) => {
+  const bodies: object[] = [];
+  const voter = { id: "one", address: "127.0.0.1", port: 8002 };
+  const edge = await standin(({ method }, body) => {
+    if (method === "POST") bodies.push(JSON.parse(body));
+    return { leader: "one", voters: [voter], learners: [] };
+  });
+  const voters = (...args: string[]) =>
+    run("voters", ...args, "--operators", edge.url);
+  const list = await voters("list");
+  t.regex(list.stdout, /^one +leader +unknown +127\.0\.0\.1:8002$/m);
+  const place = ["--address", "127.0.0.1", "--failure-domain", "west-1"];
+  const added = await voters("add", "two", "--port", "8012", ...place);
+  t.is(added.exitCode, ExitCode.done, added.stderr);
+  t.is((await voters("promote", "two")).exitCode, ExitCode.done);
+  t.is((await voters("transfer")).exitCode, ExitCode.done);
+  t.is(
+    (await voters("add", "two", "--port", "x", ...place)).exitCode,
+    ExitCode.usage,
+  );
+  edge.close();
+  t.deepEqual(bodies, [
+    {
+      action: "add",
+      voter: {
+        id: "two",
+        address: "127.0.0.1",
+        port: 8012,
+        failureDomain: "west-1",
+      },
+    },
+    { action: "promote", voter: { id: "two" } },
+    { action: "transfer" },
+  ]);
+});
+
+test("voters of a fleet", async (t) => {
+  const list = await run("voters", "list");
+  t.regex(list.stdout, /^instance-0 +leader +domain-0 +127\.0\.0\.1:\d+$/m);
+  const status = await run("status");
+  t.regex(status.stdout, /^leader: instance-0, voters: instance-0$/m);
+  const removed = await run("voters", "remove", "nobody");
+  t.is(removed.exitCode, ExitCode.notFound);
+});
+
 test("job", async (t) => {
   const path = join(fleet.folder, "input.jsonl");
   const lines = Array.from({ length: ITEMS }, (_, index) =>
