Calls between instances name their fleet

Nothing in a call told fleets apart; only the log's messages did. Calls now carry the fleet of the settings and are refused, with event 304, by another fleet.

--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -111,7 +111,8 @@
   store.add(defineProcessMetrics(metrics));
   const trace = new TraceRecorder(settings.instance.id, clock);
   const serviceLevels = new ServiceLevelRecorder(clock);
-  const server = store.add(new RpcServer(clock, events));
+  const { fleet } = settings.instance;
+  const server = store.add(new RpcServer(clock, events, { fleet }));
   const peerPort = await server.listen(
     settings.peers.address,
     settings.peers.port,
@@ -121,7 +122,7 @@
     address: settings.peers.address,
     port: peerPort,
   };
-  const rpc = store.add(new RpcClient(self.id, clock, { events }));
+  const rpc = store.add(new RpcClient(self.id, clock, { events, fleet }));
   const voters = settings.voters.map((voter) =>
     voter.port === 0 && voter.id === self.id
       ? { ...voter, port: peerPort }
--- a/src/rpc/events.ts
+++ b/src/rpc/events.ts
@@ -30,3 +30,10 @@
   help: "A peer did not read its answers; its connection was closed.",
   fields: { address: z.string(), bufferedBytes: z.number() },
 });
+
+export const otherFleetRefused = defineEvent(304, "other-fleet-refused", {
+  level: "warn",
+  help: "An instance of another fleet called this one and was refused. " +
+    "Check the addresses under voters in its settings.",
+  fields: { from: z.string(), fleet: z.string() },
+});
--- a/src/rpc/rpc_client.ts
+++ b/src/rpc/rpc_client.ts
@@ -12,6 +12,7 @@
 } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import { ConnectionPool } from "./connection_pool.ts";
+import { DEFAULT_FLEET } from "./messages.ts";
 import {
   CLOSED_ERROR_CODE,
   NOT_WRITTEN_ERROR_CODE,
@@ -49,11 +50,17 @@
     bytesReceived: 0,
   };
   #self: string;
+  #fleet: string;
   #clock: IClock;
   #pool: ConnectionPool;
 
-  constructor(self: string, clock: IClock, options: { events: IEventLog }) {
+  constructor(
+    self: string,
+    clock: IClock,
+    options: { events: IEventLog; fleet?: string },
+  ) {
     this.#self = self;
+    this.#fleet = options.fleet ?? DEFAULT_FLEET;
     this.#clock = clock;
     const { events } = options;
     const { statistics } = this;
@@ -86,7 +93,12 @@
       this.#clock.remaining(deadline),
       MAXIMUM_REMAINING_MILLISECONDS,
     );
-    const envelope = { from: this.#self, remaining, body: params as unknown };
+    const envelope = {
+      from: this.#self,
+      fleet: this.#fleet,
+      remaining,
+      body: params as unknown,
+    };
     const response = await connection.request(method.name, envelope, deadline);
     return this.#result(method, response);
   }
--- a/src/rpc/rpc_server.ts
+++ b/src/rpc/rpc_server.ts
@@ -10,7 +10,13 @@
   notRun,
 } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
-import { envelopeSchema, pingMethod } from "./messages.ts";
+import { otherFleetRefused } from "./events.ts";
+import {
+  DEFAULT_FLEET,
+  type Envelope,
+  envelopeSchema,
+  pingMethod,
+} from "./messages.ts";
 import { FAILURE_ERROR_CODE, ServedConnection } from "./served_connection.ts";
 import type {
   IRpcContext,
@@ -23,12 +29,18 @@
 export class RpcServer implements IRpcServer, IDisposable {
   #clock: IClock;
   #events: IEventLog;
+  #fleet: string;
   #methods = new JSONRPCServer<void>({ errorListener: () => {} });
   #server: Server;
   #sockets = new Set<Socket>();
 
-  constructor(clock: IClock, events: IEventLog) {
+  constructor(
+    clock: IClock,
+    events: IEventLog,
+    options: { fleet?: string } = {},
+  ) {
     this.#clock = clock;
+    this.#fleet = options.fleet ?? DEFAULT_FLEET;
     this.#events = events;
     this.#server = createServer((socket) => void this.#serve(socket));
     this.handle(pingMethod, () => Promise.resolve(ok({})));
@@ -73,6 +85,9 @@
     if (!envelope.success) {
       return err(notRun("bad-request", "call without an envelope"));
     }
+    if (method.name !== pingMethod.name && !this.#isOwn(envelope.data)) {
+      return err(notRun("forbidden", `this is fleet ${this.#fleet}`));
+    }
     if (envelope.data.remaining <= 0) {
       return err(notRun("deadline-exceeded", "the caller no longer waits"));
     }
@@ -88,6 +103,13 @@
     return await handler(params.data, context);
   }
 
+  /** A call of another fleet comes from a wrong address in its settings. */
+  #isOwn({ from, fleet }: Envelope): boolean {
+    if (fleet === this.#fleet) return true;
+    this.#events.emit(otherFleetRefused, { from, fleet: fleet ?? "" });
+    return false;
+  }
+
   async #serve(socket: Socket): Promise<void> {
     this.#sockets.add(socket);
     await new ServedConnection(socket, {
--- a/src/rpc/rpc_test.ts
+++ b/src/rpc/rpc_test.ts
@@ -50,6 +50,21 @@
   return client.call(peerAt(port), echoMethod, { delay, length }, { deadline });
 }
 
+test("call of another fleet is refused", async (t) => {
+  const server = new RpcServer(clock, events, { fleet: "one" });
+  server.handle(echoMethod, () => Promise.resolve(ok({ text: "x" })));
+  const port = await server.listen("127.0.0.1", 0);
+  const own = new RpcClient("client", clock, { events, fleet: "one" });
+  const other = new RpcClient("client", clock, { events, fleet: "two" });
+  t.true((await echo(own, port, {})).isOk());
+  const refused = await echo(other, port, {});
+  t.is(refused._unsafeUnwrapErr().code, "forbidden");
+  t.is(refused._unsafeUnwrapErr().verdict, "not-run");
+  own.dispose();
+  other.dispose();
+  server.dispose();
+});
+
 test("silent connection is replaced", async (t) => {
   const { server, client, port } = await pair();
   const relay = new Relay(port);
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -42,6 +42,8 @@
 export const settingsSchema = z.strictObject({
   instance: z.strictObject({
     id: nameSchema,
+    /** Instances with another fleet's name refuse each other's calls. */
+    fleet: nameSchema.default("figroad"),
     region: nameSchema,
     failureDomain: nameSchema,
   }),
--- a/testing/fleet.ts
+++ b/testing/fleet.ts
@@ -2,7 +2,7 @@
 import { createHash } from "node:crypto";
 import { mkdtemp, open, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { basename, join } from "node:path";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
@@ -154,6 +154,7 @@
       const settings = {
         instance: {
           id,
+          fleet: basename(this.folder).toLowerCase(),
           region: "test",
           failureDomain: `domain-${index % 3}`,
         },
