--- a/src/jobs/jobs_section.ts
+++ b/src/jobs/jobs_section.ts
@@ -1,15 +1,16 @@
 import { match } from "ts-pattern";
 import { z } from "zod";
-import { invariant } from "../common/mod.ts";
 import type {
   IApplyContext,
   IStateSection,
   SectionSnapshot,
 } from "../consensus/mod.ts";
 import { BatchJob, batchJobSnapshotSchema } from "./batch_job.ts";
+import { EndedJobs } from "./ended_jobs.ts";
 import { InputFiles, inputFilesSnapshotSchema } from "./input_files.ts";
 import { ItemLeases, itemLeasesSnapshotSchema } from "./item_leases.ts";
 import { ItemState } from "./item_table.ts";
+import { JobRegistry } from "./job_registry.ts";
 import { JobSchedule, scheduleSnapshotSchema } from "./job_schedule.ts";
 import {
   type InputFile,
@@ -27,12 +28,6 @@
 } from "./retry_queue.ts";
 import { SegmentStore } from "./segment_store.ts";
 
-/** How long an ended job and its results stay, in milliseconds. */
-export const JOB_RETENTION_MILLISECONDS = 3 * 24 * 3_600_000;
-
-/** Bytes of results of ended jobs above which the oldest are dropped. */
-export const RETAINED_RESULT_BYTES = 64 * 1024 ** 3;
-
 /** Ended jobs and files that one sweep drops at most, each. */
 const SWEEP_MAXIMUM = 500;
 
@@ -56,13 +51,8 @@
   readonly definition = jobsSection;
   #store: SegmentStore;
   #files: InputFiles;
-  #jobs = new Map<string, BatchJob>();
-  #jobByKey = new Map<string, string>();
-  #jobsOfCaller = new Map<string, Set<string>>();
-  #openItemsOfCaller = new Map<string, number>();
-  /** Bytes of results by ended job, the first ended first. */
-  #ended = new Map<string, number>();
-  #endedBytes = 0;
+  #jobs = new JobRegistry();
+  #ended = new EndedJobs();
   #leases = new ItemLeases();
   #retries = new RetryQueue();
   #schedule = new JobSchedule();
@@ -99,7 +89,7 @@
 
   /** Ids of a caller's jobs, newest first. */
   jobsOf(caller: string): string[] {
-    return [...this.#jobsOfCaller.get(caller) ?? []].reverse();
+    return this.#jobs.idsOf(caller);
   }
 
   /** Input line of an item; empty when the file has been dropped. */
@@ -115,7 +105,8 @@
 
   /** Whether a sweep would drop anything. */
   isSweepDue(now: number): boolean {
-    return this.#files.isSweepDue(now) || this.#expiredJob(now) !== undefined;
+    return this.#files.isSweepDue(now) ||
+      this.#ended.expired(now) !== undefined;
   }
 
   apply(command: JobsCommand, context: IApplyContext): JobsOutput {
@@ -141,8 +132,8 @@
       sequence: this.#sequence,
       lateOutcomes: this.#lateOutcomes,
       files: this.#files.snapshot(),
-      jobs: [...this.#jobs.values()].map((job) => job.snapshot()),
-      ended: [...this.#ended.keys()],
+      jobs: this.#jobs.all.map((job) => job.snapshot()),
+      ended: this.#ended.ids,
       leases: this.#leases.snapshot(),
       retries: this.#retries.snapshot(),
       schedule: this.#schedule.snapshot(),
@@ -164,10 +155,13 @@
     this.#schedule.restore(state.schedule);
     for (const entry of state.jobs) {
       const job = BatchJob.restore(entry, this.#store);
-      this.#index(job);
+      this.#jobs.add(job);
       if (job.hasAvailableItems) this.#schedule.add(job);
     }
-    for (const id of state.ended) this.#retain(this.#jobs.get(id));
+    for (const id of state.ended) {
+      const job = this.#jobs.get(id);
+      if (job) this.#ended.add(job);
+    }
     return Promise.resolve();
   }
 
@@ -179,12 +173,8 @@
 
   #clear(): void {
     this.#files = new InputFiles(this.#store);
-    this.#jobs.clear();
-    this.#jobByKey.clear();
-    this.#jobsOfCaller.clear();
-    this.#openItemsOfCaller.clear();
-    this.#ended.clear();
-    this.#endedBytes = 0;
+    this.#jobs = new JobRegistry();
+    this.#ended = new EndedJobs();
     this.#leases = new ItemLeases();
     this.#retries = new RetryQueue();
     this.#schedule = new JobSchedule();
@@ -222,13 +212,13 @@
     command: JobsCommand & { kind: "submit" },
     now: number,
   ): JobsOutput {
-    const earlier = this.#jobByKey.get(keyOf(command));
+    const earlier = this.#jobs.byKey(command);
     const file = this.#files.get(command.fileId);
-    if (earlier !== undefined) return this.#resubmit(earlier, command, file);
+    if (earlier) return resubmitted(earlier, command, file);
     if (file?.state !== "closed" || file.caller !== command.caller) {
       return refused("not-found", `no complete file ${command.fileId}`);
     }
-    const queued = this.#openItemsOfCaller.get(command.caller) ?? 0;
+    const queued = this.#jobs.openItemsOf(command.caller);
     if (queued + file.lines > command.queuedItemsLimit) {
       const reason = `${queued} of ${command.queuedItemsLimit} items queued; ` +
         `this job has ${file.lines}`;
@@ -248,34 +238,17 @@
       this.#store,
     );
     this.#files.retain(file.id);
-    this.#index(job);
+    this.#jobs.add(job);
     this.#schedule.add(job);
     this.#finishIfComplete(job, now);
     return { kind: "job", job: job.view };
   }
 
-  /** Answers a submission whose key is known. */
-  #resubmit(
-    jobId: string,
-    command: JobsCommand & { kind: "submit" },
-    file: InputFile | undefined,
-  ): JobsOutput {
-    const job = this.#jobs.get(jobId);
-    invariant(job !== undefined, "a key names a job that is gone");
-    const sameFile = job.record.fileId === command.fileId ||
-      (file?.caller === command.caller &&
-        file.digest === job.record.fileDigest);
-    if (sameFile && job.record.fingerprint === command.fingerprint) {
-      return { kind: "job", job: job.view };
-    }
-    return refused("conflict", `key ${command.key} names another job`);
-  }
-
   #cancel(jobId: string, now: number): JobsOutput {
     const job = this.#jobs.get(jobId);
     if (!job) return refused("not-found", `no job ${jobId}`);
     if (job.record.state === "running") {
-      this.#countOpenItems(job, -job.openItems);
+      this.#jobs.countOpenItems(job, -job.openItems);
       for (const index of job.cancelOpenItems()) {
         this.#leases.release({ jobId, index });
       }
@@ -353,7 +326,7 @@
       .with("failed", "again", () => ItemState.failed)
       .exhaustive();
     job.end(index, state, line);
-    this.#countOpenItems(job, -1);
+    this.#jobs.countOpenItems(job, -1);
     this.#finishIfComplete(job, now);
   }
 
@@ -370,28 +343,14 @@
   #finish(job: BatchJob, state: "finished" | "cancelled", now: number): void {
     job.finish(state, now);
     this.#schedule.remove(job);
-    this.#retain(job);
+    this.#ended.add(job);
     if (!job.hasDerivedLines) this.#files.release(job.record.fileId, now);
   }
 
-  #retain(job: BatchJob | undefined): void {
-    if (!job) return;
-    this.#ended.set(job.record.id, job.resultBytes);
-    this.#endedBytes += job.resultBytes;
-  }
-
-  #expiredJob(now: number): BatchJob | undefined {
-    const [first] = this.#ended.keys();
-    const job = this.#jobs.get(first ?? "");
-    const endedAt = job?.record.finishedAt ?? Infinity;
-    const isOld = endedAt + JOB_RETENTION_MILLISECONDS <= now;
-    return isOld || this.#endedBytes > RETAINED_RESULT_BYTES ? job : undefined;
-  }
-
   #sweep(now: number): JobsOutput {
     this.#files.sweep(now, SWEEP_MAXIMUM);
     for (let dropped = 0; dropped < SWEEP_MAXIMUM; dropped++) {
-      const job = this.#expiredJob(now);
+      const job = this.#ended.expired(now);
       if (!job) break;
       this.#drop(job, now);
     }
@@ -399,32 +358,11 @@
   }
 
   #drop(job: BatchJob, now: number): void {
-    const { id, caller, fileId } = job.record;
-    this.#endedBytes -= this.#ended.get(id) ?? 0;
-    this.#ended.delete(id);
-    this.#jobs.delete(id);
-    this.#jobByKey.delete(keyOf(job.record));
-    this.#jobsOfCaller.get(caller)?.delete(id);
-    if (job.hasDerivedLines) this.#files.release(fileId, now);
+    this.#ended.remove(job);
+    this.#jobs.remove(job);
+    if (job.hasDerivedLines) this.#files.release(job.record.fileId, now);
     job.removeFiles();
   }
-
-  #index(job: BatchJob): void {
-    const { id, caller } = job.record;
-    this.#jobs.set(id, job);
-    this.#jobByKey.set(keyOf(job.record), id);
-    const own = this.#jobsOfCaller.get(caller) ?? new Set();
-    this.#jobsOfCaller.set(caller, own.add(id));
-    this.#countOpenItems(job, job.openItems);
-  }
-
-  #countOpenItems(job: BatchJob, change: number): void {
-    const { caller } = job.record;
-    const open = (this.#openItemsOfCaller.get(caller) ?? 0) + change;
-    invariant(open >= 0, "a caller has fewer than no open items");
-    if (open === 0) this.#openItemsOfCaller.delete(caller);
-    else this.#openItemsOfCaller.set(caller, open);
-  }
 }
 
 /** The first completion wins; other outcomes count only from the holder. */
@@ -435,8 +373,18 @@
   return job.isHeld(outcome.index, outcome.attempt);
 }
 
-function keyOf(fields: { caller: string; key: string }): string {
-  return `${fields.caller}/${fields.key}`;
+/** Answers a submission whose key is known. */
+function resubmitted(
+  job: BatchJob,
+  command: JobsCommand & { kind: "submit" },
+  file: InputFile | undefined,
+): JobsOutput {
+  const sameFile = job.record.fileId === command.fileId ||
+    (file?.caller === command.caller && file.digest === job.record.fileDigest);
+  if (sameFile && job.record.fingerprint === command.fingerprint) {
+    return { kind: "job", job: job.view };
+  }
+  return refused("conflict", `key ${command.key} names another job`);
 }
 
 function refused(
--- a/src/jobs/jobs_section_test.ts
+++ b/src/jobs/jobs_section_test.ts
@@ -10,7 +10,8 @@
   JobsCommand,
   JobsOutput,
 } from "./messages.ts";
-import { JOB_RETENTION_MILLISECONDS, JobsSection } from "./jobs_section.ts";
+import { JOB_RETENTION_MILLISECONDS } from "./ended_jobs.ts";
+import { JobsSection } from "./jobs_section.ts";
 import { MAXIMUM_FAILURES } from "./retry_queue.ts";
 import { ResultPages } from "./result_pages.ts";
 
