--- a/testing/engine_standin.ts
+++ b/testing/engine_standin.ts
@@ -81,6 +81,8 @@
   tokensGenerated = 0;
   /** Delay before each answer begins, in milliseconds. */
   lateMilliseconds = 0;
+  /** Status with which generation is refused; 0 refuses nothing. */
+  refuseStatus = 0;
   #options: IEngineStandinOptions;
   #server: Server;
   #waiting: IStream[] = [];
@@ -91,6 +93,7 @@
   #frozenUntil = 0;
   #stopped = false;
   #models = new Set<string>();
+  #adapters = new Map<string, object>();
   #role = "both";
   #fencingNumber = 0;
 
@@ -171,6 +174,9 @@
   ): Promise<void> {
     const chat = path === "/v1/chat/completions";
     const prompt = chat ? promptOfChat(body.messages) : String(body.prompt);
+    if (this.refuseStatus > 0) {
+      return sendJson(response, this.refuseStatus, { error: "refused" });
+    }
     if (prompt.includes("[refuse]")) {
       return sendJson(response, 400, { error: { message: "refused" } });
     }
@@ -302,9 +308,12 @@
       }
       this.#fencingNumber = message.fencingNumber;
     }
-    const { kind, model, role } = message.order;
+    const { kind, model, role, adapter, version } = message.order;
     if (kind === "load-model") this.#models.add(model);
     if (kind === "unload-model") this.#models.delete(model);
+    if (kind === "load-adapter") {
+      this.#adapters.set(`${model}/${adapter}`, { model, adapter, version });
+    }
     if (kind === "set-role") this.#role = role;
     sendJson(response, 200, this.#state());
   }
@@ -312,7 +321,7 @@
   #state(): object {
     return {
       models: [...this.#models],
-      adapters: [],
+      adapters: [...this.#adapters.values()],
       role: this.#role,
       fencingNumber: this.#fencingNumber,
     };
