Composition in small functions; connections left as doubtful all counted

Cause: the review timer removes an unused doubtful connection before a call leaves it, and that was not counted; besides, a short call may time out on a new connection of a busy machine. Ruled out: the probe (2.5 s away). After: the count covers both ways, the test asks for at least one and for a new connection for each, cleans up on failure, and passed 6 of 6 beside 20 spinning processes; with the time-out mark off it fails.

--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -9,7 +9,7 @@
 import { explanationLines } from "../src/cli/commands/explain.ts";
 import { formatTable, formatTime } from "../src/cli/output.ts";
 import { configurationHistoryMethod } from "../src/configuration/mod.ts";
-import { startDaemon } from "../src/daemon/composition.ts";
+import { startDaemon } from "../src/composition/mod.ts";
 import { SilentEventLog } from "../src/events/mod.ts";
 import { explanationSchema } from "../src/explain/mod.ts";
 import { settingsSchema } from "../src/settings/mod.ts";
--- a/measure/consensus.ts
+++ b/measure/consensus.ts
@@ -3,7 +3,6 @@
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { reservePorts } from "../testing/ports.ts";
@@ -246,14 +245,10 @@
 }
 
 /** Measures commits, rest, memory and restarts, and prints a table. */
-export async function measureConsensus(): Promise<void> {
+export async function measure(): Promise<void> {
   for (const voters of [1, 3, 5]) await measureCommits(voters);
   for (const voters of [1, 3, 5]) await measureIdle(voters);
   for (const voters of [3, 5]) await measureElection(voters);
   await measureMemory();
   await measureRestart();
 }
-
-if (process.argv[1] === fileURLToPath(import.meta.url)) {
-  await measureConsensus();
-}
--- a/measure/control.ts
+++ b/measure/control.ts
@@ -1,6 +1,5 @@
 // Measures heartbeats, changes and rollouts: node dist/measure/control.js
 import { type ChildProcess, fork } from "node:child_process";
-import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { Fleet } from "../testing/fleet.ts";
@@ -160,30 +159,32 @@
 }
 
 console.log("heartbeats and one change of one engine at the letter's size");
-const points = [];
-for (const members of MEMBER_COUNTS) {
-  points.push(await measureHeartbeats(members));
-  console.log(JSON.stringify(points.at(-1)));
+/** Measures heartbeats, and the time until a change is in force. */
+export async function measure(): Promise<void> {
+  const points = [];
+  for (const members of MEMBER_COUNTS) {
+    points.push(await measureHeartbeats(members));
+    console.log(JSON.stringify(points.at(-1)));
+  }
+  console.table(points.map((point) => ({
+    "members": point.members,
+    "calls/s a member": point.callsPerSecond.toFixed(2),
+    "bytes/s a member": point.bytesPerSecond.toFixed(0),
+    "leader (% of a core)": point.leaderPercent.toFixed(2),
+    "member (% of a core)": point.memberPercent.toFixed(3),
+    "change (bytes a member)": point.bytesOfChange.toFixed(0),
+    "change (ms of the leader)": point.leaderTimeOfChange.toFixed(0),
+    "have it": point.haveVersion,
+    "leader (MB)": point.leaderMegabytes.toFixed(0),
+  })));
+  const slope = fitLine(points.map(({ members, leaderPercent }) => ({
+    x: members,
+    y: leaderPercent,
+  })));
+  console.log(
+    `leader: ${slope.slope.toFixed(4)}% of a core a member, spread ${
+      slope.spread.toFixed(2)
+    }%`,
+  );
+  await measureRollout();
 }
-console.table(points.map((point) => ({
-  "members": point.members,
-  "calls/s a member": point.callsPerSecond.toFixed(2),
-  "bytes/s a member": point.bytesPerSecond.toFixed(0),
-  "leader (% of a core)": point.leaderPercent.toFixed(2),
-  "member (% of a core)": point.memberPercent.toFixed(3),
-  "change (bytes a member)": point.bytesOfChange.toFixed(0),
-  "change (ms of the leader)": point.leaderTimeOfChange.toFixed(0),
-  "have it": point.haveVersion,
-  "leader (MB)": point.leaderMegabytes.toFixed(0),
-})));
-const slope = fitLine(points.map(({ members, leaderPercent }) => ({
-  x: members,
-  y: leaderPercent,
-})));
-console.log(
-  `leader: ${slope.slope.toFixed(4)}% of a core a member, spread ${
-    slope.spread.toFixed(2)
-  }%`,
-);
-await measureRollout();
-process.exit(0);
--- a/measure/live.ts
+++ b/measure/live.ts
@@ -161,6 +161,8 @@
   }
 }
 
-reportHerding();
-await measureCost();
-process.exit(0);
+/** Measures what a live request costs and how choices spread. */
+export async function measure(): Promise<void> {
+  reportHerding();
+  await measureCost();
+}
--- /dev/null
+++ b/src/composition/fleet_view.ts
@@ -0,0 +1,66 @@
+import { randomUUID } from "node:crypto";
+import {
+  ConfigurationFetcher,
+  ConfigurationHolder,
+  handlePeerFetches,
+} from "../configuration/mod.ts";
+import {
+  Heartbeat,
+  HttpPlatformAdapter,
+  ServingPermission,
+  TargetAvailability,
+} from "../membership/mod.ts";
+import type { IFoundation } from "./foundation.ts";
+
+/** What this instance knows of the fleet. */
+export interface IFleetView {
+  readonly configuration: ConfigurationHolder;
+  readonly platform: HttpPlatformAdapter | undefined;
+  readonly heartbeat: Heartbeat;
+  readonly permission: ServingPermission;
+  readonly availability: TargetAvailability;
+}
+
+/** Creates the parts that learn of the fleet and of the configuration. */
+export function createFleetView(foundation: IFoundation): IFleetView {
+  const { settings, clock, store, events } = foundation;
+  const { control, rpc, self, server, voters } = foundation;
+  const configuration = new ConfigurationHolder(events);
+  store.add(handlePeerFetches(server, configuration));
+  const fetcher = new ConfigurationFetcher(control, rpc, {
+    holder: configuration,
+    clock,
+  });
+  const platform = settings.platform &&
+    store.add(new HttpPlatformAdapter(settings.platform, clock, { events }));
+  const { region, failureDomain } = settings.instance;
+  const instance = {
+    ...self,
+    region,
+    failureDomain,
+    state: "serving" as const,
+    incarnation: randomUUID(),
+    configurationVersion: 0,
+  };
+  const heartbeat = store.add(
+    new Heartbeat(instance, control, {
+      configuration,
+      fetcher,
+      clock,
+      platform,
+    }),
+  );
+  const permission = store.add(
+    new ServingPermission({
+      clock,
+      configuration,
+      freshness: heartbeat,
+      membership: heartbeat,
+      fetcher,
+      voters: () => voters,
+      events,
+    }),
+  );
+  const availability = store.add(new TargetAvailability(platform, heartbeat));
+  return { configuration, platform, heartbeat, permission, availability };
+}
--- /dev/null
+++ b/src/composition/mod.ts
@@ -0,0 +1,1 @@
+export * from "./start_daemon.ts";
--- /dev/null
+++ b/src/composition/serving.ts
@@ -0,0 +1,140 @@
+import { randomInt } from "node:crypto";
+import {
+  FleetAdmission,
+  LatencyEstimates,
+  LimitOwners,
+  RetryBudget,
+  ServiceGate,
+} from "../admission/mod.ts";
+import {
+  BatchStreams,
+  EngineOwnership,
+  LiveActivity,
+  LoadExchange,
+} from "../allotment/mod.ts";
+import { Dispatcher, PlainDispatcher } from "../dispatch/mod.ts";
+import {
+  BalancedSelector,
+  LoadReportPoller,
+  SeededRandom,
+  TargetHealth,
+} from "../routing/mod.ts";
+import type { IFleetView } from "./fleet_view.ts";
+import type { IFoundation } from "./foundation.ts";
+
+/** Bound of the seeds of random choices. */
+const MAXIMUM_SEED = 0x7fffffff;
+
+/** Load of the engines and who owns their batch streams. */
+export interface IEngineParts {
+  readonly activity: LiveActivity;
+  readonly batchStreams: BatchStreams;
+  readonly ownership: EngineOwnership;
+  readonly load: LoadExchange;
+  readonly health: TargetHealth;
+  readonly random: SeededRandom;
+}
+
+/** Parts that answer live requests. */
+export interface ILiveParts {
+  readonly dispatcher: Dispatcher;
+  readonly plainDispatcher: PlainDispatcher;
+  readonly admission: FleetAdmission;
+  readonly reports: LoadReportPoller;
+}
+
+/** Creates the parts that know the load of the engines. */
+export function createEngineParts(foundation: IFoundation): IEngineParts {
+  const { store, clock, events, control, rpc, server, self } = foundation;
+  const random = new SeededRandom(randomInt(MAXIMUM_SEED));
+  const activity = store.add(new LiveActivity());
+  const batchStreams = new BatchStreams();
+  const { region } = foundation.settings.instance;
+  const ownership = store.add(
+    new EngineOwnership({ address: self, region }, control, { clock, events }),
+  );
+  const load = store.add(
+    new LoadExchange(ownership, {
+      rpc,
+      server,
+      clock,
+      activity,
+      batch: batchStreams,
+    }),
+  );
+  const health = new TargetHealth({ clock, random, events });
+  return { activity, batchStreams, ownership, load, health, random };
+}
+
+/** Creates the parts that answer live requests. */
+export function createLiveParts(
+  foundation: IFoundation,
+  fleet: IFleetView,
+  parts: IEngineParts,
+): ILiveParts {
+  const { store, clock, engines, plainTargets, trace } = foundation;
+  const { configuration, availability } = fleet;
+  const { activity, load, health, random } = parts;
+  const { failureDomain } = foundation.settings.instance;
+  const reports = store.add(
+    new LoadReportPoller(engines, configuration, { clock }),
+  );
+  const estimates = new LatencyEstimates(clock);
+  const budgets = { live: new RetryBudget(), batch: new RetryBudget() };
+  const selector = new BalancedSelector(configuration, {
+    clock,
+    random,
+    failureDomain,
+    activity,
+    load,
+    reports,
+    health,
+    availability,
+  });
+  const dispatcher = new Dispatcher({
+    selector,
+    engines,
+    clock,
+    budgets,
+    estimates,
+    trace,
+    random,
+  });
+  const plainDispatcher = new PlainDispatcher({
+    targets: plainTargets,
+    clock,
+    random,
+    failureDomain,
+    health,
+    availability,
+    budget: budgets.live,
+    trace,
+  });
+  const gate = new ServiceGate({
+    clock,
+    configuration,
+    load,
+    health,
+    availability,
+    estimates,
+  });
+  const admission = createAdmission(foundation, fleet, gate);
+  return { dispatcher, plainDispatcher, admission, reports };
+}
+
+function createAdmission(
+  foundation: IFoundation,
+  fleet: IFleetView,
+  gate: ServiceGate,
+): FleetAdmission {
+  const { store, clock, rpc, server } = foundation;
+  const { configuration, heartbeat } = fleet;
+  const owners = store.add(
+    new LimitOwners(rpc, server, {
+      clock,
+      configuration,
+      membership: heartbeat,
+    }),
+  );
+  return store.add(new FleetAdmission({ clock, owners, gate }));
+}
--- a/src/daemon/figroadd.ts
+++ b/src/daemon/figroadd.ts
@@ -3,7 +3,7 @@
 import { defineCommand, runMain } from "citty";
 import { EventLog } from "../events/mod.ts";
 import { formatFault, loadDocument, settingsSchema } from "../settings/mod.ts";
-import { startDaemon } from "./composition.ts";
+import { startDaemon } from "../composition/mod.ts";
 import { daemonStarted, daemonStopped, daemonStopping } from "./events.ts";
 
 /** Exit code for settings that are refused. */
--- a/src/rpc/connection_pool.ts
+++ b/src/rpc/connection_pool.ts
@@ -149,6 +149,7 @@
   }
 
   async #remove(connection: RpcConnection, key: string): Promise<void> {
+    const isLeft = !connection.isClosed && connection.isDoubtful;
     this.#open.delete(connection);
     this.#probes.delete(connection);
     connection.dispose();
@@ -156,6 +157,7 @@
     const pooled = await pending?.catch(() => undefined);
     if (pooled === connection && this.#pooled.get(key) === pending) {
       this.#pooled.delete(key);
+      if (isLeft) this.#statistics.doubtfulConnectionsLeft += 1;
     }
   }
 
--- a/src/rpc/rpc_test.ts
+++ b/src/rpc/rpc_test.ts
@@ -83,18 +83,22 @@
 
 test("silent connection with short calls", async (t) => {
   const { server, client, port } = await pair();
+  t.teardown(() => server.dispose());
+  t.teardown(() => client.dispose());
   const relay = new Relay(port);
+  t.teardown(() => relay.dispose());
   const through = await relay.listen();
   t.true((await echo(client, through, {})).isOk());
   relay.silenceOpenConnections();
   await eventually(
     "a short call is answered",
-    async () => (await echo(client, through, { timeout: 200 })).isOk(),
+    async () => (await echo(client, through, { timeout: 100 })).isOk(),
   );
-  t.is(client.statistics.doubtfulConnectionsLeft, 1);
-  client.dispose();
-  relay.dispose();
-  server.dispose();
+  // On a busy machine a short call may time out on a new connection too,
+  // which is then left as well; a new one takes the place of each.
+  const left = client.statistics.doubtfulConnectionsLeft;
+  t.true(left >= 1);
+  t.true(relay.connectionsOpened > left);
 });
 
 test("silent peer keeps its connection", async (t) => {
--- a/testing/local_fleet.ts
+++ b/testing/local_fleet.ts
@@ -2,7 +2,7 @@
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { startDaemon } from "../src/daemon/composition.ts";
+import { startDaemon } from "../src/composition/mod.ts";
 import type { IDaemon } from "../src/daemon/types.ts";
 import { SilentEventLog } from "../src/events/mod.ts";
 import { settingsSchema } from "../src/settings/mod.ts";
--- a/testing/relay.ts
+++ b/testing/relay.ts
@@ -9,6 +9,8 @@
 
 /** TCP relay on loopback whose connections a test can disturb. */
 export class Relay {
+  /** Connections accepted so far. */
+  connectionsOpened = 0;
   #targetPort: number;
   #server: Server;
   #pairs = new Set<IPair>();
@@ -70,6 +72,7 @@
   }
 
   #accept(near: Socket): void {
+    this.connectionsOpened += 1;
     near.on("error", () => {});
     if (this.#refusing) {
       near.resetAndDestroy();
