--- a/measure/capacity_processes.ts
+++ b/measure/capacity_processes.ts
@@ -116,7 +116,7 @@
   if (operators === undefined) return 0;
   const text = await (await fetch(`${operators}/metrics`)).text();
   const lines = text.split("\n").filter((line) =>
-    /^figroad_rpc_bytes/.test(line)
+    /^figroad_rpc\{.*[bB]ytes/.test(line)
   );
   return lines.reduce((sum, line) => sum + Number(line.split(" ").at(-1)), 0);
 }
--- a/src/allotment/load_exchange.ts
+++ b/src/allotment/load_exchange.ts
@@ -76,6 +76,8 @@
   /** Fires with an engine's id when its live streams change. */
   readonly onChange = this.#change.event;
   #store = new DisposableStore();
+  #timer: NodeJS.Timeout | undefined;
+  #timerAt = Number.POSITIVE_INFINITY;
 
   constructor(ownership: IEngineOwnership, options: ILoadExchangeOptions) {
     this.#ownership = ownership;
@@ -87,8 +89,7 @@
     ));
     this.#store.add(activity.onChange((id) => this.#noteChange(id)));
     this.#store.add(ownership.onChange(() => this.#indexOwners()));
-    const timer = setInterval(() => this.#reportDue(), COALESCING_MILLISECONDS);
-    this.#store.add({ dispose: () => clearInterval(timer) });
+    this.#store.add({ dispose: () => clearTimeout(this.#timer) });
   }
 
   loadOf(engineId: string): IEngineLoad {
@@ -150,7 +151,9 @@
     if (this.#ownership.owned.has(engineId)) this.#change.fire(engineId);
     const owner = this.#ownerOf.get(engineId);
     const reporter = owner && this.#reporters.get(owner.address.id);
-    if (reporter) reporter.changed = true;
+    if (!reporter) return;
+    reporter.changed = true;
+    this.#arm();
   }
 
   #indexOwners(): void {
@@ -164,15 +167,39 @@
       reporters.set(id, known ?? { busy: false, changed: true, dueAt });
     }
     this.#reporters = reporters;
+    this.#arm();
+  }
+
+  /** Arms one timer for the earliest report; an idle process sleeps. */
+  #arm(): void {
+    const now = this.#options.clock.monotonic();
+    let wait = Number.POSITIVE_INFINITY;
+    for (const { reporter } of this.#idleReporters()) {
+      const due = reporter.changed ? 0 : reporter.dueAt - now;
+      wait = Math.min(wait, Math.max(due, COALESCING_MILLISECONDS));
+    }
+    if (now + wait >= this.#timerAt) return;
+    clearTimeout(this.#timer);
+    this.#timerAt = now + wait;
+    this.#timer = setTimeout(() => this.#reportDue(), wait);
   }
 
   #reportDue(): void {
-    for (const owner of this.#ownership.others) {
-      const reporter = this.#reporters.get(owner.address.id);
-      if (!reporter || reporter.busy || owner.engines.length === 0) continue;
+    this.#timerAt = Number.POSITIVE_INFINITY;
+    for (const { owner, reporter } of this.#idleReporters()) {
       const due = this.#options.clock.isPast(reporter.dueAt);
       if (due || reporter.changed) void this.#report(owner, reporter);
     }
+    this.#arm();
+  }
+
+  /** Owners of engines to which no report is under way. */
+  #idleReporters(): { owner: IEngineOwner; reporter: IReporter }[] {
+    return this.#ownership.others.flatMap((owner) => {
+      const reporter = this.#reporters.get(owner.address.id);
+      const isIdle = reporter && !reporter.busy && owner.engines.length > 0;
+      return isIdle ? [{ owner, reporter }] : [];
+    });
   }
 
   async #report(owner: IEngineOwner, reporter: IReporter): Promise<void> {
@@ -191,6 +218,7 @@
       deadline,
     });
     reporter.busy = false;
+    this.#arm();
     if (answer.isErr()) return;
     const heardAt = clock.monotonic();
     for (const { engineId, otherLive, batch } of answer.value.engines) {
--- a/src/metrics/process_metrics.ts
+++ b/src/metrics/process_metrics.ts
@@ -14,7 +14,7 @@
 const NANOSECONDS_PER_MILLISECOND = 1_000_000;
 
 /** How often the delay of the event loop is sampled, in milliseconds. */
-const EVENT_LOOP_RESOLUTION_MILLISECONDS = 20;
+const EVENT_LOOP_RESOLUTION_MILLISECONDS = 200;
 
 /** Defines metrics of the process; disposing of the result stops sampling. */
 export function defineProcessMetrics(metrics: IMetrics): IDisposable {
@@ -55,7 +55,7 @@
     "Delay of the event loop since metrics were last read, by quantile.",
     () => {
       const readings = [50, 99, 100].map((percentage) => ({
-        value: delay.percentile(percentage) / NANOSECONDS_PER_MILLISECOND,
+        value: beyondResolution(delay.percentile(percentage)),
         labels: { quantile: String(percentage / 100) },
       }));
       delay.reset();
@@ -74,3 +74,9 @@
   );
   return { dispose: () => delay.disable() };
 }
+
+/** The library counts from one sample to the next; only the excess is delay. */
+function beyondResolution(nanoseconds: number): number {
+  const milliseconds = nanoseconds / NANOSECONDS_PER_MILLISECOND;
+  return Math.max(0, milliseconds - EVENT_LOOP_RESOLUTION_MILLISECONDS);
+}
