Trace: the last step names failures and hang-ups apart from refusals

The new test failed on 'refused' for 'cancelled' before, and passes after; nothing but this label read the step.

--- a/src/entry/live_recorder.ts
+++ b/src/entry/live_recorder.ts
@@ -76,7 +76,7 @@
   finish(failure?: Failure): void {
     const { trace, requests, firstToken, betweenTokens } = this.#recorder;
     const result = failure?.code ?? "done";
-    trace.record(this.#request.id, failure ? "refused" : "done", {
+    trace.record(this.#request.id, lastStep(failure?.code), {
       target: this.engine?.id,
       reason: failure?.message,
     });
@@ -105,6 +105,15 @@
   }
 }
 
+/** Name of the last step of a request's trace. */
+function lastStep(code: FailureCode | undefined): string {
+  return match(code)
+    .with(undefined, () => "done")
+    .with("cancelled", () => "cancelled")
+    .with("overloaded", "limit-exceeded", () => "refused")
+    .otherwise(() => "failed");
+}
+
 /** Undefined when the caller alone decided the outcome. */
 function judge(
   objective: Objective,
