--- a/src/daemon/whole_path_test.ts
+++ b/src/daemon/whole_path_test.ts
@@ -67,3 +67,30 @@
     t.is(text, expectedText(`report ${index}`, 4));
   }
 });
+
+test("batch job cancelled", async (t) => {
+  const openai = client(0, COMMITTEE_KEY);
+  const lines = Array.from({ length: ITEMS }, (_, index) =>
+    JSON.stringify({
+      custom_id: `long-${index}`,
+      method: "POST",
+      url: "/v1/completions",
+      body: { model: "alert-writer", prompt: `long ${index}`, max_tokens: 999 },
+    }));
+  const file = await openai.files.create({
+    file: await toFile(new TextEncoder().encode(lines.join("\n")), "in.jsonl"),
+    purpose: "batch",
+  });
+  const submitted = await openai.batches.create({
+    input_file_id: file.id,
+    endpoint: "/v1/completions",
+    completion_window: "24h",
+  });
+  await openai.batches.cancel(submitted.id);
+  const batch = await openai.batches.retrieve(submitted.id);
+  t.is(batch.status, "cancelled");
+  const errors = await openai.files.content(batch.error_file_id ?? "");
+  t.is((await errors.text()).trim().split("\n").length, ITEMS);
+  const missing = openai.batches.cancel("batch_missing");
+  await t.throwsAsync(missing, { instanceOf: OpenAI.NotFoundError });
+});
