--- a/src/entry/live_recorder.ts
+++ b/src/entry/live_recorder.ts
@@ -138,5 +138,16 @@
       "internal",
       () => "failed" as const,
     )
-    .otherwise(() => undefined);
+    .with(
+      "bad-request",
+      "unauthorized",
+      "forbidden",
+      "not-found",
+      "too-large",
+      "conflict",
+      "already-begun",
+      "cancelled",
+      () => undefined,
+    )
+    .exhaustive();
 }
--- a/src/entry/live_recorder_test.ts
+++ b/src/entry/live_recorder_test.ts
@@ -1,5 +1,7 @@
 import test from "ava";
 import { type FailureCode, notRun, SystemClock } from "../common/mod.ts";
+import { FakeClock } from "../../testing/fake_clock.ts";
+import type { ServiceLevelOutcome } from "../burn/types.ts";
 import { TraceRecorder } from "../explain/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
 import type { IGenerationRequest } from "./generation_request.ts";
@@ -30,3 +32,39 @@
   t.is(stepAfter("cancelled"), "cancelled");
   t.is(stepAfter("target-error"), "failed");
 });
+
+test("judged outcomes", (t) => {
+  const objective = {
+    firstTokenMilliseconds: 1_100,
+    betweenTokensMilliseconds: 30,
+  };
+  const judged = (first: number, gap: number, code?: FailureCode) => {
+    const clock = new FakeClock();
+    const outcomes: ServiceLevelOutcome[] = [];
+    const recorder = new LiveRecorder({
+      clock,
+      trace: new TraceRecorder("instance", clock),
+      serviceLevels: { record: ({ outcome }) => outcomes.push(outcome) },
+      metrics: new Metrics(),
+    });
+    const record = recorder.begin(
+      { id: "request", caller: { group: "live" } } as ICallerRequest,
+      {
+        grant: { service: { name: "alerts", objective } },
+      } as IGenerationRequest,
+    );
+    clock.advance(first);
+    record.timing.tokens(1);
+    clock.advance(gap);
+    record.timing.tokens(1);
+    record.finish(code && notRun(code, "reason"));
+    return outcomes[0];
+  };
+  t.is(judged(1_100, 30), "good");
+  t.is(judged(1_101, 30), "late");
+  t.is(judged(1_100, 31), "late");
+  t.is(judged(0, 0, "deadline-exceeded"), "late");
+  t.is(judged(0, 0, "overloaded"), "refused");
+  t.is(judged(0, 0, "target-error"), "failed");
+  t.is(judged(0, 0, "cancelled"), undefined);
+});
