--- a/measure/consensus_voter.ts
+++ b/measure/consensus_voter.ts
@@ -106,7 +106,7 @@
   storage: new FolderStorage(settings.folder),
   clock,
   events,
-  founders: settings.voters,
+  founders: () => settings.voters,
   start: "bootstrap",
   compaction: { ...DEFAULT_COMPACTION, entries: settings.compactionEntries },
 });
--- /dev/null
+++ b/src/bulk/bulk_handlers.ts
@@ -0,0 +1,113 @@
+import { err, ok } from "neverthrow";
+import { DisposableStore, type IClock, type IDisposable } from "../common/mod.ts";
+import type { IReplicatedLog } from "../consensus/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
+import type { IRpcServer } from "../rpc/mod.ts";
+import type { BulkSection } from "./bulk_section.ts";
+import { jobAccepted, jobEnded } from "./events.ts";
+import {
+  bulkSection,
+  endBulkMethod,
+  readBulkItemMethod,
+  readBulkMethod,
+  submitBulkMethod,
+} from "./messages.ts";
+import type { BulkResult, HeldJob } from "./types.ts";
+
+/** Size of the results in one answer, in characters. */
+const PAGE_CHARACTERS = 1_000_000;
+
+/** Collaborators of the handlers. */
+export interface IBulkHandlerParts {
+  readonly log: IReplicatedLog;
+  readonly section: BulkSection;
+  readonly clock: IClock;
+  readonly events: IEventLog;
+}
+
+/** Answers the calls about jobs; only the leader does. */
+export function handleBulk(
+  server: IRpcServer,
+  parts: IBulkHandlerParts,
+): IDisposable {
+  const { log, section, clock, events } = parts;
+  const store = new DisposableStore();
+  store.add(server.handle(submitBulkMethod, async ({ job }, options) => {
+    if (log.leadership.isLeader && section.job(job.id)) {
+      const confirmed = await log.barrier({ ...options, isConfirmed: true });
+      return confirmed.map(() => ({}));
+    }
+    const command = { kind: "submit", job };
+    const done = await log.propose(bulkSection.name, command, options);
+    if (done.isErr()) return err(done.error);
+    events.emit(jobAccepted, {
+      request: job.id,
+      items: job.items.length,
+      path: job.path,
+    });
+    return ok({});
+  }));
+  store.add(server.handle(readBulkMethod, async (params, options) => {
+    const confirmed = await log.barrier({ ...options, isConfirmed: true });
+    if (confirmed.isErr()) return err(confirmed.error);
+    const held = section.job(params.job);
+    if (!held) {
+      return ok({ isKnown: false, total: 0, next: params.after, results: [] });
+    }
+    const end = clock.deadlineIn(params.wait);
+    if (held.results.length <= params.after && params.wait > 0) {
+      await nextResult(section, held, { after: params.after, clock, end });
+    }
+    const results = page(held.results, params.after);
+    return ok({
+      isKnown: true,
+      total: held.job.items.length,
+      next: params.after + results.length,
+      results,
+    });
+  }));
+  store.add(server.handle(readBulkItemMethod, async (params, options) => {
+    const confirmed = await log.barrier({ ...options, isConfirmed: true });
+    if (confirmed.isErr()) return err(confirmed.error);
+    return ok({ body: section.item(params.job, params.item)?.body });
+  }));
+  store.add(server.handle(endBulkMethod, async ({ job }, options) => {
+    const command = { kind: "end", job };
+    const done = await log.propose(bulkSection.name, command, options);
+    if (done.isErr()) return err(done.error);
+    events.emit(jobEnded, { request: job });
+    return ok(done.value as { isKnown: boolean });
+  }));
+  return store;
+}
+
+/** Waits until the job has a result at a position. */
+async function nextResult(
+  section: BulkSection,
+  held: HeldJob,
+  options: {
+    after: number;
+    clock: IClock;
+    end: ReturnType<IClock["deadlineIn"]>;
+  },
+): Promise<void> {
+  const { after, clock, end } = options;
+  const arrived = new AbortController();
+  const subscription = section.onChanged((id) => {
+    if (id === held.job.id && held.results.length > after) arrived.abort();
+  });
+  await clock.sleepUntil(end, arrived.signal);
+  subscription.dispose();
+}
+
+/** Results from a position on, at least one if there is any. */
+function page(results: readonly BulkResult[], after: number): BulkResult[] {
+  const taken: BulkResult[] = [];
+  let size = 0;
+  for (const result of results.slice(after)) {
+    size += result.text.length + result.item.length;
+    if (taken.length > 0 && size > PAGE_CHARACTERS) break;
+    taken.push(result);
+  }
+  return taken;
+}
--- /dev/null
+++ b/src/bulk/events.ts
@@ -0,0 +1,79 @@
+import { z } from "zod";
+import { defineEvent } from "../events/mod.ts";
+
+export const jobAccepted = defineEvent(1150, "bulk-job-accepted", {
+  level: "info",
+  help: "A job is in the replicated log; it is kept from now on.",
+  fields: { request: z.string(), items: z.number(), path: z.string() },
+});
+
+export const jobEnded = defineEvent(1151, "bulk-job-ended", {
+  level: "info",
+  help: "The caller ended a job; its items are not run any more.",
+  fields: { request: z.string() },
+});
+
+export const itemStarted = defineEvent(1152, "bulk-item-started", {
+  level: "info",
+  help: "An item was sent to an engine that had a place to spare.",
+  fields: {
+    request: z.string(),
+    job: z.string(),
+    engine: z.string(),
+    live: z.number(),
+    bulk: z.number(),
+    lastEventId: z.string().optional(),
+  },
+});
+
+export const itemYielded = defineEvent(1153, "bulk-item-yielded", {
+  level: "info",
+  help: "An item gave its place to live requests; it goes on later behind " +
+    "the last event it has.",
+  fields: {
+    request: z.string(),
+    job: z.string(),
+    engine: z.string(),
+    live: z.number(),
+    bulk: z.number(),
+    lastEventId: z.string().optional(),
+  },
+});
+
+export const itemFailed = defineEvent(1154, "bulk-item-failed", {
+  level: "warn",
+  help: "A run of an item failed; it goes on at another engine or is given " +
+    "up after too many failures.",
+  fields: {
+    request: z.string(),
+    job: z.string(),
+    engine: z.string(),
+    reason: z.string(),
+    failures: z.number(),
+  },
+});
+
+export const itemRecorded = defineEvent(1155, "bulk-item-recorded", {
+  level: "info",
+  help: "An item's result is in the replicated log.",
+  fields: {
+    request: z.string(),
+    job: z.string(),
+    state: z.string(),
+    reason: z.string(),
+    sinceAcceptedMilliseconds: z.number(),
+  },
+});
+
+export const runnerStarted = defineEvent(1156, "bulk-runner-started", {
+  level: "info",
+  help: "This store leads and runs the items of all jobs from now on.",
+  fields: { openJobs: z.number() },
+});
+
+export const runnerStopped = defineEvent(1157, "bulk-runner-stopped", {
+  level: "info",
+  help: "This store no longer runs items; the next leader starts those " +
+    "again that were running.",
+  fields: { running: z.number() },
+});
--- /dev/null
+++ b/src/bulk/messages.ts
@@ -0,0 +1,58 @@
+import { z } from "zod";
+import { defineMethod } from "../rpc/mod.ts";
+import { bulkJobSchema, bulkResultSchema } from "./types.ts";
+
+/** Changes of the jobs. */
+export const bulkCommandSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("submit"), job: bulkJobSchema }),
+  z.object({
+    kind: z.literal("record"),
+    job: z.string(),
+    result: bulkResultSchema,
+  }),
+  z.object({ kind: z.literal("end"), job: z.string() }),
+]);
+export type BulkCommand = z.infer<typeof bulkCommandSchema>;
+
+/** Section of the replicated state that holds the jobs. */
+export const bulkSection = {
+  name: "bulk",
+  command: bulkCommandSchema,
+  output: z.object({ isKnown: z.boolean() }),
+};
+
+/** Submits a job; a repeated one is accepted again. */
+export const submitBulkMethod = defineMethod("bulk.submit", {
+  params: z.object({ job: bulkJobSchema }),
+  result: z.object({}),
+  lane: "bulk",
+});
+
+/** Reads the results from a position on. */
+export const readBulkMethod = defineMethod("bulk.read", {
+  params: z.object({
+    job: z.string(),
+    after: z.number(),
+    /** Milliseconds that the caller waits for a first result. */
+    wait: z.number(),
+  }),
+  result: z.object({
+    isKnown: z.boolean(),
+    total: z.number(),
+    next: z.number(),
+    results: z.array(bulkResultSchema),
+  }),
+});
+
+/** Reads the body of an item. */
+export const readBulkItemMethod = defineMethod("bulk.read-item", {
+  params: z.object({ job: z.string(), item: z.string() }),
+  /** Body in base64; undefined for an item that is not known. */
+  result: z.object({ body: z.string().optional() }),
+});
+
+/** Ends a job: what is not listed need not be run any more. */
+export const endBulkMethod = defineMethod("bulk.end", {
+  params: z.object({ job: z.string() }),
+  result: z.object({ isKnown: z.boolean() }),
+});
--- /dev/null
+++ b/src/bulk/types.ts
@@ -0,0 +1,45 @@
+import { z } from "zod";
+
+/** One request of a job, run later. */
+export const bulkItemSchema = z.object({
+  id: z.string(),
+  path: z.string(),
+  /** Headers by name, sent as they are. */
+  headers: z.record(z.string(), z.string()),
+  /** Body in base64. */
+  body: z.string(),
+  /** Tokens of the prompt and of the longest output together. */
+  tokens: z.number(),
+});
+export type BulkItem = z.infer<typeof bulkItemSchema>;
+
+/** A job as a caller submits it. */
+export const bulkJobSchema = z.object({
+  id: z.string(),
+  /** Host of the route, which the items' requests bear. */
+  host: z.string(),
+  /** Path that the job was submitted under; names the route. */
+  path: z.string(),
+  items: z.array(bulkItemSchema),
+});
+export type BulkJob = z.infer<typeof bulkJobSchema>;
+
+/** Outcome of an item; `dead` ones were given up. */
+export const bulkResultSchema = z.object({
+  item: z.string(),
+  state: z.enum(["done", "dead"]),
+  /** Data of all events, separated by line feeds. */
+  text: z.string(),
+});
+export type BulkResult = z.infer<typeof bulkResultSchema>;
+
+/** A job with what has become of it. */
+export const heldJobSchema = z.object({
+  job: bulkJobSchema,
+  /** Wall time of the submission, in milliseconds since the Unix epoch. */
+  acceptedAt: z.number(),
+  /** Results in the order in which they were recorded. */
+  results: z.array(bulkResultSchema),
+  hasEnded: z.boolean(),
+});
+export type HeldJob = z.infer<typeof heldJobSchema>;
--- a/src/composition/control_replica.ts
+++ b/src/composition/control_replica.ts
@@ -61,7 +61,7 @@
       server,
       clock,
       events,
-      founders: [...voters],
+      founders: () => voters,
       start: settings.start,
       storage: new FolderStorage(settings.dataFolder),
     },
--- /dev/null
+++ b/src/consensus/call_repeatedly.ts
@@ -0,0 +1,49 @@
+import { err, type Result } from "neverthrow";
+import type { z } from "zod";
+import {
+  type Deadline,
+  earlierDeadline,
+  type Failure,
+  type IClock,
+  notRun,
+} from "../common/mod.ts";
+import type { IRpcMethod } from "../rpc/mod.ts";
+import type { IControlClient } from "./types.ts";
+
+/** Longest wait for one answer, in milliseconds. */
+const ATTEMPT_MILLISECONDS = 700;
+
+/** Pause between two attempts, in milliseconds. */
+const PAUSE_MILLISECONDS = 50;
+
+/**
+ * Calls an idempotent method at the leader until it answers or the deadline
+ * has passed. The failure says `may-have-run` if any attempt may have.
+ */
+export async function callRepeatedly<P extends z.ZodType, R extends z.ZodType>(
+  control: IControlClient,
+  method: IRpcMethod<P, R>,
+  params: z.infer<P>,
+  options: { clock: IClock; deadline: Deadline },
+): Promise<Result<z.infer<R>, Failure>> {
+  const { clock, deadline } = options;
+  let last = notRun("unavailable", "no leader answered in time");
+  while (!clock.isPast(deadline)) {
+    const answer = await control.call(method, params, {
+      deadline: earlierDeadline(
+        deadline,
+        clock.deadlineIn(ATTEMPT_MILLISECONDS),
+      ),
+    });
+    if (answer.isOk()) return answer;
+    const { verdict } = last;
+    last = answer.error;
+    if (verdict === "may-have-run") last = { ...last, verdict };
+    const isFinal = !["unavailable", "not-leader", "deadline-exceeded"]
+      .includes(answer.error.code);
+    if (isFinal) return err(last);
+    const pause = clock.deadlineIn(PAUSE_MILLISECONDS);
+    await clock.sleepUntil(earlierDeadline(pause, deadline));
+  }
+  return err(last);
+}
--- a/src/consensus/events.ts
+++ b/src/consensus/events.ts
@@ -100,6 +100,20 @@
   fields: { from: z.string(), cluster: z.string() },
 });
 
+export const joinedAgain = defineEvent(414, "joined-again", {
+  level: "info",
+  help: "The others had removed this replica while it was away; it is a " +
+    "learner again.",
+  fields: { storage: z.string() },
+});
+
+export const voterReplaced = defineEvent(415, "voter-replaced", {
+  level: "info",
+  help: "The leader changed the members by itself, to keep the number of " +
+    "voters.",
+  fields: { action: z.string(), member: z.string(), reason: z.string() },
+});
+
 export const syncSlow = defineEvent(413, "sync-slow", {
   level: "warn",
   help: "A write to the control log took long. Commits wait if this holds " +
--- a/src/consensus/formation.ts
+++ b/src/consensus/formation.ts
@@ -9,6 +9,7 @@
   logFounded,
 } from "./events.ts";
 import type { Identity, IdentityStore } from "./identity_store.ts";
+import { LeaderFinder } from "./leader_finder.ts";
 import { type Hello, helloMethod, joinMethod } from "./messages.ts";
 import type { ReplicaMember } from "./replica_set.ts";
 
@@ -16,7 +17,7 @@
 const HELLO_TIMEOUT_MILLISECONDS = 1_000;
 
 /** Time for the leader to take in a learner, in milliseconds. */
-const JOIN_TIMEOUT_MILLISECONDS = 10_000;
+const JOIN_TIMEOUT_MILLISECONDS = 2_000;
 
 /** Pause between two rounds, in milliseconds. */
 const ROUND_MILLISECONDS = 250;
@@ -30,7 +31,7 @@
 /** Collaborators and settings of a `Formation`. */
 export interface IFormationParts {
   readonly self: FounderAddress;
-  readonly founders: readonly FounderAddress[];
+  readonly founders: () => readonly FounderAddress[];
   readonly start: "bootstrap" | "join";
   readonly identities: IdentityStore;
   readonly rpc: IRpcClient;
@@ -64,7 +65,7 @@
   async run(signal: AbortSignal): Promise<Identity> {
     if (this.#identity.cluster !== undefined) return this.#identity;
     const { self, start, founders } = this.#parts;
-    const isFounder = founders.some(({ id }) => id === self.id);
+    const isFounder = founders().some(({ id }) => id === self.id);
     const founded = start === "bootstrap" && isFounder &&
       await this.#found(signal);
     if (!founded && !signal.aborted) await this.#join(signal);
@@ -106,20 +107,21 @@
     const { storage } = this.#identity;
     events.emit(joiningLog, { storage });
     const member = { ...self, storage, promote: false };
-    const peers = founders.filter(({ id }) => id !== self.id);
+    const peers = () => founders().filter(({ id }) => id !== self.id);
+    const finder = new LeaderFinder(peers, rpc, { clock });
     for (let round = 0; !signal.aborted; round++) {
-      const reasons: string[] = [];
-      for (const peer of peers) {
-        const answer = await rpc.call(peer, joinMethod, { member }, {
-          deadline: clock.deadlineIn(JOIN_TIMEOUT_MILLISECONDS),
-        });
-        if (answer.isOk()) {
-          return await this.#belong(answer.value.cluster, undefined);
-        }
-        reasons.push(`${peer.id}: ${answer.error.message}`);
+      const options = {
+        deadline: clock.deadlineIn(JOIN_TIMEOUT_MILLISECONDS),
+      };
+      const leader = await finder.find(options);
+      const answer = leader &&
+        await rpc.call(leader, joinMethod, { member }, options);
+      if (answer?.isOk()) {
+        return await this.#belong(answer.value.cluster, undefined);
       }
       if (round % ROUNDS_PER_EVENT === 0) {
-        events.emit(joinRefused, { reason: reasons.join("; ") });
+        const reason = (answer?.isErr() && answer.error.message) || "no leader is known";
+        events.emit(joinRefused, { reason });
       }
       await this.#pause(signal);
     }
@@ -139,7 +141,7 @@
   async #askFounders(): Promise<(Hello | undefined)[]> {
     const { clock, founders, rpc, self } = this.#parts;
     const deadline = clock.deadlineIn(HELLO_TIMEOUT_MILLISECONDS) as Deadline;
-    return await Promise.all(founders.map(async (founder) => {
+    return await Promise.all(founders().map(async (founder) => {
       if (founder.id === self.id) return this.#identity;
       const answer = await rpc.call(founder, helloMethod, {}, { deadline });
       return answer.unwrapOr(undefined);
@@ -150,7 +152,7 @@
   #members(
     hellos: readonly (Hello | undefined)[],
   ): ReplicaMember[] | undefined {
-    const members = this.#parts.founders.flatMap((founder, position) => {
+    const members = this.#parts.founders().flatMap((founder, position) => {
       const hello = hellos[position];
       if (hello?.id !== founder.id) return [];
       const { id, address, port, failureDomain } = founder;
@@ -162,7 +164,7 @@
   }
 
   #report(hellos: readonly (Hello | undefined)[]): void {
-    const missing = this.#parts.founders
+    const missing = this.#parts.founders()
       .filter((_, position) => hellos[position] === undefined)
       .map(({ id }) => id);
     this.#parts.events.emit(foundingWaits, { missing });
--- a/src/consensus/leader_term.ts
+++ b/src/consensus/leader_term.ts
@@ -22,7 +22,11 @@
 import { Signal } from "./signal.ts";
 import type { IAppliedEntry, StateMachine } from "./state_machine.ts";
 import { CLOCK_DRIFT_BOUND } from "./timing.ts";
-import type { IDeadlineOptions, ISnapshotSender } from "./types.ts";
+import type {
+  IBarrierOptions,
+  IDeadlineOptions,
+  ISnapshotSender,
+} from "./types.ts";
 
 /** Proposals that may wait for their commit. */
 const MAXIMUM_PENDING_PROPOSALS = 4_096;
@@ -98,13 +102,15 @@
   }
 
   /** Confirms the lead and waits until all that was committed is applied. */
-  async barrier(options: IDeadlineOptions): Promise<Result<void, Failure>> {
+  async barrier(options: IBarrierOptions): Promise<Result<void, Failure>> {
     const { clock } = this.#state;
+    const mayUseLease = options.isConfirmed !== true;
     const askedAt = clock.monotonic();
     const needed = Math.max(this.#state.commitIndex, this.#firstIndex);
-    if (!this.#hasLease) this.#peers.forEach((peer) => peer.beat());
+    const isLeased = () => mayUseLease && this.#hasLease;
+    if (!isLeased()) this.#peers.forEach((peer) => peer.beat());
     while (!this.#stopping.signal.aborted) {
-      const confirmed = this.#hasLease || this.quorumContact >= askedAt;
+      const confirmed = isLeased() || this.quorumContact >= askedAt;
       if (confirmed && this.#parts.machine.appliedIndex >= needed) {
         return ok(undefined);
       }
--- a/src/consensus/mod.ts
+++ b/src/consensus/mod.ts
@@ -1,3 +1,4 @@
+export * from "./call_repeatedly.ts";
 export * from "./control_client.ts";
 export * from "./folder_storage.ts";
 export type { FounderAddress } from "./formation.ts";
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -37,7 +37,12 @@
 import type { IStorage } from "./storage.ts";
 import { TermStore } from "./term_store.ts";
 import type { ITiming } from "./timing.ts";
-import type { ILeadership, IStateSection, LogStatus } from "./types.ts";
+import type {
+  ILeadership,
+  IStateSection,
+  IVoterUpkeep,
+  LogStatus,
+} from "./types.ts";
 import { type IRecoveredLog, WriteAheadLog } from "./write_ahead_log.ts";
 
 /** Collaborators and settings of a `Replica`. */
@@ -53,6 +58,7 @@
   readonly timing: ITiming;
   readonly compaction: ICompaction;
   readonly random: () => number;
+  readonly upkeep?: IVoterUpkeep;
 }
 
 /** Replica that belongs to a log, with its tasks. */
@@ -148,6 +154,11 @@
     return this.#state.leadership;
   }
 
+  /** Whether a leader was heard of within the election timeout. */
+  get isLeaderRecent(): boolean {
+    return this.#state.isLeaderRecent;
+  }
+
   get onLeadershipChange(): IEvent<ILeadership> {
     return this.#state.onChange;
   }
@@ -196,6 +207,7 @@
     this.#leader = leader;
     this.#administrator = new ReplicaAdministrator(this.#state, leader, {
       rpc,
+      upkeep: this.#options.upkeep,
     });
     leader.start();
     this.#supervise(this.#administrator.run());
--- a/src/consensus/replica_administrator.ts
+++ b/src/consensus/replica_administrator.ts
@@ -7,6 +7,7 @@
   notRun,
 } from "../common/mod.ts";
 import type { IRpcClient } from "../rpc/mod.ts";
+import { voterReplaced } from "./events.ts";
 import type { LeaderTerm } from "./leader_term.ts";
 import { helloMethod, type ReplicaChange } from "./messages.ts";
 import {
@@ -16,7 +17,8 @@
   type ReplicaSet,
 } from "./replica_set.ts";
 import type { ReplicaState } from "./replica_state.ts";
-import type { IDeadlineOptions } from "./types.ts";
+import type { IDeadlineOptions, IVoterUpkeep } from "./types.ts";
+import { nextUpkeepStep } from "./voter_upkeep.ts";
 
 /** Entries that a learner may lack when it becomes a voter. */
 const PROMOTION_LAG_ENTRIES = 100;
@@ -24,6 +26,9 @@
 /** Time that an automatic promotion may take, in milliseconds. */
 const PROMOTION_TIMEOUT_MILLISECONDS = 5_000;
 
+/** Silence, in election timeouts, after which a member counts as lost. */
+const LOST_TIMEOUTS = 6;
+
 /** Silence, in election timeouts, after which a folder may be replaced. */
 const REPLACEMENT_TIMEOUTS = 2;
 
@@ -34,6 +39,7 @@
   #state: ReplicaState;
   #leader: LeaderTerm;
   #rpc: IRpcClient;
+  #upkeep: IVoterUpkeep | undefined;
   #clock: IClock;
   #ledSince: number;
   #stopping = new AbortController();
@@ -41,11 +47,12 @@
   constructor(
     state: ReplicaState,
     leader: LeaderTerm,
-    options: { rpc: IRpcClient },
+    options: { rpc: IRpcClient; upkeep?: IVoterUpkeep },
   ) {
     this.#state = state;
     this.#leader = leader;
     this.#rpc = options.rpc;
+    this.#upkeep = options.upkeep;
     this.#clock = state.clock;
     this.#ledSince = state.clock.monotonic();
   }
@@ -58,10 +65,12 @@
       await this.#clock.sleepUntil(next, signal);
       const returned = this.#state.replicas.learners
         .find((it) => it.promote && this.#isCaughtUp(it));
-      if (!returned || signal.aborted) continue;
-      await this.#promote(returned, {
+      if (signal.aborted) return;
+      const options = {
         deadline: this.#clock.deadlineIn(PROMOTION_TIMEOUT_MILLISECONDS),
-      });
+      };
+      if (returned) await this.#promote(returned, options);
+      else if (this.#upkeep) await this.#keepUp(this.#upkeep, options);
     }
   }
 
@@ -69,6 +78,34 @@
     this.#stopping.abort();
   }
 
+  /** Takes the next step towards the number of voters that is wanted. */
+  async #keepUp(
+    upkeep: IVoterUpkeep,
+    options: IDeadlineOptions,
+  ): Promise<void> {
+    const { replicas, self, timing, events } = this.#state;
+    const led = this.#clock.monotonic() - this.#ledSince;
+    // Who is silent is known only after a while of leading.
+    const isSettled = led > LOST_TIMEOUTS * timing.electionMinimum;
+    const step = nextUpkeepStep(replicas, {
+      targetVoters: upkeep.targetVoters,
+      leader: self.storage,
+      isRetiring: ({ id }) => upkeep.isRetiring(id),
+      isCaughtUp: (member) => this.#isCaughtUp(member),
+      isLost: (member) =>
+        isSettled && member.storage !== self.storage &&
+        !this.#wasHeard(member, LOST_TIMEOUTS),
+    });
+    if (!step) return;
+    const { action, member, reason } = step;
+    events.emit(voterReplaced, { action, member: member.id, reason });
+    await match(action)
+      .with("promote", () => this.#promote(member, options))
+      .with("remove", () => this.#remove(member, options))
+      .with("hand-over", () => this.#transfer(undefined, options))
+      .exhaustive();
+  }
+
   /** Carries out an operator's order. */
   async change(
     order: ReplicaChange,
@@ -102,6 +139,9 @@
     options: IDeadlineOptions,
   ): Promise<ChangeResult> {
     const { replicas } = this.#state;
+    if (this.#upkeep?.isRetiring(member.id)) {
+      return err(notRun("conflict", `${member.id} is being emptied`));
+    }
     const members = allMembers(replicas);
     if (members.some(({ storage }) => storage === member.storage)) {
       return ok(replicas);
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -10,9 +10,10 @@
 } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { IRpcClient, IRpcServer } from "../rpc/mod.ts";
-import { replicaFailed } from "./events.ts";
+import { joinedAgain, replicaFailed } from "./events.ts";
 import { Formation, type FounderAddress } from "./formation.ts";
 import { IdentityStore } from "./identity_store.ts";
+import { LeaderFinder } from "./leader_finder.ts";
 import { changeReplicasMethod, helloMethod, joinMethod } from "./messages.ts";
 import { leaderStatusMethod, proposeMethod } from "./messages.ts";
 import { statusMethod } from "./messages.ts";
@@ -21,13 +22,18 @@
 import type { IStorage } from "./storage.ts";
 import { DEFAULT_TIMING, type ITiming } from "./timing.ts";
 import type {
+  IBarrierOptions,
   IDeadlineOptions,
   ILeadership,
   IReplicatedLog,
   IStateSection,
+  IVoterUpkeep,
   LogStatus,
 } from "./types.ts";
 
+/** Pause between two reviews of the own membership, in milliseconds. */
+const REVIEW_MILLISECONDS = 1_000;
+
 /** Time for the lead to be handed over when stopping, in milliseconds. */
 const HAND_OVER_MILLISECONDS = 2_000;
 
@@ -39,8 +45,10 @@
   readonly clock: IClock;
   readonly events: IEventLog;
   /** Voters of the settings, which found the log. */
-  readonly founders: readonly FounderAddress[];
+  readonly founders: () => readonly FounderAddress[];
   readonly start: "bootstrap" | "join";
+  /** Makes the leader replace lost voters; without it, operators do. */
+  readonly upkeep?: IVoterUpkeep;
   readonly timing?: ITiming;
   readonly compaction?: ICompaction;
   /** Source of numbers from 0 up to 1 for election timeouts. */
@@ -114,7 +122,7 @@
     return await leader.propose(section, parsed, options);
   }
 
-  async barrier(options: IDeadlineOptions): Promise<Result<void, Failure>> {
+  async barrier(options: IBarrierOptions): Promise<Result<void, Failure>> {
     const leader = this.#replica?.leader;
     return leader ? await leader.barrier(options) : err(this.#notLeader());
   }
@@ -174,11 +182,35 @@
         timing: this.#parts.timing ?? DEFAULT_TIMING,
         compaction: this.#parts.compaction ?? DEFAULT_COMPACTION,
         random: this.#parts.random ?? Math.random,
+        upkeep: this.#parts.upkeep,
       },
     );
     replica.onLeadershipChange((leadership) => this.#change.fire(leadership));
     this.#replica = replica;
     replica.start();
+    if (this.#parts.upkeep) void this.#keepMembership(replica, storage);
+  }
+
+  /** Asks to join again when the others have gone on without this replica. */
+  async #keepMembership(replica: Replica, storage: string): Promise<void> {
+    const { rpc, clock, founders } = this.#parts;
+    const { signal } = this.#stopping;
+    const finder = new LeaderFinder(founders, rpc, { clock });
+    while (!signal.aborted) {
+      await clock.sleepUntil(clock.deadlineIn(REVIEW_MILLISECONDS), signal);
+      if (signal.aborted || replica.isLeaderRecent) continue;
+      const options = { deadline: clock.deadlineIn(REVIEW_MILLISECONDS) };
+      const leader = await finder.find(options);
+      if (!leader || leader.id === this.#self.id) continue;
+      const status = await rpc.call(leader, leaderStatusMethod, {}, options);
+      if (status.isErr()) continue;
+      const { voters, learners } = status.value;
+      const members = [...voters, ...learners];
+      if (members.some((member) => member.storage === storage)) continue;
+      const member = { ...this.#self, storage, promote: false };
+      const joined = await rpc.call(leader, joinMethod, { member }, options);
+      if (joined.isOk()) this.#parts.events.emit(joinedAgain, { storage });
+    }
   }
 
   #refuse(error: Error): void {
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -101,6 +101,24 @@
   readonly deadline: Deadline;
 }
 
+/** Options of a barrier. */
+export interface IBarrierOptions extends IDeadlineOptions {
+  /**
+   * Whether a quorum must answer, even while the leader holds a lease. A
+   * machine that was suspended does not see its lease expire, because the
+   * monotonic clock stands still meanwhile.
+   */
+  readonly isConfirmed?: boolean;
+}
+
+/** How the leader keeps the number of voters by itself. */
+export interface IVoterUpkeep {
+  /** Number of voters to keep, if there are enough members. */
+  readonly targetVoters: number;
+  /** Whether an instance is being emptied and must leave the log. */
+  isRetiring(id: string): boolean;
+}
+
 /** Replica of the durable log, on instances with a disk. */
 export interface IReplicatedLog {
   /** Commits and applies a command; answers only on the leader. */
@@ -113,7 +131,7 @@
    * Resolves when the applied state includes everything that had been
    * acknowledged anywhere before the call; answers only on the leader.
    */
-  barrier(options: IDeadlineOptions): Promise<Result<void, Failure>>;
+  barrier(options: IBarrierOptions): Promise<Result<void, Failure>>;
   readonly leadership: ILeadership;
   readonly onLeadershipChange: IEvent<ILeadership>;
   /**
--- /dev/null
+++ b/src/edge/http_edge.ts
@@ -0,0 +1,127 @@
+import { Buffer } from "node:buffer";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { err, ok, type Result } from "neverthrow";
+import { type IDisposable, listen } from "../common/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
+import type { RequestLimits } from "../service_routes/mod.ts";
+import { edgeFailed } from "./events.ts";
+import { answerJson } from "./response_sink.ts";
+
+/** Time that a connection may be idle beyond what callers expect, in ms. */
+const IDLE_MARGIN_MILLISECONDS = 5_000;
+
+/** Longest body before any limits are known, in bytes. */
+const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
+
+/** Largest head of a request, in bytes. */
+const HEADER_BYTES = 32 * 1024;
+
+/** Longest time that a request may take to arrive, in milliseconds. */
+const ARRIVAL_TIMEOUT_MILLISECONDS = 60_000;
+
+/** Answers a request; the body has been read. */
+export type EdgeHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  body: Buffer,
+) => Promise<void>;
+
+/** HTTP listener that reads requests whole and ends gracefully. */
+export class HttpEdge implements IDisposable {
+  #server: Server;
+  #handler: EdgeHandler;
+  #events: IEventLog;
+  #open = new Set<ServerResponse>();
+  #isStopping = false;
+  #limits: RequestLimits | undefined;
+
+  constructor(handler: EdgeHandler, options: { events: IEventLog }) {
+    this.#handler = handler;
+    this.#events = options.events;
+    this.#server = createServer(
+      {
+        maxHeaderSize: HEADER_BYTES,
+        requestTimeout: ARRIVAL_TIMEOUT_MILLISECONDS,
+        noDelay: true,
+      },
+      (request, response) => void this.#serve(request, response),
+    );
+  }
+
+  /** Requests that are being answered. */
+  get openRequests(): number {
+    return this.#open.size;
+  }
+
+  listen(address: string, port: number): Promise<number> {
+    return listen(this.#server, address, { port });
+  }
+
+  /** Takes on what callers may send. */
+  limit(limits: RequestLimits): void {
+    this.#limits = limits;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMilliseconds +
+      IDLE_MARGIN_MILLISECONDS;
+    this.#server.headersTimeout = limits.headerTimeoutMilliseconds +
+      IDLE_MARGIN_MILLISECONDS;
+  }
+
+  /** Asks callers to open no further requests on their connections. */
+  beginStop(): void {
+    this.#isStopping = true;
+  }
+
+  /** Takes no new connections and closes those without a request. */
+  closeListener(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  dispose(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.#open.add(response);
+    response.on("close", () => this.#open.delete(response));
+    if (this.#isStopping) response.shouldKeepAlive = false;
+    try {
+      const body = await this.#read(request);
+      if (body.isErr()) {
+        response.shouldKeepAlive = false;
+        return answerJson(response, 413, { body: { error: body.error } });
+      }
+      await this.#handler(request, response, body.value);
+    } catch (error) {
+      if (response.destroyed) return;
+      this.#events.emit(edgeFailed, {
+        request: `${request.method} ${request.url}`,
+        reason: (error as Error).stack ?? String(error),
+      });
+      const reason = "the program failed on this request";
+      if (response.headersSent) response.destroy();
+      else answerJson(response, 500, { body: { error: reason } });
+    }
+  }
+
+  async #read(request: IncomingMessage): Promise<Result<Buffer, string>> {
+    const longest = this.#limits?.bodyBytes ?? DEFAULT_BODY_BYTES;
+    const parts: Buffer[] = [];
+    let length = 0;
+    for await (const part of request) {
+      length += (part as Buffer).length;
+      if (length > longest) return err(`the body exceeds ${longest} bytes`);
+      parts.push(part as Buffer);
+    }
+    return ok(parts.length === 1 ? parts[0] as Buffer : Buffer.concat(parts));
+  }
+}
--- /dev/null
+++ b/src/edge/mod.ts
@@ -0,0 +1,2 @@
+export * from "./http_edge.ts";
+export * from "./response_sink.ts";
--- /dev/null
+++ b/src/edge/response_sink.ts
@@ -0,0 +1,84 @@
+import { Buffer } from "node:buffer";
+import type { ServerResponse } from "node:http";
+import { once } from "node:events";
+import { match } from "ts-pattern";
+import type { HeaderLines, IAnswerSink, IOwnFailure } from "../streams/mod.ts";
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Writes an answer to a caller's connection. */
+export class ResponseSink implements IAnswerSink {
+  #response: ServerResponse;
+  #left = new AbortController();
+
+  constructor(response: ServerResponse) {
+    this.#response = response;
+    response.on("error", () => this.#left.abort());
+    response.on("close", () => {
+      if (!response.writableFinished) this.#left.abort();
+    });
+  }
+
+  get signal(): AbortSignal {
+    return this.#left.signal;
+  }
+
+  get hasBegun(): boolean {
+    return this.#response.headersSent;
+  }
+
+  begin(status: number, headers: HeaderLines): void {
+    if (this.#response.destroyed) return;
+    this.#response.writeHead(status, headers.flat());
+    this.#response.flushHeaders();
+  }
+
+  async write(bytes: Buffer): Promise<void> {
+    if (this.#response.destroyed || this.#response.write(bytes)) return;
+    const { signal } = this;
+    // The wait ends with the connection as well.
+    await once(this.#response, "drain", { signal }).catch(() => {});
+  }
+
+  end(): void {
+    this.#response.end();
+  }
+
+  abort(): void {
+    this.#response.destroy();
+  }
+
+  fail(failure: IOwnFailure): void {
+    const status = match(failure.kind)
+      .with("refused", () => 503)
+      .with("failed", () => 502)
+      .with("timeout", () => 504)
+      .exhaustive();
+    const { reason, retryMilliseconds } = failure;
+    answerJson(this.#response, status, {
+      body: { error: reason },
+      retryMilliseconds,
+    });
+  }
+}
+
+/** Answers with a JSON document. */
+export function answerJson(
+  response: ServerResponse,
+  status: number,
+  options: { body: unknown; retryMilliseconds?: number },
+): void {
+  if (response.destroyed || response.headersSent) return;
+  const text = JSON.stringify(options.body);
+  const headers: Record<string, string | number> = {
+    "Content-Type": "application/json",
+    "Content-Length": Buffer.byteLength(text),
+  };
+  const { retryMilliseconds } = options;
+  if (retryMilliseconds !== undefined) {
+    const seconds = retryMilliseconds / MILLISECONDS_PER_SECOND;
+    headers["Retry-After"] = seconds.toFixed(2);
+  }
+  response.writeHead(status, headers);
+  response.end(text);
+}
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -28,6 +28,12 @@
   { slice: "explain", first: 950, last: 999 },
   { slice: "burn", first: 950, last: 999 },
   { slice: "metrics", first: 950, last: 999 },
+  { slice: "service_routes", first: 1000, last: 1049 },
+  { slice: "placement", first: 1050, last: 1099 },
+  { slice: "streams", first: 1100, last: 1149 },
+  { slice: "bulk", first: 1150, last: 1199 },
+  { slice: "retirement", first: 1200, last: 1249 },
+  { slice: "edge", first: 1250, last: 1299 },
 ];
 
 /** Folder that holds the slices, of the sources or of the build. */
--- /dev/null
+++ b/src/placement/engine_directory.ts
@@ -0,0 +1,135 @@
+import type { IClock, IDisposable } from "../common/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
+import { engineListUnreadable, probeFailed, probeSucceeded } from "./events.ts";
+import { revisionOf } from "./exchange_client.ts";
+import type { EngineList } from "./messages.ts";
+import type { IEngineList, ListedEngine } from "./types.ts";
+
+/** Pause between two reads of the platform's list, in milliseconds. */
+const READ_PAUSE_MILLISECONDS = 700;
+
+/** Longest wait for the platform's list, in milliseconds. */
+const READ_TIMEOUT_MILLISECONDS = 1_000;
+
+/** Pause between two rounds of health checks, in milliseconds. */
+const PROBE_PAUSE_MILLISECONDS = 300;
+
+/** Longest wait for a health check, in milliseconds. */
+const PROBE_TIMEOUT_MILLISECONDS = 400;
+
+/** Checks the health of an engine. */
+export interface IEngineProbe {
+  /** @throws Error when the engine does not answer that it is healthy. */
+  check(engine: ListedEngine, signal: AbortSignal): Promise<void>;
+}
+
+/** Collaborators of an `EngineDirectory`. */
+export interface IDirectoryParts {
+  readonly list: IEngineList;
+  readonly probe: IEngineProbe;
+  readonly clock: IClock;
+  readonly events: IEventLog;
+  /** Engines that instances find failing, with the number of instances. */
+  readonly suspicions: () => ReadonlyMap<string, number>;
+}
+
+/** The leader's knowledge of the engines, while it leads. */
+export class EngineDirectory implements IDisposable {
+  #parts: IDirectoryParts;
+  #list: EngineList = { revision: "", engines: [] };
+  #readAt = Number.NEGATIVE_INFINITY;
+  /** Engines whose health check failed after a suspicion. */
+  #failing = new Set<string>();
+  #stopping = new AbortController();
+
+  constructor(parts: IDirectoryParts) {
+    this.#parts = parts;
+  }
+
+  get list(): EngineList {
+    return this.#list;
+  }
+
+  /** Age of the list in milliseconds; very large before the first read. */
+  get listAge(): number {
+    const age = this.#parts.clock.monotonic() - this.#readAt;
+    return Math.min(age, Number.MAX_SAFE_INTEGER);
+  }
+
+  get failing(): ReadonlySet<string> {
+    return this.#failing;
+  }
+
+  start(): void {
+    void this.#watch();
+    void this.#probe();
+  }
+
+  dispose(): void {
+    this.#stopping.abort();
+  }
+
+  async #watch(): Promise<void> {
+    const { clock, list, events } = this.#parts;
+    const { signal } = this.#stopping;
+    while (!signal.aborted) {
+      const next = clock.deadlineIn(READ_PAUSE_MILLISECONDS);
+      try {
+        const timeout = AbortSignal.timeout(READ_TIMEOUT_MILLISECONDS);
+        const askedAt = clock.monotonic();
+        const engines = await list.read(AbortSignal.any([timeout, signal]));
+        this.#list = { revision: revisionOf(engines), engines: [...engines] };
+        this.#readAt = askedAt;
+      } catch (error) {
+        if (signal.aborted) return;
+        events.emit(engineListUnreadable, {
+          reason: (error as Error).message,
+          ageMilliseconds: Math.round(Math.min(this.listAge, 1e9)),
+        });
+      }
+      await clock.sleepUntil(next, signal);
+    }
+  }
+
+  /** Checks the engines that instances find failing. */
+  async #probe(): Promise<void> {
+    const { clock, suspicions } = this.#parts;
+    const { signal } = this.#stopping;
+    while (!signal.aborted) {
+      await clock.sleepUntil(
+        clock.deadlineIn(PROBE_PAUSE_MILLISECONDS),
+        signal,
+      );
+      const suspects = suspicions();
+      const listed = new Set(this.#list.engines.map(({ id }) => id));
+      for (const id of this.#failing) {
+        if (!listed.has(id)) this.#failing.delete(id);
+      }
+      await Promise.all(
+        this.#list.engines
+          .filter(({ id }) => suspects.has(id) || this.#failing.has(id))
+          .map((engine) => this.#check(engine)),
+      );
+    }
+  }
+
+  async #check(engine: ListedEngine): Promise<void> {
+    const { probe, events } = this.#parts;
+    const { id } = engine;
+    try {
+      await probe.check(
+        engine,
+        AbortSignal.timeout(PROBE_TIMEOUT_MILLISECONDS),
+      );
+      if (this.#failing.delete(id)) {
+        events.emit(probeSucceeded, { engine: id });
+      }
+    } catch (error) {
+      const reason = (error as Error).message;
+      if (!this.#failing.has(id)) {
+        events.emit(probeFailed, { engine: id, reason });
+      }
+      this.#failing.add(id);
+    }
+  }
+}
--- /dev/null
+++ b/src/placement/engine_table.ts
@@ -0,0 +1,143 @@
+import type { IClock } from "../common/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
+import type { EngineHealth } from "./engine_health.ts";
+import { engineListChanged } from "./events.ts";
+import type { EngineList, LoadEntry } from "./messages.ts";
+import type { IEngineView, ListedEngine } from "./types.ts";
+
+/** Age from which the load of other instances says nothing, in ms. */
+const LOAD_LIFETIME_MILLISECONDS = 1_500;
+
+/** Mean time of a live request before any was measured, in milliseconds. */
+const INITIAL_MEAN_MILLISECONDS = 700;
+
+/** Weight of a new duration in the mean. */
+const MEAN_WEIGHT = 0.1;
+
+/** Engines and their load, as this instance knows them. */
+export class EngineTable {
+  #clock: IClock;
+  #events: IEventLog;
+  #health: EngineHealth;
+  #list: EngineList = { revision: "", engines: [] };
+  #listReadAt = Number.NEGATIVE_INFINITY;
+  /** Load from other instances by engine: live, bulk. */
+  #others = new Map<string, { live: number; bulk: number }>();
+  #loadAt = Number.NEGATIVE_INFINITY;
+  #own = new Map<string, number>();
+  #means = new Map<string, number>();
+  #changes = 0;
+
+  constructor(
+    clock: IClock,
+    options: { events: IEventLog; health: EngineHealth },
+  ) {
+    this.#clock = clock;
+    this.#events = options.events;
+    this.#health = options.health;
+  }
+
+  get revision(): string {
+    return this.#list.revision;
+  }
+
+  get engines(): readonly ListedEngine[] {
+    return this.#list.engines;
+  }
+
+  /** Age of the list of engines, in milliseconds. */
+  get listAge(): number {
+    return this.#clock.monotonic() - this.#listReadAt;
+  }
+
+  /** Rises whenever the own load changes. */
+  get changes(): number {
+    return this.#changes;
+  }
+
+  /** Takes on a list of engines, which was read `age` milliseconds ago. */
+  takeList(
+    list: EngineList,
+    options: { age: number; source: "leader" | "platform" },
+  ): void {
+    this.confirmList(options.age);
+    if (list.revision === this.#list.revision) return;
+    this.#list = list;
+    this.#health.keep(new Set(list.engines.map(({ id }) => id)));
+    this.#events.emit(engineListChanged, {
+      revision: list.revision,
+      engines: list.engines.length,
+      leaving: list.engines.filter(({ isLeaving }) => isLeaving).length,
+      source: options.source,
+    });
+  }
+
+  /** The list that this instance has was the newest `age` ms ago. */
+  confirmList(age: number): void {
+    const readAt = this.#clock.monotonic() - age;
+    this.#listReadAt = Math.max(this.#listReadAt, readAt);
+  }
+
+  /**
+   * Takes on the load of the fleet.
+   *
+   * @param reported own live load that the sums include.
+   */
+  takeLoad(
+    entries: readonly LoadEntry[],
+    reported: ReadonlyMap<string, number>,
+  ): void {
+    this.#others = new Map(
+      entries.map(([engine, live, bulk]) => [engine, {
+        live: Math.max(0, live - (reported.get(engine) ?? 0)),
+        bulk,
+      }]),
+    );
+    this.#loadAt = this.#clock.monotonic();
+  }
+
+  /** Own live requests by engine. */
+  ownLoad(): Map<string, number> {
+    return new Map(this.#own);
+  }
+
+  begin(engine: string): void {
+    this.#own.set(engine, (this.#own.get(engine) ?? 0) + 1);
+    this.#changes += 1;
+  }
+
+  end(engine: string): void {
+    const count = (this.#own.get(engine) ?? 0) - 1;
+    if (count > 0) this.#own.set(engine, count);
+    else this.#own.delete(engine);
+    this.#changes += 1;
+  }
+
+  /** Takes the duration of a completed request into the mean. */
+  completed(engine: string, milliseconds: number): void {
+    const mean = this.#means.get(engine);
+    const next = mean === undefined
+      ? milliseconds
+      : mean + MEAN_WEIGHT * (milliseconds - mean);
+    this.#means.set(engine, next);
+  }
+
+  /** What is known of the engines of a service. */
+  views(service: string): IEngineView[] {
+    const isKnown =
+      this.#clock.monotonic() - this.#loadAt < LOAD_LIFETIME_MILLISECONDS;
+    return this.#list.engines
+      .filter((engine) => engine.service === service)
+      .map((engine) => {
+        const others = isKnown ? this.#others.get(engine.id) : undefined;
+        return {
+          engine,
+          live: (others?.live ?? 0) + (this.#own.get(engine.id) ?? 0),
+          bulk: others?.bulk ?? 0,
+          isSuspect: this.#health.isSuspect(engine.id),
+          meanMilliseconds: this.#means.get(engine.id) ??
+            INITIAL_MEAN_MILLISECONDS,
+        };
+      });
+  }
+}
--- /dev/null
+++ b/src/placement/exchange_client.ts
@@ -0,0 +1,186 @@
+import { createHash } from "node:crypto";
+import type { IClock, IDisposable } from "../common/mod.ts";
+import type { IControlClient } from "../consensus/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
+import type { RoutesHolder } from "../service_routes/mod.ts";
+import type { EngineHealth } from "./engine_health.ts";
+import type { EngineTable } from "./engine_table.ts";
+import {
+  engineListUnreadable,
+  leaderReached,
+  leaderUnreachable,
+} from "./events.ts";
+import { type EngineList, exchangeMethod } from "./messages.ts";
+import type { IEngineList, ListedEngine } from "./types.ts";
+
+/** Pause between two exchanges while the own load changes, in ms. */
+const BUSY_PAUSE_MILLISECONDS = 50;
+
+/** Pause between two exchanges while nothing changes, in milliseconds. */
+const IDLE_PAUSE_MILLISECONDS = 200;
+
+/** Longest wait for the leader's answer, in milliseconds. */
+const TIMEOUT_MILLISECONDS = 500;
+
+/** Age from which this instance reads the platform's list itself, in ms. */
+const STALE_LIST_MILLISECONDS = 1_600;
+
+/** Random addition to that age, so that instances do not read at once. */
+const STALE_SPREAD_MILLISECONDS = 800;
+
+/** Longest wait for the platform's list, in milliseconds. */
+const LIST_TIMEOUT_MILLISECONDS = 1_000;
+
+/** Who exchanges, and what it learns. */
+export interface IExchangeParts {
+  readonly instance: string;
+  readonly name: string;
+  readonly role: "entry" | "store";
+  readonly clock: IClock;
+  readonly events: IEventLog;
+  readonly table: EngineTable;
+  readonly health: EngineHealth;
+  readonly routes: RoutesHolder;
+  readonly list: IEngineList;
+  /** Source of numbers from 0 up to 1. */
+  readonly random: () => number;
+  /** Pause between two exchanges in milliseconds; for rare reporters. */
+  readonly pauseMilliseconds?: number;
+}
+
+/** Names the content of a list of engines. */
+export function revisionOf(engines: readonly ListedEngine[]): string {
+  const lines = engines.map((engine) => JSON.stringify(engine)).sort();
+  return createHash("sha1").update(lines.join("\n")).digest("base64");
+}
+
+/** Exchanges load for the fleet's state with the leader, over and over. */
+export class ExchangeClient implements IDisposable {
+  #control: IControlClient;
+  #parts: IExchangeParts;
+  #stopping = new AbortController();
+  #wake = new AbortController();
+  #reachedAt: number;
+  #isReached = true;
+  #readAfter: number;
+
+  constructor(control: IControlClient, parts: IExchangeParts) {
+    this.#control = control;
+    this.#parts = parts;
+    this.#reachedAt = parts.clock.monotonic();
+    this.#readAfter = STALE_LIST_MILLISECONDS;
+  }
+
+  start(): void {
+    void this.#run();
+    if (this.#parts.role === "entry") void this.#watchList();
+  }
+
+  /** Exchanges at once; for a request that needs a batch item's place. */
+  hurry(): void {
+    this.#wake.abort();
+  }
+
+  dispose(): void {
+    this.#stopping.abort();
+    this.#wake.abort();
+  }
+
+  async #run(): Promise<void> {
+    const { clock, table, pauseMilliseconds } = this.#parts;
+    while (!this.#stopping.signal.aborted) {
+      const changes = table.changes;
+      this.#wake = new AbortController();
+      await this.#exchange();
+      const idleEnd = clock.deadlineIn(
+        pauseMilliseconds ?? IDLE_PAUSE_MILLISECONDS,
+      );
+      const busyEnd = clock.deadlineIn(
+        pauseMilliseconds ?? BUSY_PAUSE_MILLISECONDS,
+      );
+      await clock.sleepUntil(busyEnd, this.#wake.signal);
+      if (table.changes === changes) {
+        await clock.sleepUntil(idleEnd, this.#wake.signal);
+      }
+    }
+  }
+
+  async #exchange(): Promise<void> {
+    const { clock, table, health, routes } = this.#parts;
+    const { instance, name, role } = this.#parts;
+    const reported = table.ownLoad();
+    const answer = await this.#control.call(exchangeMethod, {
+      ...{ instance, name, role },
+      live: [...reported],
+      suspects: health.suspects(),
+      routesVersion: routes.version,
+      listRevision: table.revision,
+    }, { deadline: clock.deadlineIn(TIMEOUT_MILLISECONDS) });
+    if (answer.isErr()) return this.#missed(answer.error.message);
+    this.#reached();
+    const { load, suspects, list, listAge } = answer.value;
+    if (answer.value.routes) routes.offer(answer.value.routes);
+    if (list) table.takeList(list, { age: listAge, source: "leader" });
+    else table.confirmList(listAge);
+    table.takeLoad(load, reported);
+    health.report(suspects);
+  }
+
+  #reached(): void {
+    const { clock, events } = this.#parts;
+    const now = clock.monotonic();
+    if (!this.#isReached) {
+      const silenceMilliseconds = Math.round(now - this.#reachedAt);
+      events.emit(leaderReached, { silenceMilliseconds });
+    }
+    this.#isReached = true;
+    this.#reachedAt = now;
+  }
+
+  #missed(reason: string): void {
+    if (this.#isReached) {
+      this.#parts.events.emit(leaderUnreachable, { reason });
+    }
+    this.#isReached = false;
+  }
+
+  /** Reads the platform's list when the leader brings no news of it. */
+  async #watchList(): Promise<void> {
+    const { clock, table, random } = this.#parts;
+    const { signal } = this.#stopping;
+    while (!signal.aborted) {
+      await clock.sleepUntil(
+        clock.deadlineIn(IDLE_PAUSE_MILLISECONDS),
+        signal,
+      );
+      if (table.listAge < this.#readAfter || signal.aborted) continue;
+      this.#readAfter = STALE_LIST_MILLISECONDS +
+        random() * STALE_SPREAD_MILLISECONDS;
+      await this.#readList();
+    }
+  }
+
+  async #readList(): Promise<void> {
+    const { list, table, events } = this.#parts;
+    try {
+      const timeout = AbortSignal.timeout(LIST_TIMEOUT_MILLISECONDS);
+      const engines = await list.read(timeout);
+      const content: EngineList = {
+        revision: revisionOf(engines),
+        engines: [...engines],
+      };
+      table.takeList(content, { age: 0, source: "platform" });
+    } catch (error) {
+      events.emit(engineListUnreadable, {
+        reason: (error as Error).message,
+        ageMilliseconds: Math.round(Math.min(table.listAge, 1e9)),
+      });
+      // Others may be over the platform's rate together: read later.
+      const pause = STALE_LIST_MILLISECONDS / 2;
+      await this.#parts.clock.sleepUntil(
+        this.#parts.clock.deadlineIn(pause),
+        this.#stopping.signal,
+      );
+    }
+  }
+}
--- /dev/null
+++ b/src/service_routes/route_table.ts
@@ -0,0 +1,51 @@
+import type { Route, RouteSet, Service } from "./types.ts";
+
+/** Finds routes by host and path. */
+export class RouteTable {
+  readonly set: RouteSet;
+  #byHost = new Map<string, Route[]>();
+  #services: Map<string, Service>;
+
+  constructor(set: RouteSet) {
+    this.set = set;
+    for (const route of set.routes) {
+      const host = route.host.toLowerCase();
+      const routes = this.#byHost.get(host) ?? [];
+      routes.push(route);
+      this.#byHost.set(host, routes);
+    }
+    for (const routes of this.#byHost.values()) {
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+    this.#services = new Map(set.services.map((it) => [it.name, it]));
+  }
+
+  get version(): number {
+    return this.set.version;
+  }
+
+  /** The route with the longest prefix of the path. */
+  find(host: string, path: string): Route | undefined {
+    const routes = this.#byHost.get(host.toLowerCase()) ?? [];
+    return routes.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+  }
+
+  service(name: string): Service | undefined {
+    return this.#services.get(name);
+  }
+}
+
+/**
+ * Chooses one of a route's services by weight.
+ *
+ * @param random number from 0 up to 1.
+ */
+export function chooseService(route: Route, random: number): string {
+  const total = route.shares.reduce((sum, { weight }) => sum + weight, 0);
+  let rest = random * total;
+  for (const { service, weight } of route.shares) {
+    rest -= weight;
+    if (rest < 0) return service;
+  }
+  return route.shares.at(-1)?.service ?? "";
+}
--- /dev/null
+++ b/src/service_routes/routes_section.ts
@@ -0,0 +1,46 @@
+import type { z } from "zod";
+import { Emitter } from "../common/mod.ts";
+import type { IStateSection, SectionSnapshot } from "../consensus/mod.ts";
+import { routesSection } from "./messages.ts";
+import { type RouteSet, routeSetSchema } from "./types.ts";
+
+/** Replicated routes; the highest version wins, others change nothing. */
+export class RoutesSection implements
+  IStateSection<
+    typeof routesSection.command,
+    typeof routesSection.output
+  > {
+  readonly definition = routesSection;
+  #current: RouteSet | undefined;
+  #accepted = new Emitter<RouteSet>();
+  /** Fires after another version came into force. */
+  readonly onAccepted = this.#accepted.event;
+
+  get current(): RouteSet | undefined {
+    return this.#current;
+  }
+
+  apply({ routes }: z.infer<typeof routesSection.command>) {
+    if (routes.version > (this.#current?.version ?? 0)) {
+      this.#current = routes;
+      this.#accepted.fire(routes);
+    }
+    return { version: this.#current?.version ?? 0 };
+  }
+
+  snapshot(): Promise<SectionSnapshot> {
+    return Promise.resolve({ state: this.#current ?? null, files: [] });
+  }
+
+  restore(snapshot: SectionSnapshot): Promise<void> {
+    const state = routeSetSchema.nullable().parse(snapshot.state);
+    this.#current = state ?? undefined;
+    if (state) this.#accepted.fire(state);
+    return Promise.resolve();
+  }
+
+  reset(): Promise<void> {
+    this.#current = undefined;
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/src/streams/event_splitter.ts
@@ -0,0 +1,73 @@
+import { Buffer } from "node:buffer";
+
+/** Longest event that is taken, in bytes. */
+const MAXIMUM_EVENT_BYTES = 1024 * 1024;
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+
+/** A whole event of a stream. */
+export interface IStreamEvent {
+  /** Bytes with the blank line that ends it. */
+  readonly bytes: Buffer;
+  /** Value of its `id` line, if it has one. */
+  readonly id: string | undefined;
+}
+
+/** Splits a byte stream into whole server-sent events. */
+export class EventSplitter {
+  #rest: Buffer = Buffer.alloc(0);
+
+  /** Bytes of an event that is not complete yet. */
+  get rest(): Buffer {
+    return this.#rest;
+  }
+
+  /**
+   * Adds received bytes and returns the events that are now complete.
+   *
+   * @throws RangeError when an event is too long.
+   */
+  push(bytes: Buffer): IStreamEvent[] {
+    let rest = this.#rest.length > 0
+      ? Buffer.concat([this.#rest, bytes])
+      : bytes;
+    const events: IStreamEvent[] = [];
+    for (let end = eventEnd(rest); end > 0; end = eventEnd(rest)) {
+      const event = rest.subarray(0, end);
+      events.push({ bytes: event, id: fieldOf(event, "id")[0] });
+      rest = rest.subarray(end);
+    }
+    if (rest.length > MAXIMUM_EVENT_BYTES) {
+      throw new RangeError("server-sent event too long");
+    }
+    this.#rest = rest;
+    return events;
+  }
+}
+
+/** Values of a field of an event, in order. */
+export function fieldOf(event: Buffer, field: string): string[] {
+  const prefix = `${field}:`;
+  return event.toString("utf8").split(/\r?\n/)
+    .filter((line) => line.startsWith(prefix))
+    .map((line) => {
+      const value = line.slice(prefix.length);
+      return value.startsWith(" ") ? value.slice(1) : value;
+    });
+}
+
+/** Length of the first whole event; 0 if there is none. */
+function eventEnd(bytes: Buffer): number {
+  let from = 0;
+  for (;;) {
+    const feed = bytes.indexOf(LINE_FEED, from);
+    if (feed === -1) return 0;
+    const next = bytes[feed + 1];
+    if (next === LINE_FEED) return feed + 2;
+    if (next === CARRIAGE_RETURN && bytes[feed + 2] === LINE_FEED) {
+      return feed + 3;
+    }
+    from = feed + 1;
+  }
+}
--- /dev/null
+++ b/src/streams/events.ts
@@ -0,0 +1,80 @@
+import { z } from "zod";
+import { defineEvent } from "../events/mod.ts";
+
+export const requestPlaced = defineEvent(1100, "request-placed", {
+  level: "info",
+  help: "A request was sent to an engine, chosen by the load given here.",
+  fields: {
+    request: z.string(),
+    route: z.string(),
+    engine: z.string(),
+    attempt: z.number(),
+    live: z.number(),
+    bulk: z.number(),
+    waitMilliseconds: z.number(),
+    lastEventId: z.string().optional(),
+  },
+});
+
+export const requestRefused = defineEvent(1101, "request-refused", {
+  level: "info",
+  help: "A request was refused at once: no place was expected in time. It " +
+    "has not run. The caller was told when to come back.",
+  fields: {
+    request: z.string(),
+    route: z.string(),
+    reason: z.string(),
+    retryMilliseconds: z.number(),
+    remainingMilliseconds: z.number(),
+    engines: z.number(),
+    live: z.number(),
+    bulk: z.number(),
+  },
+});
+
+export const attemptFailed = defineEvent(1102, "attempt-failed", {
+  level: "warn",
+  help: "A send to an engine failed. The verdict says whether the request " +
+    "may have run there.",
+  fields: {
+    request: z.string(),
+    engine: z.string(),
+    attempt: z.number(),
+    verdict: z.string(),
+    reason: z.string(),
+    lastEventId: z.string().optional(),
+    milliseconds: z.number(),
+  },
+});
+
+export const requestAnswered = defineEvent(1103, "request-answered", {
+  level: "info",
+  help: "An engine's answer was passed on whole.",
+  fields: {
+    request: z.string(),
+    engine: z.string(),
+    status: z.number(),
+    attempts: z.number(),
+    firstMilliseconds: z.number(),
+    milliseconds: z.number(),
+  },
+});
+
+export const requestFailed = defineEvent(1104, "request-failed", {
+  level: "warn",
+  help: "A request ended without an engine's whole answer.",
+  fields: {
+    request: z.string(),
+    kind: z.string(),
+    reason: z.string(),
+    hadBegun: z.boolean(),
+    milliseconds: z.number(),
+  },
+});
+
+export const callerLeft = defineEvent(1105, "caller-left", {
+  level: "info",
+  help: "The caller closed its connection before its answer was whole; the " +
+    "engine's work was stopped.",
+  fields: { request: z.string(), milliseconds: z.number() },
+});
--- /dev/null
+++ b/src/streams/mod.ts
@@ -0,0 +1,4 @@
+export * from "./event_splitter.ts";
+export * from "./stream_attempt.ts";
+export * from "./stream_dispatcher.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/src/streams/stream_attempt.ts
@@ -0,0 +1,243 @@
+import type { Buffer } from "node:buffer";
+import type { Deadline, IClock, Verdict } from "../common/mod.ts";
+import type { ListedEngine } from "../placement/mod.ts";
+import { HttpExchangeError } from "../targets/http_exchange.ts";
+import { EventSplitter } from "./event_splitter.ts";
+import type {
+  IAnswerSink,
+  IEngineAnswer,
+  IEngineCaller,
+  IForwardedRequest,
+} from "./types.ts";
+
+/** Result of one send to an engine. */
+export type AttemptOutcome =
+  | { readonly kind: "answered"; readonly status: number }
+  | {
+    readonly kind: "failed";
+    readonly verdict: Verdict;
+    readonly reason: string;
+    /** Whether the engine is to blame, and not its load. */
+    readonly blamesEngine: boolean;
+    /** An engine's own failure, kept for when nothing else remains. */
+    readonly answer?: IKeptAnswer;
+  };
+
+/** An engine's answer that is not a success, read whole. */
+export interface IKeptAnswer {
+  readonly status: number;
+  readonly answer: IEngineAnswer;
+  readonly body: readonly Buffer[];
+}
+
+/** What the attempts of one request share. */
+export interface IStreamProgress {
+  /** Last event that was passed on whole. */
+  lastEventId: string | undefined;
+  /** When the first bytes of the body were passed on. */
+  firstAt: Deadline | undefined;
+}
+
+/** Limits of one attempt. */
+export interface IAttemptLimits {
+  /** Whether another engine may take over from this one. */
+  readonly mayMove: boolean;
+  /** Point by which the first event must have come, if it may move. */
+  readonly firstDeadline: Deadline;
+  /** Longest silence between two events, in milliseconds, if it may move. */
+  readonly silenceMilliseconds: number;
+  /** Point at which the request is given up. */
+  readonly deadline: Deadline;
+}
+
+/** Largest body of a failure that is kept to be passed on, in bytes. */
+const MAXIMUM_KEPT_BYTES = 1024 * 1024;
+
+/** Sends a request to one engine and passes its answer on. */
+export class StreamAttempt {
+  #caller: IEngineCaller;
+  #clock: IClock;
+
+  constructor(caller: IEngineCaller, clock: IClock) {
+    this.#caller = caller;
+    this.#clock = clock;
+  }
+
+  async run(
+    engine: ListedEngine,
+    request: IForwardedRequest,
+    options: {
+      sink: IAnswerSink;
+      progress: IStreamProgress;
+      limits: IAttemptLimits;
+      isIdempotent: boolean;
+    },
+  ): Promise<AttemptOutcome> {
+    const { sink, progress, limits } = options;
+    let answer: IEngineAnswer;
+    try {
+      answer = await this.#caller.send(engine, {
+        ...request,
+        lastEventId: progress.lastEventId ?? request.lastEventId,
+      }, {
+        signal: sink.signal,
+        headDeadline: limits.mayMove ? limits.firstDeadline : limits.deadline,
+        freshConnection: !options.isIdempotent,
+      });
+    } catch (error) {
+      return sendFailure(error);
+    }
+    if (answer.isNotRun) {
+      answer.close();
+      const reason = `the engine refused with ${answer.status}`;
+      return notRunOutcome(reason);
+    }
+    if (!answer.isGenuine) {
+      answer.close();
+      return brokenOutcome("the answer belongs to another request");
+    }
+    if (answer.status < 200 || answer.status > 299) {
+      return await this.#keep(answer, limits);
+    }
+    return await this.#relay(answer, request, { sink, progress, limits });
+  }
+
+  /** Passes on whole events, or plain bytes where the answer is no stream. */
+  async #relay(
+    answer: IEngineAnswer,
+    request: IForwardedRequest,
+    options: {
+      sink: IAnswerSink;
+      progress: IStreamProgress;
+      limits: IAttemptLimits;
+    },
+  ): Promise<AttemptOutcome> {
+    const { sink, progress, limits } = options;
+    const isStream = request.route.kind === "stream";
+    const splitter = new EventSplitter();
+    const watch = new SilenceWatch(this.#clock, answer, limits);
+    const stop = () => answer.close();
+    sink.signal.addEventListener("abort", stop, { once: true });
+    if (sink.signal.aborted) stop();
+    try {
+      for await (const bytes of answer.body) {
+        watch.heard();
+        progress.firstAt ??= this.#clock.monotonic();
+        if (!isStream) {
+          if (!sink.hasBegun) sink.begin(answer.status, answer.headers);
+          await sink.write(bytes);
+          continue;
+        }
+        for (const event of splitter.push(bytes)) {
+          // Before the first whole event, another engine can still answer.
+          if (!sink.hasBegun) sink.begin(answer.status, answer.headers);
+          await sink.write(event.bytes);
+          if (event.id !== undefined) progress.lastEventId = event.id;
+        }
+      }
+      if (sink.signal.aborted) return brokenOutcome("the caller left", false);
+      if (splitter.rest.length > 0) {
+        return brokenOutcome("the stream ended inside an event");
+      }
+      if (!sink.hasBegun) sink.begin(answer.status, answer.headers);
+      sink.end();
+      return { kind: "answered", status: answer.status };
+    } catch (error) {
+      const reason = watch.firedReason ?? (error as Error).message;
+      return brokenOutcome(reason, !sink.signal.aborted);
+    } finally {
+      sink.signal.removeEventListener("abort", stop);
+      watch.dispose();
+      answer.close();
+    }
+  }
+
+  async #keep(
+    answer: IEngineAnswer,
+    limits: IAttemptLimits,
+  ): Promise<AttemptOutcome> {
+    const body: Buffer[] = [];
+    let length = 0;
+    const watch = new SilenceWatch(this.#clock, answer, limits);
+    try {
+      for await (const bytes of answer.body) {
+        length += bytes.length;
+        if (length > MAXIMUM_KEPT_BYTES) throw new Error("failure too long");
+        body.push(bytes);
+      }
+      return {
+        ...brokenOutcome(`the engine answered ${answer.status}`, false),
+        answer: { status: answer.status, answer, body },
+      };
+    } catch (error) {
+      return brokenOutcome((error as Error).message);
+    } finally {
+      watch.dispose();
+      answer.close();
+    }
+  }
+}
+
+/** Closes an answer whose engine stays silent for too long. */
+class SilenceWatch {
+  #timer: NodeJS.Timeout;
+  #deadlineTimer: NodeJS.Timeout;
+  #limits: IAttemptLimits;
+  firedReason: string | undefined;
+
+  constructor(clock: IClock, answer: IEngineAnswer, limits: IAttemptLimits) {
+    this.#limits = limits;
+    const fire = (reason: string) => {
+      this.firedReason = reason;
+      answer.close();
+    };
+    const first = limits.mayMove
+      ? clock.remaining(limits.firstDeadline)
+      : clock.remaining(limits.deadline);
+    this.#timer = setTimeout(() => fire("the engine is silent"), first);
+    this.#deadlineTimer = setTimeout(
+      () => fire("the request's time is up"),
+      clock.remaining(limits.deadline),
+    );
+    this.#fire = fire;
+  }
+
+  #fire: (reason: string) => void;
+
+  heard(): void {
+    clearTimeout(this.#timer);
+    if (!this.#limits.mayMove) return;
+    this.#timer = setTimeout(
+      () => this.#fire("the engine is silent"),
+      this.#limits.silenceMilliseconds,
+    );
+  }
+
+  dispose(): void {
+    clearTimeout(this.#timer);
+    clearTimeout(this.#deadlineTimer);
+  }
+}
+
+function notRunOutcome(reason: string, blamesEngine = false) {
+  return { kind: "failed", verdict: "not-run", reason, blamesEngine } as const;
+}
+
+function brokenOutcome(reason: string, blamesEngine = true) {
+  return {
+    kind: "failed",
+    verdict: "may-have-run",
+    reason,
+    blamesEngine,
+  } as const;
+}
+
+function sendFailure(error: unknown): AttemptOutcome {
+  if (!(error instanceof HttpExchangeError)) {
+    return brokenOutcome((error as Error).message);
+  }
+  const isCancelled = error.code === "cancelled";
+  return error.mayHaveRun
+    ? brokenOutcome(error.message, !isCancelled)
+    : notRunOutcome(error.message, !isCancelled);
+}
--- /dev/null
+++ b/src/streams/stream_dispatcher.ts
@@ -0,0 +1,300 @@
+import { match } from "ts-pattern";
+import { type Deadline, earlierDeadline, type IClock } from "../common/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
+import {
+  type EngineHealth,
+  type EngineTable,
+  type IEngineView,
+  place,
+} from "../placement/mod.ts";
+import { chooseService } from "../service_routes/mod.ts";
+import {
+  attemptFailed,
+  callerLeft,
+  requestAnswered,
+  requestFailed,
+  requestPlaced,
+  requestRefused,
+} from "./events.ts";
+import type {
+  AttemptOutcome,
+  IAttemptLimits,
+  IKeptAnswer,
+  IStreamProgress,
+  StreamAttempt,
+} from "./stream_attempt.ts";
+import type { IAnswerSink, IForwardedRequest, IOwnFailure } from "./types.ts";
+
+/** Time for the first event beyond the expected wait, in milliseconds. */
+const FIRST_EVENT_MILLISECONDS = 600;
+
+/** Longest silence of a stream that another engine may go on with, in ms. */
+const SILENCE_MILLISECONDS = 400;
+
+/** Sends of one request, with those that an engine refused. */
+const MAXIMUM_SENDS = 5;
+
+/** Time left under which no further engine is tried, in milliseconds. */
+const MINIMUM_REMAINING_MILLISECONDS = 100;
+
+/** Time after which a caller may come back when no engine is known, in ms. */
+const NO_ENGINE_RETRY_MILLISECONDS = 500;
+
+/** Collaborators of a `StreamDispatcher`. */
+export interface IDispatcherParts {
+  readonly table: EngineTable;
+  readonly health: EngineHealth;
+  readonly attempt: StreamAttempt;
+  readonly clock: IClock;
+  readonly events: IEventLog;
+  readonly failureDomain: string;
+  /** Source of numbers from 0 up to 1. */
+  readonly random: () => number;
+  /** Asks the leader at once to free places that batch items hold. */
+  readonly hurry: () => void;
+}
+
+/** State of one request over its attempts. */
+interface IRun {
+  readonly request: IForwardedRequest;
+  readonly sink: IAnswerSink;
+  readonly startedAt: Deadline;
+  readonly deadline: Deadline;
+  readonly excluded: Set<string>;
+  readonly progress: IStreamProgress;
+  readonly isIdempotent: boolean;
+  /** Engines on which the request may have run. */
+  runs: number;
+  sends: number;
+  last: Extract<AttemptOutcome, { kind: "failed" }> | undefined;
+}
+
+/** Passes a request to engines until one has answered it. */
+export class StreamDispatcher {
+  #parts: IDispatcherParts;
+
+  constructor(parts: IDispatcherParts) {
+    this.#parts = parts;
+  }
+
+  async dispatch(request: IForwardedRequest, sink: IAnswerSink): Promise<void> {
+    const { route } = request;
+    const run: IRun = {
+      request,
+      sink,
+      startedAt: this.#parts.clock.monotonic(),
+      deadline: earlierDeadline(request.deadline, request.routeDeadline),
+      excluded: new Set(),
+      progress: { lastEventId: undefined, firstAt: undefined },
+      isIdempotent: route.kind === "safe" ||
+        route.kind === "stream" && route.isResumable,
+      runs: 0,
+      sends: 0,
+      last: undefined,
+    };
+    const service = chooseService(route, this.#parts.random());
+    while (!sink.signal.aborted) {
+      const view = this.#choose(run, service);
+      if (!view) return;
+      const outcome = await this.#send(run, view);
+      if (outcome.kind === "answered") return;
+      if (!this.#mayTryAgain(run, outcome)) return this.#giveUp(run, outcome);
+    }
+    this.#parts.events.emit(callerLeft, {
+      request: request.id,
+      milliseconds: this.#elapsed(run),
+    });
+  }
+
+  /** Chooses an engine; answers the caller when there is none. */
+  #choose(
+    run: IRun,
+    service: string,
+  ): { view: IEngineView; waitMilliseconds: number } | undefined {
+    const { table, clock, failureDomain, random } = this.#parts;
+    const { request } = run;
+    const views = table.views(service);
+    const remainingMilliseconds = clock.remaining(run.deadline);
+    const placement = place({
+      failureDomain,
+      objectiveMilliseconds: request.route.objectiveMilliseconds,
+      remainingMilliseconds,
+      // What has begun at an engine is not turned away half-way.
+      isReturned: request.isReturned || run.runs > 0,
+      excluded: run.excluded,
+      random: random(),
+    }, views);
+    if (placement.kind === "engine") return placement;
+    const retryMilliseconds = placement.kind === "refused"
+      ? placement.retryMilliseconds
+      : NO_ENGINE_RETRY_MILLISECONDS;
+    const reason = placement.kind === "refused"
+      ? "no place is expected in time"
+      : "no engine is known that may take the request";
+    if (run.runs > 0) {
+      this.#fail(run, { kind: "failed", reason });
+      return undefined;
+    }
+    this.#parts.events.emit(requestRefused, {
+      request: request.id,
+      route: request.route.name,
+      reason,
+      retryMilliseconds: Math.round(retryMilliseconds),
+      remainingMilliseconds: Math.round(remainingMilliseconds),
+      engines: views.length,
+      live: views.reduce((sum, { live }) => sum + live, 0),
+      bulk: views.reduce((sum, { bulk }) => sum + bulk, 0),
+    });
+    run.sink.fail({ kind: "refused", reason, retryMilliseconds });
+    return undefined;
+  }
+
+  async #send(
+    run: IRun,
+    choice: { view: IEngineView; waitMilliseconds: number },
+  ): Promise<AttemptOutcome> {
+    const { table, health, events, clock, attempt, hurry } = this.#parts;
+    const { request, sink, progress, isIdempotent } = run;
+    const { engine, live, bulk } = choice.view;
+    run.sends += 1;
+    run.excluded.add(engine.id);
+    events.emit(requestPlaced, {
+      request: request.id,
+      route: request.route.name,
+      engine: engine.id,
+      attempt: run.sends,
+      live,
+      bulk,
+      waitMilliseconds: Math.round(choice.waitMilliseconds),
+      lastEventId: progress.lastEventId,
+    });
+    const startedAt = clock.monotonic();
+    table.begin(engine.id);
+    if (bulk > 0 && live + bulk >= engine.slots) hurry();
+    try {
+      const outcome = await attempt.run(engine, request, {
+        sink,
+        progress,
+        isIdempotent,
+        limits: this.#limits(run, choice.waitMilliseconds),
+      });
+      const milliseconds = clock.monotonic() - startedAt;
+      match(outcome)
+        .with({ kind: "answered" }, ({ status }) => {
+          table.completed(engine.id, milliseconds);
+          health.answered(engine.id);
+          this.#reportAnswer(run, engine.id, status);
+        })
+        .with({ kind: "failed" }, (failed) => {
+          if (failed.verdict === "may-have-run") run.runs += 1;
+          run.last = failed;
+          if (failed.blamesEngine && !sink.signal.aborted) {
+            health.failed(engine.id, failed.reason);
+          }
+          events.emit(attemptFailed, {
+            request: request.id,
+            engine: engine.id,
+            attempt: run.sends,
+            verdict: failed.verdict,
+            reason: failed.reason,
+            lastEventId: progress.lastEventId,
+            milliseconds: Math.round(milliseconds),
+          });
+        })
+        .exhaustive();
+      return outcome;
+    } finally {
+      table.end(engine.id);
+    }
+  }
+
+  #limits(run: IRun, waitMilliseconds: number): IAttemptLimits {
+    const { clock } = this.#parts;
+    const { route } = run.request;
+    return {
+      mayMove: run.isIdempotent && run.runs + 1 < route.attempts,
+      firstDeadline: earlierDeadline(
+        clock.deadlineIn(waitMilliseconds + FIRST_EVENT_MILLISECONDS),
+        run.deadline,
+      ),
+      silenceMilliseconds: SILENCE_MILLISECONDS,
+      deadline: run.deadline,
+    };
+  }
+
+  #mayTryAgain(
+    run: IRun,
+    outcome: Extract<AttemptOutcome, { kind: "failed" }>,
+  ): boolean {
+    const { clock } = this.#parts;
+    const remaining = clock.remaining(run.deadline);
+    if (remaining < MINIMUM_REMAINING_MILLISECONDS) return false;
+    if (run.sends >= MAXIMUM_SENDS || run.sink.signal.aborted) return false;
+    if (outcome.verdict === "not-run") return true;
+    if (run.sink.hasBegun && run.progress.lastEventId === undefined) {
+      return false;
+    }
+    return run.isIdempotent && run.runs < run.request.route.attempts;
+  }
+
+  /** Ends a request whose last send has failed. */
+  #giveUp(
+    run: IRun,
+    outcome: Extract<AttemptOutcome, { kind: "failed" }>,
+  ): void {
+    const { reason, answer } = outcome;
+    if (answer && !run.sink.hasBegun && isPassedOn(answer)) {
+      run.sink.begin(answer.status, answer.answer.headers);
+      for (const bytes of answer.body) void run.sink.write(bytes);
+      run.sink.end();
+      return this.#reportAnswer(run, "", answer.status);
+    }
+    if (run.sink.signal.aborted) {
+      this.#parts.events.emit(callerLeft, {
+        request: run.request.id,
+        milliseconds: this.#elapsed(run),
+      });
+      return;
+    }
+    if (run.runs === 0) {
+      const retryMilliseconds = NO_ENGINE_RETRY_MILLISECONDS;
+      return this.#fail(run, { kind: "refused", reason, retryMilliseconds });
+    }
+    const isLate = this.#parts.clock.isPast(run.deadline);
+    this.#fail(run, { kind: isLate ? "timeout" : "failed", reason });
+  }
+
+  #fail(run: IRun, failure: IOwnFailure): void {
+    const { sink, request } = run;
+    this.#parts.events.emit(requestFailed, {
+      request: request.id,
+      kind: failure.kind,
+      reason: failure.reason,
+      hadBegun: sink.hasBegun,
+      milliseconds: this.#elapsed(run),
+    });
+    if (sink.hasBegun) sink.abort();
+    else sink.fail(failure);
+  }
+
+  #reportAnswer(run: IRun, engine: string, status: number): void {
+    const firstAt = run.progress.firstAt ?? this.#parts.clock.monotonic();
+    this.#parts.events.emit(requestAnswered, {
+      request: run.request.id,
+      engine,
+      status,
+      attempts: run.sends,
+      firstMilliseconds: Math.round(firstAt - run.startedAt),
+      milliseconds: this.#elapsed(run),
+    });
+  }
+
+  #elapsed(run: IRun): number {
+    return Math.round(this.#parts.clock.monotonic() - run.startedAt);
+  }
+}
+
+/** An engine's status that promises "not run" is passed on only with it. */
+function isPassedOn({ status }: IKeptAnswer): boolean {
+  return ![408, 421, 429, 503].includes(status);
+}
--- a/src/targets/http_exchange.ts
+++ b/src/targets/http_exchange.ts
@@ -42,6 +42,8 @@
   /** Point by which the response's head must have arrived. */
   readonly deadline: Deadline;
   readonly signal: AbortSignal;
+  /** Point by which a new connection must be open. */
+  readonly connectDeadline?: Deadline;
   /** Whether to use a connection that no other request has used. */
   readonly freshConnection?: boolean;
 }
@@ -81,6 +83,7 @@
     });
     const settle = () => {
       clearTimeout(timer);
+      clearTimeout(connectTimer);
       options.signal.removeEventListener("abort", cancel);
     };
     const fail = (code: HttpExchangeError["code"], reason: string) => {
@@ -93,6 +96,12 @@
       () => fail("timeout", "no response in time"),
       Math.ceil(options.clock.remaining(options.deadline)),
     );
+    const connectTimer = options.connectDeadline === undefined
+      ? undefined
+      : setTimeout(
+        () => connected || fail("timeout", "no connection in time"),
+        Math.ceil(options.clock.remaining(options.connectDeadline)),
+      );
     options.signal.addEventListener("abort", cancel, { once: true });
     outgoing.on("error", (error) => fail("connection", error.message));
     outgoing.on("socket", (socket) => {
--- a/testing/log_cluster.ts
+++ b/testing/log_cluster.ts
@@ -130,7 +130,7 @@
           this.events.push(`${event.name} ${JSON.stringify(fields)}`);
         },
       },
-      founders,
+      founders: () => founders,
       start: mode,
       timing: TIMING,
       compaction,
