--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -6,7 +6,7 @@
   help: "The process has started in the role given by its command line.",
   fields: {
     role: z.string(),
-    name: z.string(),
+    machine: z.string(),
     failureDomain: z.string(),
     milliseconds: z.number(),
   },
--- a/src/retirement/retirement_handlers.ts
+++ b/src/retirement/retirement_handlers.ts
@@ -66,7 +66,7 @@
   const command = { kind: "retire", store, name };
   const done = await log.propose(retirementSection.name, command, options);
   if (done.isErr()) return err(done.error);
-  events.emit(storeRetiring, { store, name });
+  events.emit(storeRetiring, { store, machine: name });
   return ok(stateOf(name, parts));
 }
 
--- a/src/service_routes/events.ts
+++ b/src/service_routes/events.ts
@@ -8,6 +8,5 @@
     version: z.number(),
     previous: z.number(),
     routes: z.number(),
-    at: z.number(),
   },
 });
--- a/src/service_routes/routes_holder.ts
+++ b/src/service_routes/routes_holder.ts
@@ -1,4 +1,4 @@
-import { Emitter, type IClock } from "../common/mod.ts";
+import { Emitter } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import { routesInForce } from "./events.ts";
 import { RouteTable } from "./route_table.ts";
@@ -8,13 +8,11 @@
 export class RoutesHolder {
   #table: RouteTable | undefined;
   #events: IEventLog;
-  #clock: IClock;
   #change = new Emitter<RouteSet>();
   /** Fires with each version that comes into force. */
   readonly onChange = this.#change.event;
 
-  constructor(clock: IClock, options: { events: IEventLog }) {
-    this.#clock = clock;
+  constructor(options: { events: IEventLog }) {
     this.#events = options.events;
   }
 
@@ -35,7 +33,6 @@
       version: routes.version,
       previous,
       routes: routes.routes.length,
-      at: Math.round(this.#clock.monotonic()),
     });
     this.#change.fire(routes);
   }
