--- a/src/bulk/bulk_handlers.ts
+++ b/src/bulk/bulk_handlers.ts
@@ -1,5 +1,9 @@
 import { err, ok } from "neverthrow";
-import { DisposableStore, type IClock, type IDisposable } from "../common/mod.ts";
+import {
+  DisposableStore,
+  type IClock,
+  type IDisposable,
+} from "../common/mod.ts";
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
--- /dev/null
+++ b/src/bulk/bulk_schedule_test.ts
@@ -0,0 +1,61 @@
+import test from "ava";
+import { type IBulkEngine, planBulk } from "./bulk_schedule.ts";
+
+const SLOTS = 8;
+
+function engine(
+  id: string,
+  load: { live: number; bulk: number; leaving?: boolean; suspect?: boolean },
+): IBulkEngine {
+  const { live, bulk, leaving = false, suspect = false } = load;
+  return {
+    engine: {
+      id,
+      service: "alerts",
+      address: "10.0.0.1",
+      port: 80,
+      failureDomain: "a",
+      slots: SLOTS,
+      isLeaving: leaving,
+    },
+    live,
+    bulk,
+    isSuspect: suspect,
+  };
+}
+
+test("trough: items fill engines evenly, up to the reserve", (t) => {
+  const engines = [
+    engine("one", { live: 1, bulk: 0 }),
+    engine("two", { live: 4, bulk: 0 }),
+  ];
+  const { starts, yields } = planBulk(engines, 100);
+  t.is(starts.filter(({ id }) => id === "one").length, 6);
+  t.is(starts.filter(({ id }) => id === "two").length, 3);
+  t.is(starts[0]?.id, "one");
+  t.is(yields.size, 0);
+});
+
+test("no more starts than items wait", (t) => {
+  const engines = [engine("one", { live: 0, bulk: 0 })];
+  t.is(planBulk(engines, 2).starts.length, 2);
+});
+
+test("burst: items give way only where places are missing", (t) => {
+  const engines = [
+    engine("crowded", { live: 6, bulk: 4 }),
+    engine("full", { live: 4, bulk: 4 }),
+    engine("overrun", { live: 12, bulk: 2 }),
+  ];
+  const { starts, yields } = planBulk(engines, 10);
+  t.deepEqual([...yields], [["crowded", 2], ["overrun", 2]]);
+  t.is(starts.length, 0);
+});
+
+test("engine loss: nothing started on leaving or failing engines", (t) => {
+  const engines = [
+    engine("leaving", { live: 0, bulk: 0, leaving: true }),
+    engine("failing", { live: 0, bulk: 0, suspect: true }),
+  ];
+  t.is(planBulk(engines, 10).starts.length, 0);
+});
--- /dev/null
+++ b/src/bulk/bulk_section_test.ts
@@ -0,0 +1,68 @@
+import test from "ava";
+import { BulkSection } from "./bulk_section.ts";
+import type { BulkJob } from "./types.ts";
+
+const JOB: BulkJob = {
+  id: "job",
+  host: "reports.example",
+  path: "/reports/1",
+  items: ["one", "two"].map((id) => ({
+    id,
+    path: "/reports/1",
+    headers: {},
+    body: "",
+    tokens: 1,
+  })),
+};
+
+const CONTEXT = { index: 1, term: 1, proposedAt: 1_000 };
+
+function record(section: BulkSection, item: string, text: string) {
+  const result = { item, state: "done" as const, text };
+  section.apply({ kind: "record", job: "job", result }, CONTEXT);
+}
+
+function withJob(): BulkSection {
+  const section = new BulkSection();
+  section.apply({ kind: "submit", job: JOB }, CONTEXT);
+  return section;
+}
+
+test("job submitted twice is one job", (t) => {
+  const section = withJob();
+  record(section, "one", "first");
+  section.apply({ kind: "submit", job: JOB }, { ...CONTEXT, index: 9 });
+  t.is(section.job("job")?.results.length, 1);
+  t.is(section.openJobs().length, 1);
+});
+
+test("first result of an item stands at its position", (t) => {
+  const section = withJob();
+  record(section, "two", "second");
+  record(section, "two", "another");
+  record(section, "stranger", "of another job");
+  record(section, "one", "first");
+  const texts = section.job("job")?.results.map(({ text }) => text);
+  t.deepEqual(texts, ["second", "first"]);
+  t.is(section.openJobs().length, 0);
+});
+
+test("ended job is not open, and its results stay", (t) => {
+  const section = withJob();
+  record(section, "one", "first");
+  t.true(section.apply({ kind: "end", job: "job" }, CONTEXT).isKnown);
+  t.false(section.apply({ kind: "end", job: "other" }, CONTEXT).isKnown);
+  t.is(section.openJobs().length, 0);
+  t.is(section.job("job")?.results.length, 1);
+});
+
+test("snapshot restores jobs, results and positions", async (t) => {
+  const section = withJob();
+  record(section, "two", "second");
+  const snapshot = JSON.parse(JSON.stringify(await section.snapshot()));
+  const other = new BulkSection();
+  await other.restore(snapshot);
+  t.deepEqual(other.job("job"), section.job("job"));
+  t.true(other.isListed("job", "two"));
+  t.is(other.item("job", "one")?.id, "one");
+});
--- a/src/bulk/item_run.ts
+++ b/src/bulk/item_run.ts
@@ -1,11 +1,7 @@
 import { Buffer } from "node:buffer";
 import type { IClock } from "../common/mod.ts";
 import type { ListedEngine } from "../placement/mod.ts";
-import {
-  EventSplitter,
-  fieldOf,
-  type IEngineCaller,
-} from "../streams/mod.ts";
+import { EventSplitter, fieldOf, type IEngineCaller } from "../streams/mod.ts";
 import { HttpExchangeError } from "../targets/http_exchange.ts";
 import type { BulkItem } from "./types.ts";
 
--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -1,5 +1,9 @@
 import { BulkRunner, type BulkSection } from "../bulk/mod.ts";
-import { DisposableStore, type IClock, type IDisposable } from "../common/mod.ts";
+import {
+  DisposableStore,
+  type IClock,
+  type IDisposable,
+} from "../common/mod.ts";
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import {
--- a/src/consensus/formation.ts
+++ b/src/consensus/formation.ts
@@ -120,7 +120,8 @@
         return await this.#belong(answer.value.cluster, undefined);
       }
       if (round % ROUNDS_PER_EVENT === 0) {
-        const reason = (answer?.isErr() && answer.error.message) || "no leader is known";
+        const reason = (answer?.isErr() && answer.error.message) ||
+          "no leader is known";
         events.emit(joinRefused, { reason });
       }
       await this.#pause(signal);
@@ -141,11 +142,13 @@
   async #askFounders(): Promise<(Hello | undefined)[]> {
     const { clock, founders, rpc, self } = this.#parts;
     const deadline = clock.deadlineIn(HELLO_TIMEOUT_MILLISECONDS) as Deadline;
-    return await Promise.all(founders().map(async (founder) => {
-      if (founder.id === self.id) return this.#identity;
-      const answer = await rpc.call(founder, helloMethod, {}, { deadline });
-      return answer.unwrapOr(undefined);
-    }));
+    return await Promise.all(
+      founders().map(async (founder) => {
+        if (founder.id === self.id) return this.#identity;
+        const answer = await rpc.call(founder, helloMethod, {}, { deadline });
+        return answer.unwrapOr(undefined);
+      }),
+    );
   }
 
   /** All founders with their storage identities, if all have answered. */
--- /dev/null
+++ b/src/consensus/voter_upkeep_test.ts
@@ -0,0 +1,154 @@
+import test from "ava";
+import { LogCluster } from "../../testing/log_cluster.ts";
+import type { ReplicaMember } from "./replica_set.ts";
+import { type IUpkeepView, nextUpkeepStep } from "./voter_upkeep.ts";
+
+function member(id: string): ReplicaMember {
+  return {
+    id,
+    address: "127.0.0.1",
+    port: 1,
+    failureDomain: "",
+    storage: id,
+    promote: false,
+  };
+}
+
+const VOTERS = ["a", "b", "c"].map(member);
+
+function step(
+  replicas: { voters: ReplicaMember[]; learners: ReplicaMember[] },
+  changes: { lost?: string[]; retiring?: string[]; behind?: string[] } = {},
+): string | undefined {
+  const { lost = [], retiring = [], behind = [] } = changes;
+  const view: IUpkeepView = {
+    targetVoters: 3,
+    leader: "a",
+    isRetiring: ({ id }) => retiring.includes(id),
+    isLost: ({ id }) => lost.includes(id),
+    isCaughtUp: ({ id }) => !behind.includes(id),
+  };
+  const next = nextUpkeepStep(replicas, view);
+  return next && `${next.action} ${next.member.id}`;
+}
+
+test("nothing to do", (t) => {
+  t.is(step({ voters: VOTERS, learners: [] }), undefined);
+  t.is(step({ voters: VOTERS, learners: [member("d")] }), undefined);
+});
+
+test("lost voter stays while nobody can take its place", (t) => {
+  t.is(step({ voters: VOTERS, learners: [] }, { lost: ["c"] }), undefined);
+  const replicas = { voters: VOTERS, learners: [member("d")] };
+  t.is(step(replicas, { lost: ["c"], behind: ["d"] }), undefined);
+});
+
+test("lost voter replaced: first added, then removed", (t) => {
+  const replicas = { voters: VOTERS, learners: [member("d")] };
+  t.is(step(replicas, { lost: ["c"] }), "promote d");
+  const more = { voters: [...VOTERS, member("d")], learners: [] };
+  t.is(step(more, { lost: ["c"] }), "remove c");
+});
+
+test("emptied leader hands over", (t) => {
+  const more = { voters: [...VOTERS, member("d")], learners: [] };
+  t.is(step(more, { retiring: ["a"] }), "hand-over a");
+});
+
+test("lost learner removed", (t) => {
+  const replicas = { voters: VOTERS, learners: [member("d")] };
+  t.is(step(replicas, { lost: ["d"] }), "remove d");
+});
+
+test("one voter too many leaves, never the leader", (t) => {
+  const voters = [member("b"), member("c"), member("d"), member("a")];
+  t.is(step({ voters, learners: [] }), "remove d");
+});
+
+/** A cluster whose leaders keep three voters, with one more replica. */
+async function startWithSpare(seed: number, retiring = new Set<string>()) {
+  const cluster = new LogCluster(3, seed);
+  cluster.upkeep = { targetVoters: 3, isRetiring: (id) => retiring.has(id) };
+  for (const node of cluster.nodes) void node.start();
+  await cluster.untilLeader();
+  await cluster.commit(20);
+  const spare = cluster.add({
+    ...cluster.founders[0]!,
+    id: "node-3",
+    port: 3,
+  });
+  await cluster.settle(spare.start("join"));
+  await cluster.time.until(
+    "the spare is a learner",
+    () => cluster.leader?.log.status().learners.length === 1,
+  );
+  return { cluster, spare };
+}
+
+function voters(cluster: LogCluster): string[] {
+  const status = cluster.leader?.log.status();
+  return status?.voters.map(({ id }) => id).sort() ?? [];
+}
+
+test("voter gone for good is replaced by itself", async (t) => {
+  const { cluster, spare } = await startWithSpare(31);
+  const [gone] = cluster.followers.filter((node) => node !== spare);
+  gone?.crash();
+  await cluster.time.until(
+    "replaced",
+    () => voters(cluster).includes("node-3") && voters(cluster).length === 3,
+  );
+  await cluster.commit(5);
+  const others = cluster.nodes.filter((node) => node !== gone);
+  await cluster.untilEqual(others);
+  t.deepEqual(cluster.faults(others), []);
+});
+
+test("voter replaced while it was away joins again", async (t) => {
+  const { cluster, spare } = await startWithSpare(32);
+  const [away] = cluster.followers.filter((node) => node !== spare);
+  away?.crash();
+  await cluster.time.until(
+    "replaced",
+    () => voters(cluster).length === 3 && voters(cluster).includes("node-3"),
+  );
+  await cluster.commit(5);
+  void away?.start();
+  const { id } = away!.address;
+  await cluster.time.until("learner again", () => {
+    const learners = cluster.leader?.log.status().learners ?? [];
+    return learners.some((it) => it.id === id);
+  });
+  await cluster.untilEqual();
+  t.deepEqual(cluster.faults(), []);
+  t.true(away?.hasEvent("joined-again"));
+});
+
+test("emptied voter leaves and is not taken in again", async (t) => {
+  const retiring = new Set<string>();
+  const { cluster } = await startWithSpare(33, retiring);
+  const old = await cluster.untilLeader();
+  retiring.add(old.address.id);
+  await cluster.time.until(
+    "another three vote",
+    () =>
+      cluster.leader !== old && voters(cluster).length === 3 &&
+      !voters(cluster).includes(old.address.id),
+  );
+  await cluster.time.pass(5_000);
+  const status = cluster.leader?.log.status();
+  t.false(status?.learners.some(({ id }) => id === old.address.id));
+});
+
+test("barrier after a suspension does not trust the lease", async (t) => {
+  const cluster = await LogCluster.start(3, 34);
+  await cluster.commit(5);
+  const old = await cluster.untilLeader();
+  // Nobody else hears it, but its own clock has not moved on yet.
+  cluster.network.isolated.add(old.address.id);
+  t.true(old.hasLease);
+  const deadline = old.clock.deadlineIn(50);
+  t.true((await cluster.settle(old.log.barrier({ deadline }))).isOk());
+  const confirmed = old.log.barrier({ deadline, isConfirmed: true });
+  t.true((await cluster.settle(confirmed)).isErr());
+});
--- /dev/null
+++ b/src/placement/placement_test.ts
@@ -0,0 +1,99 @@
+import test from "ava";
+import { expectedWait, type IPlacementRequest, place } from "./placement.ts";
+import type { IEngineView } from "./types.ts";
+
+const SLOTS = 8;
+
+function view(
+  id: string,
+  live: number,
+  changes: Partial<IEngineView> & { zone?: string; leaving?: boolean } = {},
+): IEngineView {
+  const { zone = "a", leaving = false, ...others } = changes;
+  return {
+    engine: {
+      id,
+      service: "alerts",
+      address: "10.0.0.1",
+      port: 80,
+      failureDomain: zone,
+      slots: SLOTS,
+      isLeaving: leaving,
+    },
+    live,
+    bulk: 0,
+    isSuspect: false,
+    meanMilliseconds: 800,
+    ...others,
+  };
+}
+
+const REQUEST: IPlacementRequest = {
+  failureDomain: "a",
+  objectiveMilliseconds: 300,
+  remainingMilliseconds: 5_000,
+  isReturned: false,
+  excluded: new Set(),
+  random: 0,
+};
+
+function chosen(views: IEngineView[], request = REQUEST): string {
+  const placement = place(request, views);
+  return placement.kind === "engine" ? placement.view.engine.id : "none";
+}
+
+test("least loaded engine", (t) => {
+  t.is(chosen([view("one", 3), view("two", 1), view("three", 2)]), "two");
+});
+
+test("equal load: own failure domain", (t) => {
+  const views = [view("far", 1, { zone: "b" }), view("near", 1)];
+  t.is(chosen(views), "near");
+});
+
+test("leaving, failed and suspect engines avoided", (t) => {
+  const views = [
+    view("leaving", 0, { leaving: true }),
+    view("failed", 0),
+    view("suspect", 0, { isSuspect: true }),
+    view("busy", 5),
+  ];
+  const excluded = new Set(["failed"]);
+  t.is(chosen(views, { ...REQUEST, excluded }), "busy");
+});
+
+test("suspect engine better than none", (t) => {
+  t.is(chosen([view("suspect", 0, { isSuspect: true })]), "suspect");
+  t.is(place(REQUEST, []).kind, "no-engine");
+});
+
+test("burst of live requests over batch items: batch gives way", (t) => {
+  // All places are taken, but on one engine mostly by batch items.
+  const views = [
+    view("live", 7, { bulk: 1 }),
+    view("batch", 2, { bulk: 6 }),
+  ];
+  t.is(chosen(views), "batch");
+  t.is(expectedWait(views[1]!), 0);
+});
+
+test("burst of five times the trough: refused once the wait is too long", (t) => {
+  const full = view("full", SLOTS);
+  t.is(chosen([full]), "full");
+  t.is(expectedWait(full), 100);
+  const crowded = view("crowded", SLOTS + 2);
+  const placement = place(REQUEST, [crowded]);
+  t.deepEqual(placement, { kind: "refused", retryMilliseconds: 300 });
+});
+
+test("burst: one that returns is kept where others are refused", (t) => {
+  const crowded = view("crowded", SLOTS + 4);
+  t.is(place(REQUEST, [crowded]).kind, "refused");
+  const returned = { ...REQUEST, isReturned: true };
+  t.is(place(returned, [crowded]).kind, "engine");
+});
+
+test("never kept beyond the time that is left", (t) => {
+  const late = { ...REQUEST, isReturned: true, remainingMilliseconds: 200 };
+  t.is(place(late, [view("crowded", SLOTS + 4)]).kind, "refused");
+});
--- a/src/retirement/retirement_handlers.ts
+++ b/src/retirement/retirement_handlers.ts
@@ -1,5 +1,9 @@
 import { err, ok, type Result } from "neverthrow";
-import { DisposableStore, type Failure, type IDisposable } from "../common/mod.ts";
+import {
+  DisposableStore,
+  type Failure,
+  type IDisposable,
+} from "../common/mod.ts";
 import type { IDeadlineOptions, IReplicatedLog } from "../consensus/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
--- /dev/null
+++ b/src/streams/stream_dispatcher_test.ts
@@ -0,0 +1,206 @@
+import { Buffer } from "node:buffer";
+import test from "ava";
+import {
+  type EngineScript,
+  eventText,
+  FakeEngines,
+  FakeSink,
+} from "../../testing/fake_engines.ts";
+import { SystemClock } from "../common/mod.ts";
+import { SilentEventLog } from "../events/mod.ts";
+import { EngineHealth, EngineTable } from "../placement/mod.ts";
+import type { Route } from "../service_routes/mod.ts";
+import { StreamAttempt } from "./stream_attempt.ts";
+import { StreamDispatcher } from "./stream_dispatcher.ts";
+import type { IForwardedRequest } from "./types.ts";
+
+const EVENTS = 6;
+const WHOLE = Array.from({ length: EVENTS }, (_, index) => eventText(index + 1))
+  .join("");
+
+const ROUTE: Route = {
+  name: "alerts",
+  host: "alerts.example",
+  pathPrefix: "/alerts/",
+  kind: "stream",
+  timeoutMilliseconds: 5_000,
+  objectiveMilliseconds: 300,
+  priority: 0,
+  shares: [{ service: "writer", weight: 1 }],
+  attempts: 2,
+  isResumable: true,
+};
+
+const FRAGILE: Route = { ...ROUTE, isResumable: false, attempts: 1 };
+
+function engine(id: string) {
+  return {
+    id,
+    service: "writer",
+    address: "10.0.0.1",
+    port: 80,
+    failureDomain: "a",
+    slots: 8,
+    isLeaving: false,
+  };
+}
+
+interface IScene {
+  readonly engines: FakeEngines;
+  readonly table: EngineTable;
+  readonly health: EngineHealth;
+  readonly sink: FakeSink;
+  run(route: Route, changes?: Partial<IForwardedRequest>): Promise<void>;
+}
+
+function scene(scripts: EngineScript[], ids = ["one", "two", "three"]): IScene {
+  const clock = new SystemClock();
+  const events = new SilentEventLog();
+  const health = new EngineHealth(clock, { events });
+  const table = new EngineTable(clock, { events, health });
+  const list = { revision: "1", engines: ids.map(engine) };
+  table.takeList(list, { age: 0, source: "leader" });
+  const engines = new FakeEngines(scripts);
+  const sink = new FakeSink();
+  const dispatcher = new StreamDispatcher({
+    ...{ table, health, clock, events },
+    attempt: new StreamAttempt(engines, clock),
+    failureDomain: "a",
+    random: () => 0,
+    hurry: () => {},
+  });
+  const run = (route: Route, changes: Partial<IForwardedRequest> = {}) =>
+    dispatcher.dispatch({
+      id: "request-1",
+      method: "POST",
+      path: "/alerts/1",
+      headers: [],
+      body: Buffer.alloc(0),
+      route,
+      deadline: clock.deadlineIn(5_000),
+      routeDeadline: clock.deadlineIn(5_000),
+      isReturned: false,
+      lastEventId: undefined,
+      ...changes,
+    }, sink);
+  return { engines, table, health, sink, run };
+}
+
+test("whole stream passed on unchanged", async (t) => {
+  const { sink, run, table, engines } = scene([
+    { kind: "stream", events: EVENTS },
+  ]);
+  await run(ROUTE);
+  t.is(sink.text, WHOLE);
+  t.is(sink.ended, "end");
+  t.deepEqual(sink.headers, [["Response-Stamp", "stamp-one"]]);
+  t.is(table.ownLoad().size, 0);
+  t.false(engines.received[0]?.freshConnection);
+});
+
+test("broken stream goes on behind its last whole event", async (t) => {
+  for (const inEvent of [false, true]) {
+    const { sink, run, engines, health } = scene([
+      { kind: "stream", events: EVENTS, breakAt: 4, inEvent },
+      { kind: "stream", events: EVENTS },
+    ]);
+    await run(ROUTE);
+    t.is(sink.text, WHOLE);
+    t.is(sink.ended, "end");
+    t.deepEqual(sink.headers, [["Response-Stamp", "stamp-one"]]);
+    t.is(engines.received[1]?.request.lastEventId, "3");
+    t.true(engines.received[0]?.isClosed);
+    t.true(health.isSuspect("one"));
+  }
+});
+
+test("stream that may not be resumed is cut, never ended", async (t) => {
+  const { sink, run, engines } = scene([
+    { kind: "stream", events: EVENTS, breakAt: 4 },
+  ]);
+  await run(FRAGILE);
+  t.is(sink.ended, "abort");
+  t.is(engines.received.length, 1);
+  t.true(engines.received[0]?.freshConnection);
+});
+
+test("stream that ends inside an event does not look complete", async (t) => {
+  const { sink, run } = scene([
+    { kind: "stream", events: 3, breakAt: 4, inEvent: true },
+  ]);
+  await run({ ...FRAGILE });
+  t.is(sink.text, [1, 2, 3].map(eventText).join(""));
+  t.is(sink.ended, "end");
+  const broken = scene([{ kind: "stream", events: 4, breakAt: 4 }]);
+  await broken.run(FRAGILE);
+  t.is(broken.sink.ended, "abort");
+});
+
+test("engine that did not run it: another one does", async (t) => {
+  const { sink, run, engines, health } = scene([
+    { kind: "status", status: 503, notRun: true },
+    { kind: "unreachable" },
+    { kind: "stream", events: EVENTS },
+  ]);
+  await run(FRAGILE);
+  t.is(sink.text, WHOLE);
+  t.deepEqual(engines.received.map((send) => send.engine), ["one", "three"]);
+  t.false(health.isSuspect("one"), "a full engine is not a failing one");
+  t.true(health.isSuspect("two"));
+});
+
+test("nobody ran it: refused with a time to come back", async (t) => {
+  const { sink, run } = scene([{ kind: "unreachable" }], ["one"]);
+  await run(FRAGILE);
+  t.is(sink.failure?.kind, "refused");
+  t.true((sink.failure?.retryMilliseconds ?? 0) > 0);
+});
+
+test("may have run: never refused, never sent again", async (t) => {
+  const { sink, run, engines } = scene([{ kind: "foreign" }]);
+  await run(FRAGILE);
+  t.is(sink.failure?.kind, "failed");
+  t.is(engines.received.length, 1);
+});
+
+test("refusal of an engine that may have run it is no promise", async (t) => {
+  const { sink, run } = scene([{ kind: "status", status: 503 }]);
+  await run(FRAGILE);
+  t.is(sink.failure?.kind, "failed");
+});
+
+test("engine's own failure is passed on with its signature", async (t) => {
+  const { sink, run } = scene([{ kind: "status", status: 500 }]);
+  await run(FRAGILE);
+  t.is(sink.status, 500);
+  t.deepEqual(sink.headers, [["Response-Stamp", "stamp-one"]]);
+});
+
+test("idempotent request runs on no more engines than allowed", async (t) => {
+  const { sink, run, engines } = scene([
+    { kind: "status", status: 500 },
+    { kind: "status", status: 500 },
+    { kind: "stream", events: EVENTS },
+  ]);
+  await run(ROUTE);
+  t.is(engines.received.length, 2);
+  t.is(sink.status, 500);
+});
+
+test("caller that leaves: the engine's connection is closed", async (t) => {
+  const { sink, run, engines } = scene([{ kind: "silent" }]);
+  const done = run(FRAGILE);
+  await Promise.resolve();
+  sink.left.abort();
+  await done;
+  t.is(engines.received.length, 1);
+  t.is(sink.failure, undefined);
+});
+
+test("all places taken by live requests: refused at once", async (t) => {
+  const { sink, run, table, engines } = scene([], ["one"]);
+  for (let count = 0; count < 12; count++) table.begin("one");
+  await run(ROUTE);
+  t.is(sink.failure?.kind, "refused");
+  t.is(engines.received.length, 0);
+});
--- /dev/null
+++ b/testing/fake_engines.ts
@@ -0,0 +1,145 @@
+import { Buffer } from "node:buffer";
+import { HttpExchangeError } from "../src/targets/http_exchange.ts";
+import type {
+  HeaderLines,
+  IAnswerSink,
+  IEngineAnswer,
+  IEngineCaller,
+  IEngineRequest,
+  IOwnFailure,
+} from "../src/streams/mod.ts";
+
+/** How a fake engine treats one request. */
+export type EngineScript =
+  /** Sends events up to the last one; breaks off before `breakAt`. */
+  | { kind: "stream"; events: number; breakAt?: number; inEvent?: boolean }
+  /** Answers with a status of its own. */
+  | { kind: "status"; status: number; notRun?: boolean }
+  /** Takes no connection. */
+  | { kind: "unreachable" }
+  /** Takes the request and sends nothing. */
+  | { kind: "silent" }
+  /** Answers for another request. */
+  | { kind: "foreign" };
+
+/** A send that a fake engine received. */
+export interface IReceivedSend {
+  readonly engine: string;
+  readonly request: IEngineRequest;
+  readonly freshConnection: boolean;
+  isClosed: boolean;
+}
+
+/** Engines in memory that follow scripts, one for each send in turn. */
+export class FakeEngines implements IEngineCaller {
+  readonly received: IReceivedSend[] = [];
+  #scripts: EngineScript[];
+
+  constructor(scripts: EngineScript[]) {
+    this.#scripts = [...scripts];
+  }
+
+  async send(
+    engine: { id: string },
+    request: IEngineRequest,
+    options: Parameters<IEngineCaller["send"]>[2],
+  ): Promise<IEngineAnswer> {
+    const script = this.#scripts.shift();
+    if (!script) throw new Error("no script for this send");
+    const send: IReceivedSend = {
+      engine: engine.id,
+      request,
+      freshConnection: options.freshConnection,
+      isClosed: false,
+    };
+    if (script.kind === "unreachable") {
+      throw new HttpExchangeError("connection", "refused", false);
+    }
+    this.received.push(send);
+    if (script.kind === "silent") await untilAborted(options.signal);
+    const closed = new AbortController();
+    const status = script.kind === "status" ? script.status : 200;
+    return {
+      status,
+      headers: [["Response-Stamp", `stamp-${engine.id}`]],
+      isNotRun: script.kind === "status" && script.notRun === true,
+      isGenuine: script.kind !== "foreign",
+      body: bodyOf(script, Number(request.lastEventId ?? 0), closed.signal),
+      close: () => {
+        send.isClosed = true;
+        closed.abort();
+      },
+    };
+  }
+}
+
+async function* bodyOf(
+  script: EngineScript,
+  after: number,
+  signal: AbortSignal,
+): AsyncGenerator<Buffer> {
+  if (script.kind !== "stream") return;
+  for (let id = after + 1; id <= script.events; id++) {
+    await Promise.resolve();
+    if (signal.aborted) throw new Error("closed from here");
+    if (id === script.breakAt) {
+      if (script.inEvent) yield Buffer.from(`id: ${id}\nda`);
+      throw new Error("connection reset");
+    }
+    yield Buffer.from(eventText(id));
+  }
+}
+
+function untilAborted(signal: AbortSignal): Promise<never> {
+  return new Promise((_, reject) => {
+    const fail = () =>
+      reject(new HttpExchangeError("cancelled", "request cancelled", true));
+    if (signal.aborted) fail();
+    signal.addEventListener("abort", fail, { once: true });
+  });
+}
+
+/** Text of an event of a fake engine. */
+export function eventText(id: number): string {
+  return `id: ${id}\ndata: word ${id}\n\n`;
+}
+
+/** Keeps an answer in memory. */
+export class FakeSink implements IAnswerSink {
+  readonly left = new AbortController();
+  status: number | undefined;
+  headers: HeaderLines = [];
+  text = "";
+  ended: "end" | "abort" | undefined;
+  failure: IOwnFailure | undefined;
+
+  get signal(): AbortSignal {
+    return this.left.signal;
+  }
+
+  get hasBegun(): boolean {
+    return this.status !== undefined;
+  }
+
+  begin(status: number, headers: HeaderLines): void {
+    this.status = status;
+    this.headers = headers;
+  }
+
+  write(bytes: Buffer): Promise<void> {
+    this.text += bytes.toString();
+    return Promise.resolve();
+  }
+
+  end(): void {
+    this.ended = "end";
+  }
+
+  abort(): void {
+    this.ended = "abort";
+  }
+
+  fail(failure: IOwnFailure): void {
+    this.failure = failure;
+  }
+}
--- a/testing/log_cluster.ts
+++ b/testing/log_cluster.ts
@@ -6,6 +6,7 @@
   type IApplyContext,
   type ICompaction,
   type IStateSection,
+  type IVoterUpkeep,
   ReplicatedLog,
   type SectionSnapshot,
 } from "../src/consensus/mod.ts";
@@ -132,6 +133,7 @@
       },
       founders: () => founders,
       start: mode,
+      upkeep: this.#cluster.upkeep,
       timing: TIMING,
       compaction,
       random: () => random.integer(0, 999) / 1_000,
@@ -164,6 +166,8 @@
   readonly founders: FounderAddress[] = [];
   /** Makes every node name another port for itself than the others do. */
   isTranslatingPorts = false;
+  /** How leaders keep the number of voters, where they do. */
+  upkeep: IVoterUpkeep | undefined;
   readonly nodes: ClusterNode[] = [];
   readonly compaction: ICompaction;
   /** What any replica has applied at each index. */
--- /dev/null
+++ b/testing/platform_engine.ts
@@ -0,0 +1,40 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** Answers one request to a stand-in of the platform. */
+export type StandinHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void;
+
+/** HTTP server on loopback that speaks for an engine or the platform. */
+export class PlatformStandin {
+  readonly requests: IncomingMessage[] = [];
+  #server: Server;
+
+  constructor(handler: StandinHandler) {
+    this.#server = createServer((request, response) => {
+      this.requests.push(request);
+      request.resume();
+      request.on("end", () => handler(request, response));
+    });
+  }
+
+  async start(): Promise<{ address: string; port: number }> {
+    await new Promise<void>((resolve) =>
+      this.#server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = this.#server.address() as AddressInfo;
+    return { address: "127.0.0.1", port };
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
