Metrics for the platform's roles, and a request's story from log files

Cause: on call, only logs and metrics tell what became of a request. Change: each role serves counters of events, histograms of the times that events tell and gauges of its knowledge at 9464/metrics; figroad logs request ID FILE tells a request's story over several processes.

--- /dev/null
+++ b/src/cli/commands/logs_request.ts
@@ -0,0 +1,59 @@
+import { readFile } from "node:fs/promises";
+import { err, ok } from "neverthrow";
+import { type ILogLine, tellStory } from "../../explain/log_story.ts";
+import { defineCliCommand } from "../define_cli_command.ts";
+import { ExitCode } from "../exit_code.ts";
+import { formatTable, formatTime } from "../output.ts";
+
+/** `figroad logs request ID FILE`: tells a request's story from log files. */
+export const logsRequest = defineCliCommand({
+  name: "request",
+  description: "Tell what collected logs say of a request, an item or a job",
+  args: {
+    id: {
+      type: "positional",
+      required: true,
+      description: "Identifier of the request, the item or the job",
+    },
+    file: {
+      type: "positional",
+      required: true,
+      description: "Log file of one or several processes",
+    },
+  },
+  async run(args, output) {
+    let text: string;
+    try {
+      text = await readFile(args.file, "utf8");
+    } catch (error) {
+      const { message } = error as Error;
+      return err({ exitCode: ExitCode.failed, message });
+    }
+    const story = tellStory(args.id, text);
+    if (story.length === 0) {
+      const message = `${args.file} tells nothing of ${args.id}`;
+      return err({ exitCode: ExitCode.notFound, message });
+    }
+    output.result(story, () => storyLines(story));
+    return ok(ExitCode.done);
+  },
+});
+
+function storyLines(story: readonly ILogLine[]): string[] {
+  const rows = story.map(({ at, instance, name, engine, isOwn, fields }) => [
+    formatTime(at),
+    instance,
+    `${isOwn ? "" : "("}${name}${isOwn ? "" : ")"}`,
+    engine ?? "",
+    formatFields(fields),
+  ]);
+  return formatTable(["TIME", "INSTANCE", "EVENT", "ENGINE", "FIELDS"], rows);
+}
+
+/** Fields in one cell, without those that every row has. */
+function formatFields(fields: Readonly<Record<string, unknown>>): string {
+  return Object.entries(fields)
+    .filter(([key]) => !["event", "level", "request", "job"].includes(key))
+    .map(([key, value]) => `${key}=${String(value)}`)
+    .join(" ");
+}
--- a/src/cli/figroad.ts
+++ b/src/cli/figroad.ts
@@ -19,6 +19,7 @@
 import { jobStatus } from "./commands/job_status.ts";
 import { jobSubmit } from "./commands/job_submit.ts";
 import { logsExplain } from "./commands/logs_explain.ts";
+import { logsRequest } from "./commands/logs_request.ts";
 import { reportBurn } from "./commands/report_burn.ts";
 import { settingsCheck } from "./commands/settings_check.ts";
 import { status } from "./commands/status.ts";
@@ -79,6 +80,7 @@
     }),
     logs: group("logs", "Numbered events of the logs", {
       explain: logsExplain,
+      request: logsRequest,
     }),
   },
 });
--- /dev/null
+++ b/src/composition/observation.ts
@@ -0,0 +1,98 @@
+import { DisposableStore, type IDisposable } from "../common/mod.ts";
+import type { IReplicatedLog } from "../consensus/mod.ts";
+import { MetricsListener } from "../edge/mod.ts";
+import type { IEventLog, JsonLineLog } from "../events/mod.ts";
+import {
+  CountingEventLog,
+  defineProcessMetrics,
+  Metrics,
+  TimingEventLog,
+} from "../metrics/mod.ts";
+import type { EngineTable } from "../placement/mod.ts";
+import type { IRpcStatistics } from "../rpc/mod.ts";
+import type { RoutesHolder } from "../service_routes/mod.ts";
+
+/** Port of the metrics; named in deploy/system.toml as well. */
+const METRICS_PORT = 9_464;
+
+/** Logs and metrics of a process. */
+export class Observation implements IDisposable {
+  readonly metrics = new Metrics();
+  /** Counts and times events, then writes them. */
+  readonly events: IEventLog;
+  #store = new DisposableStore();
+
+  constructor(log: JsonLineLog) {
+    const counting = new CountingEventLog(log, this.metrics);
+    this.events = new TimingEventLog(counting, this.metrics);
+    this.#store.add(defineProcessMetrics(this.metrics));
+    this.metrics.gauge(
+      "figroad_log_lines_left_out",
+      "Log lines left out since the start, for their number or a slow reader.",
+      () => [{ value: log.droppedLines }],
+    );
+  }
+
+  /** Defines metrics of what the process knows of the fleet. */
+  watchFleet(table: EngineTable, routes: RoutesHolder): void {
+    this.metrics.gauge(
+      "figroad_routes_version",
+      "Version of the routes in force on this instance.",
+      () => [{ value: routes.version }],
+    );
+    this.metrics.gauge(
+      "figroad_engine_list_age_milliseconds",
+      "Age of the list of engines.",
+      () => [{ value: Math.round(Math.min(table.listAge, 1e9)) }],
+    );
+    this.metrics.gauge(
+      "figroad_own_live_requests",
+      "Live requests of this instance that engines run.",
+      () => [{
+        value: [...table.ownLoad().values()].reduce((sum, it) => sum + it, 0),
+      }],
+    );
+  }
+
+  /** Defines metrics of a replica of the log. */
+  watchLog(log: IReplicatedLog): void {
+    this.metrics.gauge(
+      "figroad_log",
+      "State of this replica of the log.",
+      () => {
+        const { role, term, lastIndex, commitIndex, appliedIndex } = log
+          .status();
+        return [
+          { value: role === "leader" ? 1 : 0, labels: { kind: "leader" } },
+          { value: term, labels: { kind: "term" } },
+          { value: lastIndex, labels: { kind: "last" } },
+          { value: commitIndex, labels: { kind: "committed" } },
+          { value: appliedIndex, labels: { kind: "applied" } },
+        ];
+      },
+    );
+  }
+
+  /** Defines metrics of the calls to other instances. */
+  watchCalls(statistics: IRpcStatistics): void {
+    this.metrics.gauge(
+      "figroad_rpc",
+      "Calls, connections and bytes to other instances since the start.",
+      () =>
+        Object.entries(statistics).map(([kind, value]) => ({
+          value,
+          labels: { kind },
+        })),
+    );
+  }
+
+  /** Begins to serve the metrics. */
+  async listen(address: string): Promise<void> {
+    const listener = this.#store.add(new MetricsListener(this.metrics));
+    await listener.listen(address, METRICS_PORT);
+  }
+
+  dispose(): void {
+    this.#store.dispose();
+  }
+}
--- /dev/null
+++ b/src/explain/log_story_test.ts
@@ -0,0 +1,83 @@
+import test from "ava";
+import { tellStory } from "./log_story.ts";
+
+/** A line as a process writes it, `second` seconds into the log. */
+function line(
+  second: number,
+  instance: string,
+  name: string,
+  fields: Record<string, unknown> = {},
+): string {
+  const at = new Date(1_700_000_000_000 + second * 1_000).toISOString();
+  return JSON.stringify({ at, instance, name, ...fields });
+}
+
+function names(id: string, lines: string[]): string[] {
+  return tellStory(id, lines.join("\n")).map((it) =>
+    `${it.instance} ${it.name}`
+  );
+}
+
+test("refused live stream: the load that decided", (t) => {
+  const lines = [
+    line(1, "entry-1", "request-refused", {
+      request: "r-1",
+      reason: "no place is expected in time",
+      live: 70,
+      retryMilliseconds: 310,
+    }),
+    line(1, "entry-1", "request-refused", { request: "r-2" }),
+  ];
+  const story = tellStory("r-1", lines.join("\n"));
+  t.is(story.length, 1);
+  t.like(story[0]?.fields, { live: 70, retryMilliseconds: 310 });
+});
+
+test("stream broken midway: its engine and who else doubted it", (t) => {
+  const lines = [
+    line(3, "entry-1", "request-failed", {
+      request: "r-1",
+      reason: "connection reset",
+      hadBegun: true,
+    }),
+    line(1, "entry-1", "request-placed", { request: "r-1", engine: "e-1" }),
+    line(2.9, "entry-2", "engine-suspected", { engine: "e-1" }),
+    line(2.9, "entry-2", "engine-suspected", { engine: "e-2" }),
+    line(9, "entry-2", "engine-suspected", { engine: "e-1" }),
+  ];
+  t.deepEqual(names("r-1", lines), [
+    "entry-1 request-placed",
+    "entry-2 engine-suspected",
+    "entry-1 request-failed",
+  ]);
+});
+
+test("late batch item: each run, and the change of the lead", (t) => {
+  const lines = [
+    line(1, "store-1", "bulk-item-started", { request: "i-1", job: "j" }),
+    line(2, "store-1", "bulk-item-yielded", { request: "i-1", job: "j" }),
+    line(3, "store-2", "leader-elected"),
+    line(4, "store-2", "bulk-item-started", { request: "i-1", job: "j" }),
+    line(4, "store-2", "bulk-item-started", { request: "i-2", job: "j" }),
+    line(9, "store-2", "bulk-item-recorded", { request: "i-1", job: "j" }),
+  ];
+  t.deepEqual(names("i-1", lines), [
+    "store-1 bulk-item-started",
+    "store-1 bulk-item-yielded",
+    "store-2 leader-elected",
+    "store-2 bulk-item-started",
+    "store-2 bulk-item-recorded",
+  ]);
+  t.is(names("j", lines).length, 6);
+});
+
+test("lines of collectors and other programs", (t) => {
+  const lines = [
+    `  3.21 entry-1 ${line(1, "entry-1", "caller-left", { request: "r" })}`,
+    "{ broken",
+    "plain text",
+    `{"at":1}`,
+  ];
+  t.deepEqual(names("r", lines), ["entry-1 caller-left"]);
+  t.deepEqual(names("other", lines), []);
+});
