The leader grants places for live requests by the fleet's exact load

Change: a request asks the leader in an exchange; the answer takes the place at once and frees it of batch items. Without an answer in 60 ms the entry decides alone, as before. Exchanges follow a budget that the leader divides.

--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -52,14 +52,14 @@
 
   /** What the leader tells other instances; undefined on others. */
   get knowledge(): ILeaderKnowledge | undefined {
-    const { ledger, routesSection } = this.#parts;
+    const { routesSection } = this.#parts;
     if (!this.#term) return undefined;
     const { directory, runner } = this.#term;
     return {
       list: directory.list,
       listAge: directory.listAge,
       failing: directory.failing,
-      load: ledger.entries(runner.load()),
+      bulk: runner.load(),
       routes: routesSection.current,
       makeRoom: () => runner.plan(),
     };
--- a/src/placement/engine_table.ts
+++ b/src/placement/engine_table.ts
@@ -3,14 +3,15 @@
 import type { EngineHealth } from "./engine_health.ts";
 import { engineListChanged } from "./events.ts";
 import type { EngineList, LoadEntry } from "./messages.ts";
-import type { IEngineView, ListedEngine } from "./types.ts";
+import {
+  type IEngineView,
+  INITIAL_MEAN_MILLISECONDS,
+  type ListedEngine,
+} from "./types.ts";
 
 /** Age from which the load of other instances says nothing, in ms. */
 const LOAD_LIFETIME_MILLISECONDS = 1_500;
 
-/** Mean time of a live request before any was measured, in milliseconds. */
-const INITIAL_MEAN_MILLISECONDS = 700;
-
 /** Weight of a new duration in the mean. */
 const MEAN_WEIGHT = 0.1;
 
@@ -26,7 +27,6 @@
   #loadAt = Number.NEGATIVE_INFINITY;
   #own = new Map<string, number>();
   #means = new Map<string, number>();
-  #changes = 0;
 
   constructor(
     clock: IClock,
@@ -50,11 +50,6 @@
     return this.#clock.monotonic() - this.#listReadAt;
   }
 
-  /** Rises whenever the own load changes. */
-  get changes(): number {
-    return this.#changes;
-  }
-
   /** Takes on a list of engines, which was read `age` milliseconds ago. */
   takeList(
     list: EngineList,
@@ -63,7 +58,11 @@
     this.confirmList(options.age);
     if (list.revision === this.#list.revision) return;
     this.#list = list;
-    this.#health.keep(new Set(list.engines.map(({ id }) => id)));
+    const ids = new Set(list.engines.map(({ id }) => id));
+    this.#health.keep(ids);
+    for (const id of this.#means.keys()) {
+      if (!ids.has(id)) this.#means.delete(id);
+    }
     this.#events.emit(engineListChanged, {
       revision: list.revision,
       engines: list.engines.length,
@@ -101,16 +100,23 @@
     return new Map(this.#own);
   }
 
+  /** Mean time of a live request by engine, in milliseconds. */
+  means(): [string, number][] {
+    return [...this.#means].map(([engine, mean]) => [engine, Math.round(mean)]);
+  }
+
+  engine(id: string): ListedEngine | undefined {
+    return this.#list.engines.find((engine) => engine.id === id);
+  }
+
   begin(engine: string): void {
     this.#own.set(engine, (this.#own.get(engine) ?? 0) + 1);
-    this.#changes += 1;
   }
 
   end(engine: string): void {
     const count = (this.#own.get(engine) ?? 0) - 1;
     if (count > 0) this.#own.set(engine, count);
     else this.#own.delete(engine);
-    this.#changes += 1;
   }
 
   /** Takes the duration of a completed request into the mean. */
--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -10,14 +10,22 @@
   leaderReached,
   leaderUnreachable,
 } from "./events.ts";
-import { type EngineList, exchangeMethod } from "./messages.ts";
+import {
+  type EngineList,
+  exchangeMethod,
+  type Grant,
+  type PlacementWant,
+} from "./messages.ts";
 import type { IEngineList, ListedEngine } from "./types.ts";
 
-/** Pause between two exchanges while the own load changes, in ms. */
-const BUSY_PAUSE_MILLISECONDS = 50;
+/** Pause between two exchanges until the leader names one, in ms. */
+const FIRST_PAUSE_MILLISECONDS = 100;
+
+/** Pause between two looks at the age of the list, in milliseconds. */
+const LIST_REVIEW_MILLISECONDS = 200;
 
-/** Pause between two exchanges while nothing changes, in milliseconds. */
-const IDLE_PAUSE_MILLISECONDS = 200;
+/** Longest wait of a request for a place from the leader, in ms. */
+const GRANT_TIMEOUT_MILLISECONDS = 60;
 
 /** Longest wait for the leader's answer, in milliseconds. */
 const TIMEOUT_MILLISECONDS = 500;
@@ -59,7 +67,9 @@
   #control: IControlClient;
   #parts: IExchangeParts;
   #stopping = new AbortController();
-  #wake = new AbortController();
+  #pause = FIRST_PAUSE_MILLISECONDS;
+  #sequence = 0;
+  #answered = 0;
   #reachedAt: number;
   #isReached = true;
   #readAfter: number;
@@ -76,54 +86,62 @@
     if (this.#parts.role === "entry") void this.#watchList();
   }
 
-  /** Exchanges at once; for a request that needs a batch item's place. */
-  hurry(): void {
-    this.#wake.abort();
-  }
-
   dispose(): void {
     this.#stopping.abort();
-    this.#wake.abort();
+  }
+
+  /**
+   * Asks the leader for a place. Resolves with undefined when it does not
+   * answer in time; a place that is granted counts as taken from then on.
+   */
+  async want(want: PlacementWant): Promise<Grant | undefined> {
+    if (!this.#isReached) return undefined;
+    return await this.#exchange(GRANT_TIMEOUT_MILLISECONDS, want);
   }
 
   async #run(): Promise<void> {
-    const { clock, table, pauseMilliseconds } = this.#parts;
+    const { clock } = this.#parts;
     while (!this.#stopping.signal.aborted) {
-      const changes = table.changes;
-      this.#wake = new AbortController();
-      await this.#exchange();
-      const idleEnd = clock.deadlineIn(
-        pauseMilliseconds ?? IDLE_PAUSE_MILLISECONDS,
-      );
-      const busyEnd = clock.deadlineIn(
-        pauseMilliseconds ?? BUSY_PAUSE_MILLISECONDS,
-      );
-      await clock.sleepUntil(busyEnd, this.#wake.signal);
-      if (table.changes === changes) {
-        await clock.sleepUntil(idleEnd, this.#wake.signal);
-      }
+      const pause = this.#parts.pauseMilliseconds ?? this.#pause;
+      const next = clock.deadlineIn(pause);
+      await this.#exchange(TIMEOUT_MILLISECONDS);
+      await clock.sleepUntil(next, this.#stopping.signal);
     }
   }
 
-  async #exchange(): Promise<void> {
+  async #exchange(
+    timeout: number,
+    want?: PlacementWant,
+  ): Promise<Grant | undefined> {
     const { clock, table, health, routes } = this.#parts;
     const { instance, name, role } = this.#parts;
     const reported = table.ownLoad();
+    this.#sequence += 1;
+    const sequence = this.#sequence;
     const answer = await this.#control.call(exchangeMethod, {
-      ...{ instance, name, role },
+      ...{ instance, name, role, sequence, want },
+      answered: this.#answered,
       live: [...reported],
+      means: table.means(),
       suspects: health.suspects(),
       routesVersion: routes.version,
       listRevision: table.revision,
-    }, { deadline: clock.deadlineIn(TIMEOUT_MILLISECONDS) });
-    if (answer.isErr()) return this.#missed(answer.error.message);
+    }, { deadline: clock.deadlineIn(timeout) });
+    if (answer.isErr()) {
+      this.#missed(answer.error.message);
+      return undefined;
+    }
     this.#reached();
-    const { load, suspects, list, listAge } = answer.value;
+    const { load, suspects, list, listAge, grant } = answer.value;
+    this.#pause = answer.value.pauseMilliseconds;
     if (answer.value.routes) routes.offer(answer.value.routes);
     if (list) table.takeList(list, { age: listAge, source: "leader" });
     else table.confirmList(listAge);
     table.takeLoad(load, reported);
     health.report(suspects);
+    if (grant?.kind === "engine") table.begin(grant.engine);
+    this.#answered = Math.max(this.#answered, sequence);
+    return grant;
   }
 
   #reached(): void {
@@ -150,7 +168,7 @@
     const { signal } = this.#stopping;
     while (!signal.aborted) {
       await clock.sleepUntil(
-        clock.deadlineIn(IDLE_PAUSE_MILLISECONDS),
+        clock.deadlineIn(LIST_REVIEW_MILLISECONDS),
         signal,
       );
       if (table.listAge < this.#readAfter || signal.aborted) continue;
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -1,9 +1,26 @@
 import { err, ok } from "neverthrow";
+import { match } from "ts-pattern";
 import { type IDisposable, notRun } from "../common/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
 import type { RouteSet } from "../service_routes/mod.ts";
 import type { LoadLedger } from "./load_ledger.ts";
-import { type EngineList, exchangeMethod, type LoadEntry } from "./messages.ts";
+import {
+  type EngineList,
+  exchangeMethod,
+  type ExchangeParams,
+  type Grant,
+  type PlacementWant,
+} from "./messages.ts";
+import { place } from "./placement.ts";
+import { type IEngineView, INITIAL_MEAN_MILLISECONDS } from "./types.ts";
+
+/** Exchanges that the leader answers in a second, over all instances. */
+const EXCHANGES_PER_SECOND = 400;
+
+/** Shortest pause between two exchanges of an instance, in milliseconds. */
+const SHORTEST_PAUSE_MILLISECONDS = 40;
+
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /** What the leader knows; undefined on an instance that does not lead. */
 export interface ILeaderKnowledge {
@@ -12,35 +29,91 @@
   readonly listAge: number;
   /** Engines that fail their health checks. */
   readonly failing: ReadonlySet<string>;
-  readonly load: LoadEntry[];
+  /** Batch items by engine. */
+  readonly bulk: ReadonlyMap<string, number>;
   readonly routes: RouteSet | undefined;
   /** Takes places back from batch items if live requests need them. */
   makeRoom(): void;
 }
 
+/** Collaborators of the handler. */
+export interface IExchangeHandlerParts {
+  readonly ledger: LoadLedger;
+  readonly knowledge: () => ILeaderKnowledge | undefined;
+  /** Source of numbers from 0 up to 1. */
+  readonly random: () => number;
+}
+
 /** Answers the exchange of load, on the leader. */
 export function handleExchange(
   server: IRpcServer,
-  ledger: LoadLedger,
-  knowledge: () => ILeaderKnowledge | undefined,
+  parts: IExchangeHandlerParts,
 ): IDisposable {
+  const { ledger, knowledge } = parts;
   return server.handle(exchangeMethod, (params) => {
     const known = knowledge();
     if (!known) {
       return Promise.resolve(err(notRun("not-leader", "does not lead")));
     }
     ledger.record(params);
+    const grant = params.want && grantPlace(params, params.want, {
+      ...parts,
+      known,
+    });
     known.makeRoom();
     const { list, routes } = known;
     const hasList = list.revision !== "";
     const isNewList = hasList && list.revision !== params.listRevision;
     const isNewRoutes = routes && routes.version > params.routesVersion;
     return Promise.resolve(ok({
-      load: known.load,
+      load: ledger.entries(known.bulk),
       suspects: [...known.failing],
       listAge: known.listAge,
       list: isNewList ? list : undefined,
       routes: isNewRoutes ? routes : undefined,
+      grant,
+      pauseMilliseconds: pauseFor(ledger.instances("entry").size),
     }));
   });
 }
+
+/** Pause at which the exchanges of all instances stay within the budget. */
+export function pauseFor(instances: number): number {
+  const pause = instances * MILLISECONDS_PER_SECOND / EXCHANGES_PER_SECOND;
+  return Math.max(SHORTEST_PAUSE_MILLISECONDS, pause);
+}
+
+/** Places a request by the load of the whole fleet. */
+function grantPlace(
+  params: ExchangeParams,
+  want: PlacementWant,
+  parts: IExchangeHandlerParts & { known: ILeaderKnowledge },
+): Grant {
+  const { ledger, known, random } = parts;
+  const live = ledger.live();
+  const means = ledger.means();
+  const suspects = new Set([...known.failing, ...params.suspects]);
+  const views: IEngineView[] = known.list.engines
+    .filter(({ service }) => service === want.service)
+    .map((engine) => ({
+      engine,
+      live: live.get(engine.id) ?? 0,
+      bulk: known.bulk.get(engine.id) ?? 0,
+      isSuspect: suspects.has(engine.id),
+      meanMilliseconds: means.get(engine.id) ?? INITIAL_MEAN_MILLISECONDS,
+    }));
+  const excluded = new Set(want.excluded);
+  const placement = place({ ...want, excluded, random: random() }, views);
+  return match(placement)
+    .with({ kind: "engine" }, ({ view, waitMilliseconds }) => {
+      ledger.grant(params.instance, view.engine.id, params.sequence);
+      return {
+        kind: "engine" as const,
+        engine: view.engine.id,
+        live: view.live,
+        bulk: view.bulk,
+        waitMilliseconds,
+      };
+    })
+    .otherwise((refusal) => refusal);
+}
--- a/src/placement/load_ledger.ts
+++ b/src/placement/load_ledger.ts
@@ -7,15 +7,28 @@
 /** Time for which an instance is remembered, in milliseconds. */
 const INSTANCE_LIFETIME_MILLISECONDS = 10_000;
 
+/** Time after which a grant that no report confirms is forgotten, in ms. */
+const GRANT_LIFETIME_MILLISECONDS = 400;
+
 interface IReport {
   readonly receivedAt: number;
   readonly params: ExchangeParams;
 }
 
+interface IGrantRecord {
+  readonly instance: string;
+  readonly engine: string;
+  /** Number of the exchange that asked for the place. */
+  readonly sequence: number;
+  readonly expiresAt: number;
+}
+
 /** Adds up the load that instances report; kept by the leader. */
 export class LoadLedger {
   #clock: IClock;
   #reports = new Map<string, IReport>();
+  /** Places granted that no report includes yet. */
+  #grants: IGrantRecord[] = [];
 
   constructor(clock: IClock) {
     this.#clock = clock;
@@ -23,20 +36,49 @@
 
   record(params: ExchangeParams): void {
     const receivedAt = this.#clock.monotonic();
-    this.#reports.set(params.instance, { receivedAt, params });
+    const { instance, answered } = params;
+    this.#reports.set(instance, { receivedAt, params });
+    this.#grants = this.#grants.filter((grant) =>
+      grant.expiresAt > receivedAt &&
+      (grant.instance !== instance || grant.sequence > answered)
+    );
+  }
+
+  /** Counts a place that was granted in the answer to an exchange. */
+  grant(instance: string, engine: string, sequence: number): void {
+    const expiresAt = this.#clock.monotonic() + GRANT_LIFETIME_MILLISECONDS;
+    this.#grants.push({ instance, engine, sequence, expiresAt });
   }
 
   /** Live requests by engine. */
   live(): Map<string, number> {
     const sums = new Map<string, number>();
+    const add = (engine: string, count: number) =>
+      sums.set(engine, (sums.get(engine) ?? 0) + count);
     for (const { params } of this.#recent(REPORT_LIFETIME_MILLISECONDS)) {
-      for (const [engine, count] of params.live) {
-        sums.set(engine, (sums.get(engine) ?? 0) + count);
-      }
+      for (const [engine, count] of params.live) add(engine, count);
+    }
+    const now = this.#clock.monotonic();
+    for (const { engine, expiresAt } of this.#grants) {
+      if (expiresAt > now) add(engine, 1);
     }
     return sums;
   }
 
+  /** Mean time of a live request by engine, over the instances. */
+  means(): Map<string, number> {
+    const sums = new Map<string, { total: number; count: number }>();
+    for (const { params } of this.#recent(REPORT_LIFETIME_MILLISECONDS)) {
+      for (const [engine, mean] of params.means) {
+        const { total, count } = sums.get(engine) ?? { total: 0, count: 0 };
+        sums.set(engine, { total: total + mean, count: count + 1 });
+      }
+    }
+    return new Map(
+      [...sums].map(([engine, { total, count }]) => [engine, total / count]),
+    );
+  }
+
   /** Live requests and batch items of all engines with any. */
   entries(bulk: ReadonlyMap<string, number>): LoadEntry[] {
     const live = this.live();
--- a/src/placement/load_ledger_test.ts
+++ b/src/placement/load_ledger_test.ts
@@ -11,7 +11,10 @@
     instance,
     name: `machine-${instance}`,
     role: "entry",
+    sequence: 1,
+    answered: 0,
     live: [],
+    means: [],
     suspects: [],
     routesVersion: 1,
     listRevision: "",
@@ -41,3 +44,25 @@
   t.is(ledger.suspicions().size, 0);
   t.is(ledger.instances("entry").get("machine-one"), "one");
 });
+
+test("granted place counts until a report includes it", (t) => {
+  const time = new VirtualTime();
+  const ledger = new LoadLedger(new VirtualClock(time));
+  ledger.record(report("one", { sequence: 1 }));
+  ledger.grant("one", "engine-1", 1);
+  t.is(ledger.live().get("engine-1"), 1);
+  // Sent before the grant was answered, so it does not include it.
+  ledger.record(report("one", { sequence: 2, answered: 0 }));
+  t.is(ledger.live().get("engine-1"), 1);
+  const live: [string, number][] = [["engine-1", 1]];
+  ledger.record(report("one", { sequence: 3, answered: 1, live }));
+  t.is(ledger.live().get("engine-1"), 1);
+});
+
+test("grant whose answer was lost is forgotten", async (t) => {
+  const time = new VirtualTime();
+  const ledger = new LoadLedger(new VirtualClock(time));
+  ledger.grant("one", "engine-1", 1);
+  await time.pass(500);
+  t.is(ledger.live().size, 0);
+});
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -15,6 +15,34 @@
 });
 export type EngineList = z.infer<typeof engineListSchema>;
 
+/** A live request that needs an engine. */
+export const placementWantSchema = z.object({
+  request: z.string(),
+  service: z.string(),
+  failureDomain: z.string(),
+  objectiveMilliseconds: z.number(),
+  remainingMilliseconds: z.number(),
+  /** Whether its caller was probably refused before. */
+  isReturned: z.boolean(),
+  /** Engines that have failed this request. */
+  excluded: z.array(z.string()),
+});
+export type PlacementWant = z.infer<typeof placementWantSchema>;
+
+/** Where a request goes, or when its caller may come back. */
+export const grantSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("engine"),
+    engine: z.string(),
+    live: z.number(),
+    bulk: z.number(),
+    waitMilliseconds: z.number(),
+  }),
+  z.object({ kind: z.literal("refused"), retryMilliseconds: z.number() }),
+  z.object({ kind: z.literal("no-engine") }),
+]);
+export type Grant = z.infer<typeof grantSchema>;
+
 /** Brings an instance's load to the leader, and the fleet's state back. */
 export const exchangeMethod = defineMethod("placement.exchange", {
   params: z.object({
@@ -22,14 +50,22 @@
     /** Name of the machine, for operators. */
     name: z.string(),
     role: z.enum(["entry", "store"]),
+    /** Number of this call, rising. */
+    sequence: z.number(),
+    /** Highest number whose answer `live` takes into account. */
+    answered: z.number(),
     /** Live requests at each engine, from this instance. */
     live: z.array(z.tuple([z.string(), z.number()])),
+    /** Mean time of a live request at each engine, in milliseconds. */
+    means: z.array(z.tuple([z.string(), z.number()])),
     /** Engines that fail this instance's requests. */
     suspects: z.array(z.string()),
     /** Version of the routes that the instance has. */
     routesVersion: z.number(),
     /** Revision of the engine list that the instance has. */
     listRevision: z.string(),
+    /** A request to place. */
+    want: placementWantSchema.optional(),
   }),
   result: z.object({
     load: z.array(loadEntrySchema),
@@ -39,6 +75,10 @@
     listAge: z.number(),
     list: engineListSchema.optional(),
     routes: routeSetSchema.optional(),
+    /** Where the request goes that the call wanted to place. */
+    grant: grantSchema.optional(),
+    /** Pause until the next exchange, in milliseconds. */
+    pauseMilliseconds: z.number(),
   }),
 });
 export type ExchangeParams = z.infer<typeof exchangeMethod.params>;
--- a/src/placement/mod.ts
+++ b/src/placement/mod.ts
@@ -6,4 +6,5 @@
 export * from "./load_ledger.ts";
 export * from "./messages.ts";
 export * from "./placement.ts";
+export * from "./placer.ts";
 export * from "./types.ts";
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -32,6 +32,9 @@
   readonly meanMilliseconds: number;
 }
 
+/** Mean time of a live request before any was measured, in milliseconds. */
+export const INITIAL_MEAN_MILLISECONDS = 700;
+
 /** Reads the list of engines. */
 export interface IEngineList {
   /** @throws Error when the list cannot be read. */
--- a/src/streams/events.ts
+++ b/src/streams/events.ts
@@ -12,6 +12,8 @@
     live: z.number(),
     bulk: z.number(),
     waitMilliseconds: z.number(),
+    /** The leader, or this instance while it reached none. */
+    chosenBy: z.enum(["leader", "instance"]),
     lastEventId: z.string().optional(),
   },
 });
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -1,11 +1,11 @@
 import { match } from "ts-pattern";
 import { type Deadline, earlierDeadline, type IClock } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
-import {
-  type EngineHealth,
-  type EngineTable,
-  type IEngineView,
-  place,
+import type {
+  EngineHealth,
+  EngineTable,
+  ITakenPlace,
+  Placer,
 } from "../placement/mod.ts";
 import { chooseService } from "../service_routes/mod.ts";
 import {
@@ -47,11 +47,10 @@
   readonly attempt: StreamAttempt;
   readonly clock: IClock;
   readonly events: IEventLog;
+  readonly placer: Placer;
   readonly failureDomain: string;
   /** Source of numbers from 0 up to 1. */
   readonly random: () => number;
-  /** Asks the leader at once to free places that batch items hold. */
-  readonly hurry: () => void;
 }
 
 /** State of one request over its attempts. */
@@ -94,9 +93,9 @@
     };
     const service = chooseService(route, this.#parts.random());
     while (!sink.signal.aborted) {
-      const view = this.#choose(run, service);
-      if (!view) return;
-      const outcome = await this.#send(run, view);
+      const place = await this.#takePlace(run, service);
+      if (!place) return;
+      const outcome = await this.#send(run, place);
       if (outcome.kind === "answered") return;
       if (!this.#mayTryAgain(run, outcome)) return this.#giveUp(run, outcome);
     }
@@ -106,35 +105,36 @@
     });
   }
 
-  /** Chooses an engine; answers the caller when there is none. */
-  #choose(
+  /** Takes a place for a run; answers the caller when there is none. */
+  async #takePlace(
     run: IRun,
     service: string,
-  ): { view: IEngineView; waitMilliseconds: number } | undefined {
-    const { table, clock, failureDomain, random } = this.#parts;
+  ): Promise<ITakenPlace | undefined> {
+    const { placer, table, clock, failureDomain } = this.#parts;
     const { request } = run;
-    const views = table.views(service);
     const remainingMilliseconds = clock.remaining(run.deadline);
-    const placement = place({
+    const place = await placer.place({
+      request: request.id,
+      service,
       failureDomain,
       objectiveMilliseconds: request.route.objectiveMilliseconds,
       remainingMilliseconds,
       // What has begun at an engine is not turned away half-way.
       isReturned: request.isReturned || run.runs > 0,
-      excluded: run.excluded,
-      random: random(),
-    }, views);
-    if (placement.kind === "engine") return placement;
-    const retryMilliseconds = placement.kind === "refused"
-      ? placement.retryMilliseconds
+      excluded: [...run.excluded],
+    });
+    if (place.kind === "engine") return place;
+    const retryMilliseconds = place.kind === "refused"
+      ? place.retryMilliseconds
       : NO_ENGINE_RETRY_MILLISECONDS;
-    const reason = placement.kind === "refused"
+    const reason = place.kind === "refused"
       ? "no place is expected in time"
       : "no engine is known that may take the request";
     if (run.runs > 0) {
       this.#fail(run, { kind: "failed", reason });
       return undefined;
     }
+    const views = table.views(service);
     this.#parts.events.emit(requestRefused, {
       request: request.id,
       route: request.route.name,
@@ -151,11 +151,12 @@
 
   async #send(
     run: IRun,
-    choice: { view: IEngineView; waitMilliseconds: number },
+    place: ITakenPlace,
   ): Promise<AttemptOutcome> {
-    const { table, health, events, clock, attempt, hurry } = this.#parts;
+    const { table, health, events, clock, attempt } = this.#parts;
     const { request, sink, progress, isIdempotent } = run;
-    const { engine, live, bulk } = choice.view;
+    const { engine, live, bulk, chosenBy } = place;
+    const waitMilliseconds = Math.round(place.waitMilliseconds);
     run.sends += 1;
     run.excluded.add(engine.id);
     events.emit(requestPlaced, {
@@ -165,18 +166,17 @@
       attempt: run.sends,
       live,
       bulk,
-      waitMilliseconds: Math.round(choice.waitMilliseconds),
+      waitMilliseconds,
+      chosenBy,
       lastEventId: progress.lastEventId,
     });
     const startedAt = clock.monotonic();
-    table.begin(engine.id);
-    if (bulk > 0 && live + bulk >= engine.slots) hurry();
     try {
       const outcome = await attempt.run(engine, request, {
         sink,
         progress,
         isIdempotent,
-        limits: this.#limits(run, choice.waitMilliseconds),
+        limits: this.#limits(run, waitMilliseconds),
       });
       const milliseconds = clock.monotonic() - startedAt;
       match(outcome)
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -8,7 +8,7 @@
 } from "../../testing/fake_engines.ts";
 import { SystemClock } from "../common/mod.ts";
 import { SilentEventLog } from "../events/mod.ts";
-import { EngineHealth, EngineTable } from "../placement/mod.ts";
+import { EngineHealth, EngineTable, Placer } from "../placement/mod.ts";
 import type { Route } from "../service_routes/mod.ts";
 import { StreamAttempt } from "./stream_attempt.ts";
 import { StreamDispatcher } from "./stream_dispatcher.ts";
@@ -67,7 +67,11 @@
     attempt: new StreamAttempt(engines, clock),
     failureDomain: "a",
     random: () => 0,
-    hurry: () => {},
+    placer: new Placer(
+      { want: () => Promise.resolve(undefined) },
+      table,
+      { random: () => 0 },
+    ),
   });
   const run = (route: Route, changes: Partial<IForwardedRequest> = {}) =>
     dispatcher.dispatch({
