Progress of batch items goes into the log once a second

Cause: a new leader began all running items from their start. Change: command progress with what items received since the last one; the next leader resumes behind it.

--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -16,7 +16,7 @@
   runnerStopped,
 } from "./events.ts";
 import { type IItemProgress, type ItemOutcome, runItem } from "./item_run.ts";
-import { bulkSection } from "./messages.ts";
+import { bulkSection, type ProgressDelta } from "./messages.ts";
 import type { BulkItem, BulkResult, HeldJob } from "./types.ts";
 
 /** Pause between two plans, in milliseconds. */
@@ -28,6 +28,9 @@
 /** Longest wait for the commit of a result, in milliseconds. */
 const RECORD_TIMEOUT_MILLISECONDS = 3_000;
 
+/** Pause between two writes of the progress of items, in milliseconds. */
+const PROGRESS_PAUSE_MILLISECONDS = 1_000;
+
 /** Time in which results are due where the route does not say, in ms. */
 const DEFAULT_DUE_MILLISECONDS = 60_000;
 
@@ -55,7 +58,8 @@
   notBefore: number;
   running: { engine: string; abort: AbortController } | undefined;
   isRecording: boolean;
-  yielded: boolean;
+  /** Events whose data is in the log. */
+  writtenEvents: number;
 }
 
 /** Runs the items of all open jobs, while this store leads. */
@@ -73,6 +77,7 @@
     const { section, events } = this.#parts;
     events.emit(runnerStarted, { openJobs: section.openJobs().length });
     void this.#run();
+    void this.#writeProgress();
   }
 
   dispose(): void {
@@ -123,6 +128,31 @@
     }
   }
 
+  /** Writes how far items have come, so that the next leader goes on there. */
+  async #writeProgress(): Promise<void> {
+    const { clock, log } = this.#parts;
+    const { signal } = this.#stopping;
+    while (!signal.aborted) {
+      const next = clock.deadlineIn(PROGRESS_PAUSE_MILLISECONDS);
+      await clock.sleepUntil(next, signal);
+      if (signal.aborted) return;
+      const advanced = [...this.#items.values()].filter((it) =>
+        !it.isRecording && it.progress.data.length > it.writtenEvents
+      );
+      if (advanced.length === 0) continue;
+      const deltas = advanced.map(deltaOf);
+      const written = await log.propose(bulkSection.name, {
+        kind: "progress",
+        deltas,
+      }, { deadline: clock.deadlineIn(RECORD_TIMEOUT_MILLISECONDS) });
+      if (written.isErr()) continue;
+      advanced.forEach((pending, position) => {
+        const { from, data } = deltas[position] as ProgressDelta;
+        pending.writtenEvents = from + data.length;
+      });
+    }
+  }
+
   /** Takes in new jobs, and drops items that need no run any more. */
   #takeJobs(): void {
     const { section, clock } = this.#parts;
@@ -147,17 +177,21 @@
     const { section } = this.#parts;
     if (section.isListed(held.job.id, item.id)) return;
     const route = this.#route(held);
+    const written = section.progress(held.job.id, item.id);
     const due = route?.resultMilliseconds ?? DEFAULT_DUE_MILLISECONDS;
     this.#items.set(`${held.job.id}/${item.id}`, {
       item,
       job: held,
-      progress: { data: [], lastEventId: undefined },
+      progress: {
+        data: [...(written?.data ?? [])],
+        lastEventId: written?.lastEventId,
+      },
+      writtenEvents: written?.data.length ?? 0,
       dueAt: held.acceptedAt + due,
       failures: 0,
       notBefore: 0,
       running: undefined,
       isRecording: false,
-      yielded: false,
     });
   }
 
@@ -188,7 +222,6 @@
       .sort((a, b) => b.dueAt - a.dueAt);
     const load = engines.find((it) => it.engine.id === engine);
     for (const pending of running.slice(0, count)) {
-      pending.yielded = true;
       pending.running?.abort.abort();
       this.#parts.events.emit(itemYielded, {
         request: pending.item.id,
@@ -211,7 +244,6 @@
     const load = engines.find((it) => it.engine.id === engine.id);
     const abort = new AbortController();
     pending.running = { engine: engine.id, abort };
-    pending.yielded = false;
     events.emit(itemStarted, {
       request: item.id,
       job: job.job.id,
@@ -305,3 +337,14 @@
     });
   }
 }
+
+/** What an item has received since its progress was last written. */
+function deltaOf({ job, item, progress, writtenEvents }: IPendingItem) {
+  return {
+    job: job.job.id,
+    item: item.id,
+    from: writtenEvents,
+    data: progress.data.slice(writtenEvents),
+    lastEventId: progress.lastEventId ?? "",
+  };
+}
--- a/src/bulk/bulk_section.ts
+++ b/src/bulk/bulk_section.ts
@@ -5,12 +5,17 @@
   IStateSection,
   SectionSnapshot,
 } from "../consensus/mod.ts";
-import { type BulkCommand, bulkSection } from "./messages.ts";
+import {
+  type BulkCommand,
+  bulkSection,
+  type ProgressDelta,
+} from "./messages.ts";
 import {
   type BulkItem,
   type BulkResult,
   type HeldJob,
   heldJobSchema,
+  type ItemProgress,
 } from "./types.ts";
 
 const snapshotSchema = z.array(heldJobSchema);
@@ -41,6 +46,10 @@
   readonly onChanged = this.#changed.event;
 
   apply(command: BulkCommand, context: IApplyContext) {
+    if (command.kind === "progress") {
+      for (const delta of command.deltas) this.#advance(delta);
+      return { isKnown: true };
+    }
     const id = command.kind === "submit" ? command.job.id : command.job;
     const state = this.#jobs.get(id);
     if (command.kind === "submit" && !state) {
@@ -48,6 +57,7 @@
         job: command.job,
         acceptedAt: context.proposedAt,
         results: [],
+        progress: [],
         hasEnded: false,
       };
       this.#jobs.set(id, new JobState(held));
@@ -77,6 +87,12 @@
     return this.#jobs.get(job)?.items.get(item);
   }
 
+  /** How far an item without a result has come, as far as it is written. */
+  progress(job: string, item: string): ItemProgress | undefined {
+    const held = this.#jobs.get(job)?.held;
+    return held?.progress.find((progress) => progress.item === item);
+  }
+
   isListed(job: string, item: string): boolean {
     return this.#jobs.get(job)?.listed.has(item) ?? false;
   }
@@ -85,6 +101,7 @@
     const state = [...this.#jobs.values()].map(({ held }) => ({
       ...held,
       results: [...held.results],
+      progress: held.progress.map((it) => ({ ...it, data: [...it.data] })),
     }));
     return Promise.resolve({ state, files: [] });
   }
@@ -107,5 +124,23 @@
     if (!items.has(result.item) || listed.has(result.item)) return;
     listed.add(result.item);
     held.results.push(result);
+    held.progress = held.progress.filter(({ item }) => item !== result.item);
+  }
+
+  /** Takes in what follows on what is held; anything else is passed over. */
+  #advance(delta: ProgressDelta): void {
+    const { job, item, from, data, lastEventId } = delta;
+    const state = this.#jobs.get(job);
+    if (!state || state.listed.has(item) || !state.items.has(item)) return;
+    const { held } = state;
+    const known = held.progress.find((it) => it.item === item);
+    const before = known?.data ?? [];
+    if (from > before.length) return;
+    const next = {
+      item,
+      data: [...before.slice(0, from), ...data],
+      lastEventId,
+    };
+    held.progress = [...held.progress.filter((it) => it !== known), next];
   }
 }
--- a/src/bulk/bulk_section_test.ts
+++ b/src/bulk/bulk_section_test.ts
@@ -66,3 +66,24 @@
   t.true(other.isListed("job", "two"));
   t.is(other.item("job", "one")?.id, "one");
 });
+
+test("progress goes on behind what is written", (t) => {
+  const section = withJob();
+  const write = (from: number, data: string[]) => {
+    const lastEventId = String(from + data.length);
+    const delta = { job: "job", item: "one", from, data, lastEventId };
+    section.apply({ kind: "progress", deltas: [delta] }, CONTEXT);
+  };
+  write(0, ["a", "b"]);
+  write(2, ["c"]);
+  // Written twice, because the first answer was lost.
+  write(2, ["c", "d"]);
+  t.deepEqual(section.progress("job", "one")?.data, ["a", "b", "c", "d"]);
+  // A gap would lose events.
+  write(9, ["z"]);
+  t.is(section.progress("job", "one")?.lastEventId, "4");
+  record(section, "one", "a\nb\nc\nd");
+  t.is(section.progress("job", "one"), undefined);
+  write(0, ["late"]);
+  t.is(section.progress("job", "one"), undefined);
+});
--- a/src/bulk/messages.ts
+++ b/src/bulk/messages.ts
@@ -2,6 +2,17 @@
 import { defineMethod } from "../rpc/mod.ts";
 import { bulkJobSchema, bulkResultSchema } from "./types.ts";
 
+/** What an item has received since the last time it was written. */
+export const progressDeltaSchema = z.object({
+  job: z.string(),
+  item: z.string(),
+  /** Number of events whose data was written before. */
+  from: z.number(),
+  data: z.array(z.string()),
+  lastEventId: z.string(),
+});
+export type ProgressDelta = z.infer<typeof progressDeltaSchema>;
+
 /** Changes of the jobs. */
 export const bulkCommandSchema = z.discriminatedUnion("kind", [
   z.object({ kind: z.literal("submit"), job: bulkJobSchema }),
@@ -10,6 +21,10 @@
     job: z.string(),
     result: bulkResultSchema,
   }),
+  z.object({
+    kind: z.literal("progress"),
+    deltas: z.array(progressDeltaSchema),
+  }),
   z.object({ kind: z.literal("end"), job: z.string() }),
 ]);
 export type BulkCommand = z.infer<typeof bulkCommandSchema>;
--- a/src/bulk/types.ts
+++ b/src/bulk/types.ts
@@ -33,6 +33,16 @@
 });
 export type BulkResult = z.infer<typeof bulkResultSchema>;
 
+/** How far an item without a result has come. */
+export const itemProgressSchema = z.object({
+  item: z.string(),
+  /** Data of the events received so far. */
+  data: z.array(z.string()),
+  /** Event after which the next run goes on. */
+  lastEventId: z.string(),
+});
+export type ItemProgress = z.infer<typeof itemProgressSchema>;
+
 /** A job with what has become of it. */
 export const heldJobSchema = z.object({
   job: bulkJobSchema,
@@ -40,6 +50,7 @@
   acceptedAt: z.number(),
   /** Results in the order in which they were recorded. */
   results: z.array(bulkResultSchema),
+  progress: z.array(itemProgressSchema),
   hasEnded: z.boolean(),
 });
 export type HeldJob = z.infer<typeof heldJobSchema>;
