Bytes behind a complete answer no longer cut it; smaller grants

Cause: after a complete answer, rubbish in the same segment fails to parse; destroying the request then dropped what had not been read of the body, which ended as if whole. A stream's length header could also be wrong after a resumption. Change: an answered request is left alone on errors; streams are sent without a length, whole events in one write; grants carry neither load nor means; an item is kept 10 s past its retention, as clocks differ and jump.

--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -31,6 +31,12 @@
 /** Pause between two writes of the progress of items, in milliseconds. */
 const PROGRESS_PAUSE_MILLISECONDS = 1_000;
 
+/**
+ * Time beyond its retention for which an item is kept. Clocks of stores may
+ * differ and jump by seconds.
+ */
+const RETENTION_MARGIN_MILLISECONDS = 10_000;
+
 /** Time in which results are due where the route does not say, in ms. */
 const DEFAULT_DUE_MILLISECONDS = 60_000;
 
@@ -201,7 +207,8 @@
 
   #expiry(held: HeldJob): number {
     const retention = this.#route(held)?.retentionMilliseconds;
-    return held.acceptedAt + (retention ?? Number.POSITIVE_INFINITY);
+    if (retention === undefined) return Number.POSITIVE_INFINITY;
+    return held.acceptedAt + retention + RETENTION_MARGIN_MILLISECONDS;
   }
 
   #mayRun({ job }: IPendingItem, engine: ListedEngine): boolean {
--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -122,7 +122,7 @@
       ...{ instance, name, role, sequence, want },
       answered: this.#answered,
       live: [...reported],
-      means: table.means(),
+      means: want ? undefined : table.means(),
       suspects: health.suspects(),
       routesVersion: routes.version,
       listRevision: table.revision,
@@ -137,7 +137,7 @@
     if (answer.value.routes) routes.offer(answer.value.routes);
     if (list) table.takeList(list, { age: listAge, source: "leader" });
     else table.confirmList(listAge);
-    table.takeLoad(load, reported);
+    if (load) table.takeLoad(load, reported);
     health.report(suspects);
     if (grant?.kind === "engine") table.begin(grant.engine);
     this.#answered = Math.max(this.#answered, sequence);
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -66,7 +66,7 @@
     const isNewList = hasList && list.revision !== params.listRevision;
     const isNewRoutes = routes && routes.version > params.routesVersion;
     return Promise.resolve(ok({
-      load: ledger.entries(known.bulk),
+      load: params.want ? undefined : ledger.entries(known.bulk),
       suspects: [...known.failing],
       listAge: known.listAge,
       list: isNewList ? list : undefined,
--- a/src/placement/load_ledger.ts
+++ b/src/placement/load_ledger.ts
@@ -27,6 +27,7 @@
 export class LoadLedger {
   #clock: IClock;
   #reports = new Map<string, IReport>();
+  #means = new Map<string, ExchangeParams["means"]>();
   /** Places granted that no report includes yet. */
   #grants: IGrantRecord[] = [];
 
@@ -38,6 +39,7 @@
     const receivedAt = this.#clock.monotonic();
     const { instance, answered } = params;
     this.#reports.set(instance, { receivedAt, params });
+    if (params.means) this.#means.set(instance, params.means);
     this.#grants = this.#grants.filter((grant) =>
       grant.expiresAt > receivedAt &&
       (grant.instance !== instance || grant.sequence > answered)
@@ -69,7 +71,7 @@
   means(): Map<string, number> {
     const sums = new Map<string, { total: number; count: number }>();
     for (const { params } of this.#recent(REPORT_LIFETIME_MILLISECONDS)) {
-      for (const [engine, mean] of params.means) {
+      for (const [engine, mean] of this.#means.get(params.instance) ?? []) {
         const { total, count } = sums.get(engine) ?? { total: 0, count: 0 };
         sums.set(engine, { total: total + mean, count: count + 1 });
       }
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -56,8 +56,8 @@
     answered: z.number(),
     /** Live requests at each engine, from this instance. */
     live: z.array(z.tuple([z.string(), z.number()])),
-    /** Mean time of a live request at each engine, in milliseconds. */
-    means: z.array(z.tuple([z.string(), z.number()])),
+    /** Mean time of a live request by engine, in ms; not with each call. */
+    means: z.array(z.tuple([z.string(), z.number()])).optional(),
     /** Engines that fail this instance's requests. */
     suspects: z.array(z.string()),
     /** Version of the routes that the instance has. */
@@ -68,7 +68,8 @@
     want: placementWantSchema.optional(),
   }),
   result: z.object({
-    load: z.array(loadEntrySchema),
+    /** Load of all engines; left out where a request is placed. */
+    load: z.array(loadEntrySchema).optional(),
     /** Engines that several instances find failing. */
     suspects: z.array(z.string()),
     /** Age of the engine list, in milliseconds. */
--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -1,9 +1,10 @@
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import type { Deadline, IClock, Verdict } from "../common/mod.ts";
 import type { ListedEngine } from "../placement/mod.ts";
 import { HttpExchangeError } from "../targets/http_exchange.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type {
+  HeaderLines,
   IAnswerSink,
   IEngineAnswer,
   IEngineCaller,
@@ -128,18 +129,19 @@
           await sink.write(bytes);
           continue;
         }
-        for (const event of splitter.push(bytes)) {
-          // Before the first whole event, another engine can still answer.
-          if (!sink.hasBegun) sink.begin(answer.status, answer.headers);
-          await sink.write(event.bytes);
-          if (event.id !== undefined) progress.lastEventId = event.id;
-        }
+        const events = splitter.push(bytes);
+        if (events.length === 0) continue;
+        // Before the first whole event, another engine can still answer.
+        if (!sink.hasBegun) sink.begin(answer.status, streamHeaders(answer));
+        await sink.write(Buffer.concat(events.map((event) => event.bytes)));
+        const id = events.findLast((event) => event.id !== undefined)?.id;
+        progress.lastEventId = id ?? progress.lastEventId;
       }
       if (sink.signal.aborted) return brokenOutcome("the caller left", false);
       if (splitter.rest.length > 0) {
         return brokenOutcome("the stream ended inside an event");
       }
-      if (!sink.hasBegun) sink.begin(answer.status, answer.headers);
+      if (!sink.hasBegun) sink.begin(answer.status, streamHeaders(answer));
       sink.end();
       return { kind: "answered", status: answer.status };
     } catch (error) {
@@ -219,6 +221,11 @@
   }
 }
 
+/** Head without a length, which another engine's part could exceed. */
+function streamHeaders({ headers }: IEngineAnswer): HeaderLines {
+  return headers.filter(([name]) => name.toLowerCase() !== "content-length");
+}
+
 function notRunOutcome(reason: string, blamesEngine = false) {
   return { kind: "failed", verdict: "not-run", reason, blamesEngine } as const;
 }
--- a/src/targets/http_exchange.ts
+++ b/src/targets/http_exchange.ts
@@ -73,6 +73,7 @@
 ): Promise<IncomingMessage> {
   return new Promise((resolve, reject) => {
     let connected = false;
+    let isAnswered = false;
     const outgoing = request({
       agent: options.freshConnection ? false : options.agent,
       host: message.address,
@@ -103,13 +104,19 @@
         Math.ceil(options.clock.remaining(options.connectDeadline)),
       );
     options.signal.addEventListener("abort", cancel, { once: true });
-    outgoing.on("error", (error) => fail("connection", error.message));
+    outgoing.on("error", (error) => {
+      // Bytes behind a complete answer also end here. Destroying the request
+      // would drop what has not been read of that answer; the response itself
+      // tells when it breaks off.
+      if (!isAnswered) fail("connection", error.message);
+    });
     outgoing.on("socket", (socket) => {
       const begin = () => connected = true;
       if (socket.connecting) socket.once("connect", begin);
       else begin();
     });
     outgoing.on("response", (response) => {
+      isAnswered = true;
       settle();
       response.on("error", () => {});
       resolve(response);
