--- a/src/consensus/leader_term.ts
+++ b/src/consensus/leader_term.ts
@@ -149,6 +149,14 @@
     return this.#peers.get(storage)?.contactAt;
   }
 
+  /** Time without an answer of a peer, from when it was first asked on. */
+  silenceOf(storage: string): number {
+    const peer = this.#peers.get(storage);
+    if (!peer) return 0;
+    const since = Math.max(peer.contactAt, peer.startedAt);
+    return this.#state.clock.monotonic() - since;
+  }
+
   /** Index up to which a peer is durable; undefined if it is no member. */
   matchIndex(storage: string): number | undefined {
     return this.#peers.get(storage)?.matchIndex;
--- a/src/consensus/peer_replicator.ts
+++ b/src/consensus/peer_replicator.ts
@@ -43,6 +43,8 @@
   #nextIndex: number;
   #matchIndex = 0;
   #contactAt = Number.NEGATIVE_INFINITY;
+  /** When this replica began to lead the peer. */
+  readonly startedAt: number;
   #work = new Signal();
   #stopping = new AbortController();
   #beatNow = new AbortController();
@@ -63,6 +65,7 @@
     this.#snapshots = options.snapshots;
     this.#observer = options.observer;
     this.#term = state.term;
+    this.startedAt = state.clock.monotonic();
     // The last entry goes out at once and shows where the logs agree.
     this.#nextIndex = Math.max(1, state.log.lastIndex);
   }
--- a/src/consensus/replica_administrator.ts
+++ b/src/consensus/replica_administrator.ts
@@ -84,17 +84,15 @@
     options: IDeadlineOptions,
   ): Promise<void> {
     const { replicas, self, timing, events } = this.#state;
-    const led = this.#clock.monotonic() - this.#ledSince;
-    // Who is silent is known only after a while of leading.
-    const isSettled = led > LOST_TIMEOUTS * timing.electionMinimum;
+    const longest = LOST_TIMEOUTS * timing.electionMinimum;
     const step = nextUpkeepStep(replicas, {
       targetVoters: upkeep.targetVoters,
       leader: self.storage,
       isRetiring: ({ id }) => upkeep.isRetiring(id),
       isCaughtUp: (member) => this.#isCaughtUp(member),
       isLost: (member) =>
-        isSettled && member.storage !== self.storage &&
-        !this.#wasHeard(member, LOST_TIMEOUTS),
+        member.storage !== self.storage &&
+        this.#leader.silenceOf(member.storage) > longest,
     });
     if (!step) return;
     const { action, member, reason } = step;
--- a/src/consensus/voter_upkeep_test.ts
+++ b/src/consensus/voter_upkeep_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { LogCluster } from "../../testing/log_cluster.ts";
+import { joinMethod } from "./messages.ts";
 import type { ReplicaMember } from "./replica_set.ts";
 import { type IUpkeepView, nextUpkeepStep } from "./voter_upkeep.ts";
 
@@ -104,6 +105,23 @@
   t.deepEqual(cluster.faults(others), []);
 });
 
+test("learner that never answers is given time, then removed", async (t) => {
+  const cluster = new LogCluster(3, 35);
+  cluster.upkeep = { targetVoters: 3, isRetiring: () => false };
+  for (const node of cluster.nodes) void node.start();
+  const leader = await cluster.untilLeader();
+  await cluster.time.pass(2_000);
+  const rpc = cluster.network.connect("operator", leader.clock);
+  const joined = rpc.call(leader.address, joinMethod, {
+    member: { ...member("node-9"), port: 9 },
+  }, { deadline: leader.clock.deadlineIn(1_000) });
+  t.true((await cluster.settle(joined)).isOk());
+  const learners = () => leader.log.status().learners.length;
+  await cluster.time.pass(300);
+  t.is(learners(), 1);
+  await cluster.time.until("removed", () => learners() === 0, 3_000);
+});
+
 test("voter replaced while it was away joins again", async (t) => {
   const { cluster, spare } = await startWithSpare(32);
   const [away] = cluster.followers.filter((node) => node !== spare);
