Jobs under overload: items that can be in time run first

Change: items that can no longer be in time wait for those that can, by durations learned from earlier items; the places left free are a share of all places instead of one an engine, since grants take places back at once.

--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -5,7 +5,8 @@
 import type { EngineHealth, ListedEngine } from "../placement/mod.ts";
 import type { RouteTable } from "../service_routes/mod.ts";
 import type { IEngineCaller } from "../streams/mod.ts";
-import { type IBulkEngine, planBulk } from "./bulk_schedule.ts";
+import { type IBulkEngine, planBulk, rankItems } from "./bulk_schedule.ts";
+import { ItemEstimates } from "./item_estimates.ts";
 import type { BulkSection } from "./bulk_section.ts";
 import {
   itemFailed,
@@ -73,6 +74,7 @@
   #parts: IRunnerParts;
   #items = new Map<string, IPendingItem>();
   #knownJobs = new Set<string>();
+  #estimates = new ItemEstimates();
   #stopping = new AbortController();
 
   constructor(parts: IRunnerParts) {
@@ -108,9 +110,11 @@
     if (this.#stopping.signal.aborted) return;
     this.#takeJobs();
     const now = this.#parts.clock.monotonic();
-    const waiting = [...this.#items.values()]
-      .filter((it) => !it.running && !it.isRecording && it.notBefore <= now)
-      .sort((a, b) => a.dueAt - b.dueAt);
+    const waiting = this.#ranked(
+      [...this.#items.values()].filter((it) =>
+        !it.running && !it.isRecording && it.notBefore <= now
+      ),
+    );
     const load = this.load();
     const engines = this.#parts.engines().map((it) => ({
       ...it,
@@ -125,6 +129,20 @@
     }
   }
 
+  /** Items in the order in which they should run. */
+  #ranked(items: readonly IPendingItem[]): IPendingItem[] {
+    const ranked = items.map((pending) => ({
+      pending,
+      dueAt: pending.dueAt,
+      remainingMilliseconds: this.#estimates.remaining(
+        pending.item,
+        pending.progress.data.length,
+      ),
+    }));
+    const now = this.#parts.clock.wall();
+    return rankItems(ranked, now).map(({ pending }) => pending);
+  }
+
   async #run(): Promise<void> {
     const { clock } = this.#parts;
     while (!this.#stopping.signal.aborted) {
@@ -223,10 +241,10 @@
     count: number,
     engines: readonly IBulkEngine[],
   ): void {
-    // The run that is due last gives way.
-    const running = [...this.#items.values()]
-      .filter((it) => it.running?.engine === engine)
-      .sort((a, b) => b.dueAt - a.dueAt);
+    // The run that matters least gives way.
+    const running = this.#ranked(
+      [...this.#items.values()].filter((it) => it.running?.engine === engine),
+    ).reverse();
     const load = engines.find((it) => it.engine.id === engine);
     for (const pending of running.slice(0, count)) {
       pending.running?.abort.abort();
@@ -250,6 +268,8 @@
     const { item, job, progress } = pending;
     const load = engines.find((it) => it.engine.id === engine.id);
     const abort = new AbortController();
+    const startedAt = clock.monotonic();
+    const eventsBefore = progress.data.length;
     pending.running = { engine: engine.id, abort };
     events.emit(itemStarted, {
       request: item.id,
@@ -267,6 +287,13 @@
       clock,
     });
     pending.running = undefined;
+    this.#estimates.ran(
+      progress.data.length - eventsBefore,
+      clock.monotonic() - startedAt,
+    );
+    if (outcome.kind === "complete") {
+      this.#estimates.completed(item, progress.data.length);
+    }
     if (this.#stopping.signal.aborted) return;
     await this.#review(pending, engine.id, outcome);
   }
--- a/src/bulk/bulk_schedule.ts
+++ b/src/bulk/bulk_schedule.ts
@@ -1,7 +1,43 @@
 import type { ListedEngine } from "../placement/mod.ts";
 
-/** Places of an engine that stay free for live requests, when it has many. */
-const RESERVED_PLACES = 1;
+/**
+ * Share of all places that items leave free. It covers live requests that an
+ * entry places by itself, which the leader hears of one exchange later.
+ */
+const RESERVED_SHARE = 0.03;
+
+/** Time for which a reader still takes a result as in time, in ms. */
+const READING_SLACK_MILLISECONDS = 500;
+
+/** What decides which item runs first. */
+export interface IRankedItem {
+  /** Wall time by which the result is due. */
+  readonly dueAt: number;
+  /** Time that the item still needs at an engine, in milliseconds. */
+  readonly remainingMilliseconds: number;
+}
+
+/**
+ * Orders items: those that can still be in time by their deadline, then the
+ * others, the shortest first.
+ *
+ * When more is asked for than fits, the earliest deadline alone would make
+ * every item a little late. Items that cannot be in time wait for those that
+ * can.
+ */
+export function rankItems<T extends IRankedItem>(
+  items: readonly T[],
+  now: number,
+): T[] {
+  const isLate = ({ dueAt, remainingMilliseconds }: IRankedItem) =>
+    now + remainingMilliseconds > dueAt + READING_SLACK_MILLISECONDS;
+  const inTime = items.filter((item) => !isLate(item));
+  const late = items.filter(isLate);
+  return [
+    ...inTime.sort((a, b) => a.dueAt - b.dueAt),
+    ...late.sort((a, b) => a.remainingMilliseconds - b.remainingMilliseconds),
+  ];
+}
 
 /** What is known of an engine when items are scheduled. */
 export interface IBulkEngine {
@@ -24,8 +60,8 @@
  * Plans which engines run items.
  *
  * Live requests come in bursts of seconds with troughs between them. Items
- * fill the troughs up to a reserve, and give way as soon as an engine has no
- * place left, not before: a reserve that is used up is what it is for.
+ * fill the troughs up to a reserve, and give way as soon as an engine has more
+ * requests than places, not before.
  */
 export function planBulk(
   engines: readonly IBulkEngine[],
@@ -33,16 +69,22 @@
 ): IBulkPlan {
   const yields = new Map<string, number>();
   const room: { engine: ListedEngine; free: number }[] = [];
+  let places = 0;
+  let free = 0;
   for (const { engine, live, bulk, isSuspect } of engines) {
-    const free = engine.slots - live - bulk;
-    if (free < 0 && bulk > 0) {
-      yields.set(engine.id, Math.min(bulk, -free));
-    } else if (!engine.isLeaving && !isSuspect && free > RESERVED_PLACES) {
-      room.push({ engine, free: free - RESERVED_PLACES });
+    const rest = engine.slots - live - bulk;
+    if (rest < 0 && bulk > 0) {
+      yields.set(engine.id, Math.min(bulk, -rest));
     }
+    if (engine.isLeaving || isSuspect) continue;
+    places += engine.slots;
+    free += Math.max(0, rest);
+    if (rest > 0) room.push({ engine, free: rest });
   }
+  const reserve = Math.ceil(RESERVED_SHARE * places);
+  const most = Math.min(waiting, free - reserve);
   const starts: ListedEngine[] = [];
-  while (starts.length < waiting) {
+  while (starts.length < most) {
     const widest = room.reduce<typeof room[number] | undefined>(
       (best, it) => best && best.free >= it.free ? best : it,
       undefined,
