--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -18,7 +18,7 @@
 const EXCHANGES_PER_SECOND = 400;
 
 /** Shortest pause between two exchanges of an instance, in milliseconds. */
-const SHORTEST_PAUSE_MILLISECONDS = 40;
+const SHORTEST_PAUSE_MILLISECONDS = 80;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
