--- /dev/null
+++ b/src/streams/returned_callers.ts
@@ -0,0 +1,48 @@
+import type { Deadline, IClock } from "../common/mod.ts";
+
+/** Share of the usual wait under which a caller has waited before. */
+const RETURNED_SHARE = 0.97;
+
+/** Time for which the usual wait is remembered, in milliseconds. */
+const MEMORY_MILLISECONDS = 30_000;
+
+/**
+ * Time after the start in which every caller counts as returned: those that
+ * come have found nobody before, and a second refusal is their last.
+ */
+const RECOVERY_MILLISECONDS = 3_000;
+
+interface IUsualWait {
+  readonly milliseconds: number;
+  readonly forgetAt: Deadline;
+}
+
+/**
+ * Tells callers that come back from those that come for the first time.
+ *
+ * Each attempt has an identifier of its own, but says how long its caller
+ * still waits. A caller that waits for less than others has waited before.
+ */
+export class ReturnedCallers {
+  #clock: IClock;
+  #usual = new Map<string, IUsualWait>();
+  #recoveredAt: Deadline;
+
+  constructor(clock: IClock) {
+    this.#clock = clock;
+    this.#recoveredAt = clock.deadlineIn(RECOVERY_MILLISECONDS);
+  }
+
+  /** Whether a caller has probably been refused before. */
+  hasReturned(route: string, waitMilliseconds: number): boolean {
+    const usual = this.#usual.get(route);
+    const isKnown = usual && !this.#clock.isPast(usual.forgetAt);
+    if (!isKnown || waitMilliseconds >= usual.milliseconds) {
+      const forgetAt = this.#clock.deadlineIn(MEMORY_MILLISECONDS);
+      this.#usual.set(route, { milliseconds: waitMilliseconds, forgetAt });
+    }
+    if (!this.#clock.isPast(this.#recoveredAt)) return true;
+    return isKnown === true &&
+      waitMilliseconds < RETURNED_SHARE * usual.milliseconds;
+  }
+}
