--- a/src/streams/returned_callers.ts
+++ b/src/streams/returned_callers.ts
@@ -7,8 +7,9 @@
 const MEMORY_MILLISECONDS = 30_000;
 
 /**
- * Time after the start in which every caller counts as returned: those that
- * come have found nobody before, and a second refusal is their last.
+ * Time after the start in which callers count as returned until others show
+ * that they wait for longer: those that come first have found nobody before,
+ * and a second refusal is their last.
  */
 const RECOVERY_MILLISECONDS = 3_000;
 
@@ -27,6 +28,8 @@
   #clock: IClock;
   #usual = new Map<string, IUsualWait>();
   #recoveredAt: Deadline;
+  /** Routes with callers of both kinds, so that they can be told apart. */
+  #hasSeenBoth = new Set<string>();
 
   constructor(clock: IClock) {
     this.#clock = clock;
@@ -41,8 +44,14 @@
       const forgetAt = this.#clock.deadlineIn(MEMORY_MILLISECONDS);
       this.#usual.set(route, { milliseconds: waitMilliseconds, forgetAt });
     }
-    if (!this.#clock.isPast(this.#recoveredAt)) return true;
-    return isKnown === true &&
-      waitMilliseconds < RETURNED_SHARE * usual.milliseconds;
+    const longest = isKnown ? usual.milliseconds : waitMilliseconds;
+    if (waitMilliseconds < RETURNED_SHARE * longest) {
+      this.#hasSeenBoth.add(route);
+      return true;
+    }
+    const isFirst = waitMilliseconds * RETURNED_SHARE > longest;
+    if (isKnown && isFirst) this.#hasSeenBoth.add(route);
+    return !this.#hasSeenBoth.has(route) &&
+      !this.#clock.isPast(this.#recoveredAt);
   }
 }
--- a/src/streams/returned_callers_test.ts
+++ b/src/streams/returned_callers_test.ts
@@ -21,6 +21,10 @@
   const { returned } = await started(500);
   t.true(returned.hasReturned("alerts", 4_490));
   t.true(returned.hasReturned("alerts", 4_490));
+  // One that has not waited yet shows who has.
+  t.false(returned.hasReturned("alerts", 5_000));
+  t.false(returned.hasReturned("alerts", 5_000));
+  t.true(returned.hasReturned("alerts", 4_490));
 });
 
 test("shorter waits become usual", async (t) => {
