--- a/src/composition/observation.ts
+++ b/src/composition/observation.ts
@@ -1,5 +1,6 @@
 import { DisposableStore, type IDisposable } from "../common/mod.ts";
 import type { IReplicatedLog } from "../consensus/mod.ts";
+import { logLinesLeftOut } from "../edge/events.ts";
 import { MetricsListener } from "../edge/mod.ts";
 import type { IEventLog, JsonLineLog } from "../events/mod.ts";
 import {
@@ -26,6 +27,11 @@
     const counting = new CountingEventLog(log, this.metrics);
     this.events = new TimingEventLog(counting, this.metrics);
     this.#store.add(defineProcessMetrics(this.metrics));
+    this.#store.add(
+      log.onLeftOut(({ name, lines }) =>
+        this.events.emit(logLinesLeftOut, { of: name, lines })
+      ),
+    );
     this.metrics.gauge(
       "figroad_log_lines_left_out",
       "Log lines left out since the start, for their number or a slow reader.",
--- a/src/consensus/call_repeatedly.ts
+++ b/src/consensus/call_repeatedly.ts
@@ -10,7 +10,7 @@
 import type { IRpcMethod } from "../rpc/mod.ts";
 import type { IControlClient } from "./types.ts";
 
-/** Longest wait for one answer, in milliseconds. */
+/** Longest wait for one answer beyond what the method itself waits, in ms. */
 const ATTEMPT_MILLISECONDS = 700;
 
 /** Pause between two attempts, in milliseconds. */
@@ -24,15 +24,20 @@
   control: IControlClient,
   method: IRpcMethod<P, R>,
   params: z.infer<P>,
-  options: { clock: IClock; deadline: Deadline },
+  options: {
+    clock: IClock;
+    deadline: Deadline;
+    /** Time that the method may wait before it answers, in milliseconds. */
+    waitMilliseconds?: number;
+  },
 ): Promise<Result<z.infer<R>, Failure>> {
-  const { clock, deadline } = options;
+  const { clock, deadline, waitMilliseconds = 0 } = options;
   let last = notRun("unavailable", "no leader answered in time");
   while (!clock.isPast(deadline)) {
     const answer = await control.call(method, params, {
       deadline: earlierDeadline(
         deadline,
-        clock.deadlineIn(ATTEMPT_MILLISECONDS),
+        clock.deadlineIn(ATTEMPT_MILLISECONDS + waitMilliseconds),
       ),
     });
     if (answer.isOk()) return answer;
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -76,6 +76,19 @@
   },
 );
 
+export const logLinesLeftOut = defineEvent(1260, "log-lines-left-out", {
+  level: "warn",
+  help: "An event happened more often than its lines may be written; the " +
+    "counters of the metrics include all of them.",
+  fields: { of: z.string(), lines: z.number() },
+});
+
+export const roleFailed = defineEvent(1261, "role-failed", {
+  level: "error",
+  help: "The process cannot go on and ends, so that it is started again.",
+  fields: { reason: z.string() },
+});
+
 export const jobCallAnswered = defineEvent(1259, "job-call-answered", {
   level: "info",
   help: "A caller's call about a job was answered.",
--- a/src/events/json_line_log.ts
+++ b/src/events/json_line_log.ts
@@ -2,12 +2,15 @@
 import { write } from "node:fs";
 import { type ConsolaInstance, createConsola, type LogObject } from "consola";
 import type { z } from "zod";
-import type { IDisposable } from "../common/mod.ts";
+import { Emitter, type IDisposable } from "../common/mod.ts";
 import type { IEventDefinition, IEventLog } from "./types.ts";
 
 /** File descriptor of the standard output. */
 const STANDARD_OUTPUT = 1;
 
+/** Level of the library at which all events are written. */
+const EVERY_LEVEL = 4;
+
 /** Lines of one event that are written in a second. */
 const LINES_PER_SECOND = 200;
 
@@ -20,6 +23,19 @@
 /** Pause before lines are written again after an error, in milliseconds. */
 const RETRY_MILLISECONDS = 100;
 
+/** Lines of an event that were not written. */
+export interface ILeftOutLines {
+  /** Name of the event. */
+  readonly name: string;
+  readonly lines: number;
+}
+
+/** Writes bytes and tells how many were taken. */
+export type LineOutput = (
+  bytes: Buffer,
+  done: (error: Error | null, written: number) => void,
+) => void;
+
 /**
  * Writes events to the standard output, one JSON object a line.
  *
@@ -36,10 +52,20 @@
   #counts = new Map<string, number>();
   #dropped = 0;
   #period: NodeJS.Timeout;
+  #output: LineOutput;
+  #leftOut = new Emitter<ILeftOutLines>();
+  /** Fires once a second for each event that exceeded its budget. */
+  readonly onLeftOut = this.#leftOut.event;
 
-  constructor(instance: string) {
+  /** @param output where lines go; the standard output unless given. */
+  constructor(instance: string, output: LineOutput = writeToStandardOutput) {
     this.#instance = instance;
+    this.#output = output;
     this.#consola = createConsola({
+      // The library's own default depends on the environment.
+      level: EVERY_LEVEL,
+      // Equal lines are bounded by the budget below, which counts them.
+      throttle: 0,
       reporters: [{ log: (entry) => this.#enqueue(entry) }],
     });
     this.#period = setInterval(() => this.#renew(), PERIOD_MILLISECONDS);
@@ -88,7 +114,7 @@
     const bytes = Buffer.concat(this.#queue);
     this.#queue = [];
     this.#isWriting = true;
-    write(STANDARD_OUTPUT, bytes, (error, written) => {
+    this.#output(bytes, (error, written) => {
       const rest = bytes.subarray(error ? 0 : written);
       this.#queuedBytes -= bytes.length - rest.length;
       if (rest.length > 0) this.#queue.unshift(rest);
@@ -100,12 +126,20 @@
 
   /** Begins a new period and tells what the last one left out. */
   #renew(): void {
-    for (const [name, count] of this.#counts) {
+    const counts = this.#counts;
+    this.#counts = new Map();
+    for (const [name, count] of counts) {
       if (count <= LINES_PER_SECOND) continue;
       const lines = count - LINES_PER_SECOND;
       this.#dropped += lines;
-      this.#consola.warn({ name: "lines-left-out", of: name, lines });
+      this.#leftOut.fire({ name, lines });
     }
-    this.#counts.clear();
   }
 }
+
+function writeToStandardOutput(
+  bytes: Buffer,
+  done: (error: Error | null, written: number) => void,
+): void {
+  write(STANDARD_OUTPUT, bytes, done);
+}
--- /dev/null
+++ b/src/events/json_line_log_test.ts
@@ -0,0 +1,74 @@
+import type { Buffer } from "node:buffer";
+import { setTimeout } from "node:timers/promises";
+import test from "ava";
+import { z } from "zod";
+import { defineEvent } from "./define_event.ts";
+import { type ILeftOutLines, JsonLineLog } from "./json_line_log.ts";
+
+const EVENT = defineEvent(1, "request-placed", {
+  level: "info",
+  help: "A request was placed.",
+  fields: { request: z.string() },
+});
+
+/** Lines that one event may write in a second. */
+const BUDGET = 200;
+
+function output() {
+  const state = { text: "", isBlocked: false, waiting: 0 };
+  const write = (
+    bytes: Buffer,
+    done: (error: Error | null, written: number) => void,
+  ) => {
+    if (state.isBlocked) {
+      state.waiting = bytes.length;
+      return;
+    }
+    state.text += bytes.toString();
+    queueMicrotask(() => done(null, bytes.length));
+  };
+  return { state, write };
+}
+
+test("one JSON object a line, with time, instance and number", async (t) => {
+  const { state, write } = output();
+  const log = new JsonLineLog("entry-1", write);
+  log.emit(EVENT, { request: "r-1" });
+  log.emit(EVENT, { request: "r-2" });
+  await setTimeout(0);
+  const lines = state.text.trim().split("\n").map((line) => JSON.parse(line));
+  t.is(lines.length, 2);
+  t.like(lines[1], {
+    instance: "entry-1",
+    event: 1,
+    name: "request-placed",
+    request: "r-2",
+  });
+  t.false(Number.isNaN(Date.parse(lines[0].at)));
+  log.dispose();
+});
+
+test("ten times the usual load: lines bounded, the rest counted", async (t) => {
+  const { state, write } = output();
+  const log = new JsonLineLog("entry-1", write);
+  const leftOut: ILeftOutLines[] = [];
+  log.onLeftOut((lines) => leftOut.push(lines));
+  for (let count = 0; count < 10 * BUDGET; count++) {
+    log.emit(EVENT, { request: `r-${count}` });
+  }
+  await setTimeout(1_100);
+  t.is(state.text.trim().split("\n").length, BUDGET);
+  t.deepEqual(leftOut, [{ name: "request-placed", lines: 9 * BUDGET }]);
+  log.dispose();
+});
+
+test("reader that stops reading: nothing waits, memory is bounded", (t) => {
+  const { state, write } = output();
+  state.isBlocked = true;
+  const log = new JsonLineLog("entry-1", write);
+  const request = "x".repeat(20_000);
+  for (let count = 0; count < BUDGET; count++) log.emit(EVENT, { request });
+  t.true(log.droppedLines > BUDGET / 2);
+  t.is(state.text, "");
+  log.dispose();
+});
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -65,7 +65,6 @@
   /** Engines on which the request may have run. */
   runs: number;
   sends: number;
-  last: Extract<AttemptOutcome, { kind: "failed" }> | undefined;
 }
 
 /** Passes a request to engines until one has answered it. */
@@ -89,7 +88,6 @@
         route.kind === "stream" && route.isResumable,
       runs: 0,
       sends: 0,
-      last: undefined,
     };
     const service = chooseService(route, this.#parts.random());
     while (!sink.signal.aborted) {
@@ -187,7 +185,6 @@
         })
         .with({ kind: "failed" }, (failed) => {
           if (failed.verdict === "may-have-run") run.runs += 1;
-          run.last = failed;
           if (failed.blamesEngine && !sink.signal.aborted) {
             health.failed(engine.id, failed.reason);
           }
