A new leader's duties begin when the log is applied

The new leader had begun while its log was still being applied, took the job in before the progress of its items, and could have answered an exchange with routes of an earlier version (it passed through 14 versions). Ruled out: progress not written (it was in the log, by its index). Change: duties wait for a barrier of the term that a quorum has confirmed; a request's story leaves out other instances' contact with the leader.

--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -22,6 +22,12 @@
 import type { IRpcClient, IRpcServer, PeerAddress } from "../rpc/mod.ts";
 import type { RoutesHolder, RoutesSection } from "../service_routes/mod.ts";
 
+/** Longest wait for all that was acknowledged to be applied, in ms. */
+const BARRIER_MILLISECONDS = 1_000;
+
+/** Pause before the next wait after one that failed, in milliseconds. */
+const RETRY_MILLISECONDS = 20;
+
 /** Collaborators of `LeaderDuties`. */
 export interface ILeaderDutyParts {
   readonly log: IReplicatedLog;
@@ -55,6 +61,8 @@
 export class LeaderDuties implements IDisposable {
   #parts: ILeaderDutyParts;
   #term: ITermParts | undefined;
+  /** Term that this store leads, its duties begun or not. */
+  #reviewedTerm: number | undefined;
   #store = new DisposableStore();
   #isEnded = false;
 
@@ -85,9 +93,29 @@
   }
 
   #review(): void {
-    const { isLeader } = this.#parts.log.leadership;
-    if (isLeader && !this.#term && !this.#isEnded) this.#beginTerm();
-    if (!isLeader) this.#endTerm();
+    const { isLeader, term } = this.#parts.log.leadership;
+    if (!isLeader || term !== this.#reviewedTerm) this.#endTerm();
+    const isNew = isLeader && term !== this.#reviewedTerm;
+    this.#reviewedTerm = isLeader ? term : undefined;
+    if (isNew) void this.#prepareTerm(term);
+  }
+
+  /**
+   * Begins the duties of a term once everything that was acknowledged before
+   * is applied. Until then, routes may be older than those in force, and the
+   * progress of items is not known yet.
+   */
+  async #prepareTerm(term: number): Promise<void> {
+    const { log, clock } = this.#parts;
+    while (!this.#isEnded && this.#reviewedTerm === term) {
+      const deadline = clock.deadlineIn(BARRIER_MILLISECONDS);
+      const applied = await log.barrier({ deadline, isConfirmed: true });
+      const isCurrent = !this.#isEnded && this.#reviewedTerm === term;
+      if (applied.isOk() && isCurrent) return this.#beginTerm();
+      if (applied.isErr()) {
+        await clock.sleepUntil(clock.deadlineIn(RETRY_MILLISECONDS));
+      }
+    }
   }
 
   #beginTerm(): void {
--- /dev/null
+++ b/src/composition/leader_duties_test.ts
@@ -0,0 +1,132 @@
+import { err, ok, type Result } from "neverthrow";
+import test from "ava";
+import { FakeLog } from "../../testing/fake_log.ts";
+import { FakeNetwork } from "../../testing/fake_network.ts";
+import { SeededRandom } from "../../testing/seeded_random.ts";
+import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
+import { BulkSection, type IItemRun } from "../bulk/mod.ts";
+import { type Failure, notRun } from "../common/mod.ts";
+import { SilentEventLog } from "../events/mod.ts";
+import { LoadLedger } from "../placement/mod.ts";
+import { RoutesHolder, RoutesSection } from "../service_routes/mod.ts";
+import { LeaderDuties } from "./leader_duties.ts";
+
+const ROUTES = {
+  version: 1,
+  routes: [{
+    name: "reports",
+    host: "reports.example",
+    pathPrefix: "/",
+    kind: "bulk" as const,
+    timeoutMilliseconds: 1_000,
+    objectiveMilliseconds: 500,
+    priority: 1,
+    shares: [{ service: "writer", weight: 1 }],
+    attempts: 3,
+    isResumable: true,
+  }],
+  services: [{ name: "writer", healthPath: "/health", slots: 8 }],
+  limits: {
+    headerBytes: 1,
+    bodyBytes: 1,
+    headerTimeoutMilliseconds: 1,
+    idleTimeoutMilliseconds: 1,
+  },
+  source: "",
+};
+
+const ENGINE = {
+  id: "engine-1",
+  service: "writer",
+  address: "10.0.0.9",
+  port: 80,
+  failureDomain: "a",
+  slots: 8,
+  isLeaving: false,
+};
+
+const JOB = {
+  id: "job",
+  host: "reports.example",
+  path: "/1",
+  items: [{ id: "item", path: "/1", headers: {}, body: "", tokens: 10 }],
+};
+
+const CONTEXT = { index: 1, term: 1, proposedAt: 0 };
+
+/** Log that has not applied everything until the test says so. */
+class SlowLog extends FakeLog {
+  isApplied = false;
+
+  override barrier(): Promise<Result<void, Failure>> {
+    const late = notRun("unavailable", "not applied in time");
+    return Promise.resolve(this.isApplied ? ok(undefined) : err(late));
+  }
+}
+
+function scene() {
+  const time = new VirtualTime();
+  const clock = new VirtualClock(time);
+  const endpoint = new FakeNetwork(time, new SeededRandom(1))
+    .connect("store", clock);
+  const events = new SilentEventLog();
+  const routesSection = new RoutesSection();
+  const bulkSection = new BulkSection();
+  const log = new SlowLog([routesSection, bulkSection]);
+  const routes = new RoutesHolder({ events });
+  routesSection.onAccepted((set) => routes.offer(set));
+  const runs: IItemRun[] = [];
+  const duties = new LeaderDuties({
+    ...{ log, routesSection, bulkSection, routes, clock, events },
+    ledger: new LoadLedger(clock),
+    list: { read: () => Promise.resolve([ENGINE]) },
+    probe: { check: () => Promise.resolve() },
+    executor: {
+      run: (_, run) => {
+        runs.push(run);
+        return new Promise(() => {});
+      },
+    },
+    rpc: endpoint,
+    server: endpoint,
+    peerPort: 1,
+    store: "store",
+  });
+  return { time, log, duties, runs, routesSection, bulkSection };
+}
+
+test("restart of all stores: duties begin when the log is applied", async (t) => {
+  const { time, log, duties, runs, routesSection, bulkSection } = scene();
+  log.lead(1, true);
+  await time.pass(100);
+  t.is(duties.knowledge, undefined);
+  // The log is applied entry by entry: a job, then what its item received.
+  routesSection.apply({ routes: ROUTES });
+  bulkSection.apply({ kind: "submit", job: JOB }, CONTEXT);
+  await time.pass(100);
+  t.is(runs.length, 0);
+  const delta = { job: "job", item: "item", from: 0, lastEventId: "2" };
+  bulkSection.apply({
+    kind: "progress",
+    deltas: [{ ...delta, data: ["a", "b"] }],
+  }, CONTEXT);
+  log.isApplied = true;
+  await time.until("started", () => runs.length === 1);
+  t.deepEqual(runs[0]?.progress.data, ["a", "b"]);
+  t.is(runs[0]?.progress.lastEventId, "2");
+  t.is(duties.knowledge?.routes?.version, 1);
+  duties.dispose();
+});
+
+test("lead lost before the log is applied: no duties", async (t) => {
+  const { time, log, duties, runs, bulkSection } = scene();
+  log.lead(1, true);
+  bulkSection.apply({ kind: "submit", job: JOB }, CONTEXT);
+  await time.pass(50);
+  log.lead(2, false);
+  log.isApplied = true;
+  await time.pass(500);
+  t.is(duties.knowledge, undefined);
+  t.is(runs.length, 0);
+  duties.dispose();
+});
--- a/src/explain/log_story.ts
+++ b/src/explain/log_story.ts
@@ -18,6 +18,9 @@
   "role-stopping",
 ]);
 
+/** Events that concern all instances, wherever they happen. */
+const LEAD_EVENTS = new Set(["leader-elected", "leadership-lost"]);
+
 const lineSchema = z.looseObject({
   at: z.string(),
   instance: z.string(),
@@ -58,7 +61,7 @@
     if (line.isOwn || !CONTEXT_EVENTS.has(line.name)) return false;
     if (line.at < from || line.at > until) return false;
     if (line.engine !== undefined) return engines.has(line.engine);
-    return instances.has(line.instance) || line.name.startsWith("leader");
+    return instances.has(line.instance) || LEAD_EVENTS.has(line.name);
   });
   return [...own, ...context].sort((a, b) => a.at - b.at);
 }
