Tests of the exchange between entries and the leader on virtual time

Cause: grants, their fall-back and the sums had tests of their own only. Change: exchange_test with a leader and up to eight entries; one builder of listed engines for six test files.

--- a/src/bulk/bulk_schedule_test.ts
+++ b/src/bulk/bulk_schedule_test.ts
@@ -1,23 +1,14 @@
 import test from "ava";
+import { listedEngine } from "../../testing/listed_engine.ts";
 import { type IBulkEngine, planBulk, rankItems } from "./bulk_schedule.ts";
 
-const SLOTS = 8;
-
 function engine(
   id: string,
   load: { live: number; bulk: number; leaving?: boolean; suspect?: boolean },
 ): IBulkEngine {
   const { live, bulk, leaving = false, suspect = false } = load;
   return {
-    engine: {
-      id,
-      service: "alerts",
-      address: "10.0.0.1",
-      port: 80,
-      failureDomain: "a",
-      slots: SLOTS,
-      isLeaving: leaving,
-    },
+    engine: listedEngine(id, { isLeaving: leaving }),
     live,
     bulk,
     isSuspect: suspect,
--- a/src/bulk/store_executor_test.ts
+++ b/src/bulk/store_executor_test.ts
@@ -2,6 +2,7 @@
 import test from "ava";
 import { FakeLog } from "../../testing/fake_log.ts";
 import { FakeNetwork } from "../../testing/fake_network.ts";
+import { listedEngine } from "../../testing/listed_engine.ts";
 import { SeededRandom } from "../../testing/seeded_random.ts";
 import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
 import type { IControlClient } from "../consensus/mod.ts";
@@ -12,15 +13,7 @@
 /** Runs that the leader keeps for itself. */
 const OWN_RUNS = 48;
 
-const ENGINE = {
-  id: "engine-1",
-  service: "writer",
-  address: "10.0.0.9",
-  port: 80,
-  failureDomain: "a",
-  slots: 8,
-  isLeaving: false,
-};
+const ENGINE = listedEngine("engine-1");
 
 const ITEM = { id: "item", path: "/", headers: {}, body: "", tokens: 10 };
 
--- a/src/composition/leader_duties_test.ts
+++ b/src/composition/leader_duties_test.ts
@@ -2,6 +2,7 @@
 import test from "ava";
 import { FakeLog } from "../../testing/fake_log.ts";
 import { FakeNetwork } from "../../testing/fake_network.ts";
+import { listedEngine } from "../../testing/listed_engine.ts";
 import { SeededRandom } from "../../testing/seeded_random.ts";
 import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
 import { BulkSection, type IItemRun } from "../bulk/mod.ts";
@@ -35,15 +36,7 @@
   source: "",
 };
 
-const ENGINE = {
-  id: "engine-1",
-  service: "writer",
-  address: "10.0.0.9",
-  port: 80,
-  failureDomain: "a",
-  slots: 8,
-  isLeaving: false,
-};
+const ENGINE = listedEngine("engine-1");
 
 const JOB = {
   id: "job",
--- /dev/null
+++ b/src/placement/exchange_test.ts
@@ -0,0 +1,171 @@
+import test from "ava";
+import { FakeNetwork } from "../../testing/fake_network.ts";
+import { ENGINE_SLOTS, listedEngine } from "../../testing/listed_engine.ts";
+import { SeededRandom } from "../../testing/seeded_random.ts";
+import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
+import type { IControlClient } from "../consensus/mod.ts";
+import { SilentEventLog } from "../events/mod.ts";
+import { RoutesHolder } from "../service_routes/mod.ts";
+import { EngineHealth } from "./engine_health.ts";
+import { EngineTable } from "./engine_table.ts";
+import { ExchangeClient } from "./exchange_client.ts";
+import {
+  handleExchange,
+  type ILeaderKnowledge,
+  pauseFor,
+} from "./exchange_handler.ts";
+import { LoadLedger } from "./load_ledger.ts";
+import { Placer } from "./placer.ts";
+
+const ENGINES = ["one", "two"].map((id) => listedEngine(id));
+
+/** A leader and the entries that exchange load with it. */
+class Fleet {
+  readonly time = new VirtualTime();
+  readonly clock = new VirtualClock(this.time);
+  readonly network = new FakeNetwork(this.time, new SeededRandom(1));
+  readonly ledger = new LoadLedger(this.clock);
+  readonly bulk = new Map<string, number>();
+  readonly madeRoom: string[] = [];
+  listReads = 0;
+  knowledge: ILeaderKnowledge | undefined = {
+    list: { revision: "1", engines: ENGINES },
+    listAge: 0,
+    failing: new Set(),
+    bulk: this.bulk,
+    routes: undefined,
+    makeRoom: ({ engine }) => this.madeRoom.push(engine.id),
+  };
+
+  constructor() {
+    handleExchange(this.network.connect("leader", this.clock), {
+      ledger: this.ledger,
+      knowledge: () => this.knowledge,
+      random: () => 0,
+    });
+  }
+
+  /** Starts an entry. */
+  entry(name: string) {
+    const { clock } = this;
+    const events = new SilentEventLog();
+    const endpoint = this.network.connect(name, clock);
+    const leader = { id: "leader", address: "leader", port: 1 };
+    const control = {
+      call: (method: never, params: never, options: never) =>
+        endpoint.call(leader, method, params, options),
+    } as unknown as IControlClient;
+    const health = new EngineHealth(clock, { events });
+    const table = new EngineTable(clock, { events, health });
+    const exchange = new ExchangeClient(control, {
+      ...{ instance: name, name, role: "entry" as const },
+      ...{ clock, events, table, health },
+      routes: new RoutesHolder({ events }),
+      list: {
+        read: () => {
+          this.listReads += 1;
+          return Promise.resolve(ENGINES);
+        },
+      },
+      random: () => 0,
+    });
+    exchange.start();
+    const placer = new Placer(exchange, table, { random: () => 0 });
+    return { table, placer };
+  }
+
+  /** Places a request and lets the time of the exchange pass. */
+  async place(placer: Placer) {
+    const placed = placer.place({
+      request: "request",
+      service: "writer",
+      failureDomain: "a",
+      objectiveMilliseconds: 300,
+      remainingMilliseconds: 5_000,
+      isReturned: false,
+      excluded: [],
+    });
+    await this.time.pass(100);
+    return await placed;
+  }
+}
+
+test("start of a burst: entries do not crowd one engine", async (t) => {
+  const fleet = new Fleet();
+  const entries = Array.from(
+    { length: 8 },
+    (_, index) => fleet.entry(`entry-${index}`),
+  );
+  await fleet.time.pass(200);
+  // All at once, so that no entry has heard of another's request.
+  const places = await Promise.all(
+    entries.map(({ placer }) => fleet.place(placer)),
+  );
+  const engines = places.map((place) =>
+    place.kind === "engine" ? place.engine.id : place.kind
+  );
+  t.is(engines.filter((id) => id === "one").length, 4);
+  t.is(engines.filter((id) => id === "two").length, 4);
+});
+
+test("burst: a granted place is taken from batch items at once", async (t) => {
+  const fleet = new Fleet();
+  const { placer } = fleet.entry("entry");
+  await fleet.time.pass(200);
+  for (const { id } of ENGINES) fleet.bulk.set(id, ENGINE_SLOTS);
+  const place = await fleet.place(placer);
+  t.is(place.kind, "engine");
+  t.is(fleet.madeRoom.length, 1);
+});
+
+test("load of ended requests is heard of within two exchanges", async (t) => {
+  const fleet = new Fleet();
+  const { placer, table } = fleet.entry("entry");
+  await fleet.time.pass(200);
+  const place = await fleet.place(placer);
+  const id = place.kind === "engine" ? place.engine.id : "";
+  await fleet.time.pass(1_000);
+  t.is(fleet.ledger.live().get(id), 1);
+  table.end(id);
+  await fleet.time.pass(200);
+  t.is(fleet.ledger.live().size, 0);
+});
+
+test("no leader: entries place alone, and the list is read", async (t) => {
+  const fleet = new Fleet();
+  const { placer, table } = fleet.entry("entry");
+  await fleet.time.pass(200);
+  fleet.network.isolated.add("leader");
+  await fleet.time.pass(3_000);
+  t.true(fleet.listReads > 0);
+  const place = await fleet.place(placer);
+  t.like(place, { kind: "engine", chosenBy: "instance" });
+  t.is(table.ownLoad().size, 1);
+});
+
+test("frozen leader: a request waits for it only once", async (t) => {
+  const fleet = new Fleet();
+  const { placer } = fleet.entry("entry");
+  await fleet.time.pass(200);
+  fleet.network.isolated.add("leader");
+  const begunAt = fleet.time.now;
+  t.like(await fleet.place(placer), { chosenBy: "instance" });
+  const second = placer.place({
+    request: "second",
+    service: "writer",
+    failureDomain: "a",
+    objectiveMilliseconds: 300,
+    remainingMilliseconds: 5_000,
+    isReturned: false,
+    excluded: [],
+  });
+  await fleet.time.pass(0);
+  t.like(await second, { chosenBy: "instance" });
+  t.true(fleet.time.now - begunAt <= 100);
+});
+
+test("many entries exchange less often each", (t) => {
+  t.is(pauseFor(13), 80);
+  t.is(pauseFor(98), 245);
+  t.is(pauseFor(360), 900);
+});
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -1,9 +1,8 @@
 import test from "ava";
+import { ENGINE_SLOTS, listedEngine } from "../../testing/listed_engine.ts";
 import { expectedWait, type IPlacementRequest, place } from "./placement.ts";
 import type { IEngineView } from "./types.ts";
 
-const SLOTS = 8;
-
 function view(
   id: string,
   live: number,
@@ -11,15 +10,7 @@
 ): IEngineView {
   const { zone = "a", leaving = false, ...others } = changes;
   return {
-    engine: {
-      id,
-      service: "alerts",
-      address: "10.0.0.1",
-      port: 80,
-      failureDomain: zone,
-      slots: SLOTS,
-      isLeaving: leaving,
-    },
+    engine: listedEngine(id, { failureDomain: zone, isLeaving: leaving }),
     live,
     bulk: 0,
     isSuspect: false,
@@ -78,16 +69,16 @@
 });
 
 test("burst of five times the trough: refused once the wait is too long", (t) => {
-  const full = view("full", SLOTS);
+  const full = view("full", ENGINE_SLOTS);
   t.is(chosen([full]), "full");
   t.is(expectedWait(full), 100);
-  const crowded = view("crowded", SLOTS + 2);
+  const crowded = view("crowded", ENGINE_SLOTS + 2);
   const placement = place(REQUEST, [crowded]);
   t.deepEqual(placement, { kind: "refused", retryMilliseconds: 300 });
 });
 
 test("burst: one that returns is kept where others are refused", (t) => {
-  const crowded = view("crowded", SLOTS + 4);
+  const crowded = view("crowded", ENGINE_SLOTS + 4);
   t.is(place(REQUEST, [crowded]).kind, "refused");
   const returned = { ...REQUEST, isReturned: true };
   t.is(place(returned, [crowded]).kind, "engine");
@@ -95,5 +86,5 @@
 
 test("never kept beyond the time that is left", (t) => {
   const late = { ...REQUEST, isReturned: true, remainingMilliseconds: 200 };
-  t.is(place(late, [view("crowded", SLOTS + 4)]).kind, "refused");
+  t.is(place(late, [view("crowded", ENGINE_SLOTS + 4)]).kind, "refused");
 });
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -6,6 +6,7 @@
   FakeEngines,
   FakeSink,
 } from "../../testing/fake_engines.ts";
+import { listedEngine } from "../../testing/listed_engine.ts";
 import { SystemClock } from "../common/mod.ts";
 import { SilentEventLog } from "../events/mod.ts";
 import { EngineHealth, EngineTable, Placer } from "../placement/mod.ts";
@@ -33,18 +34,6 @@
 
 const FRAGILE: Route = { ...ROUTE, isResumable: false, attempts: 1 };
 
-function engine(id: string) {
-  return {
-    id,
-    service: "writer",
-    address: "10.0.0.1",
-    port: 80,
-    failureDomain: "a",
-    slots: 8,
-    isLeaving: false,
-  };
-}
-
 interface IScene {
   readonly engines: FakeEngines;
   readonly table: EngineTable;
@@ -58,7 +47,7 @@
   const events = new SilentEventLog();
   const health = new EngineHealth(clock, { events });
   const table = new EngineTable(clock, { events, health });
-  const list = { revision: "1", engines: ids.map(engine) };
+  const list = { revision: "1", engines: ids.map((id) => listedEngine(id)) };
   table.takeList(list, { age: 0, source: "leader" });
   const engines = new FakeEngines(scripts);
   const sink = new FakeSink();
--- /dev/null
+++ b/testing/listed_engine.ts
@@ -0,0 +1,21 @@
+import type { ListedEngine } from "../src/placement/mod.ts";
+
+/** Places of the engines of tests. */
+export const ENGINE_SLOTS = 8;
+
+/** An engine of the service `writer` as the platform's list shows it. */
+export function listedEngine(
+  id: string,
+  changes: Partial<ListedEngine> = {},
+): ListedEngine {
+  return {
+    id,
+    service: "writer",
+    address: "10.0.0.9",
+    port: 80,
+    failureDomain: "a",
+    slots: ENGINE_SLOTS,
+    isLeaving: false,
+    ...changes,
+  };
+}
