--- /dev/null
+++ b/testing/engine_inventory.ts
@@ -0,0 +1,13 @@
+/** Inventory of one service on engines at the given ports of this machine. */
+export function engineInventory(ports: readonly number[]) {
+  return {
+    services: [{ name: "alerts", model: "alert-writer" }],
+    engines: ports.map((port, index) => ({
+      id: `engine-${index}`,
+      service: "alerts",
+      address: "127.0.0.1",
+      port,
+      failureDomain: "a",
+    })),
+  };
+}
--- a/testing/live_parts.ts
+++ b/testing/live_parts.ts
@@ -23,6 +23,7 @@
   TargetHealth,
 } from "../src/routing/mod.ts";
 import { HttpEngineAdapter, type IEngineAdapter } from "../src/targets/mod.ts";
+import { engineInventory } from "./engine_inventory.ts";
 
 /** Load reports of engines that never report. */
 export const noReports: ILoadReports = {
@@ -41,17 +42,11 @@
   ports: readonly number[],
   change: Partial<Engine> = {},
 ): IConfigurationSource {
+  const { services, engines } = engineInventory(ports);
   const document = configurationSchema.parse({
     places: [{ region: "test", failureDomains: ["a"] }],
-    services: [{ name: "alerts", model: "alert-writer" }],
-    engines: ports.map((port, index) => ({
-      id: `engine-${index}`,
-      service: "alerts",
-      address: "127.0.0.1",
-      port,
-      failureDomain: "a",
-      ...change,
-    })),
+    services,
+    engines: engines.map((engine) => ({ ...engine, ...change })),
     callers: [],
     rules: [],
   });
--- a/testing/local_fleet.ts
+++ b/testing/local_fleet.ts
@@ -9,6 +9,7 @@
 import { EngineStandin } from "./engine_standin.ts";
 import { eventually } from "./eventually.ts";
 import { applyConfiguration, fetchJson } from "./http.ts";
+import { engineInventory } from "./engine_inventory.ts";
 
 /** Keys of the callers `first` and `second`. */
 export const FIRST_KEY = "first-key";
@@ -110,14 +111,7 @@
   });
   return {
     places: [{ region: "r", failureDomains: ["a"] }],
-    services: [{ name: "alerts", model: "alert-writer" }],
-    engines: ports.map((port, index) => ({
-      id: `engine-${index}`,
-      service: "alerts",
-      address: "127.0.0.1",
-      port,
-      failureDomain: "a",
-    })),
+    ...engineInventory(ports),
     plainServices: [],
     callers: [caller("first", FIRST_KEY), caller("second", SECOND_KEY)],
     rules: [{ callers: ["first", "second"], services: ["alerts"] }],
