--- /dev/null
+++ b/testing/platform_fleet.ts
@@ -0,0 +1,215 @@
+import { Buffer } from "node:buffer";
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdir, mkdtemp, rm, writeFile } from "node:fs/promises";
+import { request } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { PlatformStandin } from "./platform_engine.ts";
+
+const PROGRAM = "dist/platform/main.js";
+
+/** Ports of every instance; each has a loopback address of its own. */
+const PORTS = { front: 8_161, ready: 8_167, control: 8_166, peers: 7_720 };
+
+/** Addresses of one fleet, and the first of its entries among them. */
+const HOSTS_PER_FLEET = 32;
+const ENTRY_HOST = 16;
+
+/** Fleets of this process so far. */
+let fleets = 0;
+
+/** Answer to a request of a test. */
+export interface IAnswer {
+  readonly status: number;
+  readonly text: string;
+}
+
+/** A process of a role. */
+export interface IRoleProcess {
+  readonly name: string;
+  readonly address: string;
+  child: ChildProcess;
+}
+
+/** Sends a request and reads the whole answer; rejects when it breaks off. */
+export function send(
+  endpoint: { address: string; port: number },
+  message: {
+    method: string;
+    path: string;
+    headers?: Record<string, string>;
+    body?: string;
+  },
+): Promise<IAnswer> {
+  const { method, path, headers, body } = message;
+  return new Promise((resolve, reject) => {
+    const outgoing = request({
+      host: endpoint.address,
+      port: endpoint.port,
+      agent: false,
+      ...{ method, path, headers },
+    }, (response) => {
+      const parts: Buffer[] = [];
+      response.on("data", (part: Buffer) => parts.push(part));
+      response.on("error", reject);
+      response.on("end", () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          text: Buffer.concat(parts).toString(),
+        }));
+    });
+    outgoing.on("error", reject);
+    outgoing.end(body);
+  });
+}
+
+/** Engine that answers with numbered events, and can break off. */
+export class StreamEngine {
+  readonly standin: PlatformStandin;
+  /** Identifiers of the requests that it received, in order. */
+  readonly received: string[] = [];
+  /** Number of the event before which the next answer breaks off. */
+  breakBefore: number | undefined;
+  #events: number;
+
+  constructor(id: string, events: number) {
+    this.#events = events;
+    this.standin = new PlatformStandin((incoming, response) => {
+      const requestId = String(incoming.headers["request-id"] ?? "");
+      if (incoming.headers["expect-instance"] !== id) {
+        response.writeHead(421).end();
+        return;
+      }
+      this.received.push(requestId);
+      const after = Number(incoming.headers["last-event-id"] ?? 0);
+      response.writeHead(200, {
+        "Request-Id": requestId,
+        "Response-Stamp": id,
+        "Content-Type": "text/event-stream",
+      });
+      const { breakBefore } = this;
+      this.breakBefore = undefined;
+      for (let event = after + 1; event <= this.#events; event++) {
+        if (event === breakBefore) {
+          response.write("id: ", () => response.destroy());
+          return;
+        }
+        response.write(`id: ${event}\ndata: word ${event}\n\n`);
+      }
+      response.end();
+    });
+  }
+}
+
+/** Processes of both roles on loopback, before engines of the test. */
+export class PlatformFleet {
+  readonly stores: IRoleProcess[] = [];
+  readonly entries: IRoleProcess[] = [];
+  readonly engines: StreamEngine[];
+  #list: PlatformStandin | undefined;
+  #folder = "";
+  /** Address without its last number. */
+  #network: string;
+  #firstHost: number;
+
+  constructor(engines: StreamEngine[]) {
+    this.engines = engines;
+    const { pid } = process;
+    this.#network = `127.${10 + (pid >> 8) % 200}.${pid % 256}`;
+    this.#firstHost = HOSTS_PER_FLEET * fleets++;
+  }
+
+  /** Starts three stores and a number of entries. */
+  async start(entries: number): Promise<void> {
+    this.#folder = await mkdtemp(join(tmpdir(), "figroad-platform-"));
+    const instances = await Promise.all(
+      this.engines.map(async ({ standin }, index) => {
+        const { address, port } = await standin.start();
+        return {
+          id: `i-${index}`,
+          service: "writer",
+          address: `${address}:${port}`,
+          zone: "a",
+          version: "v1",
+          slots: 8,
+          state: "ready",
+        };
+      }),
+    );
+    this.#list = new PlatformStandin((_, response) => {
+      response.end(JSON.stringify({ instances, next: null }));
+    });
+    const { address, port } = await this.#list.start();
+    const list = `${address}:${port}`;
+    for (let index = 0; index < 3; index++) {
+      this.stores.push(await this.#spawn("store", index, list));
+    }
+    for (let index = 0; index < entries; index++) {
+      this.entries.push(await this.#spawn("entry", index, list));
+    }
+  }
+
+  front(index: number) {
+    return { address: this.entries[index]!.address, port: PORTS.front };
+  }
+
+  ready(index: number) {
+    return { address: this.entries[index]!.address, port: PORTS.ready };
+  }
+
+  control(index: number) {
+    return { address: this.stores[index]!.address, port: PORTS.control };
+  }
+
+  /** Ends all processes and removes their data. */
+  async stop(): Promise<void> {
+    for (const { child } of [...this.stores, ...this.entries]) {
+      if (child.exitCode === null && child.signalCode === null) {
+        child.kill("SIGKILL");
+        await once(child, "exit");
+      }
+    }
+    this.#list?.stop();
+    for (const { standin } of this.engines) standin.stop();
+    await rm(this.#folder, { recursive: true, force: true });
+  }
+
+  #address(host: number): string {
+    return `${this.#network}.${this.#firstHost + 1 + host}`;
+  }
+
+  async #spawn(
+    role: "entry" | "store",
+    index: number,
+    list: string,
+  ): Promise<IRoleProcess> {
+    const isStore = role === "store";
+    const address = this.#address(isStore ? index : ENTRY_HOST + index);
+    const name = `${role}-${index}`;
+    const dataFolder = join(this.#folder, name);
+    await mkdir(dataFolder);
+    const listen = isStore ? { control: `${address}:${PORTS.control}` } : {
+      front: `${address}:${PORTS.front}`,
+      ready: `${address}:${PORTS.ready}`,
+    };
+    const settings = {
+      ...{ node: name, ip: address, zone: "a", listen },
+      "port-range": [PORTS.peers, PORTS.peers + 15],
+      seeds: [0, 1, 2].map((seed) => `${this.#address(seed)}:${PORTS.control}`),
+      bootstrap: true,
+      "data-dir": isStore ? dataFolder : null,
+      tolerate: { machines: 1 },
+      bounds: { "grace-s": 5 },
+      cloud: { address: list },
+    };
+    const path = join(this.#folder, `${name}.json`);
+    await writeFile(path, JSON.stringify(settings));
+    const child = spawn(process.execPath, [PROGRAM, role], {
+      env: { ...process.env, FIGROAD_CONFIG: path },
+      stdio: ["ignore", "ignore", "inherit"],
+    });
+    return { name, address, child };
+  }
+}
