Decisions of the adapter moved into the product

Cause: platform/ is to decide nothing, but it held readiness, the order of a stop, the periods of the log, the number of voters and a spread of retries. Tests of routes.

--- a/src/consensus/replica_set.ts
+++ b/src/consensus/replica_set.ts
@@ -24,6 +24,11 @@
 /** Largest number of members, voters and learners together. */
 export const MAXIMUM_MEMBERS = 7;
 
+/** Voters of which a number may be lost at once, with a quorum left. */
+export function votersFor(toleratedLosses: number): number {
+  return 2 * toleratedLosses + 1;
+}
+
 /** Number of voters that make a quorum. */
 export function quorumSize(replicas: ReplicaSet): number {
   return Math.floor(replicas.voters.length / 2) + 1;
--- a/src/consensus/timing.ts
+++ b/src/consensus/timing.ts
@@ -21,6 +21,17 @@
   append: 10_000,
 };
 
+/**
+ * Periods for voters a few milliseconds apart. Another leader is elected
+ * within twice the longest election timeout.
+ */
+export const PROMPT_TIMING: ITiming = {
+  heartbeat: 100,
+  electionMinimum: 500,
+  electionSpread: 400,
+  append: 3_000,
+};
+
 /**
  * Bound on the difference in rate between two monotonic clocks. A leader's
  * lease is shorter by this share than the time for which voters hold still.
--- a/src/edge/mod.ts
+++ b/src/edge/mod.ts
@@ -1,3 +1,5 @@
+export * from "./drain.ts";
 export * from "./http_edge.ts";
 export * from "./metrics_listener.ts";
+export * from "./readiness.ts";
 export * from "./response_sink.ts";
--- /dev/null
+++ b/src/edge/readiness.ts
@@ -0,0 +1,64 @@
+import { createServer, type Server } from "node:http";
+import { type IDisposable, listen } from "../common/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
+import { readinessChanged } from "./events.ts";
+
+/** What an entry must know before it takes callers. */
+export interface IReadinessSources {
+  readonly hasRoutes: () => boolean;
+  /** Number of engines that are known. */
+  readonly engines: () => number;
+}
+
+/** Tells the balancer whether this instance takes callers. */
+export class Readiness implements IDisposable {
+  #sources: IReadinessSources;
+  #events: IEventLog;
+  #server: Server;
+  #isStopping = false;
+  #wasReady = false;
+
+  constructor(sources: IReadinessSources, options: { events: IEventLog }) {
+    this.#sources = sources;
+    this.#events = options.events;
+    this.#server = createServer((_, response) => {
+      const status = this.#review() ? 200 : 503;
+      response.writeHead(status, { "Content-Length": 0 });
+      response.end();
+    });
+  }
+
+  listen(address: string, port: number): Promise<number> {
+    return listen(this.#server, address, { port });
+  }
+
+  /** The instance is not ready any more, whatever it knows. */
+  beginStop(): void {
+    this.#isStopping = true;
+  }
+
+  dispose(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #review(): boolean {
+    const reason = this.#obstacle();
+    const isReady = reason === undefined;
+    if (isReady !== this.#wasReady) {
+      this.#events.emit(readinessChanged, {
+        isReady,
+        reason: reason ?? "routes and engines are known",
+      });
+    }
+    this.#wasReady = isReady;
+    return isReady;
+  }
+
+  #obstacle(): string | undefined {
+    if (this.#isStopping) return "the process stops";
+    if (!this.#sources.hasRoutes()) return "no routes are known";
+    if (this.#sources.engines() === 0) return "no engines are known";
+    return undefined;
+  }
+}
--- a/src/service_routes/routes_holder.ts
+++ b/src/service_routes/routes_holder.ts
@@ -4,6 +4,23 @@
 import { RouteTable } from "./route_table.ts";
 import type { RouteSet } from "./types.ts";
 
+/** Shortest time until routes may be known after a start, in milliseconds. */
+const NO_ROUTES_RETRY_MILLISECONDS = 500;
+
+/** Random addition, so that callers do not come back all at once, in ms. */
+const NO_ROUTES_SPREAD_MILLISECONDS = 1_000;
+
+/**
+ * Time after which a caller that came before any routes were known may come
+ * back, in milliseconds.
+ *
+ * @param random number from 0 up to 1.
+ */
+export function retryBeforeRoutes(random: number): number {
+  return NO_ROUTES_RETRY_MILLISECONDS +
+    random * NO_ROUTES_SPREAD_MILLISECONDS;
+}
+
 /** Routes in force on this instance; the version never falls. */
 export class RoutesHolder {
   #table: RouteTable | undefined;
--- /dev/null
+++ b/src/service_routes/service_routes_test.ts
@@ -0,0 +1,94 @@
+import test from "ava";
+import { SilentEventLog } from "../events/mod.ts";
+import { chooseService, RouteTable } from "./route_table.ts";
+import { retryBeforeRoutes, RoutesHolder } from "./routes_holder.ts";
+import { RoutesSection } from "./routes_section.ts";
+import type { Route, RouteSet } from "./types.ts";
+
+function route(name: string, host: string, pathPrefix: string): Route {
+  return {
+    ...{ name, host, pathPrefix },
+    kind: "stream",
+    timeoutMilliseconds: 5_000,
+    objectiveMilliseconds: 300,
+    priority: 0,
+    shares: [{ service: "writer", weight: 1 }],
+    attempts: 1,
+    isResumable: false,
+  };
+}
+
+function routeSet(version: number, routes: Route[] = []): RouteSet {
+  return {
+    version,
+    routes,
+    services: [],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMilliseconds: 1,
+      idleTimeoutMilliseconds: 1,
+    },
+    source: `version ${version}`,
+  };
+}
+
+test("longest prefix of the host wins", (t) => {
+  const table = new RouteTable(routeSet(1, [
+    route("all", "one.example", "/"),
+    route("long", "one.example", "/a/b/"),
+    route("short", "one.example", "/a/"),
+    route("other", "two.example", "/a/b/c/"),
+  ]));
+  t.is(table.find("one.example", "/a/b/c/d")?.name, "long");
+  t.is(table.find("ONE.example", "/a/x")?.name, "short");
+  t.is(table.find("one.example", "/ab")?.name, "all");
+  t.is(table.find("two.example", "/a/b/"), undefined);
+  t.is(table.find("three.example", "/"), undefined);
+});
+
+test("services by weight", (t) => {
+  const shares = [
+    { service: "old", weight: 90 },
+    { service: "new", weight: 10 },
+    { service: "gone", weight: 0 },
+  ];
+  const split = { ...route("r", "h", "/"), shares };
+  t.is(chooseService(split, 0), "old");
+  t.is(chooseService(split, 0.899), "old");
+  t.is(chooseService(split, 0.901), "new");
+  t.is(chooseService(split, 0.999), "new");
+});
+
+test("highest version wins; others are acknowledged and change nothing", (t) => {
+  const section = new RoutesSection();
+  t.is(section.apply({ routes: routeSet(7) }).version, 7);
+  t.is(section.apply({ routes: routeSet(3) }).version, 7);
+  const other = { ...routeSet(7), source: "other content" };
+  t.is(section.apply({ routes: other }).version, 7);
+  t.is(section.current?.source, "version 7");
+  t.is(section.apply({ routes: routeSet(12) }).version, 12);
+});
+
+test("routes survive a snapshot", async (t) => {
+  const section = new RoutesSection();
+  section.apply({ routes: routeSet(7) });
+  const snapshot = JSON.parse(JSON.stringify(await section.snapshot()));
+  const restored = new RoutesSection();
+  await restored.restore(snapshot);
+  t.deepEqual(restored.current, section.current);
+});
+
+test("version of an instance never falls", (t) => {
+  const holder = new RoutesHolder({ events: new SilentEventLog() });
+  const seen: number[] = [];
+  holder.onChange(({ version }) => seen.push(version));
+  for (const version of [3, 2, 5, 5, 4]) holder.offer(routeSet(version));
+  t.is(holder.version, 5);
+  t.deepEqual(seen, [3, 5]);
+});
+
+test("herd before any routes: times to come back are spread", (t) => {
+  const times = [0, 0.5, 0.999].map(retryBeforeRoutes);
+  t.true(times[0]! >= 500 && times[2]! - times[0]! > 900);
+});
--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -185,6 +185,8 @@
   #timer: NodeJS.Timeout;
   #deadlineTimer: NodeJS.Timeout;
   #limits: IAttemptLimits;
+  #fire: (reason: string) => void;
+  /** Why the answer was closed, if it was. */
   firedReason: string | undefined;
 
   constructor(clock: IClock, answer: IEngineAnswer, limits: IAttemptLimits) {
@@ -204,8 +206,6 @@
     this.#fire = fire;
   }
 
-  #fire: (reason: string) => void;
-
   heard(): void {
     clearTimeout(this.#timer);
     if (!this.#limits.mayMove) return;
