Planned-stop test holds its answer open instead of relying on time

Cause: the test sent a request after the stop began and would have failed on a machine that stalls for 2.6 s. Change: engines hold an answer in the middle until the entry has said that it is not ready; grace of 60 s.

--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -2,7 +2,7 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { mkdir, mkdtemp, rm, writeFile } from "node:fs/promises";
-import { request } from "node:http";
+import { request, type ServerResponse } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
@@ -13,6 +13,9 @@
 /** Ports of every instance; each has a loopback address of its own. */
 const PORTS = { front: 8_161, ready: 8_167, control: 8_166, peers: 7_720 };
 
+/** Time that a stopping process has; long, so that a busy machine is no fault. */
+const GRACE_SECONDS = 60;
+
 /** Addresses of one fleet, and the first of its entries among them. */
 const HOSTS_PER_FLEET = 32;
 const ENTRY_HOST = 16;
@@ -72,6 +75,8 @@
   readonly received: string[] = [];
   /** Number of the event before which the next answer breaks off. */
   breakBefore: number | undefined;
+  /** Answers wait for it in the middle; undefined where they do not wait. */
+  held: Promise<void> | undefined;
   #events: number;
 
   constructor(id: string, events: number) {
@@ -91,16 +96,24 @@
       });
       const { breakBefore } = this;
       this.breakBefore = undefined;
-      for (let event = after + 1; event <= this.#events; event++) {
-        if (event === breakBefore) {
-          response.write("id: ", () => response.destroy());
-          return;
-        }
-        response.write(`id: ${event}\ndata: word ${event}\n\n`);
-      }
-      response.end();
+      void this.#answer(response, { after, breakBefore });
     });
   }
+
+  async #answer(
+    response: ServerResponse,
+    options: { after: number; breakBefore: number | undefined },
+  ): Promise<void> {
+    for (let event = options.after + 1; event <= this.#events; event++) {
+      if (event === options.breakBefore) {
+        response.write("id: ", () => response.destroy());
+        return;
+      }
+      response.write(`id: ${event}\ndata: word ${event}\n\n`);
+      await this.held;
+    }
+    response.end();
+  }
 }
 
 /** Processes of both roles on loopback, before engines of the test. */
@@ -201,7 +214,7 @@
       bootstrap: true,
       "data-dir": isStore ? dataFolder : null,
       tolerate: { machines: 1 },
-      bounds: { "grace-s": 5 },
+      bounds: { "grace-s": GRACE_SECONDS },
       cloud: { address: list },
     };
     const path = join(this.#folder, `${name}.json`);
