An answer without a length that is reset is not whole

An engine crashed in an answer whose end is that of its connection; Node's parser takes a reset for that end, and since the change for bytes behind a complete answer the error itself was passed over. Ruled out: the splitter (the request was no stream), the engine (its run ended as crashed). Change: an error of the connection destroys an answer that is not complete.

--- a/src/targets/http_exchange.ts
+++ b/src/targets/http_exchange.ts
@@ -73,7 +73,7 @@
 ): Promise<IncomingMessage> {
   return new Promise((resolve, reject) => {
     let connected = false;
-    let isAnswered = false;
+    let answer: IncomingMessage | undefined;
     const outgoing = request({
       agent: options.freshConnection ? false : options.agent,
       host: message.address,
@@ -105,10 +105,10 @@
       );
     options.signal.addEventListener("abort", cancel, { once: true });
     outgoing.on("error", (error) => {
-      // Bytes behind a complete answer also end here. Destroying the request
-      // would drop what has not been read of that answer; the response itself
-      // tells when it breaks off.
-      if (!isAnswered) fail("connection", error.message);
+      if (!answer) return fail("connection", error.message);
+      // Bytes behind a complete answer also end here; it stays readable. One
+      // without a length would end as if it were whole.
+      if (!answer.complete) answer.destroy(error);
     });
     outgoing.on("socket", (socket) => {
       const begin = () => connected = true;
@@ -116,7 +116,7 @@
       else begin();
     });
     outgoing.on("response", (response) => {
-      isAnswered = true;
+      answer = response;
       settle();
       response.on("error", () => {});
       resolve(response);
