A reset that arrives with an answer's last bytes is no end

An engine crashed right after the part of an answer without a length; libuv reports a reset that is seen together with a partial read as an end. Change: at the end of the connection of an answer without a length, a connection that has no peer any more counts as reset.

--- a/src/targets/http_exchange.ts
+++ b/src/targets/http_exchange.ts
@@ -5,6 +5,7 @@
   type OutgoingHttpHeaders,
   request,
 } from "node:http";
+import type { Socket } from "node:net";
 import type { Deadline, IClock } from "../common/mod.ts";
 import type { IHeaders } from "./types.ts";
 
@@ -114,6 +115,14 @@
       const begin = () => connected = true;
       if (socket.connecting) socket.once("connect", begin);
       else begin();
+      const review = () => {
+        if (answer && !answer.complete && isReset(socket)) {
+          answer.destroy(new Error("the connection was reset"));
+        }
+      };
+      // Before the parser takes the end of the connection for the answer's.
+      socket.prependOnceListener("end", review);
+      outgoing.once("close", () => socket.off("end", review));
     });
     outgoing.on("response", (response) => {
       answer = response;
@@ -125,6 +134,14 @@
   });
 }
 
+/**
+ * Whether a connection that has ended was reset. A reset that arrives with the
+ * last bytes is reported as an end, but the connection has no peer any more.
+ */
+function isReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
+
 /** Longest body that is read whole, in bytes. */
 const MAXIMUM_BODY_BYTES = 1024 * 1024;
 
