--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -86,7 +86,7 @@
   await run(ROUTE);
   t.is(sink.text, WHOLE);
   t.is(sink.ended, "end");
-  t.deepEqual(sink.headers, [["Response-Stamp", "stamp-one"]]);
+  t.deepEqual(sink.headers, [["Engine-Signature", "signed by one"]]);
   t.is(table.ownLoad().size, 0);
   t.false(engines.received[0]?.freshConnection);
 });
@@ -100,7 +100,7 @@
     await run(ROUTE);
     t.is(sink.text, WHOLE);
     t.is(sink.ended, "end");
-    t.deepEqual(sink.headers, [["Response-Stamp", "stamp-one"]]);
+    t.deepEqual(sink.headers, [["Engine-Signature", "signed by one"]]);
     t.is(engines.received[1]?.request.lastEventId, "3");
     t.true(engines.received[0]?.isClosed);
     t.true(health.isSuspect("one"));
@@ -166,7 +166,7 @@
   const { sink, run } = scene([{ kind: "status", status: 500 }]);
   await run(FRAGILE);
   t.is(sink.status, 500);
-  t.deepEqual(sink.headers, [["Response-Stamp", "stamp-one"]]);
+  t.deepEqual(sink.headers, [["Engine-Signature", "signed by one"]]);
 });
 
 test("idempotent request runs on no more engines than allowed", async (t) => {
--- a/testing/fake_engines.ts
+++ b/testing/fake_engines.ts
@@ -61,7 +61,7 @@
     const status = script.kind === "status" ? script.status : 200;
     return {
       status,
-      headers: [["Response-Stamp", `stamp-${engine.id}`]],
+      headers: [["Engine-Signature", `signed by ${engine.id}`]],
       isNotRun: script.kind === "status" && script.notRun === true,
       isGenuine: script.kind !== "foreign",
       body: bodyOf(script, Number(request.lastEventId ?? 0), closed.signal),
