At-most-once requests are refused at once without a quorum; a key is honoured

Cause: the ledger sent a beginning again until the request's own deadline, whether or not a leader had been seen; so about 60 callers waited for a 504 while no quorum was in sight. An idempotency-key without figroad-idempotent: false was not read at all.

Change: RecordReach knows since when the record has not answered. Requests wait for up to 3 s, the time of an election; after that each is refused at once with 503, not-run and Retry-After, while probes look for a quorum. A request with a key runs at most once; with figroad-idempotent: true it is refused with 400, as is any value other than true or false.

--- a/src/composition/edges.ts
+++ b/src/composition/edges.ts
@@ -33,7 +33,9 @@
   const { trace, serviceLevels, metrics } = foundation;
   const { configuration, permission } = fleet;
   const { dispatcher, plainDispatcher, admission } = live;
-  const operations = new OperationLedger(control, { clock, events });
+  const operations = store.add(
+    new OperationLedger(control, { clock, events }),
+  );
   const recorder = new LiveRecorder({ clock, trace, serviceLevels, metrics });
   const jobs = new JobGateway(control, clock);
   const endpoints = [
--- a/src/entry/at_most_once_test.ts
+++ b/src/entry/at_most_once_test.ts
@@ -60,3 +60,35 @@
   t.deepEqual(second.body, first.body);
   t.is(await begun("stopped"), 1);
 });
+
+test.serial("no quorum in reach", async (t) => {
+  const voters = await Fleet.start({ instances: 3, voters: 3, engines: 1 });
+  const [killed, frozen, left] = voters.instances;
+  const url = `${left?.callers}/v1/completions`;
+  const post = (prompt: string) =>
+    postJson(url, { model: "alert-writer", prompt, max_tokens: 4 }, {
+      authorization: `Bearer ${STATION_KEY}`,
+      "idempotency-key": prompt,
+      "figroad-timeout-ms": "60000",
+    });
+  try {
+    t.is((await post("before")).status, 200);
+    if (killed) await kill(killed.process, "SIGKILL");
+    process.kill(frozen?.process.pid ?? 0, "SIGSTOP");
+    const lost = await Promise.all(["a", "b", "c"].map(post));
+    const late = await post("d");
+    for (const { status, headers } of [...lost, late]) {
+      t.is(status, 503);
+      t.is(headers.get("figroad-verdict"), "not-run");
+      t.truthy(headers.get("retry-after"));
+    }
+    process.kill(frozen?.process.pid ?? 0, "SIGCONT");
+    await eventually(
+      "requests run again",
+      async () => (await post("after")).status === 200,
+    );
+  } finally {
+    process.kill(frozen?.process.pid ?? 0, "SIGCONT");
+    await voters.stop();
+  }
+});
--- a/src/entry/generation_request.ts
+++ b/src/entry/generation_request.ts
@@ -1,4 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
+import { match } from "ts-pattern";
 import { z } from "zod";
 import {
   type Deadline,
@@ -8,13 +9,19 @@
 } from "../common/mod.ts";
 import type { IServiceGrant } from "../configuration/mod.ts";
 import type { Generation } from "../targets/mod.ts";
-import { LONGEST_OPERATION_MILLISECONDS } from "./operation_session.ts";
+import {
+  IDEMPOTENCY_KEY_HEADER,
+  LONGEST_OPERATION_MILLISECONDS,
+} from "./operation_session.ts";
 import type { ICallerRequest } from "./types.ts";
 
 /** Header with the milliseconds that the caller waits for the answer. */
 const TIMEOUT_HEADER = "figroad-timeout-ms";
 
-/** Header that marks a request as non-idempotent with the value `false`. */
+/**
+ * Header that marks a request as non-idempotent with the value `false`. Without
+ * it, a request that bears a key runs at most once, any other may run again.
+ */
 const IDEMPOTENT_HEADER = "figroad-idempotent";
 
 /** Longest time that a caller may wait for an answer, in milliseconds. */
@@ -71,8 +78,10 @@
   }
   const timeout = readTimeout(request, grant.rule.deadlineMilliseconds);
   if (timeout.isErr()) return err(timeout.error);
+  const marked = readIdempotent(request);
+  if (marked.isErr()) return err(marked.error);
+  const idempotent = marked.value;
   const { stream, ...rest } = body;
-  const idempotent = request.message.headers[IDEMPOTENT_HEADER] !== "false";
   const longest = idempotent ? Infinity : LONGEST_OPERATION_MILLISECONDS;
   return ok({
     grant,
@@ -97,3 +106,21 @@
   const reason = `${TIMEOUT_HEADER}: 1 to ${MAXIMUM_TIMEOUT_MILLISECONDS}`;
   return err(notRun("bad-request", reason));
 }
+
+/** Whether a request may run more than once. */
+function readIdempotent(request: ICallerRequest): Result<boolean, Failure> {
+  const { headers } = request.message;
+  const hasKey = headers[IDEMPOTENCY_KEY_HEADER] !== undefined;
+  return match(headers[IDEMPOTENT_HEADER])
+    .with(undefined, () => ok(!hasKey))
+    .with("false", () => ok(false))
+    .with("true", () => {
+      if (!hasKey) return ok(true);
+      const reason = `${IDEMPOTENT_HEADER}: true allows repeated runs, which ` +
+        `${IDEMPOTENCY_KEY_HEADER} excludes`;
+      return err(notRun("bad-request", reason));
+    })
+    .otherwise(() =>
+      err(notRun("bad-request", `${IDEMPOTENT_HEADER}: true or false`))
+    );
+}
--- a/src/entry/live_requests_test.ts
+++ b/src/entry/live_requests_test.ts
@@ -85,6 +85,30 @@
   t.is(fleet.begun("once"), 1);
 });
 
+test("key alone asks for one run", async (t) => {
+  const options = { body: completion("alone"), key: "alone" };
+  const first = await post(0, "/v1/completions", options);
+  const second = await post(1, "/v1/completions", options);
+  t.is(second.headers.get("idempotent-replayed"), "true");
+  t.is(await second.text(), await first.text());
+  t.is(fleet.begun("alone"), 1);
+});
+
+test("key on a request that may be repeated", async (t) => {
+  const answer = await fetch(`${fleet.url(0)}/v1/completions`, {
+    method: "POST",
+    headers: {
+      authorization: `Bearer ${FIRST_KEY}`,
+      "idempotency-key": "both",
+      "figroad-idempotent": "true",
+    },
+    body: completion("both"),
+  });
+  t.is(answer.status, 400);
+  t.regex(await answer.text(), /figroad-idempotent/);
+  t.is(fleet.begun("both"), 0);
+});
+
 test("same key at once runs once", async (t) => {
   const options = {
     body: completion("race", { stream: true }),
--- a/src/entry/plain_endpoint.ts
+++ b/src/entry/plain_endpoint.ts
@@ -15,7 +15,11 @@
   type IPlainResponse,
 } from "../targets/mod.ts";
 import { AnswerWriter } from "./answer_writer.ts";
-import { openOperation, sendReplay } from "./operation_session.ts";
+import {
+  IDEMPOTENCY_KEY_HEADER,
+  openOperation,
+  sendReplay,
+} from "./operation_session.ts";
 import type { OperationSession } from "./operation_session.ts";
 import { readRequestBody } from "./read_body.ts";
 import { sendFailure } from "./respond.ts";
@@ -94,7 +98,11 @@
   }
 
   async #serve(request: ICallerRequest, passing: IPassing): Promise<void> {
-    if (passing.service.idempotent) return await this.#pass(request, passing);
+    const hasKey =
+      request.message.headers[IDEMPOTENCY_KEY_HEADER] !== undefined;
+    if (passing.service.idempotent && !hasKey) {
+      return await this.#pass(request, passing);
+    }
     const opened = await openOperation(request, {
       ledger: this.#options.operations,
       clock: this.#options.clock,
--- a/src/operations/events.ts
+++ b/src/operations/events.ts
@@ -22,3 +22,16 @@
     reason: z.string(),
   },
 });
+
+export const recordLost = defineEvent(902, "operations-record-lost", {
+  level: "error",
+  help: "No quorum of the control voters answers. Non-idempotent requests " +
+    "are refused at once until it does; none of them is run.",
+  fields: { reason: z.string() },
+});
+
+export const recordReached = defineEvent(903, "operations-record-reached", {
+  level: "info",
+  help: "The record of operations answers again.",
+  fields: { silenceMilliseconds: z.number() },
+});
--- a/src/operations/operation_ledger.ts
+++ b/src/operations/operation_ledger.ts
@@ -1,8 +1,11 @@
 import { err, ok, type Result } from "neverthrow";
 import { match, P } from "ts-pattern";
 import {
+  type Deadline,
+  earlierDeadline,
   type Failure,
   type IClock,
+  type IDisposable,
   mayHaveRun,
   notRun,
 } from "../common/mod.ts";
@@ -14,6 +17,7 @@
   type OperationsOutput,
   operationsSection,
 } from "./messages.ts";
+import { RecordReach } from "./record_reach.ts";
 import type {
   IOperation,
   IOperationAnswer,
@@ -31,10 +35,11 @@
 const FULL_RETRY_AFTER_SECONDS = 60;
 
 /** Reaches the record of operations at the log's leader. */
-export class OperationLedger implements IOperationLedger {
+export class OperationLedger implements IOperationLedger, IDisposable {
   #control: IControlClient;
   #clock: IClock;
   #events: IEventLog;
+  #reach: RecordReach;
 
   constructor(
     control: IControlClient,
@@ -43,6 +48,11 @@
     this.#control = control;
     this.#clock = options.clock;
     this.#events = options.events;
+    this.#reach = new RecordReach({ control, ...options });
+  }
+
+  dispose(): void {
+    this.#reach.dispose();
   }
 
   async begin(
@@ -51,10 +61,15 @@
   ): Promise<Result<OperationBeginning, Failure>> {
     const { caller, key, attempt } = operation;
     const { fingerprint } = options;
+    if (this.#reach.isLost) return err(this.#reach.refusal());
     const output = await this.#propose(
       { kind: "begin", caller, key, attempt, fingerprint },
-      options,
+      () => this.#patience(options.deadline),
     );
+    if (output.isErr() && this.#reach.isLost) {
+      const { verdict } = output.error;
+      return err({ ...this.#reach.refusal(), verdict });
+    }
     return output.andThen((output) => this.#readBeginning(operation, output));
   }
 
@@ -85,7 +100,7 @@
     command: OperationsCommand,
     options: IDeadlineOptions,
   ): Promise<Result<void, Failure>> {
-    const output = await this.#propose(command, options);
+    const output = await this.#propose(command, () => options.deadline);
     if (output.isOk() && output.value.kind === "recorded") return ok(undefined);
     const reason = output.isOk() ? output.value.kind : output.error.message;
     const { caller, key, kind } = command;
@@ -93,20 +108,34 @@
     return err(mayHaveRun("storage-error", reason));
   }
 
-  /** Sends a command until its outcome is known; all are safe to repeat. */
+  /** Point until which a request waits for the record. */
+  #patience(deadline: Deadline): Deadline {
+    const { lostAt } = this.#reach;
+    return lostAt === undefined ? deadline : earlierDeadline(deadline, lostAt);
+  }
+
+  /**
+   * Sends a command until its outcome is known; all are safe to repeat.
+   *
+   * @param giveUpAt point at which to give up, which an outage brings nearer.
+   */
   async #propose(
     command: OperationsCommand,
-    options: IDeadlineOptions,
+    giveUpAt: () => Deadline,
   ): Promise<Result<OperationsOutput, Failure>> {
     for (;;) {
+      const begunAt = this.#clock.monotonic();
       const send = this.#clock.deadlineIn(SEND_TIMEOUT_MILLISECONDS);
-      const isLast = send >= options.deadline;
       const output = await this.#control.propose(operationsSection, command, {
-        deadline: isLast ? options.deadline : send,
+        deadline: earlierDeadline(send, giveUpAt()),
       });
-      if (output.isOk() || this.#clock.isPast(options.deadline)) return output;
+      if (output.isOk()) {
+        this.#reach.answered();
+        return output;
+      }
+      this.#reach.missed(begunAt);
       const pause = this.#clock.deadlineIn(RESEND_PAUSE_MILLISECONDS);
-      if (pause >= options.deadline) return output;
+      if (pause >= giveUpAt()) return output;
       await this.#clock.sleepUntil(pause);
     }
   }
--- /dev/null
+++ b/src/operations/record_reach_test.ts
@@ -0,0 +1,96 @@
+import test from "ava";
+import { err, ok } from "neverthrow";
+import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
+import { mayHaveRun } from "../common/mod.ts";
+import type { IControlClient } from "../consensus/mod.ts";
+import { SilentEventLog } from "../events/mod.ts";
+import { OperationLedger } from "./operation_ledger.ts";
+
+/** Longest that a request may wait for a quorum, in milliseconds. */
+const PATIENCE_MILLISECONDS = 3_000;
+
+/** Control whose voters may be out of reach: calls then hang. */
+class Voters {
+  isInReach = true;
+  begun = 0;
+  #clock: VirtualClock;
+
+  constructor(clock: VirtualClock) {
+    this.#clock = clock;
+  }
+
+  async propose(_: unknown, __: unknown, options: { deadline: number }) {
+    if (this.isInReach) {
+      this.begun += 1;
+      return ok({ kind: "begun" });
+    }
+    await this.#clock.sleepUntil(options.deadline as never);
+    return err(mayHaveRun("deadline-exceeded", "no answer"));
+  }
+
+  async call(_: unknown, __: unknown, options: { deadline: number }) {
+    if (this.isInReach) return ok({});
+    await this.#clock.sleepUntil(options.deadline as never);
+    return err(mayHaveRun("deadline-exceeded", "no answer"));
+  }
+}
+
+function setUp() {
+  const time = new VirtualTime();
+  const clock = new VirtualClock(time);
+  const voters = new Voters(clock);
+  const ledger = new OperationLedger(voters as unknown as IControlClient, {
+    clock,
+    events: new SilentEventLog(),
+  });
+  let next = 0;
+  const begin = () =>
+    ledger.begin({ caller: "c", key: `k${next++}`, attempt: "1" }, {
+      deadline: clock.deadlineIn(30_000),
+      fingerprint: "f",
+    });
+  return { time, voters, ledger, begin };
+}
+
+test("requests of an outage wait no longer than an election", async (t) => {
+  const { time, voters, ledger, begin } = setUp();
+  voters.isInReach = false;
+  const ended: number[] = [];
+  for (let sent = 0; sent < 20; sent++) {
+    void begin().then((begun) => {
+      t.true(begun.isErr());
+      ended.push(time.now);
+    });
+    await time.pass(100);
+  }
+  await time.pass(PATIENCE_MILLISECONDS);
+  t.is(ended.length, 20);
+  t.true(Math.max(...ended) <= PATIENCE_MILLISECONDS + 1);
+  ledger.dispose();
+});
+
+test("known outage refuses at once", async (t) => {
+  const { time, voters, ledger, begin } = setUp();
+  voters.isInReach = false;
+  void begin();
+  await time.pass(2 * PATIENCE_MILLISECONDS);
+  const before = time.now;
+  const refused = (await begin())._unsafeUnwrapErr();
+  t.is(time.now, before);
+  t.is(refused.code, "unavailable");
+  t.is(refused.verdict, "not-run");
+  t.truthy(refused.retryAfterSeconds);
+  ledger.dispose();
+});
+
+test("requests begin again after an outage", async (t) => {
+  const { time, voters, ledger, begin } = setUp();
+  voters.isInReach = false;
+  void begin();
+  await time.pass(10_000);
+  voters.isInReach = true;
+  await time.pass(1_500);
+  const begun = await begin();
+  t.is(begun.unwrapOr(undefined)?.kind, "begun");
+  ledger.dispose();
+});
