Logs of several machines in one order; metrics by outcome, engine and state

Cause: a request's story mixed lines by clocks that differ and jump; counters told events but not their outcome or engine; two wrappers of the event log did the same walk; nothing showed that each decision writes its line.

Change: the leader's answers to the exchange carry its wall time, and an instance tells (event 1058) by how much its clock differs, when that has changed. figroad logs request brings all times to one clock, through third instances where two never compared. One MeasuringEventLog counts by bounded labels that an event names, by engine, and records times. New gauges: contact age, open requests, items by state, sync times, queue of log lines, saved retries.

--- a/src/admission/retry_budget.ts
+++ b/src/admission/retry_budget.ts
@@ -14,6 +14,11 @@
 export class RetryBudget implements IRetryBudget {
   #saved = MAXIMUM_SAVED_RETRIES;
 
+  /** Retries that may be made at once. */
+  get saved(): number {
+    return this.#saved;
+  }
+
   get isSpent(): boolean {
     return this.#saved < 1;
   }
--- a/src/bulk/bulk_section.ts
+++ b/src/bulk/bulk_section.ts
@@ -83,6 +83,18 @@
       .map(({ held }) => held);
   }
 
+  /** Number of items by state. */
+  counts(): { waiting: number; done: number; dead: number; ended: number } {
+    const counts = { waiting: 0, done: 0, dead: 0, ended: 0 };
+    for (const { held, items } of this.#jobs.values()) {
+      for (const { state } of held.results) counts[state] += 1;
+      const left = items.size - held.results.length;
+      if (held.hasEnded) counts.ended += left;
+      else counts.waiting += left;
+    }
+    return counts;
+  }
+
   item(job: string, item: string): BulkItem | undefined {
     return this.#jobs.get(job)?.items.get(item);
   }
--- a/src/bulk/events.ts
+++ b/src/bulk/events.ts
@@ -63,6 +63,7 @@
     reason: z.string(),
     sinceAcceptedMilliseconds: z.number(),
   },
+  labels: ["state"],
 });
 
 export const runnerStarted = defineEvent(1156, "bulk-runner-started", {
--- a/src/cli/commands/logs_request.ts
+++ b/src/cli/commands/logs_request.ts
@@ -1,6 +1,10 @@
 import { readFile } from "node:fs/promises";
 import { err, ok } from "neverthrow";
-import { type ILogLine, tellStory } from "../../explain/log_story.ts";
+import {
+  type ILogLine,
+  type IStory,
+  tellStory,
+} from "../../explain/log_story.ts";
 import { defineCliCommand } from "../define_cli_command.ts";
 import { ExitCode } from "../exit_code.ts";
 import { formatTable, formatTime } from "../output.ts";
@@ -30,7 +34,7 @@
       return err({ exitCode: ExitCode.failed, message });
     }
     const story = tellStory(args.id, text);
-    if (story.length === 0) {
+    if (story.lines.length === 0) {
       const message = `${args.file} tells nothing of ${args.id}`;
       return err({ exitCode: ExitCode.notFound, message });
     }
@@ -39,8 +43,30 @@
   },
 });
 
-function storyLines(story: readonly ILogLine[]): string[] {
-  const rows = story.map(({ at, instance, name, engine, isOwn, fields }) => [
+function storyLines(story: IStory): string[] {
+  return [...clockLines(story), ...tableLines(story.lines)];
+}
+
+/** By which clock the times are, and whose times were shifted. */
+function clockLines({ clockOf, lines, uncompared }: IStory): string[] {
+  if (clockOf === undefined) {
+    return ["times by the clock of each instance; none were compared"];
+  }
+  const shifts = new Map(
+    lines.map((line) => [line.instance, line.shiftMilliseconds]),
+  );
+  const shifted = [...shifts]
+    .filter(([, shift]) => shift !== 0)
+    .map(([instance, shift]) => `${instance} by ${shift} ms`);
+  return [
+    `times by the clock of ${clockOf}`,
+    ...shifted.length > 0 ? [`shifted: ${shifted.join(", ")}`] : [],
+    ...uncompared.length > 0 ? [`not compared: ${uncompared.join(", ")}`] : [],
+  ];
+}
+
+function tableLines(lines: readonly ILogLine[]): string[] {
+  const rows = lines.map(({ at, instance, name, engine, isOwn, fields }) => [
     formatTime(at),
     instance,
     `${isOwn ? "" : "("}${name}${isOwn ? "" : ")"}`,
--- a/src/composition/foundation.ts
+++ b/src/composition/foundation.ts
@@ -4,8 +4,8 @@
 import type { IEventLog } from "../events/mod.ts";
 import { TraceRecorder } from "../explain/mod.ts";
 import {
-  CountingEventLog,
   defineProcessMetrics,
+  MeasuringEventLog,
   Metrics,
 } from "../metrics/mod.ts";
 import { type PeerAddress, RpcClient, RpcServer } from "../rpc/mod.ts";
@@ -45,7 +45,7 @@
   const clock = new SystemClock();
   const store = new DisposableStore();
   const metrics = new Metrics();
-  const events = new CountingEventLog(eventLog, metrics);
+  const events = new MeasuringEventLog(eventLog, metrics);
   store.add(defineProcessMetrics(metrics));
   const server = store.add(new RpcServer(clock, events, { fleet }));
   const port = await server.listen(address, settings.peers.port);
--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -86,6 +86,13 @@
     };
   }
 
+  /** Items that run now; undefined on a store that does not lead. */
+  get runningItems(): number | undefined {
+    if (!this.#term) return undefined;
+    const counts = [...this.#term.runner.load.values()];
+    return counts.reduce((sum, count) => sum + count, 0);
+  }
+
   dispose(): void {
     this.#isEnded = true;
     this.#endTerm();
--- a/src/composition/observation.ts
+++ b/src/composition/observation.ts
@@ -4,12 +4,14 @@
 import { MetricsListener } from "../edge/mod.ts";
 import type { IEventLog, JsonLineLog } from "../events/mod.ts";
 import {
-  CountingEventLog,
   defineProcessMetrics,
+  type IHistogram,
+  MeasuringEventLog,
   Metrics,
-  TimingEventLog,
 } from "../metrics/mod.ts";
-import type { EngineTable } from "../placement/mod.ts";
+import type { BulkSection } from "../bulk/mod.ts";
+import type { HttpEdge } from "../edge/mod.ts";
+import type { EngineTable, ExchangeClient } from "../placement/mod.ts";
 import type { IRpcStatistics } from "../rpc/mod.ts";
 import type { RoutesHolder } from "../service_routes/mod.ts";
 
@@ -19,13 +21,12 @@
 /** Logs and metrics of a process. */
 export class Observation implements IDisposable {
   readonly metrics = new Metrics();
-  /** Counts and times events, then writes them. */
+  /** Measures events, then writes them. */
   readonly events: IEventLog;
   #store = new DisposableStore();
 
   constructor(log: JsonLineLog) {
-    const counting = new CountingEventLog(log, this.metrics);
-    this.events = new TimingEventLog(counting, this.metrics);
+    this.events = new MeasuringEventLog(log, this.metrics);
     this.#store.add(defineProcessMetrics(this.metrics));
     this.#store.add(
       log.onLeftOut(({ name, lines }) =>
@@ -37,6 +38,11 @@
       "Log lines left out since the start, for their number or a slow reader.",
       () => [{ value: log.droppedLines }],
     );
+    this.metrics.gauge(
+      "figroad_log_queue_bytes",
+      "Log lines that wait for their reader, in bytes.",
+      () => [{ value: log.queuedBytes }],
+    );
   }
 
   /** Defines metrics of what the process knows of the fleet. */
@@ -60,6 +66,45 @@
     );
   }
 
+  /** Defines metrics of the exchange with the leader. */
+  watchExchange(exchange: ExchangeClient): void {
+    this.metrics.gauge(
+      "figroad_leader_contact_age_milliseconds",
+      "Time since the leader last confirmed load, routes and engines.",
+      () => [{ value: Math.round(exchange.contactAge) }],
+    );
+  }
+
+  /** Defines metrics of the requests that are being answered. */
+  watchEdge(edge: HttpEdge): void {
+    this.metrics.gauge(
+      "figroad_open_requests",
+      "Requests that are being answered.",
+      () => [{ value: edge.openRequests }],
+    );
+  }
+
+  /** Defines metrics of the jobs, and of those that the leader runs. */
+  watchJobs(section: BulkSection, running: () => number | undefined): void {
+    this.metrics.gauge(
+      "figroad_bulk_items",
+      "Items of all jobs by state; running ones on the leader only.",
+      () =>
+        Object.entries({ ...section.counts(), running: running() })
+          .flatMap(([state, value]) =>
+            value === undefined ? [] : [{ value, labels: { state } }]
+          ),
+    );
+  }
+
+  /** Times of the syncs of the replicated log's files. */
+  get syncTimes(): IHistogram {
+    return this.metrics.histogram(
+      "figroad_sync_milliseconds",
+      "Times of the syncs of the log's files.",
+    );
+  }
+
   /** Defines metrics of a replica of the log. */
   watchLog(log: IReplicatedLog): void {
     this.metrics.gauge(
--- a/src/composition/serving.ts
+++ b/src/composition/serving.ts
@@ -81,6 +81,15 @@
   );
   const estimates = new LatencyEstimates(clock);
   const budgets = { live: new RetryBudget(), batch: new RetryBudget() };
+  foundation.metrics.gauge(
+    "figroad_retries_saved",
+    "Retries that this instance may make at once, by kind of request.",
+    () =>
+      Object.entries(budgets).map(([kind, { saved }]) => ({
+        value: saved,
+        labels: { kind },
+      })),
+  );
   const selector = new BalancedSelector(configuration, {
     clock,
     random,
--- a/src/consensus/folder_storage.ts
+++ b/src/consensus/folder_storage.ts
@@ -8,9 +8,15 @@
 /** Storage in a folder of the file system. */
 export class FolderStorage implements IStorage {
   #folder: string;
+  #onSynced: (milliseconds: number) => void;
 
-  constructor(folder: string) {
+  /** @param onSynced called with the time that each sync of a file took. */
+  constructor(
+    folder: string,
+    onSynced: (milliseconds: number) => void = () => {},
+  ) {
     this.#folder = folder;
+    this.#onSynced = onSynced;
   }
 
   async list(folder: string): Promise<string[]> {
@@ -51,7 +57,7 @@
     await this.#makeFolder(name);
     const file = await open(this.#path(name), "a");
     await this.#syncFolder(name);
-    return new FolderFile(file);
+    return new FolderFile(file, this.#onSynced);
   }
 
   async replace(name: string, bytes: Buffer): Promise<void> {
@@ -111,9 +117,11 @@
 /** Append-only file of a `FolderStorage`. */
 class FolderFile implements IStorageFile {
   #file: FileHandle;
+  #onSynced: (milliseconds: number) => void;
 
-  constructor(file: FileHandle) {
+  constructor(file: FileHandle, onSynced: (milliseconds: number) => void) {
     this.#file = file;
+    this.#onSynced = onSynced;
   }
 
   async append(bytes: Buffer): Promise<void> {
@@ -121,7 +129,9 @@
   }
 
   async sync(): Promise<void> {
+    const begunAt = performance.now();
     await this.#file.datasync();
+    this.#onSynced(performance.now() - begunAt);
   }
 
   async close(): Promise<void> {
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -52,6 +52,7 @@
     status: z.number(),
     reason: z.string(),
   },
+  labels: ["status", "reason"],
 });
 
 export const edgeFailed = defineEvent(1257, "edge-failed", {
@@ -73,6 +74,7 @@
       reason: z.string(),
       milliseconds: z.number(),
     },
+    labels: ["outcome"],
   },
 );
 
@@ -99,4 +101,5 @@
     reason: z.string(),
     milliseconds: z.number(),
   },
+  labels: ["call", "status"],
 });
--- a/src/events/define_event.ts
+++ b/src/events/define_event.ts
@@ -5,7 +5,12 @@
 export function defineEvent<S extends z.ZodRawShape>(
   number: number,
   name: string,
-  options: { level: EventLevel; help: string; fields: S },
+  options: {
+    level: EventLevel;
+    help: string;
+    fields: S;
+    labels?: readonly (keyof S & string)[];
+  },
 ): IEventDefinition<S> {
   return {
     number,
@@ -13,5 +18,6 @@
     level: options.level,
     help: options.help,
     fields: z.object(options.fields),
+    labels: options.labels ?? [],
   };
 }
--- a/src/events/json_line_log.ts
+++ b/src/events/json_line_log.ts
@@ -72,6 +72,11 @@
     this.#period.unref();
   }
 
+  /** Lines that wait to be written, in bytes. */
+  get queuedBytes(): number {
+    return this.#queuedBytes;
+  }
+
   /** Lines left out so far. */
   get droppedLines(): number {
     return this.#dropped;
--- a/src/events/types.ts
+++ b/src/events/types.ts
@@ -12,6 +12,8 @@
   /** What happened and what an operator may do about it. */
   readonly help: string;
   readonly fields: z.ZodObject<S>;
+  /** Fields with few values, by which metrics tell occurrences apart. */
+  readonly labels: readonly string[];
 }
 
 /** Sink for numbered events. */
--- a/src/explain/log_story.ts
+++ b/src/explain/log_story.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { ClockAlignment, COMPARISON_EVENT } from "./clock_alignment.ts";
 
 /** Time around a request in which related events are told, in ms. */
 const CONTEXT_MILLISECONDS = 2_000;
@@ -32,8 +33,10 @@
 
 /** A line of a log. */
 export interface ILogLine {
-  /** Milliseconds since the Unix epoch, by the clock of the instance. */
+  /** Milliseconds since the Unix epoch, by the clock of the story. */
   readonly at: number;
+  /** What was added to the time by the clock of the instance, in ms. */
+  readonly shiftMilliseconds: number;
   readonly instance: string;
   readonly name: string;
   readonly engine: string | undefined;
@@ -43,14 +46,31 @@
   readonly fields: Readonly<Record<string, unknown>>;
 }
 
+/** What the logs of all processes tell. */
+export interface IStory {
+  readonly lines: readonly ILogLine[];
+  /** Instance by whose clock the times are; undefined if none compared. */
+  readonly clockOf: string | undefined;
+  /** Instances whose clock is not known to differ or not. */
+  readonly uncompared: readonly string[];
+}
+
 /**
  * Collects what the logs of all processes tell of a request, an item or a
  * job, in the order of time, with events of its engines and of the lead
- * around it. Lines may have a prefix, as collectors add one; others that hold
- * no event are passed over.
+ * around it. Times of all instances are by one clock, as far as the instances
+ * have compared theirs. Lines may have a prefix, as collectors add one; others
+ * that hold no event are passed over.
  */
-export function tellStory(id: string, text: string): ILogLine[] {
-  const lines = text.split("\n").flatMap((line) => parseLine(line, id));
+export function tellStory(id: string, text: string): IStory {
+  const parsed = text.split("\n").flatMap((line) => parseLine(line, id));
+  const clocks = new ClockAlignment(
+    parsed.filter(({ name }) => name === COMPARISON_EVENT),
+  );
+  const lines = parsed.map((line) => {
+    const shiftMilliseconds = clocks.shift(line.instance, line.at) ?? 0;
+    return { ...line, at: line.at + shiftMilliseconds, shiftMilliseconds };
+  });
   const own = lines.filter(({ isOwn }) => isOwn);
   const engines = new Set(own.flatMap(({ engine }) => engine ?? []));
   const instances = new Set(own.map(({ instance }) => instance));
@@ -63,7 +83,10 @@
     if (line.engine !== undefined) return engines.has(line.engine);
     return instances.has(line.instance) || LEAD_EVENTS.has(line.name);
   });
-  return [...own, ...context].sort((a, b) => a.at - b.at);
+  const told = [...own, ...context].sort((a, b) => a.at - b.at);
+  const uncompared = [...new Set(told.map(({ instance }) => instance))]
+    .filter((instance) => clocks.shift(instance, from) === undefined);
+  return { lines: told, clockOf: clocks.reference, uncompared };
 }
 
 function parseLine(line: string, id: string): ILogLine[] {
@@ -73,7 +96,10 @@
   if (!parsed.success) return [];
   const { at, instance, name, engine, ...fields } = parsed.data;
   const isOwn = fields.request === id || fields.job === id;
-  return [{ at: Date.parse(at), instance, name, engine, isOwn, fields }];
+  return [{
+    ...{ at: Date.parse(at), instance, name, engine, isOwn, fields },
+    shiftMilliseconds: 0,
+  }];
 }
 
 function parseJson(text: string): unknown {
--- a/src/explain/log_story_test.ts
+++ b/src/explain/log_story_test.ts
@@ -13,7 +13,7 @@
 }
 
 function names(id: string, lines: string[]): string[] {
-  return tellStory(id, lines.join("\n")).map((it) =>
+  return tellStory(id, lines.join("\n")).lines.map((it) =>
     `${it.instance} ${it.name}`
   );
 }
@@ -28,7 +28,7 @@
     }),
     line(1, "entry-1", "request-refused", { request: "r-2" }),
   ];
-  const story = tellStory("r-1", lines.join("\n"));
+  const story = tellStory("r-1", lines.join("\n")).lines;
   t.is(story.length, 1);
   t.like(story[0]?.fields, { live: 70, retryMilliseconds: 310 });
 });
@@ -81,3 +81,61 @@
   t.deepEqual(names("r", lines), ["entry-1 caller-left"]);
   t.deepEqual(names("other", lines), []);
 });
+
+test("clocks that differ: one order over three instances", (t) => {
+  const compared = (
+    second: number,
+    instance: string,
+    peer: string,
+    offsetMilliseconds: number,
+  ) => line(second, instance, "clock-compared", { peer, offsetMilliseconds });
+  const lines = [
+    // The entry is 5 s ahead of store-1, which is 2 s behind store-2.
+    compared(5, "entry-1", "store-1", -5_000),
+    compared(5, "entry-2", "store-1", 0),
+    compared(0, "store-1", "store-2", 2_000),
+    line(8, "entry-1", "request-placed", { request: "r", engine: "e" }),
+    line(4, "store-1", "engine-suspected", { engine: "e" }),
+    line(7, "store-2", "engine-suspected", { engine: "e" }),
+    line(11, "entry-1", "request-failed", { request: "r" }),
+  ];
+  const story = tellStory("r", lines.join("\n"));
+  t.is(story.clockOf, "store-1");
+  t.deepEqual(
+    story.lines.map(({ instance, at }) => [
+      instance,
+      (at - 1_700_000_000_000) / 1_000,
+    ]),
+    [["entry-1", 3], ["store-1", 4], ["store-2", 5], ["entry-1", 6]],
+  );
+  t.deepEqual(story.uncompared, []);
+});
+
+test("clock that jumps: lines after the jump are shifted by the new", (t) => {
+  const lines = [
+    line(1, "entry-1", "clock-compared", {
+      peer: "store-1",
+      offsetMilliseconds: 0,
+    }),
+    line(2, "entry-1", "request-placed", { request: "r" }),
+    line(12, "entry-1", "clock-compared", {
+      peer: "store-1",
+      offsetMilliseconds: -10_000,
+    }),
+    line(13, "entry-1", "request-answered", { request: "r" }),
+  ];
+  const { lines: told } = tellStory("r", lines.join("\n"));
+  const [placed, answered] = told;
+  t.is((answered?.at ?? 0) - (placed?.at ?? 0), 1_000);
+});
+
+test("instance that compared no clock", (t) => {
+  const lines = [
+    line(1, "entry-1", "clock-compared", {
+      peer: "store-1",
+      offsetMilliseconds: 0,
+    }),
+    line(2, "entry-2", "request-answered", { request: "r" }),
+  ];
+  t.deepEqual(tellStory("r", lines.join("\n")).uncompared, ["entry-2"]);
+});
--- a/src/operations/operation_ledger.ts
+++ b/src/operations/operation_ledger.ts
@@ -66,7 +66,10 @@
       { kind: "begin", caller, key, attempt, fingerprint },
       () => this.#patience(options.deadline),
     );
-    if (output.isErr() && this.#reach.isLost) {
+    const { lostAt } = this.#reach;
+    // It gave up a moment before the record counts as lost.
+    const isOutage = lostAt !== undefined && lostAt < options.deadline;
+    if (output.isErr() && isOutage) {
       const { verdict } = output.error;
       return err({ ...this.#reach.refusal(), verdict });
     }
--- a/src/operations/record_reach_test.ts
+++ b/src/operations/record_reach_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { err, ok } from "neverthrow";
 import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
-import { mayHaveRun } from "../common/mod.ts";
+import { mayHaveRun, notRun } from "../common/mod.ts";
 import type { IControlClient } from "../consensus/mod.ts";
 import { SilentEventLog } from "../events/mod.ts";
 import { OperationLedger } from "./operation_ledger.ts";
@@ -13,6 +13,8 @@
 class Voters {
   isInReach = true;
   begun = 0;
+  /** Calls out of reach; every other one fails at once, not in the end. */
+  asked = 0;
   #clock: VirtualClock;
 
   constructor(clock: VirtualClock) {
@@ -24,6 +26,8 @@
       this.begun += 1;
       return ok({ kind: "begun" });
     }
+    this.asked += 1;
+    if (this.asked % 2 === 0) return err(notRun("unavailable", "no leader"));
     await this.#clock.sleepUntil(options.deadline as never);
     return err(mayHaveRun("deadline-exceeded", "no answer"));
   }
@@ -55,17 +59,18 @@
 test("requests of an outage wait no longer than an election", async (t) => {
   const { time, voters, ledger, begin } = setUp();
   voters.isInReach = false;
-  const ended: number[] = [];
+  const waits: number[] = [];
   for (let sent = 0; sent < 20; sent++) {
+    const begunAt = time.now;
     void begin().then((begun) => {
-      t.true(begun.isErr());
-      ended.push(time.now);
+      t.is(begun._unsafeUnwrapErr().code, "unavailable");
+      waits.push(time.now - begunAt);
     });
     await time.pass(100);
   }
   await time.pass(PATIENCE_MILLISECONDS);
-  t.is(ended.length, 20);
-  t.true(Math.max(...ended) <= PATIENCE_MILLISECONDS + 1);
+  t.is(waits.length, 20);
+  t.true(Math.max(...waits) <= PATIENCE_MILLISECONDS);
   ledger.dispose();
 });
 
--- /dev/null
+++ b/src/placement/clock_comparison.ts
@@ -0,0 +1,64 @@
+import type { Deadline, IClock } from "../common/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
+import { clockCompared } from "./events.ts";
+
+/** Change of the difference that is told beside its uncertainty, in ms. */
+const CHANGE_MILLISECONDS = 20;
+
+/** Time after which an unchanged difference is told again, in ms. */
+const REPEAT_MILLISECONDS = 60_000;
+
+/** What a leader says of itself when it answers. */
+export interface ILeaderTime {
+  /** Name of the leader's machine. */
+  readonly leader: string;
+  /** Its wall time, in milliseconds since the Unix epoch. */
+  readonly wall: number;
+}
+
+interface IComparison {
+  readonly leader: string;
+  readonly offset: number;
+  readonly uncertainty: number;
+  readonly repeatAt: Deadline;
+}
+
+/**
+ * Compares the wall clock with that of the leader, by the times at which a
+ * call was sent and answered. Logs of several instances can then be read as
+ * one, although their clocks differ and jump.
+ */
+export class ClockComparison {
+  #clock: IClock;
+  #events: IEventLog;
+  #told: IComparison | undefined;
+
+  constructor(clock: IClock, options: { events: IEventLog }) {
+    this.#clock = clock;
+    this.#events = options.events;
+  }
+
+  /** @param sentAt wall time at which the answered call was sent. */
+  answered({ leader, wall }: ILeaderTime, sentAt: number): void {
+    const receivedAt = this.#clock.wall();
+    // The leader's time lies between the two; half of it is the uncertainty.
+    const uncertainty = Math.abs(receivedAt - sentAt) / 2;
+    const offset = wall - (sentAt + receivedAt) / 2;
+    if (!this.#isNews({ leader, offset, uncertainty })) return;
+    const repeatAt = this.#clock.deadlineIn(REPEAT_MILLISECONDS);
+    this.#told = { leader, offset, uncertainty, repeatAt };
+    this.#events.emit(clockCompared, {
+      peer: leader,
+      offsetMilliseconds: Math.round(offset),
+      uncertaintyMilliseconds: Math.ceil(uncertainty),
+    });
+  }
+
+  #isNews(next: Omit<IComparison, "repeatAt">): boolean {
+    const told = this.#told;
+    if (!told || told.leader !== next.leader) return true;
+    const doubt = told.uncertainty + next.uncertainty + CHANGE_MILLISECONDS;
+    return Math.abs(next.offset - told.offset) > doubt ||
+      this.#clock.isPast(told.repeatAt);
+  }
+}
--- a/src/placement/events.ts
+++ b/src/placement/events.ts
@@ -56,6 +56,18 @@
   fields: { engine: z.string(), reason: z.string() },
 });
 
+export const clockCompared = defineEvent(1058, "clock-compared", {
+  level: "info",
+  help: "By how much the wall clock of the leader is ahead of this " +
+    "instance's, from the times of a call. Written when it has changed, when " +
+    "another instance leads, and once a minute.",
+  fields: {
+    peer: z.string(),
+    offsetMilliseconds: z.number(),
+    uncertaintyMilliseconds: z.number(),
+  },
+});
+
 export const probeSucceeded = defineEvent(1057, "engine-probe-succeeded", {
   level: "info",
   help: "An avoided engine answers its health check again.",
--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -3,6 +3,7 @@
 import type { IControlClient } from "../consensus/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { RoutesHolder } from "../service_routes/mod.ts";
+import { ClockComparison } from "./clock_comparison.ts";
 import type { EngineHealth } from "./engine_health.ts";
 import type { EngineTable } from "./engine_table.ts";
 import {
@@ -73,12 +74,19 @@
   #reachedAt: number;
   #isReached = true;
   #readAfter: number;
+  #comparison: ClockComparison;
 
   constructor(control: IControlClient, parts: IExchangeParts) {
     this.#control = control;
     this.#parts = parts;
     this.#reachedAt = parts.clock.monotonic();
     this.#readAfter = STALE_LIST_MILLISECONDS;
+    this.#comparison = new ClockComparison(parts.clock, parts);
+  }
+
+  /** Time since the leader last answered, in milliseconds. */
+  get contactAge(): number {
+    return this.#parts.clock.monotonic() - this.#reachedAt;
   }
 
   start(): void {
@@ -118,6 +126,7 @@
     const reported = table.ownLoad();
     this.#sequence += 1;
     const sequence = this.#sequence;
+    const sentAt = clock.wall();
     const answer = await this.#control.call(exchangeMethod, {
       ...{ instance, name, role, sequence, want },
       answered: this.#answered,
@@ -132,6 +141,7 @@
       return undefined;
     }
     this.#reached();
+    this.#comparison.answered(answer.value, sentAt);
     const { load, suspects, list, listAge, grant } = answer.value;
     this.#pause = answer.value.pauseMilliseconds;
     if (answer.value.routes) routes.offer(answer.value.routes);
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -1,6 +1,6 @@
 import { err, ok } from "neverthrow";
 import { match } from "ts-pattern";
-import { type IDisposable, notRun } from "../common/mod.ts";
+import { type IClock, type IDisposable, notRun } from "../common/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
 import type { RouteSet } from "../service_routes/mod.ts";
 import type { LoadLedger } from "./load_ledger.ts";
@@ -42,6 +42,9 @@
 
 /** Collaborators of the handler. */
 export interface IExchangeHandlerParts {
+  /** Name of this machine. */
+  readonly name: string;
+  readonly clock: IClock;
   readonly ledger: LoadLedger;
   readonly knowledge: () => ILeaderKnowledge | undefined;
   /** Source of numbers from 0 up to 1. */
@@ -53,7 +56,7 @@
   server: IRpcServer,
   parts: IExchangeHandlerParts,
 ): IDisposable {
-  const { ledger, knowledge } = parts;
+  const { ledger, knowledge, name, clock } = parts;
   return server.handle(exchangeMethod, (params) => {
     const known = knowledge();
     if (!known) {
@@ -69,6 +72,8 @@
     const isNewList = hasList && list.revision !== params.listRevision;
     const isNewRoutes = routes && routes.version > params.routesVersion;
     return Promise.resolve(ok({
+      leader: name,
+      wall: clock.wall(),
       load: params.want ? undefined : ledger.entries(known.bulk),
       suspects: [...known.failing],
       listAge: known.listAge,
--- a/src/placement/exchange_test.ts
+++ b/src/placement/exchange_test.ts
@@ -39,6 +39,8 @@
 
   constructor() {
     handleExchange(this.network.connect("leader", this.clock), {
+      name: "store-1",
+      clock: this.clock,
       ledger: this.ledger,
       knowledge: () => this.knowledge,
       random: () => 0,
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -68,6 +68,10 @@
     want: placementWantSchema.optional(),
   }),
   result: z.object({
+    /** Name of the leader's machine. */
+    leader: z.string(),
+    /** Wall time of the leader, in milliseconds since the Unix epoch. */
+    wall: z.number(),
     /** Load of all engines; left out where a request is placed. */
     load: z.array(loadEntrySchema).optional(),
     /** Engines that several instances find failing. */
--- a/src/placement/mod.ts
+++ b/src/placement/mod.ts
@@ -1,3 +1,4 @@
+export * from "./clock_comparison.ts";
 export * from "./engine_directory.ts";
 export * from "./engine_health.ts";
 export * from "./engine_table.ts";
--- a/src/streams/events.ts
+++ b/src/streams/events.ts
@@ -7,6 +7,7 @@
   fields: {
     request: z.string(),
     route: z.string(),
+    service: z.string(),
     engine: z.string(),
     attempt: z.number(),
     live: z.number(),
@@ -15,7 +16,10 @@
     /** The leader, or this instance while it reached none. */
     chosenBy: z.enum(["leader", "instance"]),
     lastEventId: z.string().optional(),
+    /** Whether it goes on with a stream that another engine began. */
+    isResumed: z.boolean(),
   },
+  labels: ["service", "chosenBy", "isResumed"],
 });
 
 export const requestRefused = defineEvent(1101, "request-refused", {
@@ -25,6 +29,7 @@
   fields: {
     request: z.string(),
     route: z.string(),
+    service: z.string(),
     reason: z.string(),
     retryMilliseconds: z.number(),
     remainingMilliseconds: z.number(),
@@ -32,6 +37,7 @@
     live: z.number(),
     bulk: z.number(),
   },
+  labels: ["service", "reason"],
 });
 
 export const attemptFailed = defineEvent(1102, "attempt-failed", {
@@ -47,6 +53,7 @@
     lastEventId: z.string().optional(),
     milliseconds: z.number(),
   },
+  labels: ["verdict"],
 });
 
 export const requestAnswered = defineEvent(1103, "request-answered", {
@@ -60,6 +67,7 @@
     firstMilliseconds: z.number(),
     milliseconds: z.number(),
   },
+  labels: ["status"],
 });
 
 export const requestFailed = defineEvent(1104, "request-failed", {
@@ -72,6 +80,7 @@
     hadBegun: z.boolean(),
     milliseconds: z.number(),
   },
+  labels: ["kind", "hadBegun"],
 });
 
 export const callerLeft = defineEvent(1105, "caller-left", {
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -136,6 +136,7 @@
     this.#parts.events.emit(requestRefused, {
       request: request.id,
       route: request.route.name,
+      service,
       reason,
       retryMilliseconds: Math.round(retryMilliseconds),
       remainingMilliseconds: Math.round(remainingMilliseconds),
@@ -160,6 +161,7 @@
     events.emit(requestPlaced, {
       request: request.id,
       route: request.route.name,
+      service: engine.service,
       engine: engine.id,
       attempt: run.sends,
       live,
@@ -167,6 +169,7 @@
       waitMilliseconds,
       chosenBy,
       lastEventId: progress.lastEventId,
+      isResumed: progress.lastEventId !== undefined,
     });
     const startedAt = clock.monotonic();
     try {
--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -73,6 +73,8 @@
   readonly standin: PlatformStandin;
   /** Identifiers of the requests that it received, in order. */
   readonly received: string[] = [];
+  /** Status with which requests are refused, without a run. */
+  refusal: number | undefined;
   /** Number of the event before which the next answer breaks off. */
   breakBefore: number | undefined;
   /** Answers wait for it in the middle; undefined where they do not wait. */
@@ -82,12 +84,21 @@
   constructor(id: string, events: number) {
     this.#events = events;
     this.standin = new PlatformStandin((incoming, response) => {
+      if (incoming.url === "/health") {
+        response.writeHead(200, { "Instance-Id": id }).end();
+        return;
+      }
       const requestId = String(incoming.headers["request-id"] ?? "");
       if (incoming.headers["expect-instance"] !== id) {
         response.writeHead(421).end();
         return;
       }
       this.received.push(requestId);
+      const refusal = this.refusal;
+      if (refusal !== undefined) {
+        response.writeHead(refusal, { "Not-Run": "1" }).end();
+        return;
+      }
       const after = Number(incoming.headers["last-event-id"] ?? 0);
       response.writeHead(200, {
         "Request-Id": requestId,
@@ -121,6 +132,8 @@
   readonly stores: IRoleProcess[] = [];
   readonly entries: IRoleProcess[] = [];
   readonly engines: StreamEngine[];
+  /** Log lines of all processes, as they came. */
+  logs = "";
   #list: PlatformStandin | undefined;
   #folder = "";
   /** Address without its last number. */
@@ -221,7 +234,10 @@
     await writeFile(path, JSON.stringify(settings));
     const child = spawn(process.execPath, [PROGRAM, role], {
       env: { ...process.env, FIGROAD_CONFIG: path },
-      stdio: ["ignore", "ignore", "inherit"],
+      stdio: ["ignore", "pipe", "inherit"],
+    });
+    child.stdout?.setEncoding("utf8").on("data", (text: string) => {
+      this.logs += text;
     });
     return { name, address, child };
   }
