Stores keep what is needed of jobs; a soak of the platform's roles

Cause: stores held every job for good, with the bodies of finished items, and a result travelled twice, as progress and whole.

Change: a listed item drops its body, an ended job all of them; closed jobs are forgotten when status-s and a margin for clocks have passed; a result adds only what its written progress lacks, and is refused where that is not held. npm run soak has two commands: product (as before) and platform, which runs entries and stores as processes behind relays and signals and checks what clients, operators and engines see.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -7,7 +7,7 @@
 import type { SoakRecord } from "./record.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
 
-const FAULT_KINDS = [
+export const FAULT_KINDS = [
   "kill-instance",
   "freeze-instance",
   "stop-instance",
@@ -24,8 +24,8 @@
 export type FaultKind = typeof FAULT_KINDS[number];
 
 /** A fault of the schedule. */
-export interface IScheduledFault {
-  readonly kind: FaultKind;
+export interface IScheduledFault<K = FaultKind> {
+  readonly kind: K;
   /** Begin, in milliseconds after the start of the load. */
   readonly at: number;
   /** How long it lasts, in milliseconds. */
@@ -52,11 +52,12 @@
 const DATA_FOLDERS = "(data folders)";
 
 /** Draws a schedule; the same seed gives the same schedule. */
-export function drawSchedule(
+export function drawSchedule<K>(
   random: SeededRandom,
   milliseconds: number,
-): IScheduledFault[] {
-  const faults: IScheduledFault[] = [];
+  kinds: readonly K[],
+): IScheduledFault<K>[] {
+  const faults: IScheduledFault<K>[] = [];
   let at = 0;
   for (;;) {
     at += random.integer(
@@ -64,7 +65,7 @@
       MAXIMUM_PAUSE_MILLISECONDS,
     );
     if (at >= milliseconds) return faults;
-    const kind = random.pick(FAULT_KINDS);
+    const kind = random.pick(kinds);
     const lasts = random.integer(
       MINIMUM_FAULT_MILLISECONDS,
       MAXIMUM_FAULT_MILLISECONDS,
--- /dev/null
+++ b/soak/platform/platform_soak_test.ts
@@ -0,0 +1,20 @@
+import test from "ava";
+import { runPlatformSoak } from "./run_platform_soak.ts";
+
+const SECONDS = 10;
+
+for (const seed of [1]) {
+  test.serial(`platform roles, seed ${seed}`, async (t) => {
+    t.timeout(600_000);
+    const { record, logs } = await runPlatformSoak({
+      seed,
+      seconds: SECONDS,
+      entries: 3,
+      engines: 3,
+    });
+    if (logs !== undefined) t.log(`log lines of all processes are in ${logs}`);
+    t.deepEqual(record.violations, []);
+    t.true(record.streams.some(({ isWhole }) => isWhole));
+    t.true(record.jobs.some(({ read }) => read.length > 0));
+  });
+}
--- /dev/null
+++ b/soak/platform/soak_engine.ts
@@ -0,0 +1,106 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { PlatformStandin } from "../../testing/platform_engine.ts";
+import type { IListedStandin } from "../../testing/platform_fleet.ts";
+import { Relay } from "../../testing/relay.ts";
+
+/** Events of every answer. */
+export const EVENTS = 20;
+
+/** Pause between two events, in milliseconds. */
+const STEP_MILLISECONDS = 15;
+
+/** Requests that run at once; more are refused. */
+const SLOTS = 8;
+
+/** Body of items that no engine can do. */
+export const POISON = "poison";
+
+/** Data of the events of a request. */
+export function expectedData(id: string): string[] {
+  return Array.from({ length: EVENTS }, (_, index) => `${id} word ${index}`);
+}
+
+/** Whole body of a streamed answer. */
+export function expectedStream(id: string): string {
+  return expectedData(id)
+    .map((data, index) => `id: ${index + 1}\ndata: ${data}\n\n`)
+    .join("");
+}
+
+/** A run of a request at an engine. */
+export interface IEngineRun {
+  readonly id: string;
+  readonly engine: string;
+  /** Wall time of its beginning, in milliseconds. */
+  readonly beganAt: number;
+  /** Event after which it was asked to go on. */
+  readonly after: number;
+}
+
+/** Engine behind a relay, with its own record of what ran. */
+export class SoakEngine implements IListedStandin {
+  readonly runs: IEngineRun[] = [];
+  readonly standin: IListedStandin["standin"];
+  relay: Relay | undefined;
+  /** Whether requests wait for it to go on. */
+  isFrozen = false;
+  #id: string;
+  #running = 0;
+
+  constructor(id: string) {
+    this.#id = id;
+    const server = new PlatformStandin((request, response) => {
+      void this.#answer(request, response);
+    });
+    this.standin = {
+      start: async () => {
+        const { address, port } = await server.start();
+        this.relay = new Relay(port);
+        return { address, port: await this.relay.listen() };
+      },
+      stop: () => {
+        this.relay?.dispose();
+        server.stop();
+      },
+    };
+  }
+
+  async #answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (request.url === "/health") {
+      response.writeHead(200, { "Instance-Id": this.#id }).end();
+      return;
+    }
+    const id = String(request.headers["request-id"] ?? "");
+    const isMeant = request.headers["expect-instance"] === this.#id;
+    if (!isMeant || this.#running >= SLOTS) {
+      const status = isMeant ? 503 : 421;
+      response.writeHead(status, { "Not-Run": "1" }).end();
+      return;
+    }
+    const after = Number(request.headers["last-event-id"] ?? 0);
+    const engine = this.#id;
+    this.runs.push({ id, engine, beganAt: Date.now(), after });
+    if (request.headers.model === POISON) {
+      response.writeHead(422, { "Response-Stamp": engine }).end();
+      return;
+    }
+    this.#running += 1;
+    response.on("close", () => this.#running -= 1);
+    response.writeHead(200, {
+      "Request-Id": id,
+      "Response-Stamp": engine,
+      "Content-Type": "text/event-stream",
+    });
+    const data = expectedData(id);
+    for (let event = after; event < EVENTS; event++) {
+      do await sleep(STEP_MILLISECONDS); while (this.isFrozen);
+      if (response.destroyed) return;
+      response.write(`id: ${event + 1}\ndata: ${data[event]}\n\n`);
+    }
+    response.end();
+  }
+}
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -8,7 +8,12 @@
   checkRequests,
   readEngineCounts,
 } from "./checks.ts";
-import { drawSchedule, type IScheduledFault, runFaults } from "./faults.ts";
+import {
+  drawSchedule,
+  FAULT_KINDS,
+  type IScheduledFault,
+  runFaults,
+} from "./faults.ts";
 import { runCaller } from "./live_load.ts";
 import { runOperators, watchVersions } from "./operator_load.ts";
 import { SoakRecord } from "./record.ts";
@@ -42,7 +47,7 @@
 /** Runs mixed load under a seeded schedule of faults and checks it. */
 export async function runSoak(options: ISoakOptions): Promise<ISoakResult> {
   const random = new SeededRandom(options.seed);
-  const schedule = drawSchedule(random, options.seconds * 1_000);
+  const schedule = drawSchedule(random, options.seconds * 1_000, FAULT_KINDS);
   const record = new SoakRecord();
   const soak = await SoakFleet.start(options);
   const { fleet, plain } = soak;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -1,44 +1,111 @@
-// Long randomised run: soak.js --seed N --seconds S.
+// Long randomised runs: soak.js [product|platform] --seed N --seconds S.
 import process from "node:process";
 import { defineCommand, runMain } from "citty";
+import type { IScheduledFault } from "./faults.ts";
+import type { PlatformRecord } from "./platform/platform_record.ts";
+import { runPlatformSoak } from "./platform/run_platform_soak.ts";
 import type { SoakRecord } from "./record.ts";
 import { runSoak } from "./run_soak.ts";
 
-const command = defineCommand({
-  meta: { name: "soak", description: "Runs mixed load under seeded faults" },
+/** Arguments of both soaks. */
+const COMMON_ARGUMENTS = {
+  seed: { type: "string", default: "1", description: "Seed of the run" },
+  seeds: { type: "string", default: "1", description: "Runs, seed by seed" },
+  seconds: { type: "string", default: "60", description: "Length of load" },
+} as const;
+
+const product = defineCommand({
+  meta: { name: "product", description: "Daemons on the product's interface" },
   args: {
-    seed: { type: "string", default: "1", description: "Seed of the run" },
-    seconds: { type: "string", default: "60", description: "Length of load" },
+    ...COMMON_ARGUMENTS,
     instances: { type: "string", default: "5", description: "Daemons" },
     voters: { type: "string", default: "3", description: "Control voters" },
     engines: { type: "string", default: "3", description: "Engines" },
   },
   async run({ args }) {
-    const { record, schedule, folder } = await runSoak({
-      seed: Number(args.seed),
-      seconds: Number(args.seconds),
-      instances: Number(args.instances),
-      voters: Number(args.voters),
-      engines: Number(args.engines),
-      onProgress: (line) => console.log(line),
+    await runSeeds(args, async (seed) => {
+      const { record, schedule, folder } = await runSoak({
+        seed,
+        seconds: Number(args.seconds),
+        instances: Number(args.instances),
+        voters: Number(args.voters),
+        engines: Number(args.engines),
+        onProgress: (line) => console.log(line),
+      });
+      printSchedule(schedule);
+      printCounts(record);
+      return { violations: record.violations, logs: folder };
     });
-    console.log(`seed ${args.seed}, ${args.seconds} s`);
-    for (const { kind, at, lasts } of schedule) {
-      console.log(`  ${(at / 1_000).toFixed(1)} s: ${kind} for ${lasts} ms`);
-    }
-    printCounts(record);
-    const [first] = record.violations;
-    if (first === undefined) {
-      console.log("no line is broken");
-      process.exit(0);
-    }
-    console.log(`${record.violations.length} lines are broken; the first:`);
-    record.violations.slice(0, 20).forEach((line) => console.log(`  ${line}`));
-    console.log(`logs of the daemons are in ${folder}`);
-    process.exit(1);
   },
 });
 
+const platform = defineCommand({
+  meta: { name: "platform", description: "Entries and stores of the platform" },
+  args: {
+    ...COMMON_ARGUMENTS,
+    entries: { type: "string", default: "3", description: "Entries" },
+    engines: { type: "string", default: "3", description: "Engines" },
+  },
+  async run({ args }) {
+    await runSeeds(args, async (seed) => {
+      const { record, schedule, logs } = await runPlatformSoak({
+        seed,
+        seconds: Number(args.seconds),
+        entries: Number(args.entries),
+        engines: Number(args.engines),
+      });
+      printSchedule(schedule);
+      printPlatformCounts(record);
+      return { violations: record.violations, logs };
+    });
+  },
+});
+
+/** Runs seed after seed and ends with 1 when a promise was broken. */
+async function runSeeds(
+  args: { seed: string; seeds: string },
+  run: (seed: number) => Promise<{
+    violations: readonly string[];
+    logs: string | undefined;
+  }>,
+): Promise<void> {
+  const first = Number(args.seed);
+  let broken = 0;
+  for (let seed = first; seed < first + Number(args.seeds); seed++) {
+    console.log(`seed ${seed}`);
+    const { violations, logs } = await run(seed);
+    console.log(`  ${violations.length} promises are broken`);
+    for (const line of violations.slice(0, 20)) console.log(`    ${line}`);
+    if (violations.length === 0) continue;
+    broken += 1;
+    console.log(`  logs are in ${logs}`);
+  }
+  process.exit(broken > 0 ? 1 : 0);
+}
+
+function printSchedule(schedule: readonly IScheduledFault<string>[]): void {
+  for (const { kind, at, lasts } of schedule) {
+    console.log(`  ${(at / 1_000).toFixed(1)} s: ${kind} for ${lasts} ms`);
+  }
+}
+
+function printPlatformCounts(record: PlatformRecord): void {
+  const ends = new Map<string, number>();
+  for (const { kind, status, isWhole } of record.streams) {
+    const whole = isWhole ? "whole" : "broken off";
+    const key = `${kind} stream: ${status ?? "no answer"}, ${whole}`;
+    ends.set(key, (ends.get(key) ?? 0) + 1);
+  }
+  for (const [key, count] of [...ends].sort()) console.log(`  ${key} ${count}`);
+  const accepted = record.jobs.filter((job) => job.isAccepted);
+  console.log(`  jobs ${record.jobs.length}, accepted ${accepted.length}`);
+  const acknowledged = record.orders.filter((order) => order.isAcknowledged);
+  console.log(
+    `  configurations ${record.orders.length}, ` +
+      `acknowledged ${acknowledged.length}`,
+  );
+}
+
 function printCounts(record: SoakRecord): void {
   const ends = new Map<string, number>();
   for (const { end, kind } of record.requests) {
@@ -59,4 +126,9 @@
   console.log(`  planned stops ${record.plannedStops.length}`);
 }
 
+const command = defineCommand({
+  meta: { name: "soak", description: "Runs mixed load under seeded faults" },
+  subCommands: { product, platform },
+});
+
 await runMain(command);
--- a/src/bulk/bulk_handlers.ts
+++ b/src/bulk/bulk_handlers.ts
@@ -73,7 +73,7 @@
   store.add(server.handle(readBulkItemMethod, async (params, options) => {
     const confirmed = await log.barrier({ ...options, isConfirmed: true });
     if (confirmed.isErr()) return err(confirmed.error);
-    return ok({ body: section.item(params.job, params.item)?.body });
+    return ok({ body: section.openItem(params.job, params.item)?.body });
   }));
   store.add(server.handle(endBulkMethod, async ({ job }, options) => {
     const command = { kind: "end", job };
--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -11,6 +11,7 @@
   itemRecorded,
   itemStarted,
   itemYielded,
+  jobsForgotten,
   runnerStarted,
   runnerStopped,
 } from "./events.ts";
@@ -38,6 +39,9 @@
  */
 const RETENTION_MARGIN_MILLISECONDS = 10_000;
 
+/** The same for a job with all its results. */
+const KEEP_MARGIN_MILLISECONDS = 60_000;
+
 /** Time in which results are due where the route does not say, in ms. */
 const DEFAULT_DUE_MILLISECONDS = 60_000;
 
@@ -50,6 +54,8 @@
   readonly events: IEventLog;
   readonly health: EngineHealth;
   readonly routes: () => RouteTable | undefined;
+  /** Time from the submission for which results can be read, in ms. */
+  readonly keepMilliseconds: number;
   /** Engines with their live load. */
   readonly engines: () => readonly (Omit<IBulkEngine, "bulk">)[];
 }
@@ -169,6 +175,7 @@
       const next = clock.deadlineIn(EXPIRY_PAUSE_MILLISECONDS);
       await clock.sleepUntil(next, signal);
       if (signal.aborted || !routes()) continue;
+      await this.#forget();
       for (const pending of [...this.#items.all]) {
         const route = this.#route(pending.job);
         const retention = route?.retentionMilliseconds;
@@ -182,6 +189,20 @@
     }
   }
 
+  /** Drops jobs whose results nobody may ask for any more. */
+  async #forget(): Promise<void> {
+    const { log, section, clock, events, keepMilliseconds } = this.#parts;
+    const keep = keepMilliseconds + KEEP_MARGIN_MILLISECONDS;
+    const jobs = section.closedBefore(clock.wall() - keep);
+    if (jobs.length === 0) return;
+    const forgotten = await log.propose(bulkSection.name, {
+      ...{ kind: "forget", jobs },
+    }, { deadline: clock.deadlineIn(RECORD_TIMEOUT_MILLISECONDS) });
+    if (forgotten.isErr()) return;
+    for (const job of jobs) this.#items.forget(job);
+    events.emit(jobsForgotten, { jobs: jobs.length });
+  }
+
   #yield(load: { engine: ListedEngine; live: number }, count: number): void {
     const { clock, events } = this.#parts;
     const { id } = load.engine;
@@ -289,16 +310,21 @@
     const { item, job, progress } = pending;
     pending.isRecording = true;
     this.#items.stop(pending);
-    const text = state === "done" ? progress.data.join("\n") : "";
+    // What is written as progress does not travel again.
+    const from = state === "done" ? pending.writtenEvents : 0;
+    const data = state === "done" ? progress.data.slice(from) : [];
     const recorded = await log.propose(bulkSection.name, {
-      kind: "record",
-      job: job.job.id,
-      result: { item: item.id, state, text },
+      ...{ kind: "record", job: job.job.id, item: item.id },
+      ...{ state, from, data },
     }, { deadline: clock.deadlineIn(RECORD_TIMEOUT_MILLISECONDS) });
     pending.isRecording = false;
     if (recorded.isErr()) {
       return this.#reportFailure(pending, "", recorded.error.message);
     }
+    if (!bulkSection.output.parse(recorded.value).isKnown) {
+      pending.writtenEvents = 0;
+      return this.#reportFailure(pending, "", "its progress is not held");
+    }
     events.emit(itemRecorded, {
       request: item.id,
       job: job.job.id,
--- a/src/bulk/bulk_section.ts
+++ b/src/bulk/bulk_section.ts
@@ -12,7 +12,7 @@
 } from "./messages.ts";
 import {
   type BulkItem,
-  type BulkResult,
+  type BulkJob,
   type HeldJob,
   heldJobSchema,
   type ItemProgress,
@@ -20,6 +20,8 @@
 
 const snapshotSchema = z.array(heldJobSchema);
 
+type RecordCommand = Extract<BulkCommand, { kind: "record" }>;
+
 /** A job with indices over its items. */
 class JobState {
   readonly held: HeldJob;
@@ -31,6 +33,22 @@
     this.items = new Map(held.job.items.map((item) => [item.id, item]));
     this.listed = new Set(held.results.map(({ item }) => item));
   }
+
+  /** Whether nothing is left to run. */
+  get isClosed(): boolean {
+    return this.held.hasEnded || this.listed.size === this.items.size;
+  }
+
+  /** Drops what is needed only to run an item. */
+  strip(id: string): void {
+    const { job } = this.held;
+    const position = job.items.findIndex((item) => item.id === id);
+    const item = job.items[position];
+    if (!item) return;
+    const stripped = { ...item, headers: {}, body: "" };
+    job.items[position] = stripped;
+    this.items.set(id, stripped);
+  }
 }
 
 /** Replicated jobs with their items and results. */
@@ -50,11 +68,15 @@
       for (const delta of command.deltas) this.#advance(delta);
       return { isKnown: true };
     }
+    if (command.kind === "forget") {
+      for (const id of command.jobs) this.#jobs.delete(id);
+      return { isKnown: true };
+    }
     const id = command.kind === "submit" ? command.job.id : command.job;
     const state = this.#jobs.get(id);
     if (command.kind === "submit" && !state) {
       const held = {
-        job: command.job,
+        job: ownCopy(command.job),
         acceptedAt: context.proposedAt,
         results: [],
         progress: [],
@@ -62,9 +84,9 @@
       };
       this.#jobs.set(id, new JobState(held));
     } else if (command.kind === "record" && state) {
-      this.#record(state, command.result);
+      if (!this.#record(state, command)) return { isKnown: false };
     } else if (command.kind === "end" && state) {
-      state.held.hasEnded = true;
+      this.#end(state);
     }
     this.#changed.fire(id);
     return { isKnown: state !== undefined || command.kind === "submit" };
@@ -77,12 +99,17 @@
   /** Jobs that have items without a result and that were not ended. */
   openJobs(): HeldJob[] {
     return [...this.#jobs.values()]
-      .filter(({ held, items, listed }) =>
-        !held.hasEnded && listed.size < items.size
-      )
+      .filter(({ isClosed }) => !isClosed)
       .map(({ held }) => held);
   }
 
+  /** Closed jobs that were accepted before a wall time. */
+  closedBefore(wall: number): string[] {
+    return [...this.#jobs.values()]
+      .filter(({ isClosed, held }) => isClosed && held.acceptedAt < wall)
+      .map(({ held }) => held.job.id);
+  }
+
   /** Number of items by state. */
   counts(): { waiting: number; done: number; dead: number; ended: number } {
     const counts = { waiting: 0, done: 0, dead: 0, ended: 0 };
@@ -95,8 +122,11 @@
     return counts;
   }
 
-  item(job: string, item: string): BulkItem | undefined {
-    return this.#jobs.get(job)?.items.get(item);
+  /** An item that has no result yet, unless its job has ended. */
+  openItem(job: string, item: string): BulkItem | undefined {
+    const state = this.#jobs.get(job);
+    if (!state || state.held.hasEnded) return undefined;
+    return state.listed.has(item) ? undefined : state.items.get(item);
   }
 
   /** How far an item without a result has come, as far as it is written. */
@@ -112,6 +142,7 @@
   snapshot(): Promise<SectionSnapshot> {
     const state = [...this.#jobs.values()].map(({ held }) => ({
       ...held,
+      job: ownCopy(held.job),
       results: [...held.results],
       progress: held.progress.map((it) => ({ ...it, data: [...it.data] })),
     }));
@@ -130,13 +161,31 @@
     return Promise.resolve();
   }
 
-  /** The first result of an item stands; items of other jobs are no part. */
-  #record(state: JobState, result: BulkResult): void {
+  /**
+   * Lists a result, from the progress held and what the command adds. The
+   * first result of an item stands; items of other jobs are no part.
+   *
+   * @returns false when the progress that the command builds on is not held.
+   */
+  #record(state: JobState, command: RecordCommand): boolean {
     const { items, listed, held } = state;
-    if (!items.has(result.item) || listed.has(result.item)) return;
-    listed.add(result.item);
-    held.results.push(result);
-    held.progress = held.progress.filter(({ item }) => item !== result.item);
+    const { item, from, data } = command;
+    const isMoot = held.hasEnded || listed.has(item) || !items.has(item);
+    if (isMoot) return true;
+    const known = held.progress.find((it) => it.item === item)?.data ?? [];
+    if (from > known.length) return false;
+    const text = [...known.slice(0, from), ...data].join("\n");
+    listed.add(item);
+    held.results.push({ item, state: command.state, text });
+    held.progress = held.progress.filter((it) => it.item !== item);
+    state.strip(item);
+    return true;
+  }
+
+  #end(state: JobState): void {
+    state.held.hasEnded = true;
+    state.held.progress = [];
+    for (const { id } of state.held.job.items) state.strip(id);
   }
 
   /** Takes in what follows on what is held; anything else is passed over. */
@@ -145,6 +194,7 @@
     const state = this.#jobs.get(job);
     if (!state || state.listed.has(item) || !state.items.has(item)) return;
     const { held } = state;
+    if (held.hasEnded) return;
     const known = held.progress.find((it) => it.item === item);
     const before = known?.data ?? [];
     if (from > before.length) return;
@@ -156,3 +206,8 @@
     held.progress = [...held.progress.filter((it) => it !== known), next];
   }
 }
+
+/** The entry of the log keeps its items when those of the job change. */
+function ownCopy(job: BulkJob): BulkJob {
+  return { ...job, items: [...job.items] };
+}
--- a/src/bulk/bulk_section_test.ts
+++ b/src/bulk/bulk_section_test.ts
@@ -17,9 +17,11 @@
 
 const CONTEXT = { index: 1, term: 1, proposedAt: 1_000 };
 
-function record(section: BulkSection, item: string, text: string) {
-  const result = { item, state: "done" as const, text };
-  section.apply({ kind: "record", job: "job", result }, CONTEXT);
+/** Records a result behind a number of events of its progress. */
+function record(section: BulkSection, item: string, text: string, from = 0) {
+  const data = text === "" ? [] : text.split("\n");
+  const command = { kind: "record" as const, job: "job", item, from, data };
+  return section.apply({ ...command, state: "done" }, CONTEXT).isKnown;
 }
 
 function withJob(): BulkSection {
@@ -64,7 +66,8 @@
   await other.restore(snapshot);
   t.deepEqual(other.job("job"), section.job("job"));
   t.true(other.isListed("job", "two"));
-  t.is(other.item("job", "one")?.id, "one");
+  t.is(other.openItem("job", "one")?.id, "one");
+  t.is(other.openItem("job", "two"), undefined);
 });
 
 test("progress goes on behind what is written", (t) => {
@@ -87,3 +90,42 @@
   write(0, ["late"]);
   t.is(section.progress("job", "one"), undefined);
 });
+
+test("result that goes on behind written progress", (t) => {
+  const section = withJob();
+  const delta = { job: "job", item: "one", from: 0, lastEventId: "2" };
+  section.apply({
+    kind: "progress",
+    deltas: [{ ...delta, data: ["a", "b"] }],
+  }, CONTEXT);
+  t.false(record(section, "one", "d", 3), "events in between are missing");
+  t.false(section.isListed("job", "one"));
+  t.true(record(section, "one", "c", 2));
+  t.is(section.job("job")?.results[0]?.text, "a\nb\nc");
+});
+
+test("listed items keep no body, on this store and in the log", (t) => {
+  const section = new BulkSection();
+  const items = JOB.items.map((item) => ({ ...item, body: "Ym9keQ==" }));
+  const job = { ...JOB, items: [...items] };
+  section.apply({ kind: "submit", job }, CONTEXT);
+  t.is(section.openItem("job", "one")?.body, "Ym9keQ==");
+  record(section, "one", "first");
+  t.is(section.openItem("job", "one"), undefined);
+  t.is(section.job("job")?.job.items[0]?.body, "");
+  t.is(section.openItem("job", "two")?.body, "Ym9keQ==");
+  t.deepEqual(job.items, items, "entries of the log stay as they were");
+  section.apply({ kind: "end", job: "job" }, CONTEXT);
+  t.is(section.openItem("job", "two"), undefined);
+});
+
+test("jobs of a long day: closed ones are forgotten", (t) => {
+  const section = withJob();
+  t.deepEqual(section.closedBefore(5_000), [], "an open job is kept");
+  record(section, "one", "first");
+  record(section, "two", "second");
+  t.deepEqual(section.closedBefore(CONTEXT.proposedAt), []);
+  t.deepEqual(section.closedBefore(5_000), ["job"]);
+  section.apply({ kind: "forget", jobs: ["job"] }, CONTEXT);
+  t.is(section.job("job"), undefined);
+});
--- a/src/bulk/events.ts
+++ b/src/bulk/events.ts
@@ -66,6 +66,13 @@
   labels: ["state"],
 });
 
+export const jobsForgotten = defineEvent(1158, "bulk-jobs-forgotten", {
+  level: "info",
+  help: "Jobs with all their results, or ended ones, were dropped: the time " +
+    "for which they can be read has passed.",
+  fields: { jobs: z.number() },
+});
+
 export const runnerStarted = defineEvent(1156, "bulk-runner-started", {
   level: "info",
   help: "This store leads and runs the items of all jobs from now on.",
--- a/src/bulk/messages.ts
+++ b/src/bulk/messages.ts
@@ -21,13 +21,19 @@
   z.object({
     kind: z.literal("record"),
     job: z.string(),
-    result: bulkResultSchema,
+    item: z.string(),
+    state: bulkResultSchema.shape.state,
+    /** Number of events whose data was written as progress before. */
+    from: z.number(),
+    /** Data of the events behind them. */
+    data: z.array(z.string()),
   }),
   z.object({
     kind: z.literal("progress"),
     deltas: z.array(progressDeltaSchema),
   }),
   z.object({ kind: z.literal("end"), job: z.string() }),
+  z.object({ kind: z.literal("forget"), jobs: z.array(z.string()) }),
 ]);
 export type BulkCommand = z.infer<typeof bulkCommandSchema>;
 
--- a/src/bulk/pending_items.ts
+++ b/src/bulk/pending_items.ts
@@ -88,6 +88,11 @@
     }
   }
 
+  /** A job is not held any more. */
+  forget(job: string): void {
+    this.#knownJobs.delete(job);
+  }
+
   begin(pending: IPendingItem, engine: string): AbortController {
     const abort = new AbortController();
     pending.place = { engine, abort, isStopping: false };
--- a/src/bulk/pending_items_test.ts
+++ b/src/bulk/pending_items_test.ts
@@ -65,8 +65,8 @@
 
 test("item with a result is dropped, the others stay", (t) => {
   const { section, table } = pending();
-  const result = { item: "b", state: "done" as const, text: "" };
-  section.apply({ kind: "record", job: "job", result }, CONTEXT);
+  const result = { item: "b", state: "done" as const, from: 0, data: [] };
+  section.apply({ kind: "record", job: "job", ...result }, CONTEXT);
   table.review("job");
   const left = table.startable({ wall: 0, monotonic: 0 });
   t.deepEqual(left.map(({ item }) => item.id), ["a", "c", "d"]);
--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -41,6 +41,8 @@
   readonly executor: IItemExecutor;
   readonly rpc: IRpcClient;
   readonly server: IRpcServer;
+  /** Time from its submission for which a job can be read, in ms. */
+  readonly jobKeepMilliseconds: number;
   /** Where the stores listen for calls of other instances. */
   readonly peerPort: number;
   /** Identifier of this store. */
@@ -152,6 +154,7 @@
       new BulkRunner({
         ...{ log, clock, events, health },
         executor: stores,
+        keepMilliseconds: this.#parts.jobKeepMilliseconds,
         section: bulkSection,
         routes: () => routes.table,
         engines: () => this.#engines(directory, health),
--- a/src/composition/leader_duties_test.ts
+++ b/src/composition/leader_duties_test.ts
@@ -47,6 +47,12 @@
 
 const CONTEXT = { index: 1, term: 1, proposedAt: 0 };
 
+/** Time for which jobs can be read, in milliseconds. */
+const KEEP_MILLISECONDS = 5_000;
+
+/** Beyond it, since clocks of stores may differ and jump. */
+const MARGIN_MILLISECONDS = 60_000;
+
 /** Log that has not applied everything until the test says so. */
 class SlowLog extends FakeLog {
   isApplied = false;
@@ -82,6 +88,7 @@
     },
     rpc: endpoint,
     server: endpoint,
+    jobKeepMilliseconds: KEEP_MILLISECONDS,
     peerPort: 1,
     store: "store",
   });
@@ -123,3 +130,20 @@
   t.is(runs.length, 0);
   duties.dispose();
 });
+
+test("jobs that nobody may read any more are forgotten", async (t) => {
+  const { time, log, duties, routesSection, bulkSection } = scene();
+  log.isApplied = true;
+  log.lead(1, true);
+  routesSection.apply({ routes: ROUTES });
+  bulkSection.apply({ kind: "submit", job: JOB }, CONTEXT);
+  const open = { ...JOB, id: "open" };
+  bulkSection.apply({ kind: "submit", job: open }, CONTEXT);
+  bulkSection.apply({ kind: "end", job: "job" }, CONTEXT);
+  await time.pass(KEEP_MILLISECONDS + MARGIN_MILLISECONDS - 1_000);
+  t.truthy(bulkSection.job("job"));
+  await time.pass(3_000);
+  t.is(bulkSection.job("job"), undefined);
+  t.truthy(bulkSection.job("open"));
+  duties.dispose();
+});
--- a/testing/platform_configuration.ts
+++ b/testing/platform_configuration.ts
@@ -18,6 +18,7 @@
     version,
     routes: [
       route("live", { kind: "stream", attempts: 2, resumable: true }),
+      route("once", { kind: "stream", attempts: 2 }),
       route("jobs", {
         kind: "batch",
         attempts: 3,
--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdir, mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdir, mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { request, type ServerResponse } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -32,10 +32,22 @@
 /** A process of a role. */
 export interface IRoleProcess {
   readonly name: string;
+  readonly role: "entry" | "store";
   readonly address: string;
+  /** Empty on entries, which have no disk. */
+  readonly dataFolder: string;
+  readonly settingsPath: string;
   child: ChildProcess;
 }
 
+/** An engine that the platform's list names. */
+export interface IListedStandin {
+  readonly standin: {
+    start(): Promise<{ address: string; port: number }>;
+    stop(): void;
+  };
+}
+
 /** Sends a request and reads the whole answer; rejects when it breaks off. */
 export function send(
   endpoint: { address: string; port: number },
@@ -128,10 +140,12 @@
 }
 
 /** Processes of both roles on loopback, before engines of the test. */
-export class PlatformFleet {
+export class PlatformFleet<E extends IListedStandin = StreamEngine> {
   readonly stores: IRoleProcess[] = [];
   readonly entries: IRoleProcess[] = [];
-  readonly engines: StreamEngine[];
+  readonly engines: readonly E[];
+  /** Whether the platform's list of engines cannot be read. */
+  isListBroken = false;
   /** Log lines of all processes, as they came. */
   logs = "";
   #list: PlatformStandin | undefined;
@@ -140,7 +154,7 @@
   #network: string;
   #firstHost: number;
 
-  constructor(engines: StreamEngine[]) {
+  constructor(engines: readonly E[]) {
     this.engines = engines;
     const { pid } = process;
     this.#network = `127.${10 + (pid >> 8) % 200}.${pid % 256}`;
@@ -165,6 +179,7 @@
       }),
     );
     this.#list = new PlatformStandin((_, response) => {
+      if (this.isListBroken) response.statusCode = 500;
       response.end(JSON.stringify({ instances, next: null }));
     });
     const { address, port } = await this.#list.start();
@@ -189,6 +204,20 @@
     return { address: this.stores[index]!.address, port: PORTS.control };
   }
 
+  /** Starts an ended process again, with the settings that it had. */
+  restart(process: IRoleProcess): void {
+    process.child = this.#run(process);
+  }
+
+  /** Empties the disk of an ended store, as one that comes later has it. */
+  async wipe({ dataFolder, settingsPath }: IRoleProcess): Promise<void> {
+    await rm(dataFolder, { recursive: true, force: true });
+    await mkdir(dataFolder);
+    const settings = JSON.parse(await readFile(settingsPath, "utf8"));
+    const changed = { ...settings, bootstrap: false };
+    await writeFile(settingsPath, JSON.stringify(changed));
+  }
+
   /** Ends all processes and removes their data. */
   async stop(): Promise<void> {
     for (const { child } of [...this.stores, ...this.entries]) {
@@ -207,7 +236,7 @@
   }
 
   async #spawn(
-    role: "entry" | "store",
+    role: IRoleProcess["role"],
     index: number,
     list: string,
   ): Promise<IRoleProcess> {
@@ -230,15 +259,20 @@
       bounds: { "grace-s": GRACE_SECONDS },
       cloud: { address: list },
     };
-    const path = join(this.#folder, `${name}.json`);
-    await writeFile(path, JSON.stringify(settings));
+    const settingsPath = join(this.#folder, `${name}.json`);
+    await writeFile(settingsPath, JSON.stringify(settings));
+    const started = { name, role, address, dataFolder, settingsPath };
+    return { ...started, child: this.#run(started) };
+  }
+
+  #run({ role, settingsPath }: Omit<IRoleProcess, "child">): ChildProcess {
     const child = spawn(process.execPath, [PROGRAM, role], {
-      env: { ...process.env, FIGROAD_CONFIG: path },
+      env: { ...process.env, FIGROAD_CONFIG: settingsPath },
       stdio: ["ignore", "pipe", "inherit"],
     });
     child.stdout?.setEncoding("utf8").on("data", (text: string) => {
       this.logs += text;
     });
-    return { name, address, child };
+    return child;
   }
 }
--- a/testing/relay.ts
+++ b/testing/relay.ts
@@ -5,6 +5,8 @@
   readonly near: Socket;
   readonly far: Socket;
   silent: boolean;
+  /** Whether bytes of the target were lost, so that none follow. */
+  isMute: boolean;
 }
 
 /** TCP relay on loopback whose connections a test can disturb. */
@@ -14,6 +16,10 @@
   #targetPort: number;
   #server: Server;
   #pairs = new Set<IPair>();
+  /** Time by which bytes are held back, in milliseconds. */
+  delayMilliseconds = 0;
+  /** Whether bytes of the target are lost, while those to it arrive. */
+  losesAnswers = false;
   #refusing = false;
   #silentForNew = false;
 
@@ -80,7 +86,10 @@
     }
     const far = connect({ host: "127.0.0.1", port: this.#targetPort });
     far.on("error", () => near.destroy());
-    const pair = { near, far, silent: this.#silentForNew };
+    const pair = {
+      ...{ near, far, silent: this.#silentForNew },
+      isMute: false,
+    };
     this.#pairs.add(pair);
     this.#carry(pair, near, far);
     this.#carry(pair, far, near);
@@ -88,15 +97,29 @@
 
   /** Copies bytes and the close; a silent pair copies neither. */
   #carry(pair: IPair, from: Socket, to: Socket): void {
+    const queue: (() => void)[] = [];
+    const later = (action: () => void) => {
+      const { delayMilliseconds } = this;
+      if (delayMilliseconds === 0 && queue.length === 0) return action();
+      queue.push(action);
+      setTimeout(() => queue.shift()?.(), delayMilliseconds);
+    };
     from.setNoDelay(true);
     from.on("data", (bytes) => {
-      if (!pair.silent && !to.write(bytes)) from.pause();
+      // What is lost once leaves a gap, so nothing may follow it.
+      if (this.losesAnswers && from === pair.far) pair.isMute = true;
+      if (pair.silent || pair.isMute && from === pair.far) return;
+      later(() => {
+        if (!to.destroyed && !to.write(bytes)) from.pause();
+      });
     });
     to.on("drain", () => from.resume());
     from.on("close", () => {
       if (pair.silent) return;
-      this.#pairs.delete(pair);
-      to.destroy();
+      later(() => {
+        this.#pairs.delete(pair);
+        to.destroy();
+      });
     });
   }
 }
