The leader of the log announces itself to the seeds and all stores

One seed had been replaced as a voter at 4 s, the other two lost their disks at the end; the log itself had a leader again 1 s after the machines were back, but all entries and stores know the seeds only, and none of these knew a leader any more. With more stores than the log has members, this needs no more than the tolerated loss. Ruled out: the log (elected, voters replaced within 4 s), the disks.

Change: LeadNews. While it leads, a store tells the seeds of its settings and all stores that report who leads the log, in which term, with which voters; whoever was told answers questions for the status with it, and joins by it.

--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -175,12 +175,10 @@
     }));
   }
 
-  /** Stores that reported lately; they listen at one port everywhere. */
+  /** Stores that reported lately. */
   #otherStores(): PeerAddress[] {
     const { ledger, peerPort, store } = this.#parts;
-    return [...ledger.instances("store").values()]
-      .filter((address) => address !== store)
-      .map((address) => ({ id: address, address, port: peerPort }));
+    return ledger.peers("store", peerPort).filter(({ id }) => id !== store);
   }
 
   #endTerm(): void {
--- a/src/consensus/formation.ts
+++ b/src/consensus/formation.ts
@@ -37,6 +37,8 @@
   readonly rpc: IRpcClient;
   readonly clock: IClock;
   readonly events: IEventLog;
+  /** Leader that has announced itself here, if one has. */
+  readonly heardLeader: () => PeerAddress | undefined;
 }
 
 /**
@@ -103,7 +105,7 @@
   }
 
   async #join(signal: AbortSignal): Promise<void> {
-    const { clock, events, founders, rpc, self } = this.#parts;
+    const { clock, events, founders, rpc, self, heardLeader } = this.#parts;
     const { storage } = this.#identity;
     events.emit(joiningLog, { storage });
     const member = { ...self, storage, promote: false };
@@ -113,7 +115,7 @@
       const options = {
         deadline: clock.deadlineIn(JOIN_TIMEOUT_MILLISECONDS),
       };
-      const leader = await finder.find(options);
+      const leader = await finder.find(options) ?? heardLeader();
       const answer = leader &&
         await rpc.call(leader, joinMethod, { member }, options);
       if (answer?.isOk()) {
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -2,7 +2,7 @@
 import { defineMethod } from "../rpc/mod.ts";
 import { entrySchema } from "./entry.ts";
 import { replicaMemberSchema, replicaSetSchema } from "./replica_set.ts";
-import { logStatusSchema } from "./types.ts";
+import { logStatusSchema, memberStatusSchema } from "./types.ts";
 
 /** Names of files in a snapshot: paths without a step upwards. */
 const FILE_NAME = /^(?!.*\.\.)[A-Za-z0-9_-][A-Za-z0-9._/-]*$/;
@@ -25,6 +25,21 @@
   result: logStatusSchema,
 });
 
+/** Who leads, as the leader itself says. */
+export const leadAnnouncementSchema = z.object({
+  /** Identifier of the leading instance. */
+  leader: z.string(),
+  term: z.number(),
+  voters: z.array(memberStatusSchema),
+});
+export type LeadAnnouncement = z.infer<typeof leadAnnouncementSchema>;
+
+/** Tells an instance, member of the log or not, who leads. */
+export const announceLeadMethod = defineMethod("consensus.announce-lead", {
+  params: leadAnnouncementSchema,
+  result: z.object({}),
+});
+
 /** Head of every message between replicas. */
 export const replicaHeadSchema = z.object({
   /** Identity of the log. */
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -13,6 +13,7 @@
 import { joinedAgain, replicaFailed } from "./events.ts";
 import { Formation, type FounderAddress } from "./formation.ts";
 import { IdentityStore } from "./identity_store.ts";
+import { LeadNews } from "./lead_news.ts";
 import { LeaderFinder } from "./leader_finder.ts";
 import { changeReplicasMethod, helloMethod, joinMethod } from "./messages.ts";
 import { leaderStatusMethod, proposeMethod } from "./messages.ts";
@@ -65,6 +66,8 @@
   #formation: Formation | undefined;
   #replica: Replica | undefined;
   #running: Promise<void> | undefined;
+  /** Only where the leader keeps the members by itself. */
+  #news: LeadNews | undefined;
   #store = new DisposableStore();
   #stopping = new AbortController();
 
@@ -76,6 +79,7 @@
     this.#self = self;
     this.#sections = sections;
     this.#parts = parts;
+    if (parts.upkeep) this.#news = this.#store.add(this.#createNews());
     this.#handleCalls();
   }
 
@@ -91,9 +95,11 @@
       const identity = await identities.open(self.id);
       this.#formation = new Formation(identity, {
         ...{ self, founders, start, identities, rpc, clock, events },
+        heardLeader: () => this.#news?.leader,
       });
       if (identity.cluster !== undefined) await this.#openReplica();
       else this.#running = this.#form();
+      this.#news?.start();
     } catch (error) {
       this.#refuse(error as Error);
     }
@@ -200,7 +206,7 @@
       await clock.sleepUntil(clock.deadlineIn(REVIEW_MILLISECONDS), signal);
       if (signal.aborted || replica.isLeaderRecent) continue;
       const options = { deadline: clock.deadlineIn(REVIEW_MILLISECONDS) };
-      const leader = await finder.find(options);
+      const leader = await finder.find(options) ?? this.#news?.leader;
       if (!leader || leader.id === this.#self.id) continue;
       const status = await rpc.call(leader, leaderStatusMethod, {}, options);
       if (status.isErr()) continue;
@@ -213,6 +219,15 @@
     }
   }
 
+  #createNews(): LeadNews {
+    const { rpc, server, clock, founders, upkeep } = this.#parts;
+    return new LeadNews({
+      ...{ self: this.#self.id, rpc, server, clock },
+      status: () => this.status(),
+      audience: () => [...founders(), ...upkeep?.audience?.() ?? []],
+    });
+  }
+
   #refuse(error: Error): void {
     this.#formation = undefined;
     this.#parts.events.emit(replicaFailed, { reason: error.message });
@@ -226,10 +241,10 @@
       const output = await this.propose(section, command, context);
       return output.map((output) => ({ output }));
     }));
-    add(server.handle(
-      statusMethod,
-      () => Promise.resolve(ok(this.status())),
-    ));
+    add(server.handle(statusMethod, () => {
+      const status = this.status();
+      return Promise.resolve(ok(this.#news?.complete(status) ?? status));
+    }));
     add(server.handle(leaderStatusMethod, async (_, context) => {
       const barrier = await this.barrier(context);
       return barrier.map(() => this.status());
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -1,7 +1,11 @@
 import type { Result } from "neverthrow";
 import { z } from "zod";
 import type { Deadline, Failure, IEvent } from "../common/mod.ts";
-import { type IRpcMethod, peerAddressSchema } from "../rpc/mod.ts";
+import {
+  type IRpcMethod,
+  type PeerAddress,
+  peerAddressSchema,
+} from "../rpc/mod.ts";
 import type { ReplicaMember } from "./replica_set.ts";
 
 /** Messages of one section of the replicated state. */
@@ -115,6 +119,11 @@
 export interface IVoterUpkeep {
   /** Number of voters to keep, if there are enough members. */
   readonly targetVoters: number;
+  /**
+   * Instances that are told who leads, beside the founders; some may be known
+   * from their reports only.
+   */
+  audience?(): readonly PeerAddress[];
   /** Whether an instance is being emptied and must leave the log. */
   isRetiring(id: string): boolean;
 }
--- a/src/consensus/voter_upkeep_test.ts
+++ b/src/consensus/voter_upkeep_test.ts
@@ -1,6 +1,8 @@
 import test from "ava";
 import { LogCluster } from "../../testing/log_cluster.ts";
-import { joinMethod } from "./messages.ts";
+import { VirtualClock } from "../../testing/virtual_clock.ts";
+import { ControlClient } from "./control_client.ts";
+import { joinMethod, proposeMethod } from "./messages.ts";
 import type { ReplicaMember } from "./replica_set.ts";
 import { type IUpkeepView, nextUpkeepStep } from "./voter_upkeep.ts";
 
@@ -170,3 +172,48 @@
   const confirmed = old.log.barrier({ deadline, isConfirmed: true });
   t.true((await cluster.settle(confirmed)).isErr());
 });
+
+test("all founders lose their place or disk: others find the leader", async (t) => {
+  const cluster = new LogCluster(3, 36);
+  cluster.upkeep = { targetVoters: 3, isRetiring: () => false };
+  for (const node of cluster.nodes) void node.start();
+  await cluster.untilLeader();
+  const founders = [...cluster.nodes];
+  for (let index = 3; index < 6; index++) {
+    const spare = cluster.add({
+      ...cluster.founders[0]!,
+      ...{ id: `node-${index}`, port: index },
+    });
+    await cluster.settle(spare.start("join"));
+  }
+  // The founders are replaced one after the other while they are away.
+  for (const founder of founders) {
+    await cluster.commit(1);
+    founder.crash();
+    await cluster.time.until(
+      "replaced",
+      () =>
+        voters(cluster).length === 3 &&
+        !voters(cluster).includes(founder.address.id),
+    );
+  }
+  const left = cluster.nodes.filter((node) => !founders.includes(node));
+  for (const node of left) node.crash();
+  for (const founder of founders) founder.loseDisk();
+  for (const node of left) void node.start();
+  for (const founder of founders) void founder.start("join");
+  const leader = await cluster.untilLeader();
+  const clock = new VirtualClock(cluster.time);
+  const rpc = cluster.network.connect("client", clock);
+  const client = new ControlClient(() => cluster.founders, rpc, { clock });
+  const answer = await cluster.settle(client.call(proposeMethod, {
+    section: "register",
+    command: { id: "late" },
+  }, { deadline: clock.deadlineIn(5_000) }));
+  t.true(answer.isOk());
+  t.true(left.includes(leader));
+  await cluster.time.until(
+    "the founders are members again",
+    () => leader.log.status().learners.length === founders.length,
+  );
+});
--- a/src/placement/load_ledger.ts
+++ b/src/placement/load_ledger.ts
@@ -1,4 +1,5 @@
 import type { IClock } from "../common/mod.ts";
+import type { PeerAddress } from "../rpc/mod.ts";
 import type { ExchangeParams, LoadEntry } from "./messages.ts";
 
 /** Silence after which an instance's load no longer counts, in ms. */
@@ -126,6 +127,12 @@
     );
   }
 
+  /** Their addresses; instances listen at one port everywhere. */
+  peers(role: ExchangeParams["role"], port: number): PeerAddress[] {
+    return [...this.instances(role).values()]
+      .map((address) => ({ id: address, address, port }));
+  }
+
   #add(engine: string, count: number): void {
     const sum = (this.#live.get(engine) ?? 0) + count;
     if (sum > 0) this.#live.set(engine, sum);
--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -20,8 +20,8 @@
 const HOSTS_PER_FLEET = 32;
 const ENTRY_HOST = 16;
 
-/** Fleets of this process so far. */
-let fleets = 0;
+/** Blocks of addresses that fleets of this process use now. */
+const usedBlocks = new Set<number>();
 
 /** Answer to a request of a test. */
 export interface IAnswer {
@@ -152,13 +152,14 @@
   #folder = "";
   /** Address without its last number. */
   #network: string;
-  #firstHost: number;
+  #block = 0;
 
   constructor(engines: readonly E[]) {
     this.engines = engines;
     const { pid } = process;
     this.#network = `127.${10 + (pid >> 8) % 200}.${pid % 256}`;
-    this.#firstHost = HOSTS_PER_FLEET * fleets++;
+    while (usedBlocks.has(this.#block)) this.#block += 1;
+    usedBlocks.add(this.#block);
   }
 
   /** Starts three stores and a number of entries. */
@@ -229,10 +230,11 @@
     this.#list?.stop();
     for (const { standin } of this.engines) standin.stop();
     await rm(this.#folder, { recursive: true, force: true });
+    usedBlocks.delete(this.#block);
   }
 
   #address(host: number): string {
-    return `${this.#network}.${this.#firstHost + 1 + host}`;
+    return `${this.#network}.${this.#block * HOSTS_PER_FLEET + 1 + host}`;
   }
 
   async #spawn(
