Only outsiders are told of the lead, and the news expires

Cause: found by reading the change before: a member that hears no more from its leader answered the question for it with the announcement, so callers would have gone on to a dead leader for one more timeout.

Change: the leader leaves out members that answer it; announcements count for 2 s, four of them.

--- a/src/consensus/lead_news.ts
+++ b/src/consensus/lead_news.ts
@@ -1,5 +1,6 @@
 import { ok } from "neverthrow";
 import {
+  type Deadline,
   DisposableStore,
   type IClock,
   type IDisposable,
@@ -14,6 +15,9 @@
 /** Longest wait for the answer to an announcement, in milliseconds. */
 const TIMEOUT_MILLISECONDS = 500;
 
+/** Age from which an announcement says nothing; three were missed, in ms. */
+const LIFETIME_MILLISECONDS = 2_000;
+
 /** Collaborators of a `LeadNews`. */
 export interface ILeadNewsParts {
   /** Identifier of this instance. */
@@ -24,6 +28,8 @@
   readonly status: () => LogStatus;
   /** Instances that are told who leads, whether they are members or not. */
   readonly audience: () => readonly PeerAddress[];
+  /** Whether an instance is a member that follows this replica anyway. */
+  readonly isFollowing: (id: string) => boolean;
 }
 
 /**
@@ -31,11 +37,13 @@
  *
  * Others find the leader through the founders of their settings. These may
  * have lost their disks or been replaced as voters, and then know as little as
- * those who ask; so the leader tells them.
+ * those who ask; so the leader tells them. Members that follow it are not
+ * told, so that they do not name a leader from whom they hear no more.
  */
 export class LeadNews implements IDisposable {
   #parts: ILeadNewsParts;
   #heard: LeadAnnouncement | undefined;
+  #expiresAt = 0 as Deadline;
   #store = new DisposableStore();
   #stopping = new AbortController();
 
@@ -43,8 +51,11 @@
     this.#parts = parts;
     this.#store.add(
       parts.server.handle(announceLeadMethod, (announcement) => {
-        const isOld = announcement.term < (this.#heard?.term ?? 0);
-        if (!isOld) this.#heard = announcement;
+        const { clock } = this.#parts;
+        if (announcement.term >= (this.#heard?.term ?? 0)) {
+          this.#heard = announcement;
+          this.#expiresAt = clock.deadlineIn(LIFETIME_MILLISECONDS);
+        }
         return Promise.resolve(ok({}));
       }),
     );
@@ -59,20 +70,25 @@
     this.#store.dispose();
   }
 
-  /** Leader of the latest term that was announced. */
+  /** Leader of the latest term that was announced lately. */
   get leader(): PeerAddress | undefined {
-    const { leader, voters = [] } = this.#heard ?? {};
+    const { leader, voters = [] } = this.#latest ?? {};
     return voters.find(({ id }) => id === leader);
   }
 
   /** Adds the announced lead to a status that knows none or an older one. */
   complete(status: LogStatus): LogStatus {
-    const heard = this.#heard;
+    const heard = this.#latest;
     if (!heard || heard.term < status.term) return status;
     const isKnown = status.leader !== undefined && heard.term === status.term;
     return isKnown ? status : { ...status, ...heard };
   }
 
+  get #latest(): LeadAnnouncement | undefined {
+    const isFresh = !this.#parts.clock.isPast(this.#expiresAt);
+    return isFresh ? this.#heard : undefined;
+  }
+
   async #run(): Promise<void> {
     const { clock, status } = this.#parts;
     const { signal } = this.#stopping;
@@ -84,10 +100,10 @@
   }
 
   #announce(news: Omit<LeadAnnouncement, "leader">): void {
-    const { self, rpc, clock, audience } = this.#parts;
+    const { self, rpc, clock, audience, isFollowing } = this.#parts;
     const deadline = clock.deadlineIn(TIMEOUT_MILLISECONDS);
     for (const peer of audience()) {
-      if (peer.id === self) continue;
+      if (peer.id === self || isFollowing(peer.id)) continue;
       // Who does not answer is told again with the next announcement.
       const params = { leader: self, ...news };
       void rpc.call(peer, announceLeadMethod, params, { deadline });
--- a/src/consensus/leader_term.ts
+++ b/src/consensus/leader_term.ts
@@ -157,6 +157,15 @@
     return this.#state.clock.monotonic() - since;
   }
 
+  /** Whether a member of an identifier answers this leader. */
+  isFollowedBy(id: string): boolean {
+    const { clock, timing, replicas } = this.#state;
+    const earliest = clock.monotonic() - timing.electionMinimum;
+    return allMembers(replicas).some((member) =>
+      member.id === id && (this.contactAt(member.storage) ?? 0) > earliest
+    );
+  }
+
   /** Index up to which a peer is durable; undefined if it is no member. */
   matchIndex(storage: string): number | undefined {
     return this.#peers.get(storage)?.matchIndex;
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -225,6 +225,7 @@
       ...{ self: this.#self.id, rpc, server, clock },
       status: () => this.status(),
       audience: () => [...founders(), ...upkeep?.audience?.() ?? []],
+      isFollowing: (id) => this.#replica?.leader?.isFollowedBy(id) ?? false,
     });
   }
 
--- a/src/consensus/voter_upkeep_test.ts
+++ b/src/consensus/voter_upkeep_test.ts
@@ -1,8 +1,8 @@
 import test from "ava";
-import { LogCluster } from "../../testing/log_cluster.ts";
+import { type ClusterNode, LogCluster } from "../../testing/log_cluster.ts";
 import { VirtualClock } from "../../testing/virtual_clock.ts";
 import { ControlClient } from "./control_client.ts";
-import { joinMethod, proposeMethod } from "./messages.ts";
+import { joinMethod, proposeMethod, statusMethod } from "./messages.ts";
 import type { ReplicaMember } from "./replica_set.ts";
 import { type IUpkeepView, nextUpkeepStep } from "./voter_upkeep.ts";
 
@@ -217,3 +217,28 @@
     () => leader.log.status().learners.length === founders.length,
   );
 });
+
+test("member names no leader from whom it hears no more", async (t) => {
+  const { cluster, spare } = await startWithSpare(37);
+  await cluster.time.pass(3_000);
+  const old = await cluster.untilLeader();
+  const asked = cluster.network.connect(
+    "client",
+    new VirtualClock(cluster.time),
+  );
+  const namedBy = async (node: ClusterNode) => {
+    const deadline = node.clock.deadlineIn(1_000);
+    const answer = await cluster.settle(
+      asked.call(node.address, statusMethod, {}, { deadline }),
+    );
+    return answer.unwrapOr(undefined)?.leader;
+  };
+  t.is(await namedBy(spare), old.address.id);
+  old.crash();
+  const others = cluster.nodes.filter((node) => node !== old);
+  await cluster.time.until(
+    "nobody leads, or another",
+    () => others.every(({ log }) => log.leadership.leader !== old.address.id),
+  );
+  for (const node of others) t.not(await namedBy(node), old.address.id);
+});
