--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -8,7 +8,14 @@
   measure(options: readonly string[]): Promise<void>;
 }
 
-const TOPICS = ["serving", "consensus", "control", "live", "capacity"];
+const TOPICS = [
+  "serving",
+  "consensus",
+  "control",
+  "live",
+  "logs",
+  "capacity",
+];
 
 const command = defineCommand({
   meta: { name: "measure", description: "Measures figroad on stand-ins" },
--- a/src/consensus/control_client_test.ts
+++ b/src/consensus/control_client_test.ts
@@ -87,7 +87,7 @@
   const time = new VirtualTime();
   const clock = new VirtualClock(time);
   const network = new FakeNetwork(time, new SeededRandom(2));
-  let leader: string | undefined;
+  let leader: string | undefined = undefined;
   for (const id of ["a", "b"]) {
     network.connect(id, clock).handle(statusMethod, () =>
       Promise.resolve(ok({
