--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -7,6 +7,9 @@
 import type { SoakRecord } from "./record.ts";
 import { runSoak } from "./run_soak.ts";
 
+/** Exit code of a run that was interrupted. */
+const EXIT_INTERRUPTED = 130;
+
 /** Arguments of both soaks. */
 const COMMON_ARGUMENTS = {
   seed: { type: "string", default: "1", description: "Seed of the run" },
@@ -131,4 +134,8 @@
   subCommands: { product, platform },
 });
 
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.once(signal, () => process.exit(EXIT_INTERRUPTED));
+}
+
 await runMain(command);
--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -164,6 +164,8 @@
 
   /** Starts three stores and a number of entries. */
   async start(entries: number): Promise<void> {
+    // Nothing is left running when the tests' own process ends early.
+    process.once("exit", this.#killAll);
     this.#folder = await mkdtemp(join(tmpdir(), "figroad-platform-"));
     const instances = await Promise.all(
       this.engines.map(async ({ standin }, index) => {
@@ -231,8 +233,15 @@
     for (const { standin } of this.engines) standin.stop();
     await rm(this.#folder, { recursive: true, force: true });
     usedBlocks.delete(this.#block);
+    process.off("exit", this.#killAll);
   }
 
+  #killAll = (): void => {
+    for (const { child } of [...this.stores, ...this.entries]) {
+      child.kill("SIGKILL");
+    }
+  };
+
   #address(host: number): string {
     return `${this.#network}.${this.#block * HOSTS_PER_FLEET + 1 + host}`;
   }
