A dead voter and a removed seed hide the leader no more; a new lead waits for the load

Of four stores they knew, two could not answer, so no majority did; the search took the whole 500 ms of a call, and the leader it had found was then dropped, as the call was late. Meanwhile the new leader knew of no live request and began 35 items; requests that entries placed alone waited behind them (30 without a first event in 600 ms). Ruled out: the election (0.6 s), the engines (no probe failed).

Change: a search ends 50 ms after one voter has named a leader; a leader that is found too late for its call is kept.

--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -56,6 +56,8 @@
   readonly routes: () => RouteTable | undefined;
   /** Time from the submission for which results can be read, in ms. */
   readonly keepMilliseconds: number;
+  /** Whether the live load of a new lead is known; no item starts before. */
+  readonly isLoadKnown: () => boolean;
   /** Engines with their live load. */
   readonly engines: () => readonly (Omit<IBulkEngine, "bulk">)[];
 }
@@ -120,7 +122,8 @@
 
   /** Fills free places by the present load, and makes room. */
   #plan(): void {
-    const { clock } = this.#parts;
+    const { clock, isLoadKnown } = this.#parts;
+    if (!isLoadKnown()) return;
     const engines = this.#parts.engines().map((it) => ({
       ...it,
       bulk: this.load.get(it.engine.id) ?? 0,
--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -18,6 +18,7 @@
   type IEngineProbe,
   type ILeaderKnowledge,
   type LoadLedger,
+  LoadSettling,
 } from "../placement/mod.ts";
 import type { IRpcClient, IRpcServer, PeerAddress } from "../rpc/mod.ts";
 import type { RoutesHolder, RoutesSection } from "../service_routes/mod.ts";
@@ -150,12 +151,14 @@
         stores: () => this.#otherStores(),
       }),
     );
+    const settling = new LoadSettling(ledger, clock);
     const runner = store.add(
       new BulkRunner({
         ...{ log, clock, events, health },
         executor: stores,
         keepMilliseconds: this.#parts.jobKeepMilliseconds,
         section: bulkSection,
+        isLoadKnown: () => settling.isSettled,
         routes: () => routes.table,
         engines: () => this.#engines(directory, health),
       }),
--- a/src/consensus/control_client.ts
+++ b/src/consensus/control_client.ts
@@ -66,6 +66,8 @@
     while (!this.#clock.isPast(options.deadline)) {
       this.#leader ??= await this.#finder.find(options);
       const leader = this.#leader;
+      // A search may take all the time; the leader it found is kept.
+      if (this.#clock.isPast(options.deadline)) break;
       if (leader) {
         const result = await this.#rpc.call(leader, method, params, {
           deadline: earlierDeadline(
--- a/src/consensus/control_client_test.ts
+++ b/src/consensus/control_client_test.ts
@@ -113,3 +113,38 @@
   await time.pass(200);
   t.deepEqual(found, [undefined, "a"]);
 });
+
+test("leader found beside a dead voter and a removed seed", async (t) => {
+  const time = new VirtualTime();
+  const clock = new VirtualClock(time);
+  const network = new FakeNetwork(time, new SeededRandom(3));
+  const ids = ["a", "b", "dead", "removed"];
+  let calls = 0;
+  for (const id of ["a", "b"]) {
+    const server = network.connect(id, clock);
+    server.handle(statusMethod, () =>
+      Promise.resolve(ok({
+        ...{ id, role: "follower" as const, term: 3, leader: "a" },
+        ...{ firstIndex: 1, lastIndex: 1, commitIndex: 1, appliedIndex: 1 },
+        ...{ voters: [], learners: [] },
+      })));
+    server.handle(proposeMethod, () => {
+      calls += 1;
+      return Promise.resolve(ok({ output: {} }));
+    });
+  }
+  for (const id of ["dead", "removed"]) {
+    network.connect(id, clock);
+    network.isolated.add(id);
+  }
+  const seeds = ids.map((id) => ({ ...SILENT, id }));
+  const rpc = network.connect("client", clock);
+  const client = new ControlClient(() => seeds, rpc, { clock });
+  const params = { section: "register", command: {} };
+  const answer = client.call(proposeMethod, params, {
+    deadline: clock.deadlineIn(500),
+  });
+  await time.pass(500);
+  t.true((await answer).isOk());
+  t.is(calls, 1);
+});
--- a/src/consensus/leader_finder.ts
+++ b/src/consensus/leader_finder.ts
@@ -6,11 +6,18 @@
 /** Longest wait for the status of a voter, in milliseconds. */
 const STATUS_TIMEOUT_MILLISECONDS = 1_000;
 
+/**
+ * Time for others to name a later leader when one is named, in milliseconds;
+ * several times the way between failure domains.
+ */
+const GRACE_MILLISECONDS = 50;
+
 /**
  * Asks all voters at once who leads, and learns from them who votes.
  *
  * A search ends when a majority has answered, whether it names a leader or
- * not, so a silent voter delays nobody. Concurrent searches are one.
+ * not, or soon after one of them has named a leader: voters that are silent or
+ * were removed delay nobody. Concurrent searches are one.
  */
 export class LeaderFinder {
   #settled: () => readonly PeerAddress[];
@@ -63,14 +70,17 @@
     let open = voters.length;
     return new Promise((resolve) => {
       if (open === 0) return resolve(undefined);
+      const finish = () => resolve(this.#choose(answers));
       for (const voter of voters) {
         const call = this.#rpc.call(voter, statusMethod, {}, { deadline });
         void call.then((answer) => {
           open -= 1;
           if (answer.isOk()) answers.push(answer.value);
-          const leader = this.#choose(answers);
           const isMajority = answers.length * 2 > voters.length;
-          if (open === 0 || isMajority) resolve(leader);
+          if (open === 0 || isMajority) return finish();
+          if (!this.#choose(answers)) return;
+          const grace = this.#clock.deadlineIn(GRACE_MILLISECONDS);
+          void this.#clock.sleepUntil(grace).then(finish);
         });
       }
     });
--- a/src/placement/load_ledger.ts
+++ b/src/placement/load_ledger.ts
@@ -127,6 +127,13 @@
     );
   }
 
+  /** Whether an instance of a role has reported since a point in time. */
+  hasHeardSince(role: ExchangeParams["role"], since: number): boolean {
+    return [...this.#reports.values()].some(({ params, receivedAt }) =>
+      params.role === role && receivedAt >= since
+    );
+  }
+
   /** Their addresses; instances listen at one port everywhere. */
   peers(role: ExchangeParams["role"], port: number): PeerAddress[] {
     return [...this.instances(role).values()]
--- a/src/placement/mod.ts
+++ b/src/placement/mod.ts
@@ -5,6 +5,7 @@
 export * from "./exchange_client.ts";
 export * from "./exchange_handler.ts";
 export * from "./load_ledger.ts";
+export * from "./load_settling.ts";
 export * from "./messages.ts";
 export * from "./placement.ts";
 export * from "./placer.ts";
