Log lines in writes that a pipe takes; better clock comparisons replace poor ones

Change: whole lines up to 4,096 bytes a write; a comparison with less than half of the uncertainty is told.

--- a/src/events/json_line_log.ts
+++ b/src/events/json_line_log.ts
@@ -20,6 +20,12 @@
 /** Lines that may wait for a reader, in bytes. */
 const MAXIMUM_QUEUED_BYTES = 512 * 1024;
 
+/**
+ * Bytes of one write, but for a longer line. A pipe takes so many at once;
+ * readers and other writers may cut up a larger write.
+ */
+const MAXIMUM_WRITE_BYTES = 4_096;
+
 /** Pause before lines are written again after an error, in milliseconds. */
 const RETRY_MILLISECONDS = 100;
 
@@ -116,8 +122,7 @@
   }
 
   #write(): void {
-    const bytes = Buffer.concat(this.#queue);
-    this.#queue = [];
+    const bytes = this.#nextWrite();
     this.#isWriting = true;
     this.#output(bytes, (error, written) => {
       const rest = bytes.subarray(error ? 0 : written);
@@ -129,6 +134,18 @@
     });
   }
 
+  /** Takes whole lines from the queue, at least one. */
+  #nextWrite(): Buffer {
+    let count = 0;
+    let size = 0;
+    for (const { length } of this.#queue) {
+      if (count > 0 && size + length > MAXIMUM_WRITE_BYTES) break;
+      count += 1;
+      size += length;
+    }
+    return Buffer.concat(this.#queue.splice(0, count));
+  }
+
   /** Begins a new period and tells what the last one left out. */
   #renew(): void {
     const counts = this.#counts;
--- a/src/events/json_line_log_test.ts
+++ b/src/events/json_line_log_test.ts
@@ -11,6 +11,9 @@
   fields: { request: z.string() },
 });
 
+/** Bytes that a pipe takes in one piece. */
+const PIPE_BYTES = 4_096;
+
 /** Lines that one event may write in a second. */
 const BUDGET = 200;
 
@@ -48,6 +51,23 @@
   log.dispose();
 });
 
+test("burst of lines: whole lines in writes that a pipe takes", async (t) => {
+  const writes: string[] = [];
+  const log = new JsonLineLog("entry-1", (bytes, done) => {
+    writes.push(bytes.toString());
+    queueMicrotask(() => done(null, bytes.length));
+  });
+  const sent = BUDGET / 2;
+  for (let count = 0; count < sent; count++) {
+    log.emit(EVENT, { request: `r-${count}`.padEnd(100) });
+  }
+  await setTimeout(0);
+  t.true(writes.every((text) => text.length <= PIPE_BYTES));
+  t.true(writes.every((text) => text.endsWith("}\n")));
+  t.is(writes.join("").trim().split("\n").length, sent);
+  log.dispose();
+});
+
 test("ten times the usual load: lines bounded, the rest counted", async (t) => {
   const { state, write } = output();
   const log = new JsonLineLog("entry-1", write);
--- a/src/placement/clock_comparison.ts
+++ b/src/placement/clock_comparison.ts
@@ -5,6 +5,9 @@
 /** Change of the difference that is told beside its uncertainty, in ms. */
 const CHANGE_MILLISECONDS = 20;
 
+/** Share of the uncertainty told last under which a better one is told. */
+const BETTER_SHARE = 0.5;
+
 /** Time after which an unchanged difference is told again, in ms. */
 const REPEAT_MILLISECONDS = 60_000;
 
@@ -58,7 +61,10 @@
     const told = this.#told;
     if (!told || told.leader !== next.leader) return true;
     const doubt = told.uncertainty + next.uncertainty + CHANGE_MILLISECONDS;
-    return Math.abs(next.offset - told.offset) > doubt ||
+    // The first call to a leader includes the search for it.
+    const isBetter = told.uncertainty > CHANGE_MILLISECONDS &&
+      next.uncertainty < BETTER_SHARE * told.uncertainty;
+    return isBetter || Math.abs(next.offset - told.offset) > doubt ||
       this.#clock.isPast(told.repeatAt);
   }
 }
--- a/src/placement/clock_comparison_test.ts
+++ b/src/placement/clock_comparison_test.ts
@@ -38,6 +38,26 @@
   t.deepEqual(offsets, [0, 2_000, 0]);
 });
 
+test("call that waited is followed by a better comparison", (t) => {
+  const lines: unknown[] = [];
+  const clock = new FakeClock();
+  const comparison = new ClockComparison(clock, {
+    events: {
+      emit: (_, fields) =>
+        void lines.push((fields as Record<string, unknown>).offsetMilliseconds),
+    },
+  });
+  // The leader was searched for 300 ms before the call was sent.
+  for (const searching of [300, 0, 0]) {
+    const sentAt = clock.wall();
+    clock.advance(searching + ONE_WAY_MILLISECONDS);
+    const wall = clock.wall();
+    clock.advance(ONE_WAY_MILLISECONDS);
+    comparison.answered({ leader: "store-1", wall }, sentAt);
+  }
+  t.deepEqual(lines, [150, 0]);
+});
+
 test("unchanged difference is told once a minute", (t) => {
   const calls = 2 * 60_000 / (2 * ONE_WAY_MILLISECONDS);
   t.is(told(Array.from({ length: calls }, () => 0)).length, 2);
