--- a/src/composition/observation.ts
+++ b/src/composition/observation.ts
@@ -1,7 +1,8 @@
+import type { BulkSection } from "../bulk/mod.ts";
 import { DisposableStore, type IDisposable } from "../common/mod.ts";
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import { logLinesLeftOut } from "../edge/events.ts";
-import { MetricsListener } from "../edge/mod.ts";
+import { type HttpEdge, MetricsListener } from "../edge/mod.ts";
 import type { IEventLog, JsonLineLog } from "../events/mod.ts";
 import {
   defineProcessMetrics,
@@ -9,8 +10,6 @@
   MeasuringEventLog,
   Metrics,
 } from "../metrics/mod.ts";
-import type { BulkSection } from "../bulk/mod.ts";
-import type { HttpEdge } from "../edge/mod.ts";
 import type { EngineTable, ExchangeClient } from "../placement/mod.ts";
 import type { IRpcStatistics } from "../rpc/mod.ts";
 import type { RoutesHolder } from "../service_routes/mod.ts";
