Limit the tokens of batch jobs that wait on a route

Change: the leader of the log decides on each job after a barrier. It counts the tokens of items without a result and of the jobs that it has proposed, and refuses what does not fit with 429, not-run, and the estimated time until it fits. Jobs accepted before, or whose proposal may still be committed, are never refused. Considered and not taken: a refusal when the command is applied; it writes refused jobs to every log, and stores of earlier versions would accept them.

--- a/src/bulk/bulk_handlers.ts
+++ b/src/bulk/bulk_handlers.ts
@@ -1,14 +1,16 @@
 import { err, ok } from "neverthrow";
 import {
   DisposableStore,
+  type Failure,
   type IClock,
   type IDisposable,
+  notRun,
 } from "../common/mod.ts";
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
 import type { BulkSection } from "./bulk_section.ts";
-import { jobAccepted, jobEnded } from "./events.ts";
+import { jobAccepted, jobEnded, jobRefused } from "./events.ts";
 import {
   bulkSection,
   endBulkMethod,
@@ -17,14 +19,18 @@
   submitBulkMethod,
 } from "./messages.ts";
 import type { BulkResult, HeldJob } from "./types.ts";
+import type { IRefusal, WaitingTokenLimiter } from "./waiting_token_limiter.ts";
 
 /** Maximum size of the results in one answer, in characters. */
 const PAGE_CHARACTERS = 1_000_000;
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** Dependencies of the bulk handlers. */
 export interface IBulkHandlerOptions {
   readonly log: IReplicatedLog;
   readonly section: BulkSection;
+  readonly limiter: WaitingTokenLimiter;
   readonly clock: IClock;
   readonly events: IEventLog;
 }
@@ -34,16 +40,26 @@
   server: IRpcServer,
   handlerOptions: IBulkHandlerOptions,
 ): IDisposable {
-  const { log, section, clock, events } = handlerOptions;
+  const { log, section, limiter, clock, events } = handlerOptions;
   const store = new DisposableStore();
   store.add(server.handle(submitBulkMethod, async ({ job }, options) => {
-    if (log.leadership.isLeader && section.job(job.id)) {
-      const confirmed = await log.barrier({ ...options, requiresQuorum: true });
-      return confirmed.map(() => ({}));
+    // The barrier makes the state include every job that was acknowledged,
+    // also by the leaders of earlier terms.
+    const confirmed = await log.barrier({ ...options, requiresQuorum: true });
+    if (confirmed.isErr()) return err(confirmed.error);
+    const decision = limiter.decide(job, log.leadership.term);
+    if (decision.kind === "known") return ok({});
+    if (decision.kind === "refused") {
+      const { refusal } = decision;
+      events.emit(jobRefused, { request: job.id, ...refusal });
+      return err(limitFailure(refusal));
     }
     const command = { kind: "submit", job };
     const done = await log.propose(bulkSection.name, command, options);
-    if (done.isErr()) return err(done.error);
+    if (done.isErr()) {
+      if (done.error.verdict === "not-run") limiter.release(job.id);
+      return err(done.error);
+    }
     events.emit(jobAccepted, {
       request: job.id,
       items: job.items.length,
@@ -85,6 +101,17 @@
   return store;
 }
 
+/** Describes why a job was refused; it provably does not run. */
+function limitFailure(refusal: IRefusal): Failure {
+  const { route, tokens, waitingTokens, limit, retryMilliseconds } = refusal;
+  const reason = `the job has ${tokens} tokens; ${waitingTokens} of ` +
+    `${limit} tokens already wait on route ${route}`;
+  const retryAfterSeconds = retryMilliseconds === undefined
+    ? undefined
+    : retryMilliseconds / MILLISECONDS_PER_SECOND;
+  return notRun("limit-exceeded", reason, { retryAfterSeconds });
+}
+
 /** Waits until the job has more than `after` results, at most until `end`. */
 async function waitForResult(
   section: BulkSection,
--- a/src/bulk/bulk_section.ts
+++ b/src/bulk/bulk_section.ts
@@ -27,11 +27,14 @@
   readonly held: HeldJob;
   readonly items: Map<string, BulkItem>;
   readonly withResult: Set<string>;
+  /** Tokens of the items that still wait for a result. */
+  waitingTokens: number;
 
   constructor(held: HeldJob) {
     this.held = held;
     this.items = new Map(held.job.items.map((item) => [item.id, item]));
     this.withResult = new Set(held.results.map(({ item }) => item));
+    this.waitingTokens = this.#countWaitingTokens();
   }
 
   /** Whether nothing is left to run. */
@@ -39,6 +42,13 @@
     return this.held.hasEnded || this.withResult.size === this.items.size;
   }
 
+  #countWaitingTokens(): number {
+    if (this.held.hasEnded) return 0;
+    const waiting = [...this.items.values()]
+      .filter(({ id }) => !this.withResult.has(id));
+    return waiting.reduce((sum, { tokens }) => sum + tokens, 0);
+  }
+
   /** Drops the headers and body of an item, which only its run needs. */
   dropRequest(id: string): void {
     const { job } = this.held;
@@ -59,6 +69,7 @@
   > {
   readonly definition = bulkSection;
   #jobs = new Map<string, IndexedJob>();
+  #settledTokens = 0;
   #changed = new Emitter<string>();
   /** Fires with the identifier of a job that has changed. */
   readonly onChanged = this.#changed.event;
@@ -110,6 +121,23 @@
       .map(({ held }) => held.job.id);
   }
 
+  /** Tokens of the items that wait for a result, over the jobs that match. */
+  waitingTokens(matches: (job: BulkJob) => boolean): number {
+    let sum = 0;
+    for (const { held, waitingTokens } of this.#jobs.values()) {
+      if (waitingTokens > 0 && matches(held.job)) sum += waitingTokens;
+    }
+    return sum;
+  }
+
+  /**
+   * Tokens of the items that stopped waiting since this process started. For
+   * rates only: replicas differ in it.
+   */
+  get settledTokens(): number {
+    return this.#settledTokens;
+  }
+
   /** Number of items by state. */
   counts(): { waiting: number; done: number; dead: number; ended: number } {
     const counts = { waiting: 0, done: 0, dead: 0, ended: 0 };
@@ -177,14 +205,21 @@
     if (from > known.length) return false;
     const text = [...known.slice(0, from), ...data].join("\n");
     withResult.add(item);
+    this.#settle(state, items.get(item)?.tokens ?? 0);
     held.results.push({ item, state: command.state, text });
     held.progress = held.progress.filter((it) => it.item !== item);
     state.dropRequest(item);
     return true;
   }
 
+  #settle(state: IndexedJob, tokens: number): void {
+    state.waitingTokens -= tokens;
+    this.#settledTokens += tokens;
+  }
+
   #end(state: IndexedJob): void {
     state.held.hasEnded = true;
+    this.#settle(state, state.waitingTokens);
     state.held.progress = [];
     for (const { id } of state.held.job.items) state.dropRequest(id);
   }
--- a/src/bulk/events.ts
+++ b/src/bulk/events.ts
@@ -7,6 +7,23 @@
   fields: { request: z.string(), items: z.number(), path: z.string() },
 });
 
+export const jobRefused = defineEvent(1159, "bulk-job-refused", {
+  level: "info",
+  help: "A job was refused before anything was written to the replicated " +
+    "log, because its tokens and those that wait on its route exceed the " +
+    "route's limit. The limit comes from the routes with the given version.",
+  fields: {
+    request: z.string(),
+    route: z.string(),
+    tokens: z.number(),
+    waitingTokens: z.number(),
+    limit: z.number(),
+    routesVersion: z.number(),
+    retryMilliseconds: z.number().optional(),
+  },
+  labels: ["route"],
+});
+
 export const jobEnded = defineEvent(1151, "bulk-job-ended", {
   level: "info",
   help: "The caller ended a job; its items no longer run.",
--- a/src/bulk/mod.ts
+++ b/src/bulk/mod.ts
@@ -5,5 +5,6 @@
 export * from "./item_run.ts";
 export * from "./run_host.ts";
 export * from "./store_executor.ts";
+export * from "./waiting_token_limiter.ts";
 export * from "./messages.ts";
 export * from "./types.ts";
--- a/src/cli/figroad.ts
+++ b/src/cli/figroad.ts
@@ -18,6 +18,7 @@
 import { jobResults } from "./commands/job_results.ts";
 import { jobStatus } from "./commands/job_status.ts";
 import { jobSubmit } from "./commands/job_submit.ts";
+import { limits } from "./commands/limits.ts";
 import { logsExplain } from "./commands/logs_explain.ts";
 import { logsRequest } from "./commands/logs_request.ts";
 import { reportBurn } from "./commands/report_burn.ts";
@@ -74,6 +75,7 @@
       results: jobResults,
       cancel: jobCancel,
     }),
+    limits,
     explain,
     report: defineGroup("report", "Reports on the whole fleet", {
       burn: reportBurn,
--- a/src/cli/figroad_test.ts
+++ b/src/cli/figroad_test.ts
@@ -321,3 +321,27 @@
   t.is(exitCode, ExitCode.done);
   t.regex(stdout, /--expect-version/);
 });
+
+test("limits adds the refusals of all stores", async (t) => {
+  const routes = (refusedJobs: number, waitingTokens: number) => [
+    { route: "reports", limit: 2_000, waitingTokens, refusedJobs },
+  ];
+  const store = (instance: string, isLeader: boolean, report: object[]) =>
+    startFakeServer(({ url }) =>
+      url === "/waiting-tokens"
+        ? { instance, isLeader, routes: report }
+        : undefined
+    );
+  const leader = await store("store-2", true, routes(3, 1_500));
+  const follower = await store("store-1", false, routes(2, 1_400));
+  t.teardown(() => [leader, follower].forEach((server) => server.close()));
+  const stores = `${follower.url},${leader.url}`;
+  const shown = await run("limits", "--stores", stores);
+  t.is(shown.exitCode, ExitCode.done);
+  t.regex(shown.stdout, /leader: store-2\n/);
+  t.regex(shown.stdout, /reports +1500 +2000 +5\n/);
+  const lone = await run("limits", "--stores", follower.url);
+  t.is(lone.exitCode, ExitCode.noAnswer);
+  t.regex(lone.stderr, /none of the stores that answered is the leader/);
+  t.is((await run("limits")).exitCode, ExitCode.usage);
+});
--- a/src/cli/http_clients.ts
+++ b/src/cli/http_clients.ts
@@ -1,5 +1,5 @@
 import process from "node:process";
-import { err, ok, type Result } from "neverthrow";
+import { err, ok, Result } from "neverthrow";
 import { ExitCode, type ICliFailure } from "./exit_code.ts";
 import { HttpClient } from "./http_client.ts";
 
@@ -9,6 +9,9 @@
 /** Environment variable with the URL of an instance's callers' API. */
 export const CALLERS_VARIABLE = "FIGROAD_CALLERS";
 
+/** Environment variable with the URLs of the stores' metrics. */
+export const STORES_VARIABLE = "FIGROAD_STORES";
+
 /** Environment variable with a caller's API key. */
 export const API_KEY_VARIABLE = "FIGROAD_API_KEY";
 
@@ -31,6 +34,30 @@
   },
 } as const;
 
+/** Option for the URLs of the stores of the platform. */
+export const storesArgument = {
+  stores: {
+    type: "string",
+    description: "Metrics URLs of the stores, separated by commas " +
+      `(or ${STORES_VARIABLE})`,
+    valueHint: "URL,URL",
+  },
+} as const;
+
+/** Creates a client for each store's metrics address. */
+export function createStoresClients(
+  args: { stores?: string },
+): Result<HttpClient[], ICliFailure> {
+  const urls = (args.stores ?? process.env[STORES_VARIABLE] ?? "")
+    .split(",").map((url) => url.trim());
+  return Result.combine(
+    urls.map((url) =>
+      resolveUrl("stores", url, STORES_VARIABLE)
+        .map((url) => new HttpClient(url))
+    ),
+  );
+}
+
 /** Creates a client for the operators' API. */
 export function createOperatorsClient(
   args: { operators?: string },
--- a/src/composition/telemetry.ts
+++ b/src/composition/telemetry.ts
@@ -1,4 +1,8 @@
-import type { BulkSection } from "../bulk/mod.ts";
+import {
+  type BulkSection,
+  WAITING_TOKENS_PATH,
+  type WaitingTokenLimiter,
+} from "../bulk/mod.ts";
 import { DisposableStore, type IDisposable } from "../common/mod.ts";
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import { logLinesLeftOut } from "../edge/events.ts";
@@ -22,6 +26,7 @@
   readonly metrics = new Metrics();
   /** Counts events in the metrics, then writes them to the log. */
   readonly events: IEventLog;
+  #pages = new Map<string, () => unknown>();
   #store = new DisposableStore();
 
   constructor(log: JsonLineLog) {
@@ -102,6 +107,28 @@
     );
   }
 
+  /** Defines metrics and a page with the limits of waiting tokens. */
+  defineWaitingTokenMetrics(
+    limiter: WaitingTokenLimiter,
+    replica: { instance: string; log: IReplicatedLog },
+  ): void {
+    this.metrics.gauge(
+      "figroad_bulk_tokens",
+      "Tokens of batch items without a result, and their limit, by route.",
+      () =>
+        limiter.usage().flatMap(({ route, waitingTokens, limit }) => [
+          { value: waitingTokens, labels: { route, kind: "waiting" } },
+          { value: limit, labels: { route, kind: "limit" } },
+        ]),
+    );
+    const { instance, log } = replica;
+    this.#pages.set(WAITING_TOKENS_PATH, () => ({
+      instance,
+      isLeader: log.leadership.isLeader,
+      routes: limiter.usage(),
+    }));
+  }
+
   /** Durations of syncs of the replicated log's files. */
   get syncTimes(): IHistogram {
     return this.metrics.histogram(
@@ -144,7 +171,9 @@
 
   /** Starts to serve the metrics over HTTP. */
   async listen(address: string): Promise<void> {
-    const listener = this.#store.add(new MetricsListener(this.metrics));
+    const listener = this.#store.add(
+      new MetricsListener(this.metrics, this.#pages),
+    );
     await listener.listen(address, METRICS_PORT);
   }
 
--- a/src/service_routes/types.ts
+++ b/src/service_routes/types.ts
@@ -40,6 +40,8 @@
   resultMilliseconds: z.number().optional(),
   /** Time after which an item may be abandoned. */
   retentionMilliseconds: z.number().optional(),
+  /** Most tokens of jobs that may wait for their results; absent if unlimited. */
+  waitingTokensLimit: z.number().optional(),
 });
 export type Route = z.infer<typeof routeSchema>;
 
