--- a/src/dispatch/dispatcher_test.ts
+++ b/src/dispatch/dispatcher_test.ts
@@ -131,7 +131,9 @@
 
 test("deadline ends a running stream", async (t) => {
   const bench = await start(t, 1);
-  const deadline = bench.fixture.clock.deadlineIn(200);
+  // Long enough for a first token on a busy machine, and shorter than the
+  // stream, whose steps take 5 ms each.
+  const deadline = bench.fixture.clock.deadlineIn(2_000);
   const request = bench.fixture.request("p", 10_000, { deadline });
   const { text, failure } = await run(bench.fixture, request);
   t.is(failure?.code, "deadline-exceeded");
--- a/src/rpc/rpc_test.ts
+++ b/src/rpc/rpc_test.ts
@@ -1,6 +1,6 @@
 import { Buffer } from "node:buffer";
 import { connect, createServer, type Socket } from "node:net";
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { ok } from "neverthrow";
 import { z } from "zod";
 import { SystemClock } from "../common/mod.ts";
@@ -21,18 +21,31 @@
   result: z.object({ text: z.string() }),
 });
 
-async function startPair(): Promise<
+/**
+ * Starts a server and a client, which are disposed of after the test.
+ *
+ * @param gate if given, calls are answered only after it is resolved.
+ */
+async function startPair(
+  t: ExecutionContext,
+  gate?: Promise<void>,
+): Promise<
   { server: RpcServer; client: RpcClient; port: number; calls: () => number }
 > {
   const server = new RpcServer(clock, events);
   let calls = 0;
   server.handle(echoMethod, async ({ delay, length }) => {
     calls += 1;
+    await gate;
     await clock.sleepUntil(clock.deadlineIn(delay));
     return ok({ text: "x".repeat(length) });
   });
   const port = await server.listen("127.0.0.1", 0);
   const client = new RpcClient("client", clock, { events });
+  t.teardown(() => {
+    client.dispose();
+    server.dispose();
+  });
   return { server, client, port, calls: () => calls };
 }
 
@@ -66,8 +79,9 @@
 });
 
 test("silent connection is replaced", async (t) => {
-  const { server, client, port } = await startPair();
+  const { client, port } = await startPair(t);
   const relay = new Relay(port);
+  t.teardown(() => relay.dispose());
   const relayPort = await relay.listen();
   t.true((await echo(client, relayPort, {})).isOk());
   relay.silenceOpenConnections();
@@ -76,15 +90,10 @@
   t.is(lost._unsafeUnwrapErr().code, "unavailable");
   t.true((await echo(client, relayPort, { timeout: 2_000 })).isOk());
   t.is(client.statistics.silentConnectionsClosed, 1);
-  client.dispose();
-  relay.dispose();
-  server.dispose();
 });
 
 test("silent connection is replaced while short calls time out", async (t) => {
-  const { server, client, port } = await startPair();
-  t.teardown(() => server.dispose());
-  t.teardown(() => client.dispose());
+  const { client, port } = await startPair(t);
   const relay = new Relay(port);
   t.teardown(() => relay.dispose());
   const relayPort = await relay.listen();
@@ -102,60 +111,54 @@
 });
 
 test("silent peer keeps its connection", async (t) => {
-  const { server, client, port } = await startPair();
+  const { client, port } = await startPair(t);
   const relay = new Relay(port);
+  t.teardown(() => relay.dispose());
   const relayPort = await relay.listen();
   t.true((await echo(client, relayPort, {})).isOk());
   relay.isolate();
   const lost = await echo(client, relayPort, { timeout: 4_500 });
   t.is(lost._unsafeUnwrapErr().code, "deadline-exceeded");
   t.is(client.statistics.silentConnectionsClosed, 0);
-  client.dispose();
-  relay.dispose();
-  server.dispose();
 });
 
 test("slow handler keeps its connection", async (t) => {
-  const { server, client, port } = await startPair();
+  const { client, port } = await startPair(t);
   t.true((await echo(client, port, { delay: 5_000 })).isOk());
   t.is(client.statistics.silentConnectionsClosed, 0);
-  client.dispose();
-  server.dispose();
 });
 
 test("late response is dropped", async (t) => {
-  const { server, client, port } = await startPair();
-  const late = await echo(client, port, { delay: 300, timeout: 50 });
-  t.is(late._unsafeUnwrapErr().code, "deadline-exceeded");
+  let respond = () => {};
+  const gate = new Promise<void>((resolve) => respond = resolve);
+  const { client, port, calls } = await startPair(t, gate);
+  const call = echo(client, port, { timeout: 1_000 });
+  await eventually("the server has the call", () => calls() === 1);
+  t.is((await call)._unsafeUnwrapErr().code, "deadline-exceeded");
+  respond();
   await eventually("late", () => client.statistics.lateAnswersDropped === 1);
   const next = await echo(client, port, { length: 3 });
   t.is(next._unsafeUnwrap().text, "xxx");
-  client.dispose();
-  server.dispose();
 });
 
 test("call past its deadline is not sent", async (t) => {
-  const { server, client, port, calls } = await startPair();
+  const { client, port, calls } = await startPair(t);
   const past = await echo(client, port, { timeout: 0 });
   t.is(past._unsafeUnwrapErr().verdict, "not-run");
   t.is(calls(), 0);
-  client.dispose();
-  server.dispose();
 });
 
 test("oversized response fails its call and no other", async (t) => {
-  const { server, client, port } = await startPair();
+  const { client, port } = await startPair(t);
   const length = MAXIMUM_FRAME_CHARACTERS + 1;
   const waiting = echo(client, port, { delay: 500 });
   const answer = await echo(client, port, { length });
   t.is(answer._unsafeUnwrapErr().code, "too-large");
   t.true((await waiting).isOk());
-  client.dispose();
-  server.dispose();
 });
 
 test("pending calls fail when the server closes", async (t) => {
-  const { server, client, port } = await startPair();
+  const { server, client, port } = await startPair(t);
   const waiting = echo(client, port, { delay: 5_000 });
   await clock.sleepUntil(clock.deadlineIn(100));
   server.dispose();
@@ -163,11 +166,10 @@
   t.deepEqual([failure.code, failure.verdict], ["unavailable", "may-have-run"]);
   const refused = (await echo(client, port, {}))._unsafeUnwrapErr();
   t.deepEqual([refused.code, refused.verdict], ["unavailable", "not-run"]);
-  client.dispose();
 });
 
 test("invalid frames do not affect other connections", async (t) => {
-  const { server, client, port } = await startPair();
+  const { client, port } = await startPair(t);
   for (const frame of ["null", "7", "{", "[]", '{"id":1}']) {
     const socket = connect({ host: "127.0.0.1", port });
     socket.on("error", () => {});
@@ -179,8 +181,6 @@
     socket.destroy();
   }
   t.true((await echo(client, port, {})).isOk());
-  client.dispose();
-  server.dispose();
 });
 
 test("calls to a peer that does not read are refused", async (t) => {
@@ -212,7 +212,7 @@
 });
 
 test("peer that does not read its responses is disconnected", async (t) => {
-  const { server, client, port, calls } = await startPair();
+  const { client, port, calls } = await startPair(t);
   const socket = connect({ host: "127.0.0.1", port }).pause();
   socket.on("error", () => {});
   const body = { delay: 0, length: 8 * 1024 * 1024 };
@@ -225,8 +225,6 @@
   await eventually("closed", () => socket.destroyed || isClosed(socket));
   t.true(calls() < 64);
   t.true((await echo(client, port, {})).isOk());
-  client.dispose();
-  server.dispose();
 });
 
 function isClosed(socket: Socket): boolean {
