--- a/src/bulk/bulk_handlers.ts
+++ b/src/bulk/bulk_handlers.ts
@@ -45,20 +45,12 @@
   store.add(server.handle(submitBulkMethod, async ({ job }, options) => {
     // The barrier makes the state include every job that was acknowledged,
     // also by the leaders of earlier terms.
-    const applied = await log.barrier(options);
-    if (applied.isErr()) return err(applied.error);
-    let decision = limiter.decide(job, log.leadership.term);
-    if (decision.kind !== "fits") {
-      // The commit of a job that fits proves that this replica still leads;
-      // the other answers need a quorum, as this one may have been replaced.
-      const confirmed = await log.barrier({ ...options, requiresQuorum: true });
-      if (confirmed.isErr()) return err(confirmed.error);
-      decision = limiter.decide(job, log.leadership.term);
-    }
+    const confirmed = await log.barrier({ ...options, requiresQuorum: true });
+    if (confirmed.isErr()) return err(confirmed.error);
+    const decision = limiter.decide(job, log.leadership.term);
     if (decision.kind === "known") return ok({});
     if (decision.kind === "refused") {
       const { refusal } = decision;
-      limiter.recordRefusal(refusal.route);
       events.emit(jobRefused, { request: job.id, ...refusal });
       return err(limitFailure(refusal));
     }
--- a/src/bulk/waiting_token_limiter.ts
+++ b/src/bulk/waiting_token_limiter.ts
@@ -108,7 +108,11 @@
     if (this.#pending.has(job.id)) return { kind: "fits" };
     const tokens = job.items.reduce((sum, item) => sum + item.tokens, 0);
     const refusal = this.#findRefusal(job, tokens);
-    if (refusal) return { kind: "refused", refusal };
+    if (refusal) {
+      const { route } = refusal;
+      this.#refusedJobs.set(route, (this.#refusedJobs.get(route) ?? 0) + 1);
+      return { kind: "refused", refusal };
+    }
     this.#pending.set(job.id, { job, tokens, term });
     return { kind: "fits" };
   }
@@ -118,11 +122,6 @@
     this.#pending.delete(job);
   }
 
-  /** Counts a job whose caller was told that it does not fit. */
-  recordRefusal(route: string): void {
-    this.#refusedJobs.set(route, (this.#refusedJobs.get(route) ?? 0) + 1);
-  }
-
   /** Use of all limits in force. */
   usage(): WaitingTokenUsage[] {
     const table = this.#routes();
