Log the software version of engines and the stream that a caller resumes

Change: the software version is decoded from the list of engines, and request-placed logs it with the request that the caller resumes and the event after which it does. Placement does not use the version yet.

--- a/measure/logs.ts
+++ b/measure/logs.ts
@@ -73,6 +73,7 @@
     bulk: 2,
     waitMilliseconds: 0,
     chosenBy: "leader",
+    softwareVersion: "v1",
     lastEventId: undefined,
     isResumed: false,
   });
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -8,6 +8,11 @@
   address: z.string(),
   port: z.number(),
   failureDomain: z.string(),
+  /**
+   * Version of the engine's software. Streams of different versions do not fit
+   * together. Empty in lists of leaders that do not know the field.
+   */
+  softwareVersion: z.string().default(""),
   /** Number of requests that it runs concurrently. */
   slots: z.number(),
   /** Whether it is about to stop and accepts no new work. */
--- a/src/streams/events.ts
+++ b/src/streams/events.ts
@@ -16,7 +16,11 @@
     waitMilliseconds: z.number(),
     /** The leader, or this instance while no leader was reachable. */
     chosenBy: z.enum(["leader", "instance"]),
+    /** Version of the engine's software. */
+    softwareVersion: z.string(),
     lastEventId: z.string().optional(),
+    /** Attempt of the caller in which the resumed stream began. */
+    resumedRequest: z.string().optional(),
     /** Whether the request resumes a stream that another engine began. */
     isResumed: z.boolean(),
   },
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -169,7 +169,9 @@
       bulk,
       waitMilliseconds,
       chosenBy,
-      lastEventId: progress.lastEventId,
+      softwareVersion: engine.softwareVersion,
+      lastEventId: progress.lastEventId ?? request.lastEventId,
+      resumedRequest: request.resumedRequest,
       isResumed: progress.lastEventId !== undefined,
     });
     const startedAt = clock.monotonic();
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -84,6 +84,7 @@
       routeDeadline: clock.deadlineIn(5_000),
       isReturned: false,
       lastEventId: undefined,
+      resumedRequest: undefined,
       ...changes,
     }, sink);
   return { engines, table, health, sink, run };
--- a/src/streams/types.ts
+++ b/src/streams/types.ts
@@ -24,6 +24,8 @@
   readonly isReturned: boolean;
   /** Identifier of the event after which the caller resumes a stream. */
   readonly lastEventId: string | undefined;
+  /** Attempt of the caller in which the resumed stream began. */
+  readonly resumedRequest: string | undefined;
 }
 
 /** Destination of an answer. */
--- a/testing/listed_engine.ts
+++ b/testing/listed_engine.ts
@@ -14,6 +14,7 @@
     address: "10.0.0.9",
     port: 80,
     failureDomain: "a",
+    softwareVersion: "v1",
     slots: ENGINE_SLOTS,
     isLeaving: false,
     ...changes,
