--- /dev/null
+++ b/src/bulk/bulk_runner_test.ts
@@ -0,0 +1,128 @@
+import test from "ava";
+import { FakeLog } from "../../testing/fake_log.ts";
+import { listedEngine } from "../../testing/listed_engine.ts";
+import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
+import { SilentEventLog } from "../events/mod.ts";
+import { EngineHealth, type ListedEngine } from "../placement/mod.ts";
+import { type Route, RouteTable } from "../service_routes/mod.ts";
+import { BulkRunner } from "./bulk_runner.ts";
+import { BulkSection } from "./bulk_section.ts";
+import type { IItemRun, ItemOutcome } from "./item_run.ts";
+
+const ROUTE: Route = {
+  name: "reports",
+  host: "reports.example",
+  pathPrefix: "/",
+  kind: "bulk",
+  timeoutMilliseconds: 1_000,
+  objectiveMilliseconds: 500,
+  priority: 1,
+  shares: [{ service: "writer", weight: 1 }],
+  attempts: 3,
+  isResumable: true,
+};
+
+const JOB = {
+  id: "job",
+  host: "reports.example",
+  path: "/1",
+  items: [{ id: "item", path: "/1", headers: {}, body: "", tokens: 10 }],
+};
+
+/** Run of an item that the test ends. */
+interface IStartedRun {
+  readonly engine: string;
+  readonly lastEventId: string | undefined;
+  /** Adds the data of events, then ends the run. */
+  end(outcome: ItemOutcome, data?: string[]): void;
+}
+
+function createFixture(engines: ListedEngine[]) {
+  const time = new VirtualTime();
+  const clock = new VirtualClock(time);
+  const events = new SilentEventLog();
+  const section = new BulkSection();
+  const log = new FakeLog([section]);
+  const routes = new RouteTable({
+    version: 1,
+    routes: [ROUTE],
+    services: [{ name: "writer", healthPath: "/health", slots: 8 }],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMilliseconds: 1,
+      idleTimeoutMilliseconds: 1,
+    },
+    source: "",
+  });
+  const runs: IStartedRun[] = [];
+  const listed = { engines };
+  const runner = new BulkRunner({
+    ...{ log, section, clock, events },
+    health: new EngineHealth(clock, { events }),
+    executor: {
+      run: (engine, { progress }: IItemRun) =>
+        new Promise((resolve) => {
+          runs.push({
+            engine: engine.id,
+            lastEventId: progress.lastEventId,
+            end(outcome, data = []) {
+              for (const text of data) {
+                progress.data.push(text);
+                progress.lastEventId = String(progress.data.length);
+              }
+              resolve(outcome);
+            },
+          });
+        }),
+    },
+    routes: () => routes,
+    jobRetentionMilliseconds: 60_000,
+    isLoadKnown: () => true,
+    engines: () =>
+      listed.engines.map((engine) => ({ engine, live: 0, isSuspect: false })),
+  });
+  section.apply({ kind: "submit", job: JOB }, {
+    ...{ index: 1, term: 1, proposedAt: 0 },
+  });
+  runner.start();
+  return { time, runs, runner, section, listed };
+}
+
+const BROKEN: ItemOutcome = { kind: "broken", reason: "connection reset" };
+
+function engine(id: string, softwareVersion: string): ListedEngine {
+  return listedEngine(id, { softwareVersion });
+}
+
+// Guards against results with events of two software versions (inc-defd).
+test("item starts again when no engine of its version is left", async (t) => {
+  const { time, runs, runner, section, listed } = createFixture([
+    engine("old", "v1"),
+  ]);
+  await time.advanceUntil("first run", () => runs.length === 1);
+  runs[0]?.end(BROKEN, ["old 1", "old 2"]);
+  listed.engines = [];
+  // The progress is committed to the log before the item starts again.
+  await time.advance(1_500);
+  t.is(section.progress("job", "item")?.data.length, 2);
+  listed.engines = [engine("new", "v2")];
+  await time.advanceUntil("second run", () => runs.length === 2);
+  t.is(runs[1]?.lastEventId, undefined);
+  runs[1]?.end({ kind: "complete" }, ["new 1"]);
+  await time.advanceUntil("result", () => section.hasResult("job", "item"));
+  t.is(section.job("job")?.results[0]?.text, "new 1");
+  runner.dispose();
+});
+
+// Guards against results with events of two software versions (inc-defd).
+test("item resumes at the version that began it while it serves", async (t) => {
+  const { time, runs, runner, listed } = createFixture([engine("one", "v1")]);
+  await time.advanceUntil("first run", () => runs.length === 1);
+  runs[0]?.end(BROKEN, ["first"]);
+  listed.engines = [engine("new", "v2"), engine("same", "v1")];
+  await time.advanceUntil("second run", () => runs.length === 2);
+  t.is(runs[1]?.engine, "same");
+  t.is(runs[1]?.lastEventId, "1");
+  runner.dispose();
+});
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -49,15 +49,22 @@
   run(route: Route, changes?: Partial<IForwardedRequest>): Promise<void>;
 }
 
+/** @param versions software versions of engines by id; others run `v1`. */
 function setup(
   scripts: EngineScript[],
   ids = ["one", "two", "three"],
+  versions: Record<string, string> = {},
 ): ITestSetup {
   const clock = new SystemClock();
   const events = new SilentEventLog();
   const health = new EngineHealth(clock, { events });
   const table = new EngineTable(clock, { events, health });
-  const list = { revision: "1", engines: ids.map((id) => listedEngine(id)) };
+  const list = {
+    revision: "1",
+    engines: ids.map((id) =>
+      listedEngine(id, { softwareVersion: versions[id] ?? "v1" })
+    ),
+  };
   table.updateList(list, { age: 0, source: "leader" });
   const engines = new FakeEngines(scripts);
   const sink = new FakeSink();
@@ -208,3 +215,36 @@
   t.is(sink.failure?.kind, "refused");
   t.is(engines.received.length, 0);
 });
+
+// Guards against streams with events of two software versions (inc-defd).
+test("broken stream goes on only at the version that began it", async (t) => {
+  const broken = { kind: "stream", events: EVENTS, breakAt: 4 } as const;
+  const whole = { kind: "stream", events: EVENTS } as const;
+  const ids = ["one", "two", "three"];
+  const same = setup([broken, whole], ids, { two: "v2" });
+  await same.run(RESUMABLE_ROUTE);
+  t.is(same.sink.text, WHOLE_STREAM);
+  t.deepEqual(same.engines.received.map((send) => send.engine), [
+    "one",
+    "three",
+  ]);
+  const other = setup([broken, whole], ids, { two: "v2", three: "v2" });
+  await other.run(RESUMABLE_ROUTE);
+  t.is(other.engines.received.length, 1);
+  t.is(other.sink.endKind, "abort");
+});
+
+// Guards against streams with events of two software versions (inc-defd).
+test("resumption of a stream of unknown version is refused", async (t) => {
+  const { sink, run, engines } = setup(
+    [{ kind: "stream", events: EVENTS }],
+    ["one", "two"],
+    { two: "v2" },
+  );
+  await run(RESUMABLE_ROUTE, {
+    lastEventId: "3",
+    resumedRequest: "begun-elsewhere",
+  });
+  t.is(sink.failure?.kind, "refused");
+  t.is(engines.received.length, 0);
+});
