Continue live streams only at the software version that began them

Cause: placement did not know the software version of engines, and an entry did not know which version had begun a stream that a caller resumes there. Class of fault: state of a stream that is kept only where the stream began.

Change: an entry records service and version of a stream before it forwards the first event, and reports them to the leader with its next exchange; a new leader gets all that are still resumable. A resumption takes the version from this entry, from a list that has shown only one version since before the stream can have begun, or from the leader; otherwise it is refused as not run. The list counts as current for 1.5 s only, and its age now includes the time that its answer took, so a machine out of touch or frozen cannot rely on it. Placement by the leader and by the entry chooses engines of that version; a grant of a leader that ignores the version is not used.

--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -78,10 +78,11 @@
 
   /** State that the leader sends to other instances; undefined on followers. */
   get leaderState(): ILeaderState | undefined {
-    const { routesSection } = this.#options;
+    const { routesSection, log } = this.#options;
     if (!this.#term) return undefined;
     const { directory, runner } = this.#term;
     return {
+      term: log.leadership.term,
       list: directory.list,
       listAge: directory.listAge,
       failing: directory.failing,
--- a/src/placement/engine_table.ts
+++ b/src/placement/engine_table.ts
@@ -12,9 +12,19 @@
 /** Age from which the load reported by other instances is ignored. */
 const LOAD_LIFETIME_MILLISECONDS = 1_500;
 
+/** Age up to which the list of engines counts as current, in milliseconds. */
+const CURRENT_LIST_MILLISECONDS = 1_500;
+
 /** Weight of a new duration in the exponential moving average. */
 const MEAN_SMOOTHING_FACTOR = 0.1;
 
+/** The only software version of a service in the list of engines. */
+interface ISoleVersion {
+  readonly softwareVersion: string;
+  /** Time since which all lists have had only this version. */
+  readonly since: number;
+}
+
 /** Engines and their load, as this instance knows them. */
 export class EngineTable {
   #clock: IClock;
@@ -22,6 +32,9 @@
   #health: EngineHealth;
   #list: EngineList = { revision: "", engines: [] };
   #listReadAt = Number.NEGATIVE_INFINITY;
+  /** Time since which the list has been current without interruption. */
+  #listCurrentSince = Number.NEGATIVE_INFINITY;
+  #soleVersions = new Map<string, ISoleVersion>();
   /** Live requests of other instances and all batch items, by engine. */
   #otherLoad = new Map<string, { live: number; bulk: number }>();
   #loadReceivedAt = Number.NEGATIVE_INFINITY;
@@ -58,6 +71,7 @@
     this.confirmListAge(options.age);
     if (list.revision === this.#list.revision) return;
     this.#list = list;
+    this.#updateSoleVersions();
     const ids = new Set(list.engines.map(({ id }) => id));
     this.#health.retainEngines(ids);
     for (const id of this.#meanDurations.keys()) {
@@ -74,6 +88,9 @@
   /** Records that the current list was up to date `age` milliseconds ago. */
   confirmListAge(age: number): void {
     const readAt = this.#clock.monotonic() - age;
+    if (readAt - this.#listReadAt > CURRENT_LIST_MILLISECONDS) {
+      this.#listCurrentSince = readAt;
+    }
     this.#listReadAt = Math.max(this.#listReadAt, readAt);
   }
 
@@ -112,6 +129,24 @@
     return this.#list.engines.find((engine) => engine.id === id);
   }
 
+  /** Software version of a service; undefined if the list has several. */
+  listedVersion(service: string): string | undefined {
+    return this.#soleVersions.get(service)?.softwareVersion;
+  }
+
+  /**
+   * The only software version that a service has had for a number of
+   * milliseconds. Undefined if there were several or the list was not current
+   * all the time.
+   */
+  soleVersion(service: string, milliseconds: number): string | undefined {
+    const sole = this.#soleVersions.get(service);
+    if (!sole || this.listAge > CURRENT_LIST_MILLISECONDS) return undefined;
+    const since = Math.max(sole.since, this.#listCurrentSince);
+    const isLongEnough = this.#clock.monotonic() - since >= milliseconds;
+    return isLongEnough ? sole.softwareVersion : undefined;
+  }
+
   beginRequest(engine: string): void {
     this.#ownLive.set(engine, (this.#ownLive.get(engine) ?? 0) + 1);
   }
@@ -149,4 +184,22 @@
         };
       });
   }
+
+  #updateSoleVersions(): void {
+    const versions = new Map<string, Set<string>>();
+    for (const { service, softwareVersion } of this.#list.engines) {
+      const ofService = versions.get(service) ?? new Set();
+      versions.set(service, ofService.add(softwareVersion));
+    }
+    const previous = this.#soleVersions;
+    this.#soleVersions = new Map();
+    for (const [service, [softwareVersion = "", ...others]] of versions) {
+      if (softwareVersion === "" || others.length > 0) continue;
+      const known = previous.get(service);
+      const since = known?.softwareVersion === softwareVersion
+        ? known.since
+        : this.#listReadAt;
+      this.#soleVersions.set(service, { softwareVersion, since });
+    }
+  }
 }
--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -14,9 +14,12 @@
 import {
   type EngineList,
   exchangeMethod,
+  findStreamMethod,
   type PlacementDecision,
   type PlacementRequest,
+  type ReportedStream,
 } from "./messages.ts";
+import type { IStreamOrigin, StreamOrigins } from "./stream_origins.ts";
 import type { IEngineListSource, ListedEngine } from "./types.ts";
 
 /** Interval between exchanges until the leader sends another interval. */
@@ -28,6 +31,9 @@
 /** Maximum time that a request waits for its placement by the leader. */
 const PLACEMENT_TIMEOUT_MILLISECONDS = 60;
 
+/** Longest wait for the origin of a stream, in milliseconds. */
+const FIND_STREAM_TIMEOUT_MILLISECONDS = 200;
+
 /** Timeout of a periodic exchange. */
 const EXCHANGE_TIMEOUT_MILLISECONDS = 500;
 
@@ -51,6 +57,8 @@
   readonly health: EngineHealth;
   readonly routes: RoutesHolder;
   readonly list: IEngineListSource;
+  /** Streams that this instance reports; absent on stores. */
+  readonly origins?: StreamOrigins;
   /** Source of random numbers from 0 up to, not including, 1. */
   readonly random: () => number;
   /**
@@ -78,6 +86,7 @@
   #sequence = 0;
   #lastAnswered = 0;
   #lastAnswerAt: number;
+  #leaderTerm = 0;
   #isLeaderReachable = true;
   #listAgeLimit: number;
   #clockOffset: ClockOffsetMonitor;
@@ -116,6 +125,23 @@
     return await this.#exchange(PLACEMENT_TIMEOUT_MILLISECONDS, request);
   }
 
+  /**
+   * Asks the leader where a stream began. Resolves with undefined if it does
+   * not know or answer.
+   */
+  async findOrigin(
+    request: string,
+  ): Promise<Pick<IStreamOrigin, "service" | "softwareVersion"> | undefined> {
+    const deadline = this.#options.clock.deadlineIn(
+      FIND_STREAM_TIMEOUT_MILLISECONDS,
+    );
+    const params = { request };
+    const answer = await this.#control.call(findStreamMethod, params, {
+      deadline,
+    });
+    return answer.isOk() ? answer.value.origin : undefined;
+  }
+
   async #run(): Promise<void> {
     const { clock } = this.#options;
     while (!this.#stopping.signal.aborted) {
@@ -130,18 +156,28 @@
     timeout: number,
     want?: PlacementRequest,
   ): Promise<PlacementDecision | undefined> {
-    const { clock, table, health, routes } = this.#options;
+    const { clock, table, health, routes, origins } = this.#options;
     const { instance, name, role } = this.#options;
     const reported = table.ownLiveCounts();
     this.#sequence += 1;
     const sequence = this.#sequence;
     const sentAt = clock.wall();
+    const startedAt = clock.monotonic();
+    const streams = origins?.unreported(this.#leaderTerm) ?? [];
     const answer = await this.#control.call(exchangeMethod, {
       ...{ instance, name, role, sequence, want },
       answered: this.#lastAnswered,
       live: [...reported],
       means: want ? undefined : table.meanDurations(),
       suspects: health.suspects(),
+      streams: streams.map((
+        { request, service, softwareVersion, expiresAt },
+      ): ReportedStream => [
+        request,
+        service,
+        softwareVersion,
+        Math.round(clock.remaining(expiresAt)),
+      ]),
       routesVersion: routes.version,
       listRevision: table.revision,
     }, { deadline: clock.deadlineIn(timeout) });
@@ -151,7 +187,11 @@
     }
     this.#recordSuccess();
     this.#clockOffset.recordResponse(answer.value, sentAt);
-    const { load, suspects, list, listAge, grant } = answer.value;
+    const { load, suspects, list, grant, term } = answer.value;
+    // The answer may have waited, for example while this process was frozen.
+    const listAge = answer.value.listAge + clock.monotonic() - startedAt;
+    this.#leaderTerm = term;
+    origins?.markReported(streams, term);
     this.#interval = answer.value.pauseMilliseconds;
     if (answer.value.routes) routes.setIfNewer(answer.value.routes);
     if (list) table.updateList(list, { age: listAge, source: "leader" });
@@ -198,15 +238,17 @@
   }
 
   async #readList(): Promise<void> {
-    const { list, table, events } = this.#options;
+    const { list, table, events, clock } = this.#options;
     try {
       const timeout = AbortSignal.timeout(LIST_READ_TIMEOUT_MILLISECONDS);
+      const requestedAt = clock.monotonic();
       const engines = await list.read(timeout);
       const content: EngineList = {
         revision: revisionOf(engines),
         engines: [...engines],
       };
-      table.updateList(content, { age: 0, source: "platform" });
+      const age = clock.monotonic() - requestedAt;
+      table.updateList(content, { age, source: "platform" });
     } catch (error) {
       events.emit(engineListUnreadable, {
         reason: (error as Error).message,
@@ -215,8 +257,8 @@
       // The instances together may exceed the platform's rate limit, so wait
       // longer before the next read.
       const pause = STALE_LIST_MILLISECONDS / 2;
-      await this.#options.clock.sleepUntil(
-        this.#options.clock.deadlineIn(pause),
+      await clock.sleepUntil(
+        clock.deadlineIn(pause),
         this.#stopping.signal,
       );
     }
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -1,6 +1,11 @@
 import { err, ok } from "neverthrow";
 import { match } from "ts-pattern";
-import { type IClock, type IDisposable, notRun } from "../common/mod.ts";
+import {
+  DisposableStore,
+  type IClock,
+  type IDisposable,
+  notRun,
+} from "../common/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
 import type { RouteSet } from "../service_routes/mod.ts";
 import type { LoadLedger } from "./load_ledger.ts";
@@ -8,10 +13,12 @@
   type EngineList,
   exchangeMethod,
   type ExchangeParams,
+  findStreamMethod,
   type PlacementDecision,
   type PlacementRequest,
 } from "./messages.ts";
 import { place } from "./placement.ts";
+import type { StreamOrigins } from "./stream_origins.ts";
 import {
   type IEngineView,
   INITIAL_MEAN_MILLISECONDS,
@@ -28,6 +35,7 @@
 
 /** State of the leader that exchanges are answered from. */
 export interface ILeaderState {
+  readonly term: number;
   readonly list: EngineList;
   /** Age of the list in milliseconds. */
   readonly listAge: number;
@@ -46,26 +54,40 @@
   readonly name: string;
   readonly clock: IClock;
   readonly ledger: LoadLedger;
+  /** Streams that instances have reported. */
+  readonly origins: Pick<StreamOrigins, "find" | "record">;
   /** Returns undefined on an instance that does not lead. */
   readonly leaderState: () => ILeaderState | undefined;
   /** Source of random numbers from 0 up to, not including, 1. */
   readonly random: () => number;
 }
 
-/** Registers the handler for load exchanges; only the leader answers them. */
+/** Registers the handlers of instances' calls; only the leader answers them. */
 export function registerExchangeHandler(
   server: IRpcServer,
   options: IExchangeHandlerOptions,
 ): IDisposable {
-  const { ledger, leaderState, name, clock } = options;
-  return server.handle(exchangeMethod, (params) => {
+  const { ledger, origins, leaderState, name, clock } = options;
+  const disposables = new DisposableStore();
+  disposables.add(server.handle(findStreamMethod, ({ request }) => {
+    if (!leaderState()) return Promise.resolve(err(notLeader()));
+    const origin = origins.find(request);
+    return Promise.resolve(ok({
+      origin: origin && {
+        service: origin.service,
+        softwareVersion: origin.softwareVersion,
+      },
+    }));
+  }));
+  disposables.add(server.handle(exchangeMethod, (params) => {
     const state = leaderState();
-    if (!state) {
-      return Promise.resolve(
-        err(notRun("not-leader", "this instance is not the leader")),
-      );
+    if (!state) return Promise.resolve(err(notLeader()));
+    const { streams, ...report } = params;
+    ledger.recordReport(report);
+    for (const [request, service, softwareVersion, lifetime] of streams ?? []) {
+      const expiresAt = clock.deadlineIn(lifetime);
+      origins.record({ request, service, softwareVersion, expiresAt });
     }
-    ledger.recordReport(params);
     const grant = params.want && placeRequest(params, params.want, {
       ...options,
       state,
@@ -76,6 +98,7 @@
     const isNewRoutes = routes && routes.version > params.routesVersion;
     return Promise.resolve(ok({
       leader: name,
+      term: state.term,
       wall: clock.wall(),
       load: params.want ? undefined : ledger.entries(state.bulk),
       suspects: [...state.failing],
@@ -85,7 +108,12 @@
       grant,
       pauseMilliseconds: exchangeInterval(ledger.entryCount()),
     }));
-  });
+  }));
+  return disposables;
+}
+
+function notLeader() {
+  return notRun("not-leader", "this instance is not the leader");
 }
 
 /**
--- a/src/placement/exchange_test.ts
+++ b/src/placement/exchange_test.ts
@@ -3,6 +3,7 @@
 import { ENGINE_SLOTS, listedEngine } from "../../testing/listed_engine.ts";
 import { TestRandom } from "../../testing/test_random.ts";
 import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
+import type { Deadline } from "../common/mod.ts";
 import type { IControlClient } from "../consensus/mod.ts";
 import { SilentEventLog } from "../events/mod.ts";
 import { RoutesHolder } from "../service_routes/mod.ts";
@@ -15,7 +16,9 @@
   registerExchangeHandler,
 } from "./exchange_handler.ts";
 import { LoadLedger } from "./load_ledger.ts";
+import type { PlacementRequest } from "./messages.ts";
 import { Placer } from "./placer.ts";
+import { StreamOrigins } from "./stream_origins.ts";
 
 const ENGINES = ["one", "two"].map((id) => listedEngine(id));
 
@@ -28,7 +31,10 @@
   readonly bulk = new Map<string, number>();
   readonly preemptedEngines: string[] = [];
   listReads = 0;
+  /** Streams that the leader knows. */
+  origins = new StreamOrigins(this.clock);
   leaderState: ILeaderState | undefined = {
+    term: 1,
     list: { revision: "1", engines: ENGINES },
     listAge: 0,
     failing: new Set(),
@@ -42,6 +48,10 @@
       name: "store-1",
       clock: this.clock,
       ledger: this.ledger,
+      origins: {
+        find: (request) => this.origins.find(request),
+        record: (origin) => this.origins.record(origin),
+      },
       leaderState: () => this.leaderState,
       random: () => 0,
     });
@@ -59,9 +69,10 @@
     } as unknown as IControlClient;
     const health = new EngineHealth(clock, { events });
     const table = new EngineTable(clock, { events, health });
+    const origins = new StreamOrigins(clock);
     const exchange = new ExchangeClient(control, {
       ...{ instance: name, name, role: "entry" as const },
-      ...{ clock, events, table, health },
+      ...{ clock, events, table, health, origins },
       routes: new RoutesHolder({ events }),
       list: {
         read: () => {
@@ -73,11 +84,11 @@
     });
     exchange.start();
     const placer = new Placer(exchange, table, { random: () => 0 });
-    return { table, placer };
+    return { table, placer, exchange, origins };
   }
 
   /** Places a request and advances the clock until it is answered. */
-  async place(placer: Placer) {
+  async place(placer: Placer, changes: Partial<PlacementRequest> = {}) {
     const placed = placer.place({
       request: "request",
       service: "writer",
@@ -86,6 +97,7 @@
       remainingMilliseconds: 5_000,
       isReturned: false,
       excluded: [],
+      ...changes,
     });
     await this.time.advance(100);
     return await placed;
@@ -171,3 +183,58 @@
   t.is(exchangeInterval(98), 245);
   t.is(exchangeInterval(360), 900);
 });
+
+const ORIGIN = { service: "writer", softwareVersion: "v1" };
+
+function begin(origins: StreamOrigins, request: string): void {
+  const expiresAt = 60_000 as Deadline;
+  origins.record({ request, ...ORIGIN, expiresAt });
+}
+
+test("leader knows where streams of other entries began", async (t) => {
+  const fleet = new Fleet();
+  const first = fleet.entry("entry-1");
+  const second = fleet.entry("entry-2");
+  begin(first.origins, "stream");
+  await fleet.time.advance(200);
+  fleet.network.isolated.add("entry-1");
+  const known = second.exchange.findOrigin("stream");
+  const unknown = second.exchange.findOrigin("other");
+  await fleet.time.advance(100);
+  t.deepEqual(await known, ORIGIN);
+  t.is(await unknown, undefined);
+});
+
+test("a new leader receives the streams that began before", async (t) => {
+  const fleet = new Fleet();
+  const { origins, exchange } = fleet.entry("entry");
+  begin(origins, "stream");
+  await fleet.time.advance(500);
+  fleet.origins = new StreamOrigins(fleet.clock);
+  fleet.leaderState = { ...fleet.leaderState!, term: 2 };
+  await fleet.time.advance(500);
+  t.like(fleet.origins.find("stream"), ORIGIN);
+  fleet.network.isolated.add("leader");
+  const unanswered = exchange.findOrigin("stream");
+  await fleet.time.advance(1_000);
+  t.is(await unanswered, undefined);
+});
+
+// Guards against streams with events of two software versions (inc-defd).
+test("engine granted at another software version is not used", async (t) => {
+  const fleet = new Fleet();
+  const { placer, table } = fleet.entry("entry");
+  await fleet.time.advance(200);
+  // A leader of an earlier version of figroad ignores the software version.
+  const list = fleet.leaderState!.list;
+  fleet.leaderState = {
+    ...fleet.leaderState!,
+    list: {
+      ...list,
+      engines: list.engines.map((it) => ({ ...it, softwareVersion: "v2" })),
+    },
+  };
+  const placement = await fleet.place(placer, { softwareVersion: "v2" });
+  t.is(placement.kind, "no-engine");
+  t.is(table.ownLiveCounts().size, 0);
+});
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -26,6 +26,8 @@
   isReturned: z.boolean(),
   /** Engines that have failed this request. */
   excluded: z.array(z.string()),
+  /** Software version that the engine must have; any if absent. */
+  softwareVersion: z.string().optional(),
 });
 export type PlacementRequest = z.infer<typeof placementRequestSchema>;
 
@@ -43,6 +45,18 @@
 ]);
 export type PlacementDecision = z.infer<typeof placementDecisionSchema>;
 
+/**
+ * A stream that began: request, service, software version, and milliseconds for
+ * which it may still be resumed.
+ */
+export const reportedStreamSchema = z.tuple([
+  z.string(),
+  z.string(),
+  z.string(),
+  z.number(),
+]);
+export type ReportedStream = z.infer<typeof reportedStreamSchema>;
+
 /** Reports an instance's load to the leader and returns the fleet's state. */
 export const exchangeMethod = defineMethod("placement.exchange", {
   params: z.object({
@@ -67,12 +81,16 @@
     routesVersion: z.number(),
     /** Revision of the engine list that the instance has. */
     listRevision: z.string(),
+    /** Streams that began and that this leader has not received yet. */
+    streams: z.array(reportedStreamSchema).optional(),
     /** A request to place. */
     want: placementRequestSchema.optional(),
   }),
   result: z.object({
     /** Name of the leader's machine. */
     leader: z.string(),
+    /** Term of the leader; 0 from leaders that do not know the field. */
+    term: z.number().default(0),
     /** Wall time of the leader, in milliseconds since the Unix epoch. */
     wall: z.number(),
     /** Load of all engines; left out where a request is placed. */
@@ -89,5 +107,15 @@
     pauseMilliseconds: z.number(),
   }),
 });
+
+/** Asks the leader where a stream began. */
+export const findStreamMethod = defineMethod("placement.find-stream", {
+  params: z.object({ request: z.string() }),
+  result: z.object({
+    /** Absent if the leader does not know the stream. */
+    origin: z.object({ service: z.string(), softwareVersion: z.string() })
+      .optional(),
+  }),
+});
 export type ExchangeParams = z.infer<typeof exchangeMethod.params>;
 export type ExchangeResult = z.infer<typeof exchangeMethod.result>;
--- a/src/placement/mod.ts
+++ b/src/placement/mod.ts
@@ -9,4 +9,5 @@
 export * from "./messages.ts";
 export * from "./placement.ts";
 export * from "./placer.ts";
+export * from "./stream_origins.ts";
 export * from "./types.ts";
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -35,6 +35,8 @@
   readonly isReturned: boolean;
   /** Engines that have failed this request. */
   readonly excluded: ReadonlySet<string>;
+  /** Software version that the engine must have; any if absent. */
+  readonly softwareVersion?: string | undefined;
   /** Random number from 0 up to, not including, 1. */
   readonly random: number;
 }
@@ -53,8 +55,11 @@
   request: IPlacementInput,
   views: readonly IEngineView[],
 ): Placement {
+  const { excluded, softwareVersion } = request;
   const usable = views.filter(({ engine }) =>
-    !engine.isLeaving && !request.excluded.has(engine.id)
+    !engine.isLeaving && !excluded.has(engine.id) &&
+    (softwareVersion === undefined ||
+      engine.softwareVersion === softwareVersion)
   );
   const healthy = usable.filter((view) => !view.isSuspect);
   const candidates = healthy.length > 0 ? healthy : usable;
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -59,7 +59,11 @@
     if (!grant) return this.#placeLocally(request);
     if (grant.kind !== "engine") return grant;
     const engine = this.#table.engine(grant.engine);
-    if (engine) return { ...grant, engine, chosenBy: "leader" };
+    const { softwareVersion } = request;
+    // A leader of an earlier version of figroad ignores the software version.
+    const isSuitable = softwareVersion === undefined ||
+      engine?.softwareVersion === softwareVersion;
+    if (engine && isSuitable) return { ...grant, engine, chosenBy: "leader" };
     this.#table.endRequest(grant.engine);
     return this.#placeLocally(request);
   }
--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -72,6 +72,8 @@
       progress: IStreamProgress;
       limits: IAttemptLimits;
       isIdempotent: boolean;
+      /** Called before the first complete event is forwarded. */
+      onFirstEvent: () => void;
     },
   ): Promise<AttemptOutcome> {
     const { sink, progress, limits } = options;
@@ -103,7 +105,7 @@
     if (answer.status < 200 || answer.status > 299) {
       return await this.#bufferFailure(answer, limits);
     }
-    return await this.#relay(answer, request, { sink, progress, limits });
+    return await this.#relay(answer, request, options);
   }
 
   /** Forwards complete events on a stream route, else bytes as they arrive. */
@@ -114,6 +116,7 @@
       sink: IAnswerSink;
       progress: IStreamProgress;
       limits: IAttemptLimits;
+      onFirstEvent: () => void;
     },
   ): Promise<AttemptOutcome> {
     const { sink, progress, limits } = options;
@@ -136,7 +139,10 @@
         if (events.length === 0) continue;
         // The answer begins with the first complete event: until then, another
         // engine can still answer instead.
-        if (!sink.hasBegun) sink.begin(answer.status, streamHeaders(answer));
+        if (!sink.hasBegun) {
+          options.onFirstEvent();
+          sink.begin(answer.status, streamHeaders(answer));
+        }
         await sink.write(Buffer.concat(events.map((event) => event.bytes)));
         const id = events.findLast((event) => event.id !== undefined)?.id;
         progress.lastEventId = id ?? progress.lastEventId;
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -5,9 +5,11 @@
   EngineHealth,
   EngineTable,
   IPlacedRequest,
+  ListedEngine,
   Placer,
+  StreamOrigins,
 } from "../placement/mod.ts";
-import { chooseService } from "../service_routes/mod.ts";
+import { chooseService, type Route } from "../service_routes/mod.ts";
 import {
   attemptFailed,
   callerLeft,
@@ -23,6 +25,10 @@
   IStreamProgress,
   StreamAttempt,
 } from "./stream_attempt.ts";
+import type {
+  ResumptionTarget,
+  StreamOriginResolver,
+} from "./stream_origin_resolver.ts";
 import type { IAnswerSink, IForwardedRequest, ILocalFailure } from "./types.ts";
 
 /** Time allowed for the first event beyond the expected wait, in ms. */
@@ -40,6 +46,13 @@
 /** Time after which a caller may retry when no engine is available, in ms. */
 const NO_ENGINE_RETRY_MILLISECONDS = 500;
 
+/**
+ * Time beyond a request's deadline for which the origin of its stream is kept,
+ * in milliseconds. A caller may wait longer than the route's timeout, which
+ * limits the deadline.
+ */
+const ORIGIN_MARGIN_MILLISECONDS = 5_000;
+
 /** Dependencies of a `StreamDispatcher`. */
 export interface IStreamDispatcherOptions {
   readonly table: EngineTable;
@@ -48,6 +61,9 @@
   readonly clock: IClock;
   readonly events: IEventLog;
   readonly placer: Placer;
+  /** Streams that began on this instance. */
+  readonly origins: StreamOrigins;
+  readonly resolver: StreamOriginResolver;
   readonly failureDomain: string;
   /** Source of random numbers from 0 up to, not including, 1. */
   readonly random: () => number;
@@ -62,6 +78,9 @@
   readonly excluded: Set<string>;
   readonly progress: IStreamProgress;
   readonly isIdempotent: boolean;
+  service: string;
+  /** Software version that began the stream; undefined before its first event. */
+  softwareVersion: string | undefined;
   /** Number of engines on which the request may have run. */
   possibleRuns: number;
   sends: number;
@@ -86,30 +105,53 @@
       progress: { lastEventId: undefined, firstByteAt: undefined },
       isIdempotent: route.kind === "safe" ||
         route.kind === "stream" && route.isResumable,
+      service: chooseService(route, this.#options.random()),
+      softwareVersion: undefined,
       possibleRuns: 0,
       sends: 0,
     };
-    const service = chooseService(route, this.#options.random());
+    const isResumption = route.kind === "stream" &&
+      request.lastEventId !== undefined;
+    if (isResumption && !await this.#resolveOrigin(run)) return;
     while (!sink.signal.aborted) {
-      const placement = await this.#reserveSlot(run, service);
+      const placement = await this.#reserveSlot(run);
       if (!placement) return;
       const outcome = await this.#send(run, placement);
       if (outcome.kind === "answered") return;
       if (!this.#mayRetry(run, outcome)) return this.#endFailed(run, outcome);
     }
-    this.#options.events.emit(callerLeft, {
-      request: request.id,
-      milliseconds: this.#elapsed(run),
-    });
+    this.#reportCallerLeft(run);
+  }
+
+  /**
+   * Determines where the stream of a caller may go on; refuses the request if
+   * that is not known.
+   */
+  async #resolveOrigin(run: IRequestRun): Promise<boolean> {
+    const { resumedRequest, route } = run.request;
+    const { service, sink: { signal } } = run;
+    const resumption = { route, resumedRequest, service, signal };
+    const target = await this.#options.resolver.resolve(resumption);
+    if (target && mayServe(route, target)) {
+      run.service = target.service;
+      run.softwareVersion = target.softwareVersion;
+      return true;
+    }
+    if (signal.aborted) {
+      this.#reportCallerLeft(run);
+      return false;
+    }
+    const reason = target
+      ? "the route no longer uses the service that began the stream"
+      : "the software version that began the stream is not known";
+    this.#refuse(run, reason, NO_ENGINE_RETRY_MILLISECONDS);
+    return false;
   }
 
   /** Reserves an engine slot; answers the caller if there is none. */
-  async #reserveSlot(
-    run: IRequestRun,
-    service: string,
-  ): Promise<IPlacedRequest | undefined> {
-    const { placer, table, clock, failureDomain } = this.#options;
-    const { request } = run;
+  async #reserveSlot(run: IRequestRun): Promise<IPlacedRequest | undefined> {
+    const { placer, clock, failureDomain } = this.#options;
+    const { request, service, softwareVersion } = run;
     const remainingMilliseconds = clock.remaining(run.deadline);
     const placement = await placer.place({
       request: request.id,
@@ -119,8 +161,10 @@
       remainingMilliseconds,
       // A request that may have run gets the longer wait of a retry, so that
       // it is not refused after it has begun.
-      isReturned: request.isReturned || run.possibleRuns > 0,
+      isReturned: request.isReturned || run.possibleRuns > 0 ||
+        softwareVersion !== undefined,
       excluded: [...run.excluded],
+      softwareVersion,
     });
     if (placement.kind === "engine") return placement;
     const retryMilliseconds = placement.kind === "refused"
@@ -128,25 +172,34 @@
       : NO_ENGINE_RETRY_MILLISECONDS;
     const reason = placement.kind === "refused"
       ? "no slot is expected to become free in time"
-      : "no engine is known that may take the request";
+      : softwareVersion === undefined
+      ? "no engine is known that may take the request"
+      : "no engine of the stream's software version may take the request";
     if (run.possibleRuns > 0) {
       this.#fail(run, { kind: "failed", reason });
       return undefined;
     }
+    this.#refuse(run, reason, retryMilliseconds);
+    return undefined;
+  }
+
+  /** Refuses a request that has not run. */
+  #refuse(run: IRequestRun, reason: string, retryMilliseconds: number): void {
+    const { table, clock, events } = this.#options;
+    const { request, service } = run;
     const views = table.views(service);
-    this.#options.events.emit(requestRefused, {
+    events.emit(requestRefused, {
       request: request.id,
       route: request.route.name,
       service,
       reason,
       retryMilliseconds: Math.round(retryMilliseconds),
-      remainingMilliseconds: Math.round(remainingMilliseconds),
+      remainingMilliseconds: Math.round(clock.remaining(run.deadline)),
       engines: views.length,
       live: views.reduce((sum, { live }) => sum + live, 0),
       bulk: views.reduce((sum, { bulk }) => sum + bulk, 0),
     });
     run.sink.fail({ kind: "refused", reason, retryMilliseconds });
-    return undefined;
   }
 
   async #send(
@@ -181,6 +234,7 @@
         progress,
         isIdempotent,
         limits: this.#limits(run, waitMilliseconds),
+        onFirstEvent: () => this.#recordOrigin(run, engine),
       });
       const milliseconds = clock.monotonic() - startedAt;
       match(outcome)
@@ -211,6 +265,24 @@
     }
   }
 
+  /** Records where a stream begins, before its caller can resume it. */
+  #recordOrigin(run: IRequestRun, engine: ListedEngine): void {
+    const { origins, clock } = this.#options;
+    const { request } = run;
+    const { service, softwareVersion } = engine;
+    run.softwareVersion ??= softwareVersion;
+    const isNamed = request.lastEventId === undefined ||
+      request.resumedRequest !== undefined;
+    if (!request.route.isResumable || !isNamed) return;
+    origins.record({
+      request: request.resumedRequest ?? request.id,
+      ...{ service, softwareVersion },
+      expiresAt: clock.deadlineIn(
+        clock.remaining(request.deadline) + ORIGIN_MARGIN_MILLISECONDS,
+      ),
+    });
+  }
+
   #limits(run: IRequestRun, waitMilliseconds: number): IAttemptLimits {
     const { clock } = this.#options;
     const { route } = run.request;
@@ -252,13 +324,7 @@
       run.sink.end();
       return this.#reportAnswer(run, "", answer.status);
     }
-    if (run.sink.signal.aborted) {
-      this.#options.events.emit(callerLeft, {
-        request: run.request.id,
-        milliseconds: this.#elapsed(run),
-      });
-      return;
-    }
+    if (run.sink.signal.aborted) return this.#reportCallerLeft(run);
     if (run.possibleRuns === 0) {
       const retryMilliseconds = NO_ENGINE_RETRY_MILLISECONDS;
       return this.#fail(run, { kind: "refused", reason, retryMilliseconds });
@@ -293,6 +359,13 @@
     });
   }
 
+  #reportCallerLeft(run: IRequestRun): void {
+    this.#options.events.emit(callerLeft, {
+      request: run.request.id,
+      milliseconds: this.#elapsed(run),
+    });
+  }
+
   #elapsed(run: IRequestRun): number {
     return Math.round(this.#options.clock.monotonic() - run.startedAt);
   }
@@ -305,3 +378,9 @@
 function mayForward({ status }: IBufferedAnswer): boolean {
   return ![408, 421, 429, 503].includes(status);
 }
+
+function mayServe(route: Route, { service }: ResumptionTarget): boolean {
+  return route.shares.some((share) =>
+    share.service === service && share.weight > 0
+  );
+}
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -9,10 +9,16 @@
 import { listedEngine } from "../../testing/listed_engine.ts";
 import { SystemClock } from "../common/mod.ts";
 import { SilentEventLog } from "../events/mod.ts";
-import { EngineHealth, EngineTable, Placer } from "../placement/mod.ts";
+import {
+  EngineHealth,
+  EngineTable,
+  Placer,
+  StreamOrigins,
+} from "../placement/mod.ts";
 import type { Route } from "../service_routes/mod.ts";
 import { StreamAttempt } from "./stream_attempt.ts";
 import { StreamDispatcher } from "./stream_dispatcher.ts";
+import { StreamOriginResolver } from "./stream_origin_resolver.ts";
 import type { IForwardedRequest } from "./types.ts";
 
 const EVENTS = 6;
@@ -66,10 +72,15 @@
     ),
   };
   table.updateList(list, { age: 0, source: "leader" });
+  const origins = new StreamOrigins(clock);
   const engines = new FakeEngines(scripts);
   const sink = new FakeSink();
   const dispatcher = new StreamDispatcher({
-    ...{ table, health, clock, events },
+    ...{ table, health, clock, events, origins },
+    resolver: new StreamOriginResolver({
+      ...{ origins, table, clock },
+      leader: { findOrigin: () => Promise.resolve(undefined) },
+    }),
     attempt: new StreamAttempt(engines, clock),
     failureDomain: "a",
     random: () => 0,
