Resume batch items only at the software version that began them

What callers could get: a result whose text was begun by one software version of an engine and continued by another.

Cause: an item resumes after its last event at any engine of its service, and the log does not say which version made its progress.

Change: the progress of an item names its software version, in memory and in the log. An item resumes at that version; while such an engine serves, it waits up to 5 s for a slot there, and otherwise starts again from its first event, which is logged (1160). A write of progress that was under way when an item started again no longer changes its counts. Starts that no waiting item can use go to engines that some item can use.

--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -6,9 +6,11 @@
 import type { Route, RouteTable } from "../service_routes/mod.ts";
 import { type IBulkEngine, missingSlots, planBulk } from "./bulk_schedule.ts";
 import type { BulkSection } from "./bulk_section.ts";
+import { EngineVersions } from "./engine_versions.ts";
 import {
   itemFailed,
   itemRecorded,
+  itemRestarted,
   itemStarted,
   itemYielded,
   jobsForgotten,
@@ -16,6 +18,7 @@
   runnerStopped,
 } from "./events.ts";
 import type { IItemExecutor, ItemOutcome } from "./item_run.ts";
+import { assignItems } from "./item_assignment.ts";
 import { bulkSection } from "./messages.ts";
 import { type IPendingItem, PendingItems } from "./pending_items.ts";
 import { ProgressWriter } from "./progress_writer.ts";
@@ -45,6 +48,9 @@
 /** Time within which results are due if the route does not set it, in ms. */
 const DEFAULT_RESULT_MILLISECONDS = 60_000;
 
+/** Longest wait for an engine that can resume an item, in milliseconds. */
+const VERSION_WAIT_MILLISECONDS = 5_000;
+
 /** Dependencies of a `BulkRunner`. */
 export interface IBulkRunnerOptions {
   readonly log: IReplicatedLog;
@@ -133,20 +139,25 @@
       wall,
       monotonic: clock.monotonic(),
     });
-    const { preemptions, starts } = planBulk(
-      engines,
-      waiting.length,
-    );
+    const versions = new EngineVersions(engines);
+    for (const item of waiting) {
+      item.versionDeadline ??= clock.deadlineIn(VERSION_WAIT_MILLISECONDS);
+    }
+    const { preemptions, starts } = planBulk(engines, waiting.length);
     const loads = new Map(engines.map((it) => [it.engine.id, it]));
     for (const [engine, count] of preemptions) {
       const load = loads.get(engine);
       if (load) this.#preempt(load, count);
     }
-    for (const engine of starts) {
-      const position = waiting.findIndex((it) => this.#canServe(it, engine));
-      const [item] = position === -1 ? [] : waiting.splice(position, 1);
+    const assignments = assignItems(
+      { starts, engines },
+      waiting,
+      (item, engine) => this.#canServe(item, engine, versions),
+    );
+    for (const { item, engine } of assignments) {
       const live = loads.get(engine.id)?.live ?? 0;
-      if (item) void this.#start(item, { engine, live });
+      if (!versions.mayResume(item, engine)) this.#restart(item, engine);
+      void this.#start(item, { engine, live });
     }
   }
 
@@ -166,11 +177,24 @@
     return this.#options.routes()?.find(held.job.host, held.job.path);
   }
 
-  #canServe({ job }: IPendingItem, engine: ListedEngine): boolean {
-    const route = this.#route(job);
-    return route?.shares.some(({ service, weight }) =>
-      service === engine.service && weight > 0
-    ) ?? false;
+  /**
+   * Whether an item may run at an engine. While an engine serves that can
+   * resume the item, it waits a while rather than start again elsewhere.
+   */
+  #canServe(
+    pending: IPendingItem,
+    engine: ListedEngine,
+    versions: EngineVersions,
+  ): boolean {
+    const route = this.#route(pending.job);
+    const isOnRoute =
+      route?.shares.some(({ service, weight }) =>
+        service === engine.service && weight > 0
+      ) ?? false;
+    if (!isOnRoute || versions.mayResume(pending, engine)) return isOnRoute;
+    const waitEnd = pending.versionDeadline;
+    const waits = waitEnd !== undefined && !this.#options.clock.isPast(waitEnd);
+    return !(waits && versions.isServing(pending));
   }
 
   /** Marks items as dead that have expired or whose route no longer exists. */
@@ -234,13 +258,28 @@
     }
   }
 
+  /** Discards the progress of an item that no engine of its version can run. */
+  #restart(pending: IPendingItem, engine: ListedEngine): void {
+    this.#options.events.emit(itemRestarted, {
+      request: pending.item.id,
+      job: pending.job.job.id,
+      from: pending.softwareVersion,
+      to: engine.softwareVersion,
+      events: pending.progress.data.length,
+    });
+    this.#items.discardProgress(pending);
+  }
+
   async #start(
     pending: IPendingItem,
     load: { engine: ListedEngine; live: number },
   ): Promise<void> {
     const { executor, clock, events } = this.#options;
-    const { item, job, progress } = pending;
+    const { item, job } = pending;
     const { engine, live } = load;
+    pending.softwareVersion = engine.softwareVersion;
+    pending.versionDeadline = undefined;
+    const { progress } = pending;
     const { signal } = this.#items.begin(pending, engine.id);
     events.emit(itemStarted, {
       request: item.id,
@@ -248,6 +287,7 @@
       engine: engine.id,
       live,
       bulk: this.load.get(engine.id) ?? 0,
+      softwareVersion: engine.softwareVersion,
       lastEventId: progress.lastEventId,
     });
     const startedAt = clock.monotonic();
--- a/src/bulk/bulk_section.ts
+++ b/src/bulk/bulk_section.ts
@@ -226,7 +226,7 @@
 
   /** Appends events to an item's progress; ignores a delta after a gap. */
   #appendProgress(delta: ProgressDelta): void {
-    const { job, item, from, data, lastEventId } = delta;
+    const { job, item, from, data, lastEventId, softwareVersion } = delta;
     const state = this.#jobs.get(job);
     if (!state || state.withResult.has(item) || !state.items.has(item)) return;
     const { held } = state;
@@ -238,6 +238,7 @@
       item,
       data: [...before.slice(0, from), ...data],
       lastEventId,
+      softwareVersion,
     };
     held.progress = [...held.progress.filter((it) => it !== known), next];
   }
--- a/src/bulk/events.ts
+++ b/src/bulk/events.ts
@@ -39,10 +39,29 @@
     engine: z.string(),
     live: z.number(),
     bulk: z.number(),
+    /** Version of the engine's software. */
+    softwareVersion: z.string(),
     lastEventId: z.string().optional(),
   },
 });
 
+export const itemRestarted = defineEvent(1160, "bulk-item-restarted", {
+  level: "info",
+  help: "An item starts again without its progress, because no engine of the " +
+    "software version that made the progress could run it. Events of two " +
+    "versions do not fit together.",
+  fields: {
+    request: z.string(),
+    job: z.string(),
+    /** Software version that made the progress. */
+    from: z.string().optional(),
+    /** Software version of the engine of the next run. */
+    to: z.string(),
+    /** Number of events that were discarded. */
+    events: z.number(),
+  },
+});
+
 export const itemYielded = defineEvent(1153, "bulk-item-yielded", {
   level: "info",
   help: "An item was preempted by live requests; it resumes later after the " +
--- /dev/null
+++ b/src/bulk/item_assignment.ts
@@ -0,0 +1,63 @@
+import type { ListedEngine } from "../placement/mod.ts";
+import type { IBulkEngine } from "./bulk_schedule.ts";
+
+/** An item and the engine that is to run it. */
+export interface IAssignment<T> {
+  readonly item: T;
+  readonly engine: ListedEngine;
+}
+
+/**
+ * Assigns items to the planned starts, in the order of the items.
+ *
+ * A start whose engine no waiting item can use goes to another engine with a
+ * free slot, so that an item that needs a certain software version does not
+ * wait while engines of other versions have more free slots.
+ */
+export function assignItems<T>(
+  plan: {
+    readonly starts: readonly ListedEngine[];
+    readonly engines: readonly IBulkEngine[];
+  },
+  items: readonly T[],
+  canUse: (item: T, engine: ListedEngine) => boolean,
+): IAssignment<T>[] {
+  const waiting = [...items];
+  const assignments: IAssignment<T>[] = [];
+  for (const engine of plan.starts) {
+    const position = waiting.findIndex((item) => canUse(item, engine));
+    const [item] = position === -1 ? [] : waiting.splice(position, 1);
+    if (item !== undefined) assignments.push({ item, engine });
+  }
+  let unused = plan.starts.length - assignments.length;
+  if (unused === 0) return assignments;
+  const free = new Map(
+    plan.engines
+      .filter(({ engine, isSuspect }) => !engine.isLeaving && !isSuspect)
+      .map(({ engine, live, bulk }) => [engine, engine.slots - live - bulk]),
+  );
+  for (const { engine } of assignments) {
+    free.set(engine, (free.get(engine) ?? 0) - 1);
+  }
+  for (const item of waiting) {
+    if (unused === 0) break;
+    const engine = freest(free, (candidate) => canUse(item, candidate));
+    if (!engine) continue;
+    assignments.push({ item, engine });
+    free.set(engine, (free.get(engine) ?? 0) - 1);
+    unused -= 1;
+  }
+  return assignments;
+}
+
+function freest(
+  free: ReadonlyMap<ListedEngine, number>,
+  isUsable: (engine: ListedEngine) => boolean,
+): ListedEngine | undefined {
+  let best: ListedEngine | undefined;
+  for (const [engine, slots] of free) {
+    const isBetter = slots > (best ? free.get(best) ?? 0 : 0);
+    if (isBetter && isUsable(engine)) best = engine;
+  }
+  return best;
+}
--- a/src/bulk/messages.ts
+++ b/src/bulk/messages.ts
@@ -2,7 +2,12 @@
 import { defineMethod } from "../rpc/mod.ts";
 import { listedEngineSchema } from "../placement/mod.ts";
 import { itemOutcomeSchema } from "./item_run.ts";
-import { bulkItemSchema, bulkJobSchema, bulkResultSchema } from "./types.ts";
+import {
+  bulkItemSchema,
+  bulkJobSchema,
+  bulkResultSchema,
+  itemProgressSchema,
+} from "./types.ts";
 
 /** Events that an item has received since its progress was last written. */
 export const progressDeltaSchema = z.object({
@@ -12,6 +17,7 @@
   from: z.number(),
   data: z.array(z.string()),
   lastEventId: z.string(),
+  softwareVersion: itemProgressSchema.shape.softwareVersion,
 });
 export type ProgressDelta = z.infer<typeof progressDeltaSchema>;
 
--- a/src/bulk/pending_items.ts
+++ b/src/bulk/pending_items.ts
@@ -1,3 +1,4 @@
+import type { Deadline } from "../common/mod.ts";
 import type { BulkItem, HeldJob } from "./types.ts";
 import { rankItems } from "./bulk_schedule.ts";
 import type { BulkSection } from "./bulk_section.ts";
@@ -17,7 +18,9 @@
   readonly key: string;
   readonly item: BulkItem;
   readonly job: HeldJob;
-  readonly progress: IItemProgress;
+  progress: IItemProgress;
+  /** Software version that made the progress; undefined if it is not known. */
+  softwareVersion: string | undefined;
   /** Wall time by which the result is due. */
   readonly dueAt: number;
   /** Number of answers in which an engine reported a failure of the item. */
@@ -26,6 +29,8 @@
   notBefore: number;
   activeRun: IActiveRun | undefined;
   isRecording: boolean;
+  /** Time until which the item waits for an engine of its software version. */
+  versionDeadline: Deadline | undefined;
   /** Number of events whose data is in the log. */
   writtenEvents: number;
 }
@@ -66,8 +71,10 @@
           data: [...(written?.data ?? [])],
           lastEventId: written?.lastEventId,
         },
+        softwareVersion: written?.softwareVersion,
         failures: 0,
         notBefore: 0,
+        versionDeadline: undefined,
         activeRun: undefined,
         isRecording: false,
         writtenEvents: written?.data.length ?? 0,
@@ -93,6 +100,12 @@
     this.#knownJobs.delete(job);
   }
 
+  /** Discards the progress of an item, so that its next run starts again. */
+  discardProgress(pending: IPendingItem): void {
+    pending.progress = { data: [], lastEventId: undefined };
+    pending.writtenEvents = 0;
+  }
+
   begin(pending: IPendingItem, engine: string): AbortController {
     const abort = new AbortController();
     pending.activeRun = { engine, abort, isStopping: false };
--- a/src/bulk/progress_writer.ts
+++ b/src/bulk/progress_writer.ts
@@ -52,14 +52,17 @@
     );
     if (advanced.length === 0) return;
     const deltas = advanced.map(progressDelta);
+    const written = advanced.map(({ progress }) => progress);
     const deadline = this.#clock.deadlineIn(COMMIT_TIMEOUT_MILLISECONDS);
     const command = { kind: "progress", deltas };
-    const written = await this.#log.propose(bulkSection.name, command, {
+    const committed = await this.#log.propose(bulkSection.name, command, {
       deadline,
     });
     // After a failure, the next write begins at the same event again.
-    if (written.isErr()) return;
+    if (committed.isErr()) return;
     advanced.forEach((pending, position) => {
+      // The item may have started again in the meantime.
+      if (pending.progress !== written[position]) return;
       const { from, data } = deltas[position] as ProgressDelta;
       pending.writtenEvents = from + data.length;
     });
@@ -68,12 +71,13 @@
 
 /** Returns the events received since the progress was last written. */
 function progressDelta(pending: IPendingItem): ProgressDelta {
-  const { job, item, progress, writtenEvents } = pending;
+  const { job, item, progress, writtenEvents, softwareVersion } = pending;
   return {
     job: job.job.id,
     item: item.id,
     from: writtenEvents,
     data: progress.data.slice(writtenEvents),
     lastEventId: progress.lastEventId ?? "",
+    softwareVersion,
   };
 }
--- a/src/bulk/types.ts
+++ b/src/bulk/types.ts
@@ -40,6 +40,11 @@
   data: z.array(z.string()),
   /** Identifier of the event after which the next run resumes. */
   lastEventId: z.string(),
+  /**
+   * Software version of the engines that made the events. Absent in progress
+   * that earlier versions of figroad wrote.
+   */
+  softwareVersion: z.string().optional(),
 });
 export type ItemProgress = z.infer<typeof itemProgressSchema>;
 
