--- a/src/streams/events.ts
+++ b/src/streams/events.ts
@@ -56,6 +56,8 @@
     attempt: z.number(),
     verdict: z.string(),
     reason: z.string(),
+    /** Prompt parts that the request shares with others. */
+    promptParts: z.array(z.string()),
     lastEventId: z.string().optional(),
     milliseconds: z.number(),
   },
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -254,6 +254,7 @@
             attempt: run.sends,
             verdict: failed.verdict,
             reason: failed.reason,
+            promptParts: [...request.promptParts],
             lastEventId: progress.lastEventId,
             milliseconds: Math.round(milliseconds),
           });
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -101,6 +101,7 @@
       deadline: clock.deadlineIn(5_000),
       routeDeadline: clock.deadlineIn(5_000),
       isReturned: false,
+      promptParts: [],
       lastEventId: undefined,
       resumedRequest: undefined,
       ...changes,
--- a/src/streams/types.ts
+++ b/src/streams/types.ts
@@ -22,6 +22,8 @@
   readonly routeDeadline: Deadline;
   /** Whether this is probably a retry after a refusal. */
   readonly isReturned: boolean;
+  /** Identifiers of the prompt parts that it shares with other requests. */
+  readonly promptParts: readonly string[];
   /** Identifier of the event after which the caller resumes a stream. */
   readonly lastEventId: string | undefined;
   /** Attempt of the caller in which the resumed stream began. */
