--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -89,6 +89,10 @@
   refusalStatus: number | undefined;
   /** Id of the event before which the next answer is interrupted. */
   breakBefore: number | undefined;
+  /** Prompt part on which the engine crashes as it begins to answer. */
+  crashPart: string | undefined;
+  /** Ids of the requests under which the engine crashed. */
+  readonly crashes: string[] = [];
   /** Promise that answers await after each event, if set. */
   eventGate: Promise<void> | undefined;
   #events: number;
@@ -111,6 +115,12 @@
         response.writeHead(refusal, { "Not-Run": "1" }).end();
         return;
       }
+      const parts = String(incoming.headers["prefix-hash"] ?? "").split(",");
+      if (parts.some((part) => part.split(":")[0] === this.crashPart)) {
+        this.crashes.push(requestId);
+        incoming.socket.destroy();
+        return;
+      }
       const after = Number(incoming.headers["last-event-id"] ?? 0);
       response.writeHead(200, {
         "Request-Id": requestId,
--- a/testing/start_platform_fleet.ts
+++ b/testing/start_platform_fleet.ts
@@ -39,10 +39,13 @@
   return answer as IAnswer;
 }
 
-/** Starts a configured fleet of two entries, three stores and two engines. */
-export async function startPlatformFleet(): Promise<PlatformFleet> {
-  const engines = ["i-0", "i-1"].map((id) =>
-    new StreamEngine(id, ANSWER_EVENTS)
+/** Starts a configured fleet of two entries, three stores and some engines. */
+export async function startPlatformFleet(
+  engineCount = 2,
+): Promise<PlatformFleet> {
+  const engines = Array.from(
+    { length: engineCount },
+    (_, index) => new StreamEngine(`i-${index}`, ANSWER_EVENTS),
   );
   const fleet = new PlatformFleet(engines);
   await fleet.start(2);
