Quarantine prompt parts that crash engines

Cause: each failed request was sent to another engine as if the engine were at fault, and nobody compared the requests under which engines crashed. Class of fault: a request that is at fault itself is treated as a fault of the engine.

Change: entries report runs that engines broke off, with the prompt parts of the request, and how many requests were answered. The leader puts a part in quarantine after five crashes under at least two requests, if none of its requests was answered in the last minute although about three would have been. It first asks all entries about suspects for 500 ms. Crashes that a harmful part explains do not count against others, and of parts in the same crashes the more specific one is taken, so a shared first part stays innocent. Entries receive the parts with each exchange, refuse such requests as not run and do not repeat them; they keep the parts while out of touch and hand them to a new leader. An answer releases a part; otherwise it is released after ten minutes.

--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -2,6 +2,7 @@
 import type { IClock, IDisposable } from "../common/mod.ts";
 import type { IControlClient } from "../consensus/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
+import type { PartMonitor } from "../quarantine/mod.ts";
 import type { RoutesHolder } from "../service_routes/mod.ts";
 import { ClockOffsetMonitor } from "./clock_offset_monitor.ts";
 import type { EngineHealth } from "./engine_health.ts";
@@ -59,6 +60,8 @@
   readonly list: IEngineListSource;
   /** Streams that this instance reports; absent on stores. */
   readonly origins?: StreamOrigins;
+  /** Prompt parts that this instance reports; absent on stores. */
+  readonly parts?: PartMonitor;
   /** Source of random numbers from 0 up to, not including, 1. */
   readonly random: () => number;
   /**
@@ -156,7 +159,7 @@
     timeout: number,
     want?: PlacementRequest,
   ): Promise<PlacementDecision | undefined> {
-    const { clock, table, health, routes, origins } = this.#options;
+    const { clock, table, health, routes, origins, parts } = this.#options;
     const { instance, name, role } = this.#options;
     const reported = table.ownLiveCounts();
     this.#sequence += 1;
@@ -164,6 +167,7 @@
     const sentAt = clock.wall();
     const startedAt = clock.monotonic();
     const streams = origins?.unreported(this.#leaderTerm) ?? [];
+    const report = parts?.report(this.#leaderTerm);
     const answer = await this.#control.call(exchangeMethod, {
       ...{ instance, name, role, sequence, want },
       answered: this.#lastAnswered,
@@ -178,6 +182,7 @@
         softwareVersion,
         Math.round(clock.remaining(expiresAt)),
       ]),
+      parts: report?.message,
       routesVersion: routes.version,
       listRevision: table.revision,
     }, { deadline: clock.deadlineIn(timeout) });
@@ -192,6 +197,8 @@
     const listAge = answer.value.listAge + clock.monotonic() - startedAt;
     this.#leaderTerm = term;
     origins?.markReported(streams, term);
+    const verdicts = answer.value.parts;
+    if (report && verdicts) parts?.applyVerdicts(verdicts, { term, report });
     this.#interval = answer.value.pauseMilliseconds;
     if (answer.value.routes) routes.setIfNewer(answer.value.routes);
     if (list) table.updateList(list, { age: listAge, source: "leader" });
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -6,6 +6,7 @@
   type IDisposable,
   notRun,
 } from "../common/mod.ts";
+import type { PartJudge } from "../quarantine/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
 import type { RouteSet } from "../service_routes/mod.ts";
 import type { LoadLedger } from "./load_ledger.ts";
@@ -56,6 +57,7 @@
   readonly ledger: LoadLedger;
   /** Streams that instances have reported. */
   readonly origins: Pick<StreamOrigins, "find" | "record">;
+  readonly judge: Pick<PartJudge, "receive">;
   /** Returns undefined on an instance that does not lead. */
   readonly leaderState: () => ILeaderState | undefined;
   /** Source of random numbers from 0 up to, not including, 1. */
@@ -67,7 +69,7 @@
   server: IRpcServer,
   options: IExchangeHandlerOptions,
 ): IDisposable {
-  const { ledger, origins, leaderState, name, clock } = options;
+  const { ledger, origins, judge, leaderState, name, clock } = options;
   const disposables = new DisposableStore();
   disposables.add(server.handle(findStreamMethod, ({ request }) => {
     if (!leaderState()) return Promise.resolve(err(notLeader()));
@@ -82,7 +84,7 @@
   disposables.add(server.handle(exchangeMethod, (params) => {
     const state = leaderState();
     if (!state) return Promise.resolve(err(notLeader()));
-    const { streams, ...report } = params;
+    const { streams, parts, ...report } = params;
     ledger.recordReport(report);
     for (const [request, service, softwareVersion, lifetime] of streams ?? []) {
       const expiresAt = clock.deadlineIn(lifetime);
@@ -105,6 +107,7 @@
       listAge: state.listAge,
       list: isNewList ? list : undefined,
       routes: isNewRoutes ? routes : undefined,
+      parts: parts && judge.receive(params.instance, parts),
       grant,
       pauseMilliseconds: exchangeInterval(ledger.entryCount()),
     }));
--- a/src/placement/exchange_test.ts
+++ b/src/placement/exchange_test.ts
@@ -6,6 +6,7 @@
 import type { Deadline } from "../common/mod.ts";
 import type { IControlClient } from "../consensus/mod.ts";
 import { SilentEventLog } from "../events/mod.ts";
+import { PartJudge } from "../quarantine/mod.ts";
 import { RoutesHolder } from "../service_routes/mod.ts";
 import { EngineHealth } from "./engine_health.ts";
 import { EngineTable } from "./engine_table.ts";
@@ -46,6 +47,7 @@
   constructor() {
     registerExchangeHandler(this.network.connect("leader", this.clock), {
       name: "store-1",
+      judge: new PartJudge(this.clock, { events: new SilentEventLog() }),
       clock: this.clock,
       ledger: this.ledger,
       origins: {
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { partReportSchema, partVerdictsSchema } from "../quarantine/mod.ts";
 import { defineMethod } from "../rpc/mod.ts";
 import { routeSetSchema } from "../service_routes/mod.ts";
 import { listedEngineSchema } from "./types.ts";
@@ -83,6 +84,8 @@
     listRevision: z.string(),
     /** Streams that began and that this leader has not received yet. */
     streams: z.array(reportedStreamSchema).optional(),
+    /** Broken and answered prompt parts; absent from stores. */
+    parts: partReportSchema.optional(),
     /** A request to place. */
     want: placementRequestSchema.optional(),
   }),
@@ -101,6 +104,8 @@
     listAge: z.number(),
     list: engineListSchema.optional(),
     routes: routeSetSchema.optional(),
+    /** Prompt parts in quarantine; absent if the call had no report. */
+    parts: partVerdictsSchema.optional(),
     /** Decision about `want`, if the call had it. */
     grant: placementDecisionSchema.optional(),
     /** Interval until the next exchange, in milliseconds. */
--- /dev/null
+++ b/src/quarantine/mod.ts
@@ -0,0 +1,4 @@
+export * from "./messages.ts";
+export * from "./part_judge.ts";
+export * from "./part_monitor.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/src/quarantine/part_judge.ts
@@ -0,0 +1,160 @@
+import type { Deadline, IClock } from "../common/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
+import { Completions } from "./completions.ts";
+import { partQuarantined, partReleased } from "./events.ts";
+import { findHarmfulParts, findSuspects } from "./find_harmful_parts.ts";
+import type { PartReport, PartVerdicts } from "./messages.ts";
+import type { IBrokenRun, IPartObserver, IQuarantineEntry } from "./types.ts";
+
+/** Time for which broken runs are considered, in milliseconds. */
+const BROKEN_RUN_LIFETIME_MILLISECONDS = 60_000;
+
+/** Maximum number of broken runs that are considered, the newest ones. */
+const MAXIMUM_BROKEN_RUNS = 2_000;
+
+/**
+ * Time for which instances are asked about a part before it is quarantined, in
+ * milliseconds: two exchanges of an instance in the largest fleets.
+ */
+const HEARING_MILLISECONDS = 500;
+
+/** Time for which a part stays in quarantine, in milliseconds. */
+const QUARANTINE_MILLISECONDS = 600_000;
+
+/** Interval between two evaluations of the broken runs, in milliseconds. */
+const EVALUATION_INTERVAL_MILLISECONDS = 50;
+
+/** Time without a report after which an instance's count is dropped. */
+const REPORT_LIFETIME_MILLISECONDS = 1_500;
+
+/**
+ * Decides on the leader which prompt parts crash engines, from the broken and
+ * the answered requests of all instances. Requests with such parts are refused
+ * everywhere.
+ */
+export class PartJudge implements IPartObserver {
+  #clock: IClock;
+  #events: IEventLog;
+  #completions: Completions;
+  #brokenRuns: IBrokenRun[] = [];
+  /** Completed requests that instances have reported. */
+  #completedRequests = new Map<string, { count: number; until: Deadline }>();
+  /** Suspects, with the time until which instances are asked about them. */
+  #hearings = new Map<string, Deadline>();
+  #quarantined = new Map<string, Deadline>();
+  #nextEvaluation = 0 as Deadline;
+
+  constructor(clock: IClock, options: { events: IEventLog }) {
+    this.#clock = clock;
+    this.#events = options.events;
+    this.#completions = new Completions(clock);
+  }
+
+  recordBrokenRun(run: Omit<IBrokenRun, "brokenAt">): void {
+    if (run.parts.length === 0) return;
+    this.#add({ ...run, brokenAt: this.#clock.monotonic() as Deadline });
+  }
+
+  recordCompletion(parts: readonly string[]): void {
+    this.#completions.record(parts);
+    this.#release(parts);
+  }
+
+  findQuarantined(parts: readonly string[]): IQuarantineEntry | undefined {
+    for (const part of parts) {
+      const expiresAt = this.#quarantined.get(part);
+      if (expiresAt === undefined) continue;
+      if (!this.#clock.isPast(expiresAt)) return { part, expiresAt };
+    }
+    return undefined;
+  }
+
+  /** Receives the report of an instance; returns the answer to it. */
+  receive(instance: string, report: PartReport): PartVerdicts {
+    const now = this.#clock.monotonic();
+    for (const { ageMilliseconds, ...run } of report.brokenRuns) {
+      this.#add({ ...run, brokenAt: now - ageMilliseconds as Deadline });
+    }
+    this.#completedRequests.set(instance, {
+      count: report.completedRequests,
+      until: this.#clock.deadlineIn(REPORT_LIFETIME_MILLISECONDS),
+    });
+    for (const [part, milliseconds] of report.quarantined ?? []) {
+      if (this.#quarantined.has(part)) continue;
+      this.#quarantined.set(part, this.#clock.deadlineIn(milliseconds));
+    }
+    this.#completions.clear(report.clearedParts);
+    this.#release(report.clearedParts);
+    this.#evaluate();
+    return {
+      suspects: [...this.#hearings.keys()],
+      quarantined: [...this.#quarantined].map((
+        [part, expiresAt],
+      ) => [part, Math.round(this.#clock.remaining(expiresAt))]),
+    };
+  }
+
+  #add(run: IBrokenRun): void {
+    const isKnown = this.#brokenRuns.some(({ request, engine }) =>
+      request === run.request && engine === run.engine
+    );
+    if (isKnown) return;
+    this.#brokenRuns.push(run);
+    if (this.#brokenRuns.length > MAXIMUM_BROKEN_RUNS) this.#brokenRuns.shift();
+  }
+
+  #evaluate(): void {
+    if (!this.#clock.isPast(this.#nextEvaluation)) return;
+    this.#nextEvaluation = this.#clock.deadlineIn(
+      EVALUATION_INTERVAL_MILLISECONDS,
+    );
+    this.#removeExpired();
+    const isCleared = (part: string) => this.#completions.isCleared(part);
+    const isQuarantined = (part: string) => this.#quarantined.has(part);
+    const suspects = findSuspects(this.#brokenRuns, { isCleared });
+    this.#hearings = new Map(suspects.map((part) => [
+      part,
+      this.#hearings.get(part) ?? this.#clock.deadlineIn(HEARING_MILLISECONDS),
+    ]));
+    const counts = [...this.#completedRequests.values()];
+    const harmful = findHarmfulParts(this.#brokenRuns, {
+      ...{ isCleared, isQuarantined },
+      completedRequests: counts.reduce(
+        (sum, { count }) => sum + count,
+        this.#completions.count,
+      ),
+    });
+    for (const { part, crashes, requests } of harmful) {
+      const hearing = this.#hearings.get(part);
+      if (!hearing || !this.#clock.isPast(hearing)) continue;
+      const expiresAt = this.#clock.deadlineIn(QUARANTINE_MILLISECONDS);
+      this.#quarantined.set(part, expiresAt);
+      this.#events.emit(partQuarantined, {
+        ...{ part, crashes: crashes.size, requests: requests.size },
+        milliseconds: QUARANTINE_MILLISECONDS,
+      });
+    }
+  }
+
+  #removeExpired(): void {
+    const earliest = this.#clock.monotonic() - BROKEN_RUN_LIFETIME_MILLISECONDS;
+    this.#brokenRuns = this.#brokenRuns
+      .filter(({ brokenAt }) => brokenAt >= earliest);
+    for (const [instance, { until }] of this.#completedRequests) {
+      if (this.#clock.isPast(until)) this.#completedRequests.delete(instance);
+    }
+    for (const [part, expiresAt] of this.#quarantined) {
+      if (!this.#clock.isPast(expiresAt)) continue;
+      this.#quarantined.delete(part);
+      this.#events.emit(partReleased, { part, reason: "time" });
+    }
+  }
+
+  /** Releases parts of which a request was answered. */
+  #release(parts: readonly string[]): void {
+    for (const part of parts) {
+      if (!this.#quarantined.delete(part)) continue;
+      this.#events.emit(partReleased, { part, reason: "answered" });
+    }
+  }
+}
--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -20,6 +20,8 @@
     readonly reason: string;
     /** Whether the engine itself is at fault, rather than its load. */
     readonly isEngineFault: boolean;
+    /** Whether the engine broke off the run, as it does when it crashes. */
+    readonly isBroken: boolean;
     /** The engine's error answer, forwarded if no other attempt follows. */
     readonly answer?: IBufferedAnswer;
   };
@@ -147,16 +149,24 @@
         const id = events.findLast((event) => event.id !== undefined)?.id;
         progress.lastEventId = id ?? progress.lastEventId;
       }
-      if (sink.signal.aborted) return mayHaveRun("the caller left", false);
+      if (sink.signal.aborted) {
+        return mayHaveRun("the caller left", {
+          isEngineFault: false,
+        });
+      }
       if (splitter.incompleteBytes.length > 0) {
-        return mayHaveRun("the stream ended inside an event");
+        return mayHaveRun("the stream ended inside an event", {
+          isBroken: true,
+        });
       }
       if (!sink.hasBegun) sink.begin(answer.status, streamHeaders(answer));
       sink.end();
       return { kind: "answered", status: answer.status };
     } catch (error) {
       const reason = watchdog.closeReason ?? (error as Error).message;
-      return mayHaveRun(reason, !sink.signal.aborted);
+      const isEngineFault = !sink.signal.aborted;
+      const isBroken = isEngineFault && watchdog.closeReason === undefined;
+      return mayHaveRun(reason, { isEngineFault, isBroken });
     } finally {
       sink.signal.removeEventListener("abort", stop);
       watchdog.dispose();
@@ -178,10 +188,9 @@
         body.push(bytes);
       }
       return {
-        ...mayHaveRun(
-          `the engine answered with status ${answer.status}`,
-          false,
-        ),
+        ...mayHaveRun(`the engine answered with status ${answer.status}`, {
+          isEngineFault: false,
+        }),
         answer: { status: answer.status, answer, body },
       };
     } catch (error) {
@@ -248,15 +257,19 @@
     verdict: "not-run",
     reason,
     isEngineFault,
+    isBroken: false,
   } as const;
 }
 
-function mayHaveRun(reason: string, isEngineFault = true) {
+function mayHaveRun(
+  reason: string,
+  options: { isEngineFault?: boolean; isBroken?: boolean } = {},
+) {
+  const { isEngineFault = true, isBroken = false } = options;
   return {
     kind: "failed",
     verdict: "may-have-run",
-    reason,
-    isEngineFault,
+    ...{ reason, isEngineFault, isBroken },
   } as const;
 }
 
@@ -266,6 +279,9 @@
   }
   const isCancelled = error.code === "cancelled";
   return error.mayHaveRun
-    ? mayHaveRun(error.message, !isCancelled)
+    ? mayHaveRun(error.message, {
+      isEngineFault: !isCancelled,
+      isBroken: error.code === "connection",
+    })
     : notRun(error.message, !isCancelled);
 }
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -1,5 +1,5 @@
 import { match } from "ts-pattern";
-import { type Deadline, earlierDeadline, type IClock } from "../common/mod.ts";
+import { earlierDeadline, type IClock } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type {
   EngineHealth,
@@ -9,6 +9,7 @@
   Placer,
   StreamOrigins,
 } from "../placement/mod.ts";
+import type { IPartObserver } from "../quarantine/mod.ts";
 import { chooseService, type Route } from "../service_routes/mod.ts";
 import {
   attemptFailed,
@@ -22,13 +23,13 @@
   AttemptOutcome,
   IAttemptLimits,
   IBufferedAnswer,
-  IStreamProgress,
   StreamAttempt,
 } from "./stream_attempt.ts";
 import type {
   ResumptionTarget,
   StreamOriginResolver,
 } from "./stream_origin_resolver.ts";
+import type { IRequestRun } from "./request_run.ts";
 import type { IAnswerSink, IForwardedRequest, ILocalFailure } from "./types.ts";
 
 /** Time allowed for the first event beyond the expected wait, in ms. */
@@ -64,28 +65,12 @@
   /** Streams that began on this instance. */
   readonly origins: StreamOrigins;
   readonly resolver: StreamOriginResolver;
+  readonly parts: IPartObserver;
   readonly failureDomain: string;
   /** Source of random numbers from 0 up to, not including, 1. */
   readonly random: () => number;
 }
 
-/** State of one request across its attempts. */
-interface IRequestRun {
-  readonly request: IForwardedRequest;
-  readonly sink: IAnswerSink;
-  readonly startedAt: Deadline;
-  readonly deadline: Deadline;
-  readonly excluded: Set<string>;
-  readonly progress: IStreamProgress;
-  readonly isIdempotent: boolean;
-  service: string;
-  /** Software version that began the stream; undefined before its first event. */
-  softwareVersion: string | undefined;
-  /** Number of engines on which the request may have run. */
-  possibleRuns: number;
-  sends: number;
-}
-
 /** Forwards a request to engines until one has answered it. */
 export class StreamDispatcher {
   #options: IStreamDispatcherOptions;
@@ -150,8 +135,16 @@
 
   /** Reserves an engine slot; answers the caller if there is none. */
   async #reserveSlot(run: IRequestRun): Promise<IPlacedRequest | undefined> {
-    const { placer, clock, failureDomain } = this.#options;
+    const { placer, clock, failureDomain, parts } = this.#options;
     const { request, service, softwareVersion } = run;
+    const quarantined = parts.findQuarantined(request.promptParts);
+    if (quarantined) {
+      this.#endUnplaced(run, {
+        reason: `engines crash on prompt part ${quarantined.part}`,
+        retryMilliseconds: clock.remaining(quarantined.expiresAt),
+      });
+      return undefined;
+    }
     const remainingMilliseconds = clock.remaining(run.deadline);
     const placement = await placer.place({
       request: request.id,
@@ -175,14 +168,20 @@
       : softwareVersion === undefined
       ? "no engine is known that may take the request"
       : "no engine of the stream's software version may take the request";
-    if (run.possibleRuns > 0) {
-      this.#fail(run, { kind: "failed", reason });
-      return undefined;
-    }
-    this.#refuse(run, reason, retryMilliseconds);
+    this.#endUnplaced(run, { reason, retryMilliseconds });
     return undefined;
   }
 
+  /** Ends a request that goes to no further engine. */
+  #endUnplaced(
+    run: IRequestRun,
+    end: { reason: string; retryMilliseconds: number },
+  ): void {
+    const { reason, retryMilliseconds } = end;
+    if (run.possibleRuns > 0) this.#fail(run, { kind: "failed", reason });
+    else this.#refuse(run, reason, retryMilliseconds);
+  }
+
   /** Refuses a request that has not run. */
   #refuse(run: IRequestRun, reason: string, retryMilliseconds: number): void {
     const { table, clock, events } = this.#options;
@@ -206,7 +205,7 @@
     run: IRequestRun,
     placement: IPlacedRequest,
   ): Promise<AttemptOutcome> {
-    const { table, health, events, clock, attempt } = this.#options;
+    const { table, health, events, clock, attempt, parts } = this.#options;
     const { request, sink, progress, isIdempotent } = run;
     const { engine, live, bulk, chosenBy } = placement;
     const waitMilliseconds = Math.round(placement.waitMilliseconds);
@@ -241,6 +240,7 @@
         .with({ kind: "answered" }, ({ status }) => {
           table.recordDuration(engine.id, milliseconds);
           health.recordSuccess(engine.id);
+          parts.recordCompletion(request.promptParts);
           this.#reportAnswer(run, engine.id, status);
         })
         .with({ kind: "failed" }, (failed) => {
@@ -248,6 +248,12 @@
           if (failed.isEngineFault && !sink.signal.aborted) {
             health.recordFailure(engine.id, failed.reason);
           }
+          if (failed.isBroken) {
+            const { id, promptParts } = request;
+            parts.recordBrokenRun({
+              ...{ engine: engine.id, request: id, parts: promptParts },
+            });
+          }
           events.emit(attemptFailed, {
             request: request.id,
             engine: engine.id,
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -15,6 +15,7 @@
   Placer,
   StreamOrigins,
 } from "../placement/mod.ts";
+import { PartMonitor } from "../quarantine/mod.ts";
 import type { Route } from "../service_routes/mod.ts";
 import { StreamAttempt } from "./stream_attempt.ts";
 import { StreamDispatcher } from "./stream_dispatcher.ts";
@@ -77,6 +78,7 @@
   const sink = new FakeSink();
   const dispatcher = new StreamDispatcher({
     ...{ table, health, clock, events, origins },
+    parts: new PartMonitor(clock, { events }),
     resolver: new StreamOriginResolver({
       ...{ origins, table, clock },
       leader: { findOrigin: () => Promise.resolve(undefined) },
