Hold batch items whose prompt part crashes engines

What callers could get: a batch item with such a part is run again after each crash, without limit, so that it alone takes engine after engine out of service.

Cause: the runner treats each broken run as a fault of the engine.

Change: broken and complete runs of items are evidence for the quarantine like those of live requests, and an item with a part in quarantine is not started until the part is released. A single item may be the only evidence, so the number of requests no longer decides; with live requests alone, five crashes need several requests anyway, as each makes few attempts. A repeated run at the same engine more than a second later is a new crash.

--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -3,6 +3,7 @@
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { EngineHealth, ListedEngine } from "../placement/mod.ts";
+import type { IPartObserver } from "../quarantine/mod.ts";
 import type { Route, RouteTable } from "../service_routes/mod.ts";
 import { type IBulkEngine, missingSlots, planBulk } from "./bulk_schedule.ts";
 import type { BulkSection } from "./bulk_section.ts";
@@ -20,7 +21,11 @@
 import type { IItemExecutor, ItemOutcome } from "./item_run.ts";
 import { assignItems } from "./item_assignment.ts";
 import { bulkSection } from "./messages.ts";
-import { type IPendingItem, PendingItems } from "./pending_items.ts";
+import {
+  type IPendingItem,
+  PendingItems,
+  type PromptPartsOf,
+} from "./pending_items.ts";
 import { ProgressWriter } from "./progress_writer.ts";
 import type { BulkResult, HeldJob } from "./types.ts";
 
@@ -59,6 +64,8 @@
   readonly clock: IClock;
   readonly events: IEventLog;
   readonly health: EngineHealth;
+  readonly parts: IPartObserver;
+  readonly promptPartsOf: PromptPartsOf;
   readonly routes: () => RouteTable | undefined;
   /** Time from the submission for which results can be read, in ms. */
   readonly jobRetentionMilliseconds: number;
@@ -80,7 +87,7 @@
   constructor(options: IBulkRunnerOptions) {
     const { log, section, clock } = options;
     this.#options = options;
-    this.#items = new PendingItems(section);
+    this.#items = new PendingItems(section, options);
     this.#writer = new ProgressWriter(log, this.#items, { clock });
     this.#subscription = section.onChanged((job) => this.#onJobChanged(job));
   }
@@ -128,17 +135,16 @@
 
   /** Starts items in free slots and preempts items at overloaded engines. */
   #plan(): void {
-    const { clock, isLoadKnown } = this.#options;
+    const { clock, isLoadKnown, parts } = this.#options;
     if (!isLoadKnown()) return;
     const engines = this.#options.engines().map((it) => ({
       ...it,
       bulk: this.load.get(it.engine.id) ?? 0,
     }));
-    const wall = clock.wall();
-    const waiting = this.#items.startable({
-      wall,
-      monotonic: clock.monotonic(),
-    });
+    const now = { wall: clock.wall(), monotonic: clock.monotonic() };
+    const waiting = this.#items.startable(now).filter(({ promptParts }) =>
+      !parts.findQuarantined(promptParts)
+    );
     const versions = new EngineVersions(engines);
     for (const item of waiting) {
       item.versionDeadline ??= clock.deadlineIn(VERSION_WAIT_MILLISECONDS);
@@ -223,14 +229,9 @@
 
   /** Deletes jobs whose results can no longer be read. */
   async #deleteOldJobs(): Promise<void> {
-    const {
-      log,
-      section,
-      clock,
-      events,
-      jobRetentionMilliseconds,
-    } = this.#options;
-    const keep = jobRetentionMilliseconds + JOB_RETENTION_MARGIN_MILLISECONDS;
+    const { log, section, clock, events } = this.#options;
+    const keep = this.#options.jobRetentionMilliseconds +
+      JOB_RETENTION_MARGIN_MILLISECONDS;
     const jobs = section.closedJobsAcceptedBefore(clock.wall() - keep);
     if (jobs.length === 0) return;
     const forgotten = await log.propose(bulkSection.name, {
@@ -312,10 +313,12 @@
     engine: string,
     outcome: ItemOutcome,
   ): Promise<void> {
-    const { health, clock } = this.#options;
+    const { health, clock, parts } = this.#options;
+    const { promptParts } = pending;
     await match(outcome)
       .with({ kind: "complete" }, () => {
         health.recordSuccess(engine);
+        parts.recordCompletion(promptParts);
         return this.#recordResult(pending, "done", "complete");
       })
       .with(
@@ -327,17 +330,18 @@
         this.#reportFailure(pending, engine, reason);
         const attempts = this.#route(pending.job)?.attempts ?? 1;
         if (pending.failures < attempts) return;
-        await this.#recordResult(
-          pending,
-          "dead",
-          `${pending.failures} failures`,
-        );
+        const cause = `${pending.failures} failures`;
+        await this.#recordResult(pending, "dead", cause);
       })
       .with({ kind: "turned-away" }, ({ reason }) => {
         this.#reportFailure(pending, engine, reason);
       })
-      .with({ kind: "broken" }, ({ reason }) => {
+      .with({ kind: "broken" }, ({ reason, isBrokenOff }) => {
         health.recordFailure(engine, reason);
+        if (isBrokenOff) {
+          const request = pending.item.id;
+          parts.recordBrokenRun({ engine, request, parts: promptParts });
+        }
         this.#reportFailure(pending, engine, reason);
       })
       .with({ kind: "abandoned" }, ({ reason }) => {
--- a/src/bulk/item_run.ts
+++ b/src/bulk/item_run.ts
@@ -34,7 +34,12 @@
   /** The item did not run: the engine refused it or was not reached. */
   z.object({ kind: z.literal("turned-away"), reason: z.string() }),
   /** The engine or the connection failed; another run may resume the item. */
-  z.object({ kind: z.literal("broken"), reason: z.string() }),
+  z.object({
+    kind: z.literal("broken"),
+    reason: z.string(),
+    /** Whether the engine broke off the run, as it does when it crashes. */
+    isBrokenOff: z.boolean().optional(),
+  }),
   /** The store that ran the item was lost; the engine is not at fault. */
   z.object({ kind: z.literal("abandoned"), reason: z.string() }),
   /** The run was aborted through its signal. */
@@ -58,6 +63,13 @@
   run(engine: ListedEngine, run: IItemRun): Promise<ItemOutcome>;
 }
 
+/** An engine sent nothing for too long. */
+class SilentEngineError extends Error {
+  constructor() {
+    super("the engine is silent");
+  }
+}
+
 /** Runs items from this process. */
 export class LocalExecutor implements IItemExecutor {
   #client: IEngineClient;
@@ -94,8 +106,14 @@
     } catch (error) {
       if (signal.aborted) return { kind: "stopped" };
       const reason = (error as Error).message;
-      const isNotRun = error instanceof HttpExchangeError && !error.mayHaveRun;
-      return { kind: isNotRun ? "turned-away" : "broken", reason };
+      const isExchangeError = error instanceof HttpExchangeError;
+      if (isExchangeError && !error.mayHaveRun) {
+        return { kind: "turned-away", reason };
+      }
+      const isBrokenOff = isExchangeError
+        ? error.code === "connection"
+        : !(error instanceof SilentEngineError);
+      return { kind: "broken", reason, isBrokenOff };
     }
   }
 }
@@ -138,12 +156,12 @@
         progress.lastEventId = event.id;
       }
     }
-    if (silent) throw new Error("the engine is silent");
+    if (silent) throw new SilentEngineError();
     if (splitter.incompleteBytes.length > 0 && !signal.aborted) {
       throw new Error("the stream ended inside an event");
     }
   } catch (error) {
-    throw silent ? new Error("the engine is silent") : error;
+    throw silent ? new SilentEngineError() : error;
   } finally {
     clearTimeout(timer);
     signal.removeEventListener("abort", stop);
--- a/src/bulk/pending_items.ts
+++ b/src/bulk/pending_items.ts
@@ -13,11 +13,16 @@
   isStopping: boolean;
 }
 
+/** Returns the prompt parts that an item shares with other requests. */
+export type PromptPartsOf = (item: BulkItem) => readonly string[];
+
 /** An item that has no result yet. */
 export interface IPendingItem {
   readonly key: string;
   readonly item: BulkItem;
   readonly job: HeldJob;
+  /** Prompt parts that the item shares with other requests. */
+  readonly promptParts: readonly string[];
   progress: IItemProgress;
   /** Software version that made the progress; undefined if it is not known. */
   softwareVersion: string | undefined;
@@ -39,13 +44,18 @@
 export class PendingItems {
   readonly estimates = new ItemEstimates();
   #section: BulkSection;
+  #promptPartsOf: PromptPartsOf;
   #items = new Map<string, IPendingItem>();
   #knownJobs = new Set<string>();
   /** Number of running items by engine, without those that are stopping. */
   #load = new Map<string, number>();
 
-  constructor(section: BulkSection) {
+  constructor(
+    section: BulkSection,
+    options: { promptPartsOf: PromptPartsOf } = { promptPartsOf: () => [] },
+  ) {
     this.#section = section;
+    this.#promptPartsOf = options.promptPartsOf;
   }
 
   get all(): IterableIterator<IPendingItem> {
@@ -71,6 +81,7 @@
           data: [...(written?.data ?? [])],
           lastEventId: written?.lastEventId,
         },
+        promptParts: this.#promptPartsOf(item),
         softwareVersion: written?.softwareVersion,
         failures: 0,
         notBefore: 0,
--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -2,6 +2,7 @@
   BulkRunner,
   type BulkSection,
   type IItemExecutor,
+  type PromptPartsOf,
   StoreExecutor,
 } from "../bulk/mod.ts";
 import {
@@ -20,6 +21,7 @@
   type LoadLedger,
   LoadReadiness,
 } from "../placement/mod.ts";
+import type { IPartObserver } from "../quarantine/mod.ts";
 import type { IRpcClient, IRpcServer, PeerAddress } from "../rpc/mod.ts";
 import type { RoutesHolder, RoutesSection } from "../service_routes/mod.ts";
 
@@ -38,6 +40,8 @@
   readonly ledger: LoadLedger;
   readonly list: IEngineListSource;
   readonly probe: IEngineProbe;
+  readonly parts: IPartObserver;
+  readonly promptPartsOf: PromptPartsOf;
   /** Runs items on this store. */
   readonly executor: IItemExecutor;
   readonly rpc: IRpcClient;
@@ -136,6 +140,7 @@
   #startTerm(): void {
     const { log, clock, events, list, probe, ledger } = this.#options;
     const { bulkSection, routes, executor, rpc, server } = this.#options;
+    const { parts, promptPartsOf } = this.#options;
     const disposables = new DisposableStore();
     const health = new EngineHealth(clock, { events });
     const suspectCounts = () => {
@@ -165,7 +170,7 @@
     const readiness = new LoadReadiness(ledger, clock);
     const runner = disposables.add(
       new BulkRunner({
-        ...{ log, clock, events, health },
+        ...{ log, clock, events, health, parts, promptPartsOf },
         executor: storeExecutor,
         jobRetentionMilliseconds: this.#options.jobRetentionMilliseconds,
         section: bulkSection,
--- a/src/composition/leader_duties_test.ts
+++ b/src/composition/leader_duties_test.ts
@@ -9,6 +9,7 @@
 import { type Failure, notRun } from "../common/mod.ts";
 import { SilentEventLog } from "../events/mod.ts";
 import { LoadLedger } from "../placement/mod.ts";
+import { PartJudge } from "../quarantine/mod.ts";
 import { RoutesHolder, RoutesSection } from "../service_routes/mod.ts";
 import { LeaderDuties } from "./leader_duties.ts";
 
@@ -80,6 +81,8 @@
     ledger: new LoadLedger(clock),
     list: { read: () => Promise.resolve([ENGINE]) },
     probe: { check: () => Promise.resolve() },
+    parts: new PartJudge(clock, { events }),
+    promptPartsOf: () => [],
     executor: {
       run: (_, run) => {
         runs.push(run);
--- a/src/quarantine/find_harmful_parts.ts
+++ b/src/quarantine/find_harmful_parts.ts
@@ -9,9 +9,6 @@
 /** Crashes with a part from which it is harmful. */
 const HARMFUL_CRASHES = 5;
 
-/** Requests with a part that must have broken; retries do not count. */
-const HARMFUL_REQUESTS = 2;
-
 /**
  * Number of requests with a part that must have been answered if the part were
  * as frequent among answered requests as among broken ones. With fewer, an
@@ -91,9 +88,7 @@
     if (!worst || worst.crashes.size < HARMFUL_CRASHES) return harmful;
     candidates = others;
     const expected = completedRequests * worst.brokenRuns / runs.length;
-    const isHarmful = worst.requests.size >= HARMFUL_REQUESTS &&
-      expected >= EXPECTED_COMPLETIONS;
-    if (!isHarmful) continue;
+    if (expected < EXPECTED_COMPLETIONS) continue;
     harmful.push(worst);
     for (const crash of worst.crashes) explained.add(crash);
   }
--- a/src/quarantine/part_judge.ts
+++ b/src/quarantine/part_judge.ts
@@ -21,6 +21,9 @@
 /** Time for which a part stays in quarantine, in milliseconds. */
 const QUARANTINE_MILLISECONDS = 600_000;
 
+/** Difference of times up to which two reports are of the same run, in ms. */
+const SAME_RUN_MILLISECONDS = 1_000;
+
 /** Interval between two evaluations of the broken runs, in milliseconds. */
 const EVALUATION_INTERVAL_MILLISECONDS = 50;
 
@@ -95,8 +98,10 @@
   }
 
   #add(run: IBrokenRun): void {
-    const isKnown = this.#brokenRuns.some(({ request, engine }) =>
-      request === run.request && engine === run.engine
+    // An instance reports a run again if the answer to its report was lost.
+    const isKnown = this.#brokenRuns.some(({ request, engine, brokenAt }) =>
+      request === run.request && engine === run.engine &&
+      Math.abs(brokenAt - run.brokenAt) < SAME_RUN_MILLISECONDS
     );
     if (isKnown) return;
     this.#brokenRuns.push(run);
