Obey engines that announce in their answers that they leave

Cause: an entry learned only from the list that an engine leaves.

The instance that heard it sends the engine nothing more at once, whatever the list or the leader says: placement on the entry, grants, and items on the leader and on the stores that run them for it. The leader is told of such engines with each request to place, and by the stores that ran an item there. The announcement belongs to the engine's id; it ends when the list shows another start of the engine, or has not named it for a minute, as lists can be incomplete. Answers without the header do not revoke it.

--- a/src/bulk/item_run.ts
+++ b/src/bulk/item_run.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import { z } from "zod";
 import type { IClock } from "../common/mod.ts";
-import type { ListedEngine } from "../placement/mod.ts";
+import type { LeavingEngines, ListedEngine } from "../placement/mod.ts";
 import {
   EventSplitter,
   fieldValues,
@@ -74,13 +74,24 @@
 export class LocalExecutor implements IItemExecutor {
   #client: IEngineClient;
   #clock: IClock;
+  #leaving: Pick<LeavingEngines, "has">;
 
-  constructor(client: IEngineClient, clock: IClock) {
+  constructor(
+    client: IEngineClient,
+    clock: IClock,
+    options: { leaving: Pick<LeavingEngines, "has"> },
+  ) {
     this.#client = client;
     this.#clock = clock;
+    this.#leaving = options.leaving;
   }
 
   async run(engine: ListedEngine, run: IItemRun): Promise<ItemOutcome> {
+    // The leader may not know yet that the engine leaves.
+    if (this.#leaving.has(engine.id)) {
+      const reason = "the engine has announced that it leaves";
+      return { kind: "turned-away", reason };
+    }
     const { item, host, progress, signal } = run;
     try {
       const answer = await this.#client.send(engine, {
--- a/src/bulk/messages.ts
+++ b/src/bulk/messages.ts
@@ -107,7 +107,12 @@
     item: bulkItemSchema,
     lastEventId: z.string().optional(),
   }),
-  result: z.object({ outcome: itemOutcomeSchema, delta: runDeltaSchema }),
+  result: z.object({
+    outcome: itemOutcomeSchema,
+    delta: runDeltaSchema,
+    /** Whether the engine has announced to this store that it leaves. */
+    isEngineLeaving: z.boolean().optional(),
+  }),
   lane: "bulk",
 });
 
--- a/src/bulk/run_host.ts
+++ b/src/bulk/run_host.ts
@@ -6,6 +6,7 @@
   type IDisposable,
 } from "../common/mod.ts";
 import type { IControlClient, IReplicatedLog } from "../consensus/mod.ts";
+import type { LeavingEngines } from "../placement/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
 import type { IItemExecutor, IItemProgress } from "./item_run.ts";
 import {
@@ -38,6 +39,7 @@
   /** Identifier of this store. */
   readonly store: string;
   readonly executor: IItemExecutor;
+  readonly leaving: Pick<LeavingEngines, "has">;
   readonly control: IControlClient;
   readonly log: IReplicatedLog;
   readonly server: IRpcServer;
@@ -78,7 +80,8 @@
           ...{ item, host, progress, signal },
         });
         this.#runs.delete(id);
-        return ok({ outcome, delta: runDelta(run) });
+        const isEngineLeaving = options.leaving.has(engine.id);
+        return ok({ outcome, delta: runDelta(run), isEngineLeaving });
       }),
     );
     this.#disposables.add(
--- a/src/bulk/store_executor.ts
+++ b/src/bulk/store_executor.ts
@@ -7,7 +7,7 @@
   type IDisposable,
   notRun,
 } from "../common/mod.ts";
-import type { ListedEngine } from "../placement/mod.ts";
+import type { LeavingEngines, ListedEngine } from "../placement/mod.ts";
 import type { IRpcClient, IRpcServer, PeerAddress } from "../rpc/mod.ts";
 import type { IItemExecutor, IItemRun, ItemOutcome } from "./item_run.ts";
 import {
@@ -52,6 +52,7 @@
   readonly clock: IClock;
   /** Term in which this store is the leader. */
   readonly term: number;
+  readonly leaving: Pick<LeavingEngines, "announce">;
   /** Other stores that were reachable recently. */
   readonly stores: () => readonly PeerAddress[];
 }
@@ -140,7 +141,8 @@
       const reason = answer?.error.message ?? `no report from ${store.id}`;
       return { kind: "abandoned", reason };
     }
-    const { outcome, delta } = answer.value;
+    const { outcome, delta, isEngineLeaving } = answer.value;
+    if (isEngineLeaving) this.#options.leaving.announce(engine.id, "store");
     if (remote) applyDelta(remote, delta);
     return outcome;
   }
--- a/src/bulk/store_executor_test.ts
+++ b/src/bulk/store_executor_test.ts
@@ -6,6 +6,8 @@
 import { TestRandom } from "../../testing/test_random.ts";
 import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
 import type { IControlClient } from "../consensus/mod.ts";
+import { SilentEventLog } from "../events/mod.ts";
+import { LeavingEngines } from "../placement/mod.ts";
 import type { IItemExecutor, IItemRun, ItemOutcome } from "./item_run.ts";
 import { RunHost } from "./run_host.ts";
 import { StoreExecutor } from "./store_executor.ts";
@@ -43,6 +45,10 @@
   const leader = network.connect("leader", clock);
   const other = network.connect("other", clock);
   const address = (id: string) => ({ id, address: id, port: 1 });
+  const leaving = new LeavingEngines(clock, { events: new SilentEventLog() });
+  const leaderLeaving = new LeavingEngines(clock, {
+    events: new SilentEventLog(),
+  });
   const own = new ManualExecutor();
   const hosted = new ManualExecutor();
   const log = new FakeLog();
@@ -55,7 +61,7 @@
   const host = new RunHost({
     store: "other",
     executor: hosted,
-    ...{ control, log, clock },
+    ...{ control, log, clock, leaving },
     server: other,
   });
   host.start();
@@ -65,6 +71,7 @@
     server: leader,
     clock,
     term: 3,
+    leaving: leaderLeaving,
     stores: () => [address("other")],
   });
   const runOf = (
--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -18,6 +18,7 @@
   type IEngineListSource,
   type IEngineProbe,
   type ILeaderState,
+  type LeavingEngines,
   type LoadLedger,
   LoadReadiness,
 } from "../placement/mod.ts";
@@ -41,6 +42,7 @@
   readonly list: IEngineListSource;
   readonly probe: IEngineProbe;
   readonly parts: IPartObserver;
+  readonly leaving: LeavingEngines;
   readonly promptPartsOf: PromptPartsOf;
   /** Runs items on this store. */
   readonly executor: IItemExecutor;
@@ -82,7 +84,7 @@
 
   /** State that the leader sends to other instances; undefined on followers. */
   get leaderState(): ILeaderState | undefined {
-    const { routesSection, log } = this.#options;
+    const { routesSection, log, leaving } = this.#options;
     if (!this.#term) return undefined;
     const { directory, runner } = this.#term;
     return {
@@ -92,6 +94,7 @@
       failing: directory.failing,
       bulk: runner.load,
       routes: routesSection.current,
+      leaving,
       preemptBatchItems: (load) => runner.preemptBatchItems(load),
     };
   }
@@ -140,7 +143,7 @@
   #startTerm(): void {
     const { log, clock, events, list, probe, ledger } = this.#options;
     const { bulkSection, routes, executor, rpc, server } = this.#options;
-    const { parts, promptPartsOf } = this.#options;
+    const { parts, promptPartsOf, leaving } = this.#options;
     const disposables = new DisposableStore();
     const health = new EngineHealth(clock, { events });
     const suspectCounts = () => {
@@ -164,6 +167,7 @@
         local: executor,
         ...{ rpc, server, clock },
         term: log.leadership.term,
+        leaving,
         stores: () => this.#otherStores(),
       }),
     );
@@ -185,9 +189,10 @@
   }
 
   #engines(directory: EngineDirectory, health: EngineHealth) {
-    const live = this.#options.ledger.liveCounts();
+    const { ledger, leaving } = this.#options;
+    const live = ledger.liveCounts();
     return directory.list.engines.map((engine) => ({
-      engine,
+      engine: leaving.withAnnouncement(engine),
       live: live.get(engine.id) ?? 0,
       isSuspect: health.isSuspect(engine.id) ||
         directory.failing.has(engine.id),
--- a/src/composition/leader_duties_test.ts
+++ b/src/composition/leader_duties_test.ts
@@ -8,7 +8,7 @@
 import { BulkSection, type IItemRun } from "../bulk/mod.ts";
 import { type Failure, notRun } from "../common/mod.ts";
 import { SilentEventLog } from "../events/mod.ts";
-import { LoadLedger } from "../placement/mod.ts";
+import { LeavingEngines, LoadLedger } from "../placement/mod.ts";
 import { PartJudge } from "../quarantine/mod.ts";
 import { RoutesHolder, RoutesSection } from "../service_routes/mod.ts";
 import { LeaderDuties } from "./leader_duties.ts";
@@ -83,6 +83,7 @@
     probe: { check: () => Promise.resolve() },
     parts: new PartJudge(clock, { events }),
     promptPartsOf: () => [],
+    leaving: new LeavingEngines(clock, { events }),
     executor: {
       run: (_, run) => {
         runs.push(run);
--- a/src/placement/engine_table.ts
+++ b/src/placement/engine_table.ts
@@ -2,6 +2,7 @@
 import type { IEventLog } from "../events/mod.ts";
 import type { EngineHealth } from "./engine_health.ts";
 import { engineListChanged } from "./events.ts";
+import type { LeavingEngines } from "./leaving_engines.ts";
 import type { EngineList, LoadEntry } from "./messages.ts";
 import {
   type IEngineView,
@@ -30,6 +31,7 @@
   #clock: IClock;
   #events: IEventLog;
   #health: EngineHealth;
+  #leaving: LeavingEngines;
   #list: EngineList = { revision: "", engines: [] };
   #listReadAt = Number.NEGATIVE_INFINITY;
   /** Time since which the list has been current without interruption. */
@@ -43,11 +45,16 @@
 
   constructor(
     clock: IClock,
-    options: { events: IEventLog; health: EngineHealth },
+    options: {
+      events: IEventLog;
+      health: EngineHealth;
+      leaving: LeavingEngines;
+    },
   ) {
     this.#clock = clock;
     this.#events = options.events;
     this.#health = options.health;
+    this.#leaving = options.leaving;
   }
 
   get revision(): string {
@@ -69,6 +76,7 @@
     options: { age: number; source: "leader" | "platform" },
   ): void {
     this.confirmListAge(options.age);
+    this.#leaving.updateList(list.engines);
     if (list.revision === this.#list.revision) return;
     this.#list = list;
     this.#updateSoleVersions();
@@ -126,7 +134,13 @@
   }
 
   engine(id: string): ListedEngine | undefined {
-    return this.#list.engines.find((engine) => engine.id === id);
+    const listed = this.#list.engines.find((engine) => engine.id === id);
+    return listed && this.#leaving.withAnnouncement(listed);
+  }
+
+  /** Engines that have announced to this instance that they leave. */
+  announcedLeaving(): string[] {
+    return this.#leaving.ids();
   }
 
   /** Software version of a service; undefined if the list has several. */
@@ -175,7 +189,7 @@
       .map((engine) => {
         const others = isKnown ? this.#otherLoad.get(engine.id) : undefined;
         return {
-          engine,
+          engine: this.#leaving.withAnnouncement(engine),
           live: (others?.live ?? 0) + (this.#ownLive.get(engine.id) ?? 0),
           bulk: others?.bulk ?? 0,
           isSuspect: this.#health.isSuspect(engine.id),
--- a/src/placement/events.ts
+++ b/src/placement/events.ts
@@ -74,3 +74,29 @@
   help: "An avoided engine passed its health check again.",
   fields: { engine: z.string() },
 });
+
+export const engineAnnouncedLeaving = defineEvent(
+  1059,
+  "engine-announced-leaving",
+  {
+    level: "info",
+    help: "An engine announced in an answer that it leaves. This instance " +
+      "sends it nothing more, whatever the list of engines says.",
+    fields: {
+      engine: z.string(),
+      /** An answer to this instance, or one to a store that ran an item. */
+      source: z.enum(["answer", "store"]),
+      /** Whether the list of engines names the engine. */
+      isListed: z.boolean(),
+    },
+    labels: ["source"],
+  },
+);
+
+export const announcementIgnored = defineEvent(1060, "announcement-ignored", {
+  level: "warn",
+  help: "An answer announced with an unknown value that its engine leaves. " +
+    "The engine stays in use. `count` is the number of such answers since " +
+    "the start; logged once a minute at most.",
+  fields: { engine: z.string(), count: z.number() },
+});
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -9,6 +9,7 @@
 import type { PartJudge } from "../quarantine/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
 import type { RouteSet } from "../service_routes/mod.ts";
+import type { LeavingEngines } from "./leaving_engines.ts";
 import type { LoadLedger } from "./load_ledger.ts";
 import {
   type EngineList,
@@ -45,6 +46,8 @@
   /** Batch items by engine. */
   readonly bulk: ReadonlyMap<string, number>;
   readonly routes: RouteSet | undefined;
+  /** Engines that have announced to the leader that they leave. */
+  readonly leaving: Pick<LeavingEngines, "withAnnouncement">;
   /** Stops batch items at an engine if its live requests need the slots. */
   preemptBatchItems(load: { engine: ListedEngine; live: number }): void;
 }
@@ -141,7 +144,7 @@
   const views: IEngineView[] = state.list.engines
     .filter(({ service }) => service === request.service)
     .map((engine) => ({
-      engine,
+      engine: state.leaving.withAnnouncement(engine),
       live: live.get(engine.id) ?? 0,
       bulk: state.bulk.get(engine.id) ?? 0,
       isSuspect: suspects.has(engine.id),
--- a/src/placement/exchange_test.ts
+++ b/src/placement/exchange_test.ts
@@ -16,6 +16,7 @@
   type ILeaderState,
   registerExchangeHandler,
 } from "./exchange_handler.ts";
+import { LeavingEngines } from "./leaving_engines.ts";
 import { LoadLedger } from "./load_ledger.ts";
 import type { PlacementRequest } from "./messages.ts";
 import { Placer } from "./placer.ts";
@@ -41,6 +42,7 @@
     failing: new Set(),
     bulk: this.bulk,
     routes: undefined,
+    leaving: new LeavingEngines(this.clock, { events: new SilentEventLog() }),
     preemptBatchItems: ({ engine }) => this.preemptedEngines.push(engine.id),
   };
 
@@ -70,7 +72,8 @@
         endpoint.call(leader, method, params, options),
     } as unknown as IControlClient;
     const health = new EngineHealth(clock, { events });
-    const table = new EngineTable(clock, { events, health });
+    const leaving = new LeavingEngines(clock, { events });
+    const table = new EngineTable(clock, { events, health, leaving });
     const origins = new StreamOrigins(clock);
     const exchange = new ExchangeClient(control, {
       ...{ instance: name, name, role: "entry" as const },
@@ -86,7 +89,7 @@
     });
     exchange.start();
     const placer = new Placer(exchange, table, { random: () => 0 });
-    return { table, placer, exchange, origins };
+    return { table, placer, exchange, origins, leaving };
   }
 
   /** Places a request and advances the clock until it is answered. */
@@ -240,3 +243,33 @@
   t.is(placement.kind, "no-engine");
   t.is(table.ownLiveCounts().size, 0);
 });
+
+// Guards against requests to engines that have announced that they leave.
+test("engine that announced to one entry gets no grant there", async (t) => {
+  const fleet = new Fleet();
+  const first = fleet.entry("entry-1");
+  const second = fleet.entry("entry-2");
+  await fleet.time.advance(200);
+  first.leaving.announce("one", "answer");
+  for (let count = 0; count < 4; count++) {
+    const placed = await fleet.place(first.placer);
+    t.is(placed.kind === "engine" ? placed.engine.id : placed.kind, "two");
+  }
+  const elsewhere = await fleet.place(second.placer);
+  t.is(elsewhere.kind === "engine" ? elsewhere.engine.id : "", "one");
+});
+
+// Guards against requests to engines that have announced that they leave.
+test("no leader and no list: an announcement still holds", async (t) => {
+  const fleet = new Fleet();
+  const { placer, leaving } = fleet.entry("entry");
+  await fleet.time.advance(200);
+  fleet.network.isolated.add("leader");
+  leaving.announce("one", "answer");
+  for (let count = 0; count < 4; count++) {
+    const placed = await fleet.place(placer);
+    t.is(placed.kind === "engine" ? placed.engine.id : placed.kind, "two");
+  }
+  leaving.announce("two", "answer");
+  t.is((await fleet.place(placer)).kind, "no-engine");
+});
--- a/src/placement/mod.ts
+++ b/src/placement/mod.ts
@@ -4,6 +4,7 @@
 export * from "./engine_table.ts";
 export * from "./exchange_client.ts";
 export * from "./exchange_handler.ts";
+export * from "./leaving_engines.ts";
 export * from "./load_ledger.ts";
 export * from "./load_readiness.ts";
 export * from "./messages.ts";
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -55,7 +55,9 @@
   }
 
   async place(request: PlacementRequest): Promise<PlacerResult> {
-    const grant = await this.#source.requestPlacement(request);
+    // The leader may not know yet which engines leave.
+    const excluded = [...request.excluded, ...this.#table.announcedLeaving()];
+    const grant = await this.#source.requestPlacement({ ...request, excluded });
     if (!grant) return this.#placeLocally(request);
     if (grant.kind !== "engine") return grant;
     const engine = this.#table.engine(grant.engine);
@@ -63,7 +65,9 @@
     // A leader of an earlier version of figroad ignores the software version.
     const isSuitable = softwareVersion === undefined ||
       engine?.softwareVersion === softwareVersion;
-    if (engine && isSuitable) return { ...grant, engine, chosenBy: "leader" };
+    if (engine && isSuitable && !engine.isLeaving) {
+      return { ...grant, engine, chosenBy: "leader" };
+    }
     this.#table.endRequest(grant.engine);
     return this.#placeLocally(request);
   }
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -15,6 +15,8 @@
   softwareVersion: z.string().default(""),
   /** Number of requests that it runs concurrently. */
   slots: z.number(),
+  /** Start of the engine, in milliseconds since the Unix epoch, if known. */
+  bornAt: z.number().optional(),
   /** Whether it is about to stop and accepts no new work. */
   isLeaving: z.boolean(),
 });
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -12,6 +12,7 @@
 import {
   EngineHealth,
   EngineTable,
+  LeavingEngines,
   Placer,
   StreamOrigins,
 } from "../placement/mod.ts";
@@ -65,7 +66,8 @@
   const clock = new SystemClock();
   const events = new SilentEventLog();
   const health = new EngineHealth(clock, { events });
-  const table = new EngineTable(clock, { events, health });
+  const leaving = new LeavingEngines(clock, { events });
+  const table = new EngineTable(clock, { events, health, leaving });
   const list = {
     revision: "1",
     engines: ids.map((id) =>
--- a/src/streams/stream_origin_resolver_test.ts
+++ b/src/streams/stream_origin_resolver_test.ts
@@ -3,7 +3,12 @@
 import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
 import type { Deadline } from "../common/mod.ts";
 import { SilentEventLog } from "../events/mod.ts";
-import { EngineHealth, EngineTable, StreamOrigins } from "../placement/mod.ts";
+import {
+  EngineHealth,
+  EngineTable,
+  LeavingEngines,
+  StreamOrigins,
+} from "../placement/mod.ts";
 import type { Route } from "../service_routes/mod.ts";
 import {
   type ResumptionTarget,
@@ -33,7 +38,8 @@
   const clock = new VirtualClock(time);
   const events = new SilentEventLog();
   const health = new EngineHealth(clock, { events });
-  const table = new EngineTable(clock, { events, health });
+  const leaving = new LeavingEngines(clock, { events });
+  const table = new EngineTable(clock, { events, health, leaving });
   const origins = new StreamOrigins(clock);
   const leader = {
     known: undefined as ResumptionTarget | undefined,
--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -89,6 +89,8 @@
   refusalStatus: number | undefined;
   /** Id of the event before which the next answer is interrupted. */
   breakBefore: number | undefined;
+  /** Whether all answers announce that the engine leaves. */
+  isLeaving = false;
   /** Prompt part on which the engine crashes as it begins to answer. */
   crashPart: string | undefined;
   /** Ids of the requests under which the engine crashed. */
@@ -104,6 +106,7 @@
         response.writeHead(200, { "Instance-Id": id }).end();
         return;
       }
+      if (this.isLeaving) response.setHeader("Server-Leaving", "1");
       const requestId = String(incoming.headers["request-id"] ?? "");
       if (incoming.headers["expect-instance"] !== id) {
         response.writeHead(421).end();
