Treat an unframed stream without an event as broken off

What callers could get: an empty answer that looked complete, or an item recorded as done with an empty text, when an engine crashed before its first event and its answer had neither a length nor chunks.

Cause: the end of the connection is the end of such an answer, so only a partial event showed that it was broken off.

Change: an unframed stream with no event is broken off, for live requests and items, unless it resumes a stream that may already have all its events.

--- a/src/bulk/item_run.ts
+++ b/src/bulk/item_run.ts
@@ -113,6 +113,11 @@
         return early;
       }
       await collectEvents(answer, { progress, signal });
+      // Without a length, an engine that crashes before its first event seems
+      // to have answered completely.
+      if (progress.lastEventId === undefined && !answer.isFramed) {
+        throw new Error("the stream ended before its first event");
+      }
       return signal.aborted ? { kind: "stopped" } : { kind: "complete" };
     } catch (error) {
       if (signal.aborted) return { kind: "stopped" };
--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -159,6 +159,14 @@
           isBroken: true,
         });
       }
+      // Without a length, an engine that crashes before its first event seems
+      // to have answered completely.
+      const isEmpty = isStream && !sink.hasBegun;
+      if (isEmpty && !answer.isFramed && request.lastEventId === undefined) {
+        return mayHaveRun("the stream ended before its first event", {
+          isBroken: true,
+        });
+      }
       if (!sink.hasBegun) sink.begin(answer.status, streamHeaders(answer));
       sink.end();
       return { kind: "answered", status: answer.status };
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -264,3 +264,16 @@
   t.is(sink.failure?.kind, "refused");
   t.is(engines.received.length, 0);
 });
+
+test("unframed answer without an event is broken off, not complete", async (t) => {
+  const { sink, run, engines } = setup([
+    { kind: "stream", events: 0, unframed: true },
+    { kind: "stream", events: EVENTS, unframed: true },
+  ]);
+  await run(RESUMABLE_ROUTE);
+  t.is(sink.text, WHOLE_STREAM);
+  t.is(engines.received.length, 2);
+  const resumed = setup([{ kind: "stream", events: EVENTS, unframed: true }]);
+  await resumed.run(RESUMABLE_ROUTE, { lastEventId: String(EVENTS) });
+  t.is(resumed.sink.endKind, "end");
+});
--- a/src/streams/types.ts
+++ b/src/streams/types.ts
@@ -67,6 +67,8 @@
   readonly isNotRun: boolean;
   /** Whether the answer is for this request and bears a signature. */
   readonly isGenuine: boolean;
+  /** Whether a length or chunks tell where the answer ends. */
+  readonly isFramed: boolean;
   readonly body: AsyncIterable<Buffer>;
   /** Closes the connection; the engine then drops the request. */
   close(): void;
--- a/testing/fake_engines.ts
+++ b/testing/fake_engines.ts
@@ -13,9 +13,16 @@
 export type EngineScript =
   /**
    * Streams all events, or resets the connection before event `breakAt`; with
-   * `inEvent`, only after the first bytes of that event.
+   * `inEvent`, only after the first bytes of that event. An `unframed` answer
+   * ends with its connection.
    */
-  | { kind: "stream"; events: number; breakAt?: number; inEvent?: boolean }
+  | {
+    kind: "stream";
+    events: number;
+    breakAt?: number;
+    inEvent?: boolean;
+    unframed?: boolean;
+  }
   /** Responds with the given status. */
   | { kind: "status"; status: number; notRun?: boolean }
   /** Refuses the connection. */
@@ -67,6 +74,7 @@
       headers: [["Engine-Signature", `signed by ${engine.id}`]],
       isNotRun: script.kind === "status" && script.notRun === true,
       isGenuine: script.kind !== "foreign",
+      isFramed: !(script.kind === "stream" && script.unframed),
       body: bodyOf(script, Number(request.lastEventId ?? 0), closed.signal),
       close: () => {
         send.isClosed = true;
