Report prompt parts only when there is news

Cause: every exchange carried a report on prompt parts, also those that place a request.

Change: an entry reports when a run broke off, while the leader asks about suspects, to a new leader, and otherwise once a second. Between reports it receives verdicts only if there are any. The leader evaluates with every exchange as long as it holds broken runs.

--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -198,7 +198,7 @@
     this.#leaderTerm = term;
     origins?.markReported(streams, term);
     const verdicts = answer.value.parts;
-    if (report && verdicts) parts?.applyVerdicts(verdicts, { term, report });
+    if (verdicts) parts?.applyVerdicts(verdicts, { term, report });
     this.#interval = answer.value.pauseMilliseconds;
     if (answer.value.routes) routes.setIfNewer(answer.value.routes);
     if (list) table.updateList(list, { age: listAge, source: "leader" });
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -60,7 +60,7 @@
   readonly ledger: LoadLedger;
   /** Streams that instances have reported. */
   readonly origins: Pick<StreamOrigins, "find" | "record">;
-  readonly judge: Pick<PartJudge, "receive">;
+  readonly judge: Pick<PartJudge, "receive" | "findNews">;
   /** Returns undefined on an instance that does not lead. */
   readonly leaderState: () => ILeaderState | undefined;
   /** Source of random numbers from 0 up to, not including, 1. */
@@ -110,7 +110,7 @@
       listAge: state.listAge,
       list: isNewList ? list : undefined,
       routes: isNewRoutes ? routes : undefined,
-      parts: parts && judge.receive(params.instance, parts),
+      parts: parts ? judge.receive(params.instance, parts) : judge.findNews(),
       grant,
       pauseMilliseconds: exchangeInterval(ledger.entryCount()),
     }));
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -84,7 +84,7 @@
     listRevision: z.string(),
     /** Streams that began and that this leader has not received yet. */
     streams: z.array(reportedStreamSchema).optional(),
-    /** Broken and answered prompt parts; absent from stores. */
+    /** Broken and answered prompt parts; absent if there is nothing new. */
     parts: partReportSchema.optional(),
     /** A request to place. */
     want: placementRequestSchema.optional(),
@@ -104,7 +104,7 @@
     listAge: z.number(),
     list: engineListSchema.optional(),
     routes: routeSetSchema.optional(),
-    /** Prompt parts in quarantine; absent if the call had no report. */
+    /** Prompt parts in quarantine; absent if nothing is known of any. */
     parts: partVerdictsSchema.optional(),
     /** Decision about `want`, if the call had it. */
     grant: placementDecisionSchema.optional(),
--- a/src/quarantine/part_monitor.ts
+++ b/src/quarantine/part_monitor.ts
@@ -16,6 +16,12 @@
   reportedTerm: number | undefined;
 }
 
+/**
+ * Interval between two reports without news, in milliseconds. They refresh the
+ * number of answered requests, and show the leader's verdicts.
+ */
+const REPORT_INTERVAL_MILLISECONDS = 1_000;
+
 /** A report, with what is marked as received once it is answered. */
 export interface IPreparedReport {
   readonly message: PartReport;
@@ -35,6 +41,7 @@
   #quarantined = new Map<string, Deadline>();
   /** Term of the leader that has received the parts in quarantine. */
   #mergedTerm: number | undefined;
+  #nextReport = 0 as Deadline;
 
   constructor(clock: IClock, options: { events: IEventLog }) {
     this.#clock = clock;
@@ -68,13 +75,20 @@
     return undefined;
   }
 
-  /** Prepares a report to the leader of a term. */
-  report(term: number): IPreparedReport {
+  /**
+   * Prepares a report to the leader of a term. Returns undefined while there is
+   * nothing new, since reports are sent with frequent calls.
+   */
+  report(term: number): IPreparedReport | undefined {
     const now = this.#clock.monotonic();
     const runs = this.#brokenRuns.filter(({ reportedTerm, brokenAt }) =>
       reportedTerm !== term &&
       brokenAt >= now - BROKEN_RUN_LIFETIME_MILLISECONDS
     );
+    const isNewLeader = this.#mergedTerm !== term;
+    const hasNews = runs.length > 0 || this.#suspects.length > 0 || isNewLeader;
+    if (!hasNews && !this.#clock.isPast(this.#nextReport)) return undefined;
+    this.#nextReport = this.#clock.deadlineIn(REPORT_INTERVAL_MILLISECONDS);
     const asked = [...this.#suspects, ...this.#quarantined.keys()];
     const message: PartReport = {
       brokenRuns: runs.map(({ engine, request, parts, brokenAt }) => ({
@@ -84,7 +98,7 @@
       completedRequests: this.#completions.count,
       clearedParts: asked.filter((part) => this.#completions.isCleared(part)),
     };
-    if (this.#mergedTerm !== term) {
+    if (isNewLeader) {
       message.quarantined = [...this.#quarantined].map((
         [part, expiresAt],
       ) => [part, Math.round(this.#clock.remaining(expiresAt))]);
@@ -92,14 +106,14 @@
     return { message, runs };
   }
 
-  /** Applies the answer of the leader of a term to a report. */
+  /** Applies the verdicts of the leader of a term, which answer a report. */
   applyVerdicts(
     { suspects, quarantined }: PartVerdicts,
-    options: { term: number; report: IPreparedReport },
+    options: { term: number; report: IPreparedReport | undefined },
   ): void {
     const { term, report } = options;
-    for (const run of report.runs) run.reportedTerm = term;
-    if (report.message.quarantined) this.#mergedTerm = term;
+    for (const run of report?.runs ?? []) run.reportedTerm = term;
+    if (report?.message.quarantined) this.#mergedTerm = term;
     this.#suspects = suspects;
     const next = new Map(quarantined.map((
       [part, milliseconds],
