Soak: engines of two versions, callers that resume broken streams

Cause: the soak could not see that a stream went on at another software version: all its engines wrote the same text, and its clients never resumed.

Change: every second engine runs another version with a text of its own. An answer, also over a client's resumption, and the text of an item must be that of one version. Clients resume each resumable stream that broke off.

--- a/soak/platform/loads.ts
+++ b/soak/platform/loads.ts
@@ -7,6 +7,7 @@
   IReadResult,
   ISoakConfiguration,
   ISoakJob,
+  IStreamRecord,
   PlatformRecord,
 } from "./platform_record.ts";
 import { POISON, type SoakEngine } from "./soak_engine.ts";
@@ -42,10 +43,11 @@
 export async function runStreamLoad(context: ILoadContext): Promise<void> {
   const { fleet, record, random, name, signal } = context;
   const clients = fleet.entries.map(() => new Client());
-  for (let count = 0; !signal.aborted; count++) {
+  const send = async (
+    stream: Pick<IStreamRecord, "id" | "kind" | "resumed">,
+  ): Promise<IStreamRecord> => {
     const index = random.integer(0, fleet.entries.length - 1);
-    const kind = random.pick(["resumable", "resumable", "once"] as const);
-    const id = `${name}-${count}`;
+    const { id, kind, resumed } = stream;
     const startedAt = Date.now();
     const answer = await clients[index]!.send(fleet.front(index), {
       method: "POST",
@@ -53,18 +55,38 @@
       headers: {
         "Request-Id": id,
         "Deadline-Ms": String(STREAM_DEADLINE_MILLISECONDS),
+        ...resumed && {
+          Resumes: resumed.id,
+          "Last-Event-Id": String(countEvents(resumed.text)),
+        },
       },
       body: id,
       timeoutMilliseconds: 2 * STREAM_DEADLINE_MILLISECONDS,
     });
     const entry = fleet.entries[index]!.name;
     const endedAt = Date.now();
-    record.streams.push({ id, kind, entry, startedAt, endedAt, ...answer });
+    const sent = { ...stream, entry, startedAt, endedAt, ...answer };
+    record.streams.push(sent);
+    return sent;
+  };
+  for (let count = 0; !signal.aborted; count++) {
+    const kind = random.pick(["resumable", "resumable", "once"] as const);
+    const id = `${name}-${count}`;
+    const { text, isComplete } = await send({ id, kind });
+    const events = text.slice(0, text.lastIndexOf("\n\n") + 2);
+    if (kind === "resumable" && !isComplete && countEvents(events) > 0) {
+      await send({ id: `${id}-resumed`, kind, resumed: { id, text: events } });
+    }
     await sleep(random.integer(0, MAXIMUM_STREAM_PAUSE_MILLISECONDS));
   }
   for (const client of clients) client.dispose();
 }
 
+/** Number of events in text that ends with a complete event. */
+function countEvents(text: string): number {
+  return text.split("\n\n").length - 1;
+}
+
 /** Submits jobs, reads their results at random entries and ends some jobs. */
 export async function runJobLoad(context: ILoadContext): Promise<void> {
   const { record, random, name, signal } = context;
--- a/soak/platform/platform_checks.ts
+++ b/soak/platform/platform_checks.ts
@@ -5,9 +5,9 @@
 import { readConfiguration, readJob } from "./loads.ts";
 import type { ISoakJob, PlatformRecord } from "./platform_record.ts";
 import {
-  expectedData,
-  expectedStream,
   type IEngineRun,
+  possibleStreams,
+  possibleTexts,
   type SoakEngine,
 } from "./soak_engine.ts";
 
@@ -47,14 +47,15 @@
 export function checkStreams({ fleet, record }: ICheckContext): void {
   const runs = groupRunsById(fleet);
   for (const stream of record.streams) {
-    const { id, kind, status, isComplete, text } = stream;
+    const { id, kind, status, isComplete, text, resumed } = stream;
     const count = runs.get(id)?.length ?? 0;
-    const expected = expectedStream(id);
+    const expected = possibleStreams(resumed?.id ?? id);
     if (status === 200) {
+      const whole = (resumed?.text ?? "") + text;
       const isValid = isComplete
-        ? text === expected
-        : expected.startsWith(text);
-      if (!isValid) record.addViolation(`stream ${id} has text "${text}"`);
+        ? expected.includes(whole)
+        : expected.some((possible) => possible.startsWith(whole));
+      if (!isValid) record.addViolation(`stream ${id} has text "${whole}"`);
     }
     if ((status === 503 || status === 429) && count > 0) {
       record.addViolation(`stream ${id} was answered not-run but ran`);
@@ -112,7 +113,7 @@
     if (positions.has(id)) record.addViolation(`${id} is listed twice`);
     positions.set(id, position);
     const isValid = state === "done"
-      ? !item.isPoison && text === expectedData(id).join("\n")
+      ? !item.isPoison && possibleTexts(id).includes(text)
       : item.isPoison || job.isEndSent;
     if (!isValid) record.addViolation(`${id} is ${state} with "${text}"`);
   });
--- a/soak/platform/platform_record.ts
+++ b/soak/platform/platform_record.ts
@@ -10,6 +10,8 @@
   /** Whether the answer is complete. */
   isComplete: boolean;
   text: string;
+  /** Attempt in which a resumed stream began, and its complete events. */
+  readonly resumed?: { readonly id: string; readonly text: string } | undefined;
 }
 
 /** A result as a client read it. */
--- a/soak/platform/platform_soak_test.ts
+++ b/soak/platform/platform_soak_test.ts
@@ -3,7 +3,8 @@
 
 const SECONDS = 10;
 
-for (const seed of [1]) {
+// Seed 602 continued streams at another software version (inc-defd).
+for (const seed of [1, 602]) {
   test.serial(`no violations by platform roles, seed ${seed}`, async (t) => {
     t.timeout(600_000);
     const { record, logs } = await runPlatformSoak({
--- a/soak/platform/run_platform_soak.ts
+++ b/soak/platform/run_platform_soak.ts
@@ -65,7 +65,7 @@
   const record = new PlatformRecord();
   const engines = Array.from(
     { length: options.engines },
-    (_, index) => new SoakEngine(`i-${index}`),
+    (_, index) => new SoakEngine(index),
   );
   const fleet = new PlatformFleet(engines);
   const context = { fleet, record, random };
--- a/soak/platform/soak_engine.ts
+++ b/soak/platform/soak_engine.ts
@@ -16,17 +16,33 @@
 /** Model header of items that every engine rejects. */
 export const POISON = "poison";
 
-/** Data of the events in the answer to a request. */
-export function expectedData(id: string): string[] {
+/** Software versions of the engines; each answers with a text of its own. */
+const SOFTWARE_VERSIONS = ["v1", "v2"];
+
+/** Data of the events in the answer of a software version to a request. */
+function expectedData(id: string, softwareVersion: string): string[] {
   return Array.from(
     { length: ANSWER_EVENTS },
-    (_, index) => `${id} word ${index}`,
+    (_, index) => `${id} ${softwareVersion} word ${index}`,
+  );
+}
+
+/** Possible texts of the result of an item, one for each software version. */
+export function possibleTexts(id: string): string[] {
+  return SOFTWARE_VERSIONS.map((version) =>
+    expectedData(id, version).join("\n")
+  );
+}
+
+/** Possible bodies of a streamed answer, one for each software version. */
+export function possibleStreams(id: string): string[] {
+  return SOFTWARE_VERSIONS.map((version) =>
+    streamOf(expectedData(id, version))
   );
 }
 
-/** Complete body of a streamed answer. */
-export function expectedStream(id: string): string {
-  return expectedData(id)
+function streamOf(data: readonly string[]): string {
+  return data
     .map((data, index) => `id: ${index + 1}\ndata: ${data}\n\n`)
     .join("");
 }
@@ -45,14 +61,17 @@
 export class SoakEngine implements IListedStandin {
   readonly runs: IEngineRun[] = [];
   readonly standin: IListedStandin["standin"];
+  readonly softwareVersion: string;
   relay: Relay | undefined;
   /** Whether running requests pause until this is cleared. */
   isFrozen = false;
   #id: string;
   #runningRequests = 0;
 
-  constructor(id: string) {
-    this.#id = id;
+  constructor(index: number) {
+    this.#id = `i-${index}`;
+    this.softwareVersion =
+      SOFTWARE_VERSIONS[index % SOFTWARE_VERSIONS.length] as string;
     const server = new HttpStandin((request, response) => {
       void this.#handleRequest(request, response);
     });
@@ -98,7 +117,9 @@
       "Response-Stamp": engine,
       "Content-Type": "text/event-stream",
     });
-    const data = expectedData(id);
+    // A resumed stream continues the text of the attempt in which it began.
+    const origin = String(request.headers.resumes ?? id);
+    const data = expectedData(origin, this.softwareVersion);
     for (let event = after; event < ANSWER_EVENTS; event++) {
       do await sleep(EVENT_INTERVAL_MILLISECONDS); while (this.isFrozen);
       if (response.destroyed) return;
--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -42,6 +42,8 @@
 
 /** An engine in the platform's list. */
 export interface IListedStandin {
+  /** Version of its software; `v1` if absent. */
+  readonly softwareVersion?: string;
   readonly standin: {
     start(): Promise<{ address: string; port: number }>;
     stop(): void;
@@ -181,14 +183,14 @@
     process.once("exit", this.#killAll);
     this.#folder = await mkdtemp(join(tmpdir(), "figroad-platform-"));
     const instances = await Promise.all(
-      this.engines.map(async ({ standin }, index) => {
+      this.engines.map(async ({ standin, softwareVersion }, index) => {
         const { address, port } = await standin.start();
         return {
           id: `i-${index}`,
           service: "writer",
           address: `${address}:${port}`,
           zone: "a",
-          version: "v1",
+          version: softwareVersion ?? "v1",
           slots: 8,
           state: "ready",
         };
