Count crashes of five minutes against a prompt part, until it is answered

Cause: crashes counted for one minute, so a part that crashes an engine every 15 s or more would never have reached five.

Change: broken runs are kept for five minutes, on entries and leader. An entry tells when a request with a suspect part was answered, and runs that broke before that no longer count against the part. An answer still clears its parts for a minute.

--- a/src/quarantine/completions.ts
+++ b/src/quarantine/completions.ts
@@ -14,8 +14,8 @@
 /** Prompt parts of the requests that were answered completely of late. */
 export class Completions {
   #clock: IClock;
-  /** Times until which parts are cleared, in ascending order. */
-  #clearedUntil = new Map<string, Deadline>();
+  /** Times at which requests with a part were last answered. */
+  #answeredAt = new Map<string, Deadline>();
   /** Number of completed requests by second. */
   #counts = new Map<number, number>();
 
@@ -26,26 +26,32 @@
   record(parts: readonly string[]): void {
     const second = this.#currentSecond();
     this.#counts.set(second, (this.#counts.get(second) ?? 0) + 1);
-    this.clear(parts);
+    for (const part of parts) this.clear(part, this.#clock.monotonic());
   }
 
-  /** Clears parts that another instance has seen answered. */
-  clear(parts: readonly string[]): void {
-    const until = this.#clock.deadlineIn(CLEARANCE_MILLISECONDS);
-    for (const part of parts) {
-      this.#clearedUntil.delete(part);
-      this.#clearedUntil.set(part, until);
-    }
-    for (const [part, clearedUntil] of this.#clearedUntil) {
-      const isFull = this.#clearedUntil.size > MAXIMUM_PARTS;
-      if (!isFull && !this.#clock.isPast(clearedUntil)) break;
-      this.#clearedUntil.delete(part);
+  /** Clears a part of which a request was answered at a point in time. */
+  clear(part: string, answeredAt: Deadline): void {
+    const known = this.#answeredAt.get(part) ?? answeredAt;
+    this.#answeredAt.delete(part);
+    this.#answeredAt.set(part, Math.max(known, answeredAt) as Deadline);
+    for (const oldest of this.#answeredAt.keys()) {
+      const isFull = this.#answeredAt.size > MAXIMUM_PARTS;
+      if (!isFull && this.isCleared(oldest)) break;
+      this.#answeredAt.delete(oldest);
     }
   }
 
   isCleared(part: string): boolean {
-    const until = this.#clearedUntil.get(part);
-    return until !== undefined && !this.#clock.isPast(until);
+    const age = this.age(part);
+    return age !== undefined && age < CLEARANCE_MILLISECONDS;
+  }
+
+  /** Time since a request with the part was answered, in milliseconds. */
+  age(part: string): number | undefined {
+    const answeredAt = this.#answeredAt.get(part);
+    return answeredAt === undefined
+      ? undefined
+      : this.#clock.monotonic() - answeredAt;
   }
 
   /** Number of requests that were completed in the last minute. */
--- a/src/quarantine/messages.ts
+++ b/src/quarantine/messages.ts
@@ -21,8 +21,11 @@
   brokenRuns: z.array(brokenRunSchema),
   /** Number of requests that were answered completely in the last minute. */
   completedRequests: z.number(),
-  /** Suspect or quarantined parts that were answered in the last minute. */
-  clearedParts: z.array(z.string()),
+  /**
+   * Suspect or quarantined parts that were answered in the last minute, and
+   * milliseconds since then.
+   */
+  clearedParts: z.array(z.tuple([z.string(), z.number()])),
   /** Parts in quarantine; sent until a new leader has received them. */
   quarantined: z.array(quarantinedPartSchema).optional(),
 });
--- a/src/quarantine/part_judge.ts
+++ b/src/quarantine/part_judge.ts
@@ -7,7 +7,7 @@
 import type { IBrokenRun, IPartObserver, IQuarantineEntry } from "./types.ts";
 
 /** Time for which broken runs are considered, in milliseconds. */
-const BROKEN_RUN_LIFETIME_MILLISECONDS = 60_000;
+const BROKEN_RUN_LIFETIME_MILLISECONDS = 300_000;
 
 /** Maximum number of broken runs that are considered, the newest ones. */
 const MAXIMUM_BROKEN_RUNS = 2_000;
@@ -60,7 +60,7 @@
 
   recordCompletion(parts: readonly string[]): void {
     this.#completions.record(parts);
-    this.#release(parts);
+    for (const part of parts) this.#clear(part, this.#clock.monotonic());
   }
 
   findQuarantined(parts: readonly string[]): IQuarantineEntry | undefined {
@@ -86,8 +86,11 @@
       if (this.#quarantined.has(part)) continue;
       this.#quarantined.set(part, this.#clock.deadlineIn(milliseconds));
     }
-    this.#completions.clear(report.clearedParts);
-    this.#release(report.clearedParts);
+    for (const [part, ageMilliseconds] of report.clearedParts) {
+      const answeredAt = now - ageMilliseconds as Deadline;
+      this.#completions.clear(part, answeredAt);
+      this.#clear(part, answeredAt);
+    }
     this.#evaluate();
     return this.#verdicts();
   }
@@ -167,11 +170,17 @@
     }
   }
 
-  /** Releases parts of which a request was answered. */
-  #release(parts: readonly string[]): void {
-    for (const part of parts) {
-      if (!this.#quarantined.delete(part)) continue;
-      this.#events.emit(partReleased, { part, reason: "answered" });
-    }
+  /**
+   * Releases a part of which a request was answered. Runs that broke before
+   * that are no evidence against it.
+   */
+  #clear(part: string, answeredAt: Deadline): void {
+    this.#brokenRuns = this.#brokenRuns.map((run) =>
+      run.brokenAt > answeredAt || !run.parts.includes(part)
+        ? run
+        : { ...run, parts: run.parts.filter((other) => other !== part) }
+    );
+    if (!this.#quarantined.delete(part)) return;
+    this.#events.emit(partReleased, { part, reason: "answered" });
   }
 }
--- a/src/quarantine/part_judge_test.ts
+++ b/src/quarantine/part_judge_test.ts
@@ -123,17 +123,38 @@
   t.is(fleet.refusedBy(["caller", "bad"]), 0);
 });
 
-test("crashes far apart still add up within a minute", async (t) => {
+test("crashes a minute apart add up while no request is answered", async (t) => {
   const fleet = new Fleet();
   await fleet.exchangeFor(200);
   for (const engine of ["a", "b", "c", "d", "e"]) {
     fleet.complete(20, ["caller", "sound"]);
     fleet.crash(engine, ["caller", "bad"]);
-    await fleet.exchangeFor(8_000);
+    await fleet.exchangeFor(50_000);
   }
   t.is(fleet.refusedBy(["caller", "bad"]), 3);
 });
 
+test("crashes before an answer are no evidence against a part", async (t) => {
+  const fleet = new Fleet();
+  await fleet.exchangeFor(200);
+  for (const engine of ["a", "b", "c", "d"]) {
+    fleet.crash(engine, ["caller", "rare"]);
+  }
+  await fleet.exchangeFor(1_000);
+  fleet.complete(20, ["caller", "sound"]);
+  fleet.complete(1, ["caller", "rare"]);
+  await fleet.exchangeFor(70_000);
+  fleet.complete(60, ["caller", "sound"]);
+  fleet.crash("e", ["caller", "rare"]);
+  await fleet.exchangeFor(3_000);
+  t.is(fleet.refusedBy(["caller", "rare"]), 0);
+  for (const engine of ["f", "g", "h", "i"]) {
+    fleet.crash(engine, ["caller", "rare"]);
+  }
+  await fleet.exchangeFor(3_000);
+  t.is(fleet.refusedBy(["caller", "rare"]), 3);
+});
+
 test("entries without news report once a second", async (t) => {
   const fleet = new Fleet();
   await fleet.exchangeFor(2_000);
--- a/src/quarantine/part_monitor.ts
+++ b/src/quarantine/part_monitor.ts
@@ -6,7 +6,7 @@
 import type { IBrokenRun, IPartObserver, IQuarantineEntry } from "./types.ts";
 
 /** Time for which a broken run is reported to new leaders, in milliseconds. */
-const BROKEN_RUN_LIFETIME_MILLISECONDS = 60_000;
+const BROKEN_RUN_LIFETIME_MILLISECONDS = 300_000;
 
 /** Maximum number of broken runs that are kept; the oldest are dropped. */
 const MAXIMUM_BROKEN_RUNS = 1_000;
@@ -96,7 +96,9 @@
         ageMilliseconds: Math.round(now - brokenAt),
       })),
       completedRequests: this.#completions.count,
-      clearedParts: asked.filter((part) => this.#completions.isCleared(part)),
+      clearedParts: asked
+        .filter((part) => this.#completions.isCleared(part))
+        .map((part) => [part, Math.round(this.#completions.age(part) ?? 0)]),
     };
     if (isNewLeader) {
       message.quarantined = [...this.#quarantined].map((
