Soak: an engine announces that it leaves while the list calls it ready

Cause: the soak had no engine that announces, so it could not see that an entry goes on using it.

Change: the last engine announces from a seeded time on. From what clients and engines saw, no stream that an entry received more than 3 s after it had passed on such an answer may run there, unless the entry was killed, frozen or stopped in between. Schedules of seeds stay the same.

--- a/soak/platform/client.ts
+++ b/soak/platform/client.ts
@@ -9,6 +9,8 @@
   readonly text: string;
   /** Whether the answer is complete. */
   readonly isComplete: boolean;
+  /** Engine that announced in the answer that it leaves. */
+  readonly leavingEngine: string | undefined;
 }
 
 /** HTTP client that keeps its connections open between requests. */
@@ -30,8 +32,11 @@
     return new Promise((resolve) => {
       const chunks: Buffer[] = [];
       let status: number | undefined;
-      const finish = (isComplete: boolean) =>
-        resolve({ status, isComplete, text: Buffer.concat(chunks).toString() });
+      let leavingEngine: string | undefined;
+      const finish = (isComplete: boolean) => {
+        const text = Buffer.concat(chunks).toString();
+        resolve({ status, isComplete, text, leavingEngine });
+      };
       const outgoing = request({
         host: endpoint.address,
         port: endpoint.port,
@@ -41,6 +46,10 @@
         signal: AbortSignal.timeout(timeoutMilliseconds),
       }, (response) => {
         status = response.statusCode;
+        const { headers } = response;
+        leavingEngine = headers["server-leaving"] === "1"
+          ? String(headers["response-stamp"])
+          : undefined;
         response.on("data", (chunk: Buffer) => chunks.push(chunk));
         response.on("error", () => finish(false));
         response.on("end", () => finish(response.complete));
--- a/soak/platform/platform_checks.ts
+++ b/soak/platform/platform_checks.ts
@@ -33,6 +33,12 @@
  */
 const ENGINE_FAULT_WINDOW_MILLISECONDS = 6_000;
 
+/**
+ * Time after an engine's announcement within which it may still get requests,
+ * in milliseconds, as the users' platform states it.
+ */
+const DRAIN_MILLISECONDS = 3_000;
+
 /** Inputs of the checks. */
 export interface ICheckContext {
   readonly fleet: PlatformFleet<SoakEngine>;
@@ -64,6 +70,35 @@
     if (count > limit) record.addViolation(`${kind} ${id} ran ${count} times`);
   }
   checkPlannedStops(record);
+  checkAnnouncements(record, runs);
+}
+
+/**
+ * Checks that an entry sends no stream to an engine long after it has passed on
+ * an answer in which the engine announced that it leaves.
+ */
+function checkAnnouncements(
+  record: PlatformRecord,
+  runs: ReadonlyMap<string, readonly IEngineRun[]>,
+): void {
+  for (const heard of record.streams) {
+    const { entry, leavingEngine, endedAt } = heard;
+    if (leavingEngine === undefined) continue;
+    const hasForgotten = (until: number) =>
+      record.processFaults.some(({ name, at }) =>
+        name === entry && at >= heard.startedAt && at <= until
+      );
+    const late = record.streams.find((stream) =>
+      stream.entry === entry && !hasForgotten(stream.startedAt) &&
+      stream.startedAt > endedAt + DRAIN_MILLISECONDS &&
+      runs.get(stream.id)?.some(({ engine }) => engine === leavingEngine)
+    );
+    if (!late) continue;
+    record.addViolation(
+      `${entry} sent ${late.id} to ${leavingEngine}, which leaves`,
+    );
+    return;
+  }
 }
 
 function checkPlannedStops(record: PlatformRecord): void {
--- a/soak/platform/platform_faults.ts
+++ b/soak/platform/platform_faults.ts
@@ -93,8 +93,14 @@
       "kill-store",
       () => onStore(() => killAndRestart(context, store, fault)),
     )
-    .with("freeze-entry", () => onEntry(() => freezeProcess(entry, fault)))
-    .with("freeze-store", () => onStore(() => freezeProcess(store, fault)))
+    .with(
+      "freeze-entry",
+      () => onEntry(() => freezeProcess(context, entry, fault)),
+    )
+    .with(
+      "freeze-store",
+      () => onStore(() => freezeProcess(context, store, fault)),
+    )
     .with("stop-entry", () => onEntry(() => stopAndRestart(context, entry)))
     .with("stop-store", () => onStore(() => stopAndRestart(context, store)))
     .with(
@@ -177,22 +183,25 @@
 }
 
 async function killAndRestart(
-  { fleet }: IFaultContext,
+  { fleet, record }: IFaultContext,
   target: IRoleProcess,
   { durationMilliseconds }: { durationMilliseconds: number },
 ): Promise<void> {
   await endProcess(target, "SIGKILL");
+  record.processFaults.push({ name: target.name, at: Date.now() });
   await sleep(durationMilliseconds);
   fleet.restart(target);
 }
 
 async function freezeProcess(
-  { child }: IRoleProcess,
+  { record }: IFaultContext,
+  { name, child }: IRoleProcess,
   { durationMilliseconds }: { durationMilliseconds: number },
 ): Promise<void> {
   child.kill("SIGSTOP");
   await sleep(durationMilliseconds);
   child.kill("SIGCONT");
+  record.processFaults.push({ name, at: Date.now() });
 }
 
 async function stopAndRestart(
@@ -207,6 +216,7 @@
   record.plannedStops.push(plannedStop);
   await endProcess(target, "SIGTERM");
   plannedStop.endedAt = Date.now();
+  record.processFaults.push({ name: target.name, at: plannedStop.endedAt });
   if (target.child.exitCode !== 0) {
     record.addViolation(`${target.name} exited with ${target.child.exitCode}`);
   }
--- a/soak/platform/platform_record.ts
+++ b/soak/platform/platform_record.ts
@@ -10,6 +10,8 @@
   /** Whether the answer is complete. */
   isComplete: boolean;
   text: string;
+  /** Engine that announced in the answer that it leaves. */
+  leavingEngine: string | undefined;
   /** Attempt in which a resumed stream began, and its complete events. */
   readonly resumed?: { readonly id: string; readonly text: string } | undefined;
 }
@@ -64,6 +66,8 @@
    * starts or ends.
    */
   readonly engineFaultTimes: number[] = [];
+  /** Kills, freezes and stops of processes: name and wall times. */
+  readonly processFaults: { readonly name: string; readonly at: number }[] = [];
   /** Violated guarantees, in the order in which they were found. */
   readonly violations: string[] = [];
 
--- a/soak/platform/run_platform_soak.ts
+++ b/soak/platform/run_platform_soak.ts
@@ -75,10 +75,13 @@
     const load = new AbortController();
     const tasks = startLoad(context, { seed, signal: load.signal });
     const busyNames = new Set<string>();
-    await Promise.all(schedule.map(async (fault) => {
-      await sleep(fault.startMilliseconds);
-      await runPlatformFault({ fleet, record, busyNames }, fault);
-    }));
+    await Promise.all([
+      announceLeaving(fleet, options),
+      ...schedule.map(async (fault) => {
+        await sleep(fault.startMilliseconds);
+        await runPlatformFault({ fleet, record, busyNames }, fault);
+      }),
+    ]);
     await sleep(POST_FAULT_LOAD_MILLISECONDS);
     load.abort();
     await Promise.all(tasks);
@@ -95,6 +98,20 @@
   return { record, schedule, logs };
 }
 
+/**
+ * Makes the last engine announce that it leaves, while the list goes on calling
+ * it ready. It has its own random numbers, so that schedules stay the same.
+ */
+async function announceLeaving(
+  fleet: PlatformFleet<SoakEngine>,
+  { seed, seconds }: IPlatformSoakOptions,
+): Promise<void> {
+  const latest = Math.round(seconds * 1_000 / 2);
+  await sleep(new TestRandom(seed).integer(0, latest));
+  const engine = fleet.engines.at(-1);
+  if (engine) engine.isLeaving = true;
+}
+
 function startLoad(
   context: { fleet: PlatformFleet<SoakEngine>; record: PlatformRecord },
   options: { seed: number; signal: AbortSignal },
--- a/soak/platform/soak_engine.ts
+++ b/soak/platform/soak_engine.ts
@@ -63,6 +63,8 @@
   readonly standin: IListedStandin["standin"];
   readonly softwareVersion: string;
   relay: Relay | undefined;
+  /** Whether all answers announce that the engine leaves. */
+  isLeaving = false;
   /** Whether running requests pause until this is cleared. */
   isFrozen = false;
   #id: string;
@@ -96,6 +98,7 @@
       response.writeHead(200, { "Instance-Id": this.#id }).end();
       return;
     }
+    if (this.isLeaving) response.setHeader("Server-Leaving", "1");
     const id = String(request.headers["request-id"] ?? "");
     const isExpectedInstance = request.headers["expect-instance"] === this.#id;
     if (!isExpectedInstance || this.#runningRequests >= SLOTS) {
