Failing test: engines get more requests than the limit they name

Two entries send live requests and a job has items while all engines name a limit of 2 requests a second.

--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -93,6 +93,8 @@
   breakBefore: number | undefined;
   /** Whether all answers announce that the engine leaves. */
   isLeaving = false;
+  /** Requests a second that all answers name as the engine's limit, if set. */
+  limit: number | undefined;
   /** Prompt part on which the engine crashes as it begins to answer. */
   crashPart: string | undefined;
   /** Ids of the requests under which the engine crashed. */
@@ -109,6 +111,9 @@
         return;
       }
       if (this.isLeaving) response.setHeader("Server-Leaving", "1");
+      if (this.limit !== undefined) {
+        response.setHeader("Server-Limit", String(this.limit));
+      }
       const requestId = String(incoming.headers["request-id"] ?? "");
       if (incoming.headers["expect-instance"] !== id) {
         response.writeHead(421).end();
