Keep engines within the limits that they name

Cause: nothing read the limit. The class of fault is load that is decided on several machines, by the leader for each request and by entries without it, with no account that all of them share.

Instances report limits to the leader before a request in the same call is placed, and the leader sends them to all. The leader, which places live requests, starts items and checks health, holds one token bucket for each engine, as for callers' limits; its buckets start empty in a new term, and a grant of a leader that has not heard of the limit is not used. Instances without the leader take turns whose sum is half of the limit. Live requests use engines without a limit first, items those with one.

Why it works: each request, retry, item and health check takes a token from the one bucket or uses a turn, and no bound depends on another machine being reachable.

--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -27,3 +27,14 @@
   params: borrowingSchema,
   result: loanSchema,
 });
+
+/**
+ * What an engine said last about its limit: engine, requests a second (null if
+ * it no longer names a limit), and milliseconds since then.
+ */
+export const reportedEngineLimitSchema = z.tuple([
+  z.string(),
+  z.number().nullable(),
+  z.number(),
+]);
+export type ReportedEngineLimit = z.infer<typeof reportedEngineLimitSchema>;
--- a/src/admission/token_bucket.ts
+++ b/src/admission/token_bucket.ts
@@ -3,17 +3,20 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /**
- * Token bucket. Its capacity is the number of tokens that are added in one
- * second, but at least one.
+ * Token bucket. By default, its capacity is the number of tokens that are added
+ * in one second, but at least one.
  */
 export class TokenBucket {
   #clock: IClock;
+  #startsEmpty: boolean;
   #perSecond = 0;
+  #capacity = 0;
   #tokens = 0;
   #filledAt: Deadline | undefined;
 
-  constructor(clock: IClock) {
+  constructor(clock: IClock, options: { startsEmpty?: boolean } = {}) {
     this.#clock = clock;
+    this.#startsEmpty = options.startsEmpty ?? false;
   }
 
   /** Tokens that can be taken now. */
@@ -22,12 +25,22 @@
     return Math.floor(this.#tokens);
   }
 
-  /** Sets the refill rate. The bucket is full when this is first called. */
-  setRate(perSecond: number): void {
+  /** Whether further tokens would be lost. */
+  get isFull(): boolean {
+    this.#refill();
+    return this.#tokens >= this.#capacity;
+  }
+
+  /**
+   * Sets the refill rate. When this is first called, the bucket is full unless
+   * it starts empty.
+   */
+  setRate(perSecond: number, capacity = Math.max(1, perSecond)): void {
     this.#refill();
     this.#perSecond = perSecond;
+    this.#capacity = perSecond > 0 ? capacity : 0;
     if (this.#filledAt === undefined) {
-      this.#tokens = this.#capacity;
+      this.#tokens = this.#startsEmpty ? 0 : this.#capacity;
       this.#filledAt = this.#clock.monotonic();
     }
     this.#tokens = Math.min(this.#tokens, this.#capacity);
@@ -42,13 +55,18 @@
 
   /** Seconds until a token is available. */
   get secondsToNext(): number {
-    this.#refill();
-    if (this.#perSecond === 0) return 1;
-    return Math.max(0, 1 - this.#tokens) / this.#perSecond;
+    return this.#secondsTo(1);
   }
 
-  get #capacity(): number {
-    return this.#perSecond > 0 ? Math.max(1, this.#perSecond) : 0;
+  /** Seconds until the bucket is full. */
+  get secondsToFull(): number {
+    return this.#secondsTo(this.#capacity);
+  }
+
+  #secondsTo(tokens: number): number {
+    this.#refill();
+    if (this.#perSecond === 0) return 1;
+    return Math.max(0, tokens - this.#tokens) / this.#perSecond;
   }
 
   #refill(): void {
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -60,3 +60,21 @@
   /** Borrows from the instance that owns the caller's limits. */
   borrow(borrowing: Borrowing): Promise<Result<Loan, Failure>>;
 }
+
+/** Admits requests at engines that limit how many they take. */
+export interface IEngineRateLimiter {
+  /** Milliseconds until a request may be sent to the engine; 0 if now. */
+  waitMilliseconds(engine: string): number;
+  /** Whether requests to the engine are better saved for a burst. */
+  isScarce(engine: string): boolean;
+  /** Counts a request that is sent to the engine. */
+  take(engine: string): void;
+}
+
+/** Admits the starts of items as well. */
+export interface IItemRateLimiter extends IEngineRateLimiter {
+  /** Number of items that may start at the engine now. */
+  startableItems(engine: string): number;
+  /** Counts the start of an item at the engine. */
+  takeForItem(engine: string): void;
+}
--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -1,4 +1,5 @@
 import { match } from "ts-pattern";
+import type { IItemRateLimiter } from "../admission/mod.ts";
 import type { IClock, IDisposable } from "../common/mod.ts";
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
@@ -72,7 +73,8 @@
   /** Whether a new leader knows the live load; no item starts before. */
   readonly isLoadKnown: () => boolean;
   /** Engines with their live load. */
-  readonly engines: () => readonly (Omit<IBulkEngine, "bulk">)[];
+  readonly engines: () => readonly (Omit<IBulkEngine, "bulk" | "startable">)[];
+  readonly limiter: IItemRateLimiter;
 }
 
 /** Runs the items of all open jobs while this store is the leader. */
@@ -135,11 +137,12 @@
 
   /** Starts items in free slots and preempts items at overloaded engines. */
   #plan(): void {
-    const { clock, isLoadKnown, parts } = this.#options;
+    const { clock, isLoadKnown, parts, limiter } = this.#options;
     if (!isLoadKnown()) return;
     const engines = this.#options.engines().map((it) => ({
       ...it,
       bulk: this.load.get(it.engine.id) ?? 0,
+      startable: limiter.startableItems(it.engine.id),
     }));
     const now = { wall: clock.wall(), monotonic: clock.monotonic() };
     const waiting = this.#items.startable(now).filter(({ promptParts }) =>
@@ -275,9 +278,10 @@
     pending: IPendingItem,
     load: { engine: ListedEngine; live: number },
   ): Promise<void> {
-    const { executor, clock, events } = this.#options;
+    const { executor, clock, events, limiter } = this.#options;
     const { item, job } = pending;
     const { engine, live } = load;
+    limiter.takeForItem(engine.id);
     pending.softwareVersion = engine.softwareVersion;
     pending.versionDeadline = undefined;
     const { progress } = pending;
--- a/src/bulk/bulk_runner_test.ts
+++ b/src/bulk/bulk_runner_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { unlimitedEngines } from "../../testing/unlimited_engines.ts";
 import { FakeLog } from "../../testing/fake_log.ts";
 import { listedEngine } from "../../testing/listed_engine.ts";
 import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
@@ -79,6 +80,7 @@
   const runs: IStartedRun[] = [];
   const listed = { engines };
   const runner = new BulkRunner({
+    limiter: unlimitedEngines,
     ...{ log, section, clock, events },
     health,
     parts: judge,
--- a/src/bulk/bulk_schedule.ts
+++ b/src/bulk/bulk_schedule.ts
@@ -45,6 +45,8 @@
   /** Number of items that run at the engine. */
   readonly bulk: number;
   readonly isSuspect: boolean;
+  /** Items that may start now within the limit that the engine names. */
+  readonly startable: number;
 }
 
 /** Items to preempt and slots to fill. */
@@ -57,11 +59,29 @@
 
 /** Number of items to preempt at an engine with more requests than slots. */
 export function missingSlots(
-  { engine, live, bulk }: Omit<IBulkEngine, "isSuspect">,
+  { engine, live, bulk }: Omit<IBulkEngine, "isSuspect" | "startable">,
 ): number {
   return Math.max(0, Math.min(bulk, live + bulk - engine.slots));
 }
 
+interface ICandidate {
+  readonly engine: ListedEngine;
+  /** Items that may still start. */
+  free: number;
+  /** Whether the engine limits its requests. */
+  readonly isLimited: boolean;
+}
+
+/**
+ * Prefers engines that limit their requests: an item uses a slot for long with
+ * a single request, and leaves the other engines to live requests.
+ */
+function isBetter(one: ICandidate, other: ICandidate): boolean {
+  if (one.free <= 0 || other.free <= 0) return one.free > other.free;
+  if (one.isLimited !== other.isLimited) return one.isLimited;
+  return one.free > other.free;
+}
+
 /**
  * Plans where items start and where they are preempted.
  *
@@ -74,26 +94,26 @@
   waiting: number,
 ): IBulkPlan {
   const preemptions = new Map<string, number>();
-  const candidates: { engine: ListedEngine; free: number }[] = [];
+  const candidates: ICandidate[] = [];
   let totalSlots = 0;
   let freeSlots = 0;
-  for (const { engine, live, bulk, isSuspect } of engines) {
+  for (const { engine, live, bulk, isSuspect, startable } of engines) {
     const unused = engine.slots - live - bulk;
     const missing = missingSlots({ engine, live, bulk });
     if (missing > 0) preemptions.set(engine.id, missing);
     if (engine.isLeaving || isSuspect) continue;
     totalSlots += engine.slots;
     freeSlots += Math.max(0, unused);
-    if (unused > 0) candidates.push({ engine, free: unused });
+    const free = Math.min(unused, startable);
+    const isLimited = Number.isFinite(startable);
+    if (free > 0) candidates.push({ engine, free, isLimited });
   }
   const reserve = Math.ceil(RESERVED_SHARE * totalSlots);
   const startLimit = Math.min(waiting, freeSlots - reserve);
   const starts: ListedEngine[] = [];
   while (starts.length < startLimit) {
-    const leastLoaded = candidates.reduce<
-      typeof candidates[number] | undefined
-    >(
-      (best, it) => best && best.free >= it.free ? best : it,
+    const leastLoaded = candidates.reduce<ICandidate | undefined>(
+      (best, it) => best && !isBetter(it, best) ? best : it,
       undefined,
     );
     if (!leastLoaded || leastLoaded.free <= 0) break;
--- a/src/bulk/bulk_schedule_test.ts
+++ b/src/bulk/bulk_schedule_test.ts
@@ -4,14 +4,22 @@
 
 function engine(
   id: string,
-  load: { live: number; bulk: number; leaving?: boolean; suspect?: boolean },
+  load: {
+    live: number;
+    bulk: number;
+    leaving?: boolean;
+    suspect?: boolean;
+    startable?: number;
+  },
 ): IBulkEngine {
   const { live, bulk, leaving = false, suspect = false } = load;
+  const { startable = Number.POSITIVE_INFINITY } = load;
   return {
     engine: listedEngine(id, { isLeaving: leaving }),
     live,
     bulk,
     isSuspect: suspect,
+    startable,
   };
 }
 
@@ -74,3 +82,17 @@
     "hopeless",
   ]);
 });
+
+test("items prefer engines with a limit, as far as it allows", (t) => {
+  const engines = [
+    engine("limited", { live: 2, bulk: 0, startable: 1 }),
+    engine("used up", { live: 0, bulk: 0, startable: 0 }),
+    engine("unlimited", { live: 0, bulk: 0 }),
+  ];
+  const { starts } = planBulk(engines, 3);
+  t.deepEqual(starts.map(({ id }) => id), [
+    "limited",
+    "unlimited",
+    "unlimited",
+  ]);
+});
--- a/src/bulk/item_assignment.ts
+++ b/src/bulk/item_assignment.ts
@@ -34,7 +34,10 @@
   const free = new Map(
     plan.engines
       .filter(({ engine, isSuspect }) => !engine.isLeaving && !isSuspect)
-      .map(({ engine, live, bulk }) => [engine, engine.slots - live - bulk]),
+      .map(({ engine, live, bulk, startable }) => [
+        engine,
+        Math.min(engine.slots - live - bulk, startable),
+      ]),
   );
   for (const { engine } of assignments) {
     free.set(engine, (free.get(engine) ?? 0) - 1);
--- a/src/bulk/item_assignment_test.ts
+++ b/src/bulk/item_assignment_test.ts
@@ -12,7 +12,8 @@
 
 function load(id: string, softwareVersion: string, bulk = 0) {
   const engine = listedEngine(id, { softwareVersion });
-  return { engine, live: 0, bulk, isSuspect: false };
+  const startable = Number.POSITIVE_INFINITY;
+  return { engine, live: 0, bulk, isSuspect: false, startable };
 }
 
 function assign(engines: ReturnType<typeof load>[], items: ITestItem[]) {
--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -1,3 +1,4 @@
+import { type EngineLimits, FleetRateLimiter } from "../admission/mod.ts";
 import {
   BulkRunner,
   type BulkSection,
@@ -43,6 +44,7 @@
   readonly probe: IEngineProbe;
   readonly parts: IPartObserver;
   readonly leaving: LeavingEngines;
+  readonly engineLimits: EngineLimits;
   readonly promptPartsOf: PromptPartsOf;
   /** Runs items on this store. */
   readonly executor: IItemExecutor;
@@ -64,6 +66,7 @@
   readonly directory: EngineDirectory;
   readonly runner: BulkRunner;
   readonly health: EngineHealth;
+  readonly limiter: FleetRateLimiter;
 }
 
 /** Runs the components that only the leader of the log needs. */
@@ -86,7 +89,7 @@
   get leaderState(): ILeaderState | undefined {
     const { routesSection, log, leaving } = this.#options;
     if (!this.#term) return undefined;
-    const { directory, runner } = this.#term;
+    const { directory, runner, limiter } = this.#term;
     return {
       term: log.leadership.term,
       list: directory.list,
@@ -95,6 +98,7 @@
       bulk: runner.load,
       routes: routesSection.current,
       leaving,
+      limiter,
       preemptBatchItems: (load) => runner.preemptBatchItems(load),
     };
   }
@@ -143,9 +147,10 @@
   #startTerm(): void {
     const { log, clock, events, list, probe, ledger } = this.#options;
     const { bulkSection, routes, executor, rpc, server } = this.#options;
-    const { parts, promptPartsOf, leaving } = this.#options;
+    const { parts, promptPartsOf, leaving, engineLimits } = this.#options;
     const disposables = new DisposableStore();
     const health = new EngineHealth(clock, { events });
+    const limiter = new FleetRateLimiter(clock, engineLimits);
     const suspectCounts = () => {
       const counts = ledger.suspectCounts();
       for (const engine of health.suspects()) {
@@ -160,6 +165,7 @@
         clock,
         events,
         suspectCounts,
+        limiter,
       }),
     );
     const storeExecutor = disposables.add(
@@ -174,7 +180,7 @@
     const readiness = new LoadReadiness(ledger, clock);
     const runner = disposables.add(
       new BulkRunner({
-        ...{ log, clock, events, health, parts, promptPartsOf },
+        ...{ log, clock, events, health, parts, promptPartsOf, limiter },
         executor: storeExecutor,
         jobRetentionMilliseconds: this.#options.jobRetentionMilliseconds,
         section: bulkSection,
@@ -183,7 +189,7 @@
         engines: () => this.#engines(directory, health),
       }),
     );
-    this.#term = { disposables, directory, runner, health };
+    this.#term = { disposables, directory, runner, health, limiter };
     directory.start();
     runner.start();
   }
--- a/src/composition/leader_duties_test.ts
+++ b/src/composition/leader_duties_test.ts
@@ -5,6 +5,7 @@
 import { listedEngine } from "../../testing/listed_engine.ts";
 import { TestRandom } from "../../testing/test_random.ts";
 import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
+import { EngineLimits } from "../admission/mod.ts";
 import { BulkSection, type IItemRun } from "../bulk/mod.ts";
 import { type Failure, notRun } from "../common/mod.ts";
 import { SilentEventLog } from "../events/mod.ts";
@@ -84,6 +85,7 @@
     parts: new PartJudge(clock, { events }),
     promptPartsOf: () => [],
     leaving: new LeavingEngines(clock, { events }),
+    engineLimits: new EngineLimits(clock, { events }),
     executor: {
       run: (_, run) => {
         runs.push(run);
--- a/src/composition/telemetry.ts
+++ b/src/composition/telemetry.ts
@@ -4,6 +4,7 @@
   type WaitingTokenLimiter,
 } from "../bulk/mod.ts";
 import { DisposableStore, type IDisposable } from "../common/mod.ts";
+import type { EngineLimits } from "../admission/mod.ts";
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import { logLinesLeftOut } from "../edge/events.ts";
 import { type HttpEdge, MetricsListener } from "../edge/mod.ts";
@@ -73,6 +74,15 @@
     );
   }
 
+  /** Defines metrics of the limits that engines name. */
+  defineEngineLimitMetrics(limits: EngineLimits): void {
+    this.metrics.gauge(
+      "figroad_engines_with_limit",
+      "Engines that limit the requests they take from all instances.",
+      () => [{ value: limits.count }],
+    );
+  }
+
   /** Defines metrics of the exchange with the leader. */
   defineExchangeMetrics(exchange: ExchangeClient): void {
     this.metrics.gauge(
--- a/src/placement/engine_directory.ts
+++ b/src/placement/engine_directory.ts
@@ -1,3 +1,4 @@
+import type { IEngineRateLimiter } from "../admission/mod.ts";
 import type { IClock, IDisposable } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import { engineListUnreadable, probeFailed, probeSucceeded } from "./events.ts";
@@ -31,6 +32,7 @@
   readonly events: IEventLog;
   /** Suspected engines, with the number of instances that suspect each. */
   readonly suspectCounts: () => ReadonlyMap<string, number>;
+  readonly limiter: IEngineRateLimiter;
 }
 
 /**
@@ -117,8 +119,10 @@
   }
 
   async #check(engine: ListedEngine): Promise<void> {
-    const { probe, events } = this.#options;
+    const { probe, events, limiter } = this.#options;
     const { id } = engine;
+    if (limiter.waitMilliseconds(id) > 0) return;
+    limiter.take(id);
     try {
       await probe.check(
         engine,
--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -1,4 +1,5 @@
 import { createHash } from "node:crypto";
+import type { EngineLimits } from "../admission/mod.ts";
 import type { IClock, IDisposable } from "../common/mod.ts";
 import type { IControlClient } from "../consensus/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
@@ -58,6 +59,7 @@
   readonly health: EngineHealth;
   readonly routes: RoutesHolder;
   readonly list: IEngineListSource;
+  readonly engineLimits: EngineLimits;
   /** Streams that this instance reports; absent on stores. */
   readonly origins?: StreamOrigins;
   /** Prompt parts that this instance reports; absent on stores. */
@@ -92,6 +94,7 @@
   #leaderTerm = 0;
   #isLeaderReachable = true;
   #listAgeLimit: number;
+  #entries: number | undefined;
   #clockOffset: ClockOffsetMonitor;
 
   constructor(control: IControlClient, options: IExchangeClientOptions) {
@@ -107,6 +110,11 @@
     return this.#options.clock.monotonic() - this.#lastAnswerAt;
   }
 
+  /** Number of entries as last heard from the leader. */
+  get entries(): number | undefined {
+    return this.#entries;
+  }
+
   start(): void {
     void this.#run();
     if (this.#options.role === "entry") void this.#refreshStaleList();
@@ -160,7 +168,7 @@
     want?: PlacementRequest,
   ): Promise<PlacementDecision | undefined> {
     const { clock, table, health, routes, origins, parts } = this.#options;
-    const { instance, name, role } = this.#options;
+    const { instance, name, role, engineLimits } = this.#options;
     const reported = table.ownLiveCounts();
     this.#sequence += 1;
     const sequence = this.#sequence;
@@ -168,6 +176,7 @@
     const startedAt = clock.monotonic();
     const streams = origins?.unreported(this.#leaderTerm) ?? [];
     const report = parts?.report(this.#leaderTerm);
+    const limits = engineLimits.unreported(this.#leaderTerm);
     const answer = await this.#control.call(exchangeMethod, {
       ...{ instance, name, role, sequence, want },
       answered: this.#lastAnswered,
@@ -182,6 +191,7 @@
         softwareVersion,
         Math.round(clock.remaining(expiresAt)),
       ]),
+      engineLimits: limits.length > 0 ? limits : undefined,
       parts: report?.message,
       routesVersion: routes.version,
       listRevision: table.revision,
@@ -197,6 +207,9 @@
     const listAge = answer.value.listAge + clock.monotonic() - startedAt;
     this.#leaderTerm = term;
     origins?.markReported(streams, term);
+    engineLimits.markReported(limits, term);
+    engineLimits.merge(answer.value.engineLimits ?? [], term);
+    this.#entries = answer.value.entries ?? this.#entries;
     const verdicts = answer.value.parts;
     if (verdicts) parts?.applyVerdicts(verdicts, { term, report });
     this.#interval = answer.value.pauseMilliseconds;
@@ -205,8 +218,11 @@
     else table.confirmListAge(listAge);
     if (load) table.updateLoad(load, reported);
     health.setLeaderSuspects(suspects);
-    if (grant?.kind === "engine") table.beginRequest(grant.engine);
     this.#lastAnswered = Math.max(this.#lastAnswered, sequence);
+    if (grant?.kind !== "engine") return grant;
+    // A new leader may not have heard yet that the engine names a limit.
+    if (!engineLimits.isKnownToLeader(grant.engine, term)) return undefined;
+    table.beginRequest(grant.engine);
     return grant;
   }
 
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -6,6 +6,7 @@
   type IDisposable,
   notRun,
 } from "../common/mod.ts";
+import type { EngineLimits, IEngineRateLimiter } from "../admission/mod.ts";
 import type { PartJudge } from "../quarantine/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
 import type { RouteSet } from "../service_routes/mod.ts";
@@ -48,6 +49,8 @@
   readonly routes: RouteSet | undefined;
   /** Engines that have announced to the leader that they leave. */
   readonly leaving: Pick<LeavingEngines, "withAnnouncement">;
+  /** Admits requests within the limits that engines name. */
+  readonly limiter: IEngineRateLimiter;
   /** Stops batch items at an engine if its live requests need the slots. */
   preemptBatchItems(load: { engine: ListedEngine; live: number }): void;
 }
@@ -61,6 +64,7 @@
   /** Streams that instances have reported. */
   readonly origins: Pick<StreamOrigins, "find" | "record">;
   readonly judge: Pick<PartJudge, "receive" | "findNews">;
+  readonly engineLimits: Pick<EngineLimits, "merge" | "all">;
   /** Returns undefined on an instance that does not lead. */
   readonly leaderState: () => ILeaderState | undefined;
   /** Source of random numbers from 0 up to, not including, 1. */
@@ -73,6 +77,7 @@
   options: IExchangeHandlerOptions,
 ): IDisposable {
   const { ledger, origins, judge, leaderState, name, clock } = options;
+  const { engineLimits } = options;
   const disposables = new DisposableStore();
   disposables.add(server.handle(findStreamMethod, ({ request }) => {
     if (!leaderState()) return Promise.resolve(err(notLeader()));
@@ -87,12 +92,13 @@
   disposables.add(server.handle(exchangeMethod, (params) => {
     const state = leaderState();
     if (!state) return Promise.resolve(err(notLeader()));
-    const { streams, parts, ...report } = params;
+    const { streams, parts, engineLimits: limits, ...report } = params;
     ledger.recordReport(report);
     for (const [request, service, softwareVersion, lifetime] of streams ?? []) {
       const expiresAt = clock.deadlineIn(lifetime);
       origins.record({ request, service, softwareVersion, expiresAt });
     }
+    engineLimits.merge(limits ?? []);
     const grant = params.want && placeRequest(params, params.want, {
       ...options,
       state,
@@ -106,6 +112,8 @@
       term: state.term,
       wall: clock.wall(),
       load: params.want ? undefined : ledger.entries(state.bulk),
+      engineLimits: params.want ? undefined : engineLimits.all(),
+      entries: ledger.entryCount(),
       suspects: [...state.failing],
       listAge: state.listAge,
       list: isNewList ? list : undefined,
@@ -152,11 +160,16 @@
         INITIAL_MEAN_MILLISECONDS,
     }));
   const excluded = new Set(request.excluded);
-  const placement = place({ ...request, excluded, random: random() }, views);
+  const { limiter } = state;
+  const placement = place(
+    { ...request, excluded, random: random(), limiter },
+    views,
+  );
   return match(placement)
     .with({ kind: "engine" }, ({ view, waitMilliseconds }) => {
       const { engine, live } = view;
       ledger.recordGrant(params.instance, engine.id, params.sequence);
+      limiter.take(engine.id);
       state.preemptBatchItems({ engine, live: live + 1 });
       return {
         kind: "engine" as const,
--- a/src/placement/exchange_test.ts
+++ b/src/placement/exchange_test.ts
@@ -1,4 +1,6 @@
 import test from "ava";
+import { EngineLimits } from "../admission/mod.ts";
+import { unlimitedEngines } from "../../testing/unlimited_engines.ts";
 import { FakeNetwork } from "../../testing/fake_network.ts";
 import { ENGINE_SLOTS, listedEngine } from "../../testing/listed_engine.ts";
 import { TestRandom } from "../../testing/test_random.ts";
@@ -43,6 +45,7 @@
     bulk: this.bulk,
     routes: undefined,
     leaving: new LeavingEngines(this.clock, { events: new SilentEventLog() }),
+    limiter: unlimitedEngines,
     preemptBatchItems: ({ engine }) => this.preemptedEngines.push(engine.id),
   };
 
@@ -50,6 +53,9 @@
     registerExchangeHandler(this.network.connect("leader", this.clock), {
       name: "store-1",
       judge: new PartJudge(this.clock, { events: new SilentEventLog() }),
+      engineLimits: new EngineLimits(this.clock, {
+        events: new SilentEventLog(),
+      }),
       clock: this.clock,
       ledger: this.ledger,
       origins: {
@@ -78,6 +84,7 @@
     const exchange = new ExchangeClient(control, {
       ...{ instance: name, name, role: "entry" as const },
       ...{ clock, events, table, health, origins },
+      engineLimits: new EngineLimits(clock, { events }),
       routes: new RoutesHolder({ events }),
       list: {
         read: () => {
@@ -88,7 +95,10 @@
       random: () => 0,
     });
     exchange.start();
-    const placer = new Placer(exchange, table, { random: () => 0 });
+    const placer = new Placer(exchange, table, {
+      random: () => 0,
+      limiter: unlimitedEngines,
+    });
     return { table, placer, exchange, origins, leaving };
   }
 
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { reportedEngineLimitSchema } from "../admission/messages.ts";
 import { partReportSchema, partVerdictsSchema } from "../quarantine/mod.ts";
 import { defineMethod } from "../rpc/mod.ts";
 import { routeSetSchema } from "../service_routes/mod.ts";
@@ -41,7 +42,15 @@
     bulk: z.number(),
     waitMilliseconds: z.number(),
   }),
-  z.object({ kind: z.literal("refused"), retryMilliseconds: z.number() }),
+  z.object({
+    kind: z.literal("refused"),
+    retryMilliseconds: z.number(),
+    /**
+     * What is missing: a slot, or a request within the limits that the engines
+     * name. Absent from leaders of earlier versions, which know slots only.
+     */
+    missing: z.enum(["slot", "rate"]).optional(),
+  }),
   z.object({ kind: z.literal("no-engine") }),
 ]);
 export type PlacementDecision = z.infer<typeof placementDecisionSchema>;
@@ -84,6 +93,8 @@
     listRevision: z.string(),
     /** Streams that began and that this leader has not received yet. */
     streams: z.array(reportedStreamSchema).optional(),
+    /** Limits of engines that this leader has not received yet. */
+    engineLimits: z.array(reportedEngineLimitSchema).optional(),
     /** Broken and answered prompt parts; absent if there is nothing new. */
     parts: partReportSchema.optional(),
     /** A request to place. */
@@ -104,6 +115,10 @@
     listAge: z.number(),
     list: engineListSchema.optional(),
     routes: routeSetSchema.optional(),
+    /** Limits that engines name; left out where a request is placed. */
+    engineLimits: z.array(reportedEngineLimitSchema).optional(),
+    /** Number of entries that reported recently. */
+    entries: z.number().optional(),
     /** Prompt parts in quarantine; absent if nothing is known of any. */
     parts: partVerdictsSchema.optional(),
     /** Decision about `want`, if the call had it. */
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -1,3 +1,4 @@
+import type { IEngineRateLimiter } from "../admission/types.ts";
 import type { IEngineView } from "./types.ts";
 
 /**
@@ -12,6 +13,12 @@
 /** Minimum time after which a refused caller may retry. */
 const MINIMUM_RETRY_MILLISECONDS = 150;
 
+/**
+ * Maximum time after which a caller may retry if the limits of engines are used
+ * up. Another instance may send a request to an engine earlier.
+ */
+const MAXIMUM_RATE_WAIT_MILLISECONDS = 2_000;
+
 /** Engines whose scores differ by less are treated as equally loaded. */
 const SCORE_TOLERANCE = 0.5;
 
@@ -23,7 +30,12 @@
     /** Expected wait for a slot, in milliseconds. */
     readonly waitMilliseconds: number;
   }
-  | { readonly kind: "refused"; readonly retryMilliseconds: number }
+  | {
+    readonly kind: "refused";
+    readonly retryMilliseconds: number;
+    /** Whether a slot or the limits that engines name are missing. */
+    readonly missing: "slot" | "rate";
+  }
   | { readonly kind: "no-engine" };
 
 /** Properties of a request that decide its placement. */
@@ -39,6 +51,7 @@
   readonly softwareVersion?: string | undefined;
   /** Random number from 0 up to, not including, 1. */
   readonly random: number;
+  readonly limiter: Pick<IEngineRateLimiter, "waitMilliseconds" | "isScarce">;
 }
 
 /** Expected wait for a slot at an engine, in milliseconds. */
@@ -63,8 +76,19 @@
   );
   const healthy = usable.filter((view) => !view.isSuspect);
   const candidates = healthy.length > 0 ? healthy : usable;
-  const best = leastLoaded(request, candidates);
-  if (!best) return { kind: "no-engine" };
+  if (candidates.length === 0) return { kind: "no-engine" };
+  const waits = new Map(candidates.map(({ engine }) => [
+    engine.id,
+    request.limiter.waitMilliseconds(engine.id),
+  ]));
+  const best = chooseEngine(
+    request,
+    candidates.filter(({ engine }) => waits.get(engine.id) === 0),
+  );
+  if (!best) {
+    const wait = Math.min(...waits.values(), MAXIMUM_RATE_WAIT_MILLISECONDS);
+    return refuse(wait, "rate");
+  }
   const wait = expectedWait(best);
   const ratio = request.isReturned
     ? RETRY_MAXIMUM_WAIT_RATIO
@@ -76,8 +100,29 @@
   if (wait <= maximumWait) {
     return { kind: "engine", view: best, waitMilliseconds: wait };
   }
+  const rateWaits = [...waits.values()].filter((it) => it > 0);
+  return refuse(Math.min(wait, ...rateWaits), "slot");
+}
+
+function refuse(wait: number, missing: "slot" | "rate"): Placement {
   const retryMilliseconds = Math.max(wait, MINIMUM_RETRY_MILLISECONDS);
-  return { kind: "refused", retryMilliseconds };
+  return { kind: "refused", retryMilliseconds, missing };
+}
+
+/**
+ * Chooses the least loaded engine. Engines whose limits are scarce are used
+ * only if the others have no free slot.
+ */
+function chooseEngine(
+  request: IPlacementInput,
+  views: readonly IEngineView[],
+): IEngineView | undefined {
+  const plentiful = leastLoaded(
+    request,
+    views.filter(({ engine }) => !request.limiter.isScarce(engine.id)),
+  );
+  const isFree = plentiful !== undefined && expectedWait(plentiful) === 0;
+  return isFree ? plentiful : leastLoaded(request, views);
 }
 
 function leastLoaded(
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { unlimitedEngines } from "../../testing/unlimited_engines.ts";
 import { ENGINE_SLOTS, listedEngine } from "../../testing/listed_engine.ts";
 import { expectedWait, type IPlacementInput, place } from "./placement.ts";
 import type { IEngineView } from "./types.ts";
@@ -26,6 +27,7 @@
   isReturned: false,
   excluded: new Set(),
   random: 0,
+  limiter: unlimitedEngines,
 };
 
 function chosen(views: IEngineView[], request = REQUEST): string {
@@ -74,7 +76,11 @@
   t.is(expectedWait(full), 100);
   const crowded = view("crowded", ENGINE_SLOTS + 2);
   const placement = place(REQUEST, [crowded]);
-  t.deepEqual(placement, { kind: "refused", retryMilliseconds: 300 });
+  t.deepEqual(placement, {
+    kind: "refused",
+    retryMilliseconds: 300,
+    missing: "slot",
+  });
 });
 
 test("a retried request may wait longer than a new one", (t) => {
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -1,3 +1,4 @@
+import type { IEngineRateLimiter } from "../admission/mod.ts";
 import type { EngineTable } from "./engine_table.ts";
 import type { PlacementDecision, PlacementRequest } from "./messages.ts";
 import { place } from "./placement.ts";
@@ -39,19 +40,22 @@
   #source: IPlacementSource;
   #table: EngineTable;
   #random: () => number;
+  #limiter: IEngineRateLimiter;
 
   /**
+   * @param options.limiter admits the requests that this instance places.
    * @param options.random source of random numbers from 0 up to, not including,
    * 1.
    */
   constructor(
     source: IPlacementSource,
     table: EngineTable,
-    options: { random: () => number },
+    options: { random: () => number; limiter: IEngineRateLimiter },
   ) {
     this.#source = source;
     this.#table = table;
     this.#random = options.random;
+    this.#limiter = options.limiter;
   }
 
   async place(request: PlacementRequest): Promise<PlacerResult> {
@@ -76,10 +80,12 @@
     const views = this.#table.views(request.service);
     const excluded = new Set(request.excluded);
     const random = this.#random();
-    const placement = place({ ...request, excluded, random }, views);
+    const limiter = this.#limiter;
+    const placement = place({ ...request, excluded, random, limiter }, views);
     if (placement.kind !== "engine") return placement;
     const { engine, live, bulk } = placement.view;
     this.#table.beginRequest(engine.id);
+    limiter.take(engine.id);
     const { waitMilliseconds } = placement;
     return {
       kind: "engine",
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -164,7 +164,9 @@
       ? placement.retryMilliseconds
       : NO_ENGINE_RETRY_MILLISECONDS;
     const reason = placement.kind === "refused"
-      ? "no slot is expected to become free in time"
+      ? placement.missing === "rate"
+        ? "the limits that the engines name are used up"
+        : "no slot is expected to become free in time"
       : softwareVersion === undefined
       ? "no engine is known that may take the request"
       : "no engine of the stream's software version may take the request";
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
 import test from "ava";
+import { unlimitedEngines } from "../../testing/unlimited_engines.ts";
 import {
   type EngineScript,
   eventText,
@@ -91,7 +92,7 @@
     placer: new Placer(
       { requestPlacement: () => Promise.resolve(undefined) },
       table,
-      { random: () => 0 },
+      { random: () => 0, limiter: unlimitedEngines },
     ),
   });
   const run = (route: Route, changes: Partial<IForwardedRequest> = {}) =>
