--- a/testing/http_standin.ts
+++ b/testing/http_standin.ts
@@ -16,6 +16,7 @@
 export class HttpStandin {
   readonly requests: IncomingMessage[] = [];
   #server: Server;
+  #restart: NodeJS.Timeout | undefined;
 
   constructor(handler: HttpStandinHandler) {
     this.#server = createServer((request, response) => {
@@ -25,15 +26,28 @@
     });
   }
 
-  async start(): Promise<{ address: string; port: number }> {
+  /** Starts to listen, on a free port unless one is given. */
+  async start(onPort = 0): Promise<{ address: string; port: number }> {
     await new Promise<void>((resolve) =>
-      this.#server.listen(0, "127.0.0.1", resolve)
+      this.#server.listen(onPort, "127.0.0.1", resolve)
     );
     const { port } = this.#server.address() as AddressInfo;
     return { address: "127.0.0.1", port };
   }
 
+  /** Breaks all connections and refuses new ones for some time. */
+  crash(milliseconds: number): void {
+    const address = this.#server.address() as AddressInfo | null;
+    if (address === null) return;
+    this.stop();
+    this.#restart = setTimeout(
+      () => void this.start(address.port),
+      milliseconds,
+    );
+  }
+
   stop(): void {
+    clearTimeout(this.#restart);
     this.#server.close();
     this.#server.closeAllConnections();
   }
--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -16,6 +16,9 @@
 /** Time limit of a stop; long, so that tests pass on an overloaded machine. */
 const SHUTDOWN_GRACE_SECONDS = 60;
 
+/** Time after which a crashed engine is back. */
+const CRASH_MILLISECONDS = 2_000;
+
 /** Loopback addresses of a fleet, and the offset of its first entry. */
 const HOSTS_PER_FLEET = 32;
 const FIRST_ENTRY_HOST = 16;
@@ -97,6 +100,8 @@
   limit: number | undefined;
   /** Prompt part on which the engine crashes as it begins to answer. */
   crashPart: string | undefined;
+  /** Path of requests on which the engine crashes as it begins to answer. */
+  crashPath: string | undefined;
   /** Ids of the requests under which the engine crashed. */
   readonly crashes: string[] = [];
   /** Promise that answers await after each event, if set. */
@@ -126,9 +131,11 @@
         return;
       }
       const parts = String(incoming.headers["prefix-hash"] ?? "").split(",");
-      if (parts.some((part) => part.split(":")[0] === this.crashPart)) {
+      const isHarmful = incoming.url === this.crashPath ||
+        parts.some((part) => part.split(":")[0] === this.crashPart);
+      if (isHarmful) {
         this.crashes.push(requestId);
-        incoming.socket.destroy();
+        this.standin.crash(CRASH_MILLISECONDS);
         return;
       }
       const after = Number(incoming.headers["last-event-id"] ?? 0);
