Quarantine a repeated request that crashes engines

Cause: quarantine judged shared prompt parts only. A single request that its caller repeats under new identifiers had no part of its own, and the parts that it shared were cleared by other requests. The class of fault is evidence that is tied to an identity which the culprit does not keep.

Change: the content of a request is its most specific part, once by path and body and once with the headers that a caller keeps. Three crashes are enough; while another request was in progress at each of them, five. An engine that passes a health check within a second of a broken run has not crashed. A part of two harmful requests is their common cause, so that a harmful part is still found as before. An entry without the leader decides by its own crashes until it is in touch again. Statistics are computed only when broken runs have changed, as they cost 30 ms with 2,000 runs.

--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -23,7 +23,7 @@
   type LoadLedger,
   LoadReadiness,
 } from "../placement/mod.ts";
-import type { IPartObserver } from "../quarantine/mod.ts";
+import type { PartJudge } from "../quarantine/mod.ts";
 import type { IRpcClient, IRpcServer, PeerAddress } from "../rpc/mod.ts";
 import type { RoutesHolder, RoutesSection } from "../service_routes/mod.ts";
 
@@ -42,7 +42,7 @@
   readonly ledger: LoadLedger;
   readonly list: IEngineListSource;
   readonly probe: IEngineProbe;
-  readonly parts: IPartObserver;
+  readonly parts: PartJudge;
   readonly leaving: LeavingEngines;
   readonly engineLimits: EngineLimits;
   readonly promptPartsOf: PromptPartsOf;
@@ -166,6 +166,7 @@
         events,
         suspectCounts,
         limiter,
+        onHealthy: (engine, at) => parts.recordAlive(engine, at),
       }),
     );
     const storeExecutor = disposables.add(
--- a/src/placement/engine_directory.ts
+++ b/src/placement/engine_directory.ts
@@ -1,5 +1,5 @@
 import type { IEngineRateLimiter } from "../admission/mod.ts";
-import type { IClock, IDisposable } from "../common/mod.ts";
+import type { Deadline, IClock, IDisposable } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import { engineListUnreadable, probeFailed, probeSucceeded } from "./events.ts";
 import { revisionOf } from "./exchange_client.ts";
@@ -33,6 +33,8 @@
   /** Suspected engines, with the number of instances that suspect each. */
   readonly suspectCounts: () => ReadonlyMap<string, number>;
   readonly limiter: IEngineRateLimiter;
+  /** Called after each health check that an engine passed, with its start. */
+  readonly onHealthy: (engine: string, checkedAt: Deadline) => void;
 }
 
 /**
@@ -119,15 +121,17 @@
   }
 
   async #check(engine: ListedEngine): Promise<void> {
-    const { probe, events, limiter } = this.#options;
+    const { probe, events, limiter, clock, onHealthy } = this.#options;
     const { id } = engine;
     if (limiter.waitMilliseconds(id) > 0) return;
     limiter.take(id);
+    const checkedAt = clock.monotonic();
     try {
       await probe.check(
         engine,
         AbortSignal.timeout(PROBE_TIMEOUT_MILLISECONDS),
       );
+      onHealthy(id, checkedAt);
       if (this.#failing.delete(id)) {
         events.emit(probeSucceeded, { engine: id });
       }
--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -210,6 +210,7 @@
     engineLimits.markReported(limits, term);
     engineLimits.merge(answer.value.engineLimits ?? [], term);
     this.#entries = answer.value.entries ?? this.#entries;
+    parts?.recordLeaderContact();
     const verdicts = answer.value.parts;
     if (verdicts) parts?.applyVerdicts(verdicts, { term, report });
     this.#interval = answer.value.pauseMilliseconds;
--- a/src/quarantine/completions.ts
+++ b/src/quarantine/completions.ts
@@ -1,4 +1,5 @@
 import type { Deadline, IClock } from "../common/mod.ts";
+import { isContentId } from "./request_content.ts";
 
 /**
  * Time for which an answered request clears its prompt parts, in milliseconds.
@@ -6,16 +7,21 @@
  */
 const CLEARANCE_MILLISECONDS = 60_000;
 
-/** Maximum number of parts that are kept; the oldest are dropped first. */
+/**
+ * Maximum number of prompt parts, and of request contents, that are kept; the
+ * oldest are dropped first.
+ */
 const MAXIMUM_PARTS = 50_000;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** Prompt parts of the requests that were answered completely of late. */
+/** Parts and contents of the requests that were answered completely of late. */
 export class Completions {
   #clock: IClock;
-  /** Times at which requests with a part were last answered. */
-  #answeredAt = new Map<string, Deadline>();
+  /** Times at which requests with a prompt part were last answered. */
+  #answeredParts = new Map<string, Deadline>();
+  /** The same by content; kept apart, as most contents occur only once. */
+  #answeredContents = new Map<string, Deadline>();
   /** Number of completed requests by second. */
   #counts = new Map<number, number>();
 
@@ -31,13 +37,14 @@
 
   /** Clears a part of which a request was answered at a point in time. */
   clear(part: string, answeredAt: Deadline): void {
-    const known = this.#answeredAt.get(part) ?? answeredAt;
-    this.#answeredAt.delete(part);
-    this.#answeredAt.set(part, Math.max(known, answeredAt) as Deadline);
-    for (const oldest of this.#answeredAt.keys()) {
-      const isFull = this.#answeredAt.size > MAXIMUM_PARTS;
+    const answered = this.#mapOf(part);
+    const known = answered.get(part) ?? answeredAt;
+    answered.delete(part);
+    answered.set(part, Math.max(known, answeredAt) as Deadline);
+    for (const oldest of answered.keys()) {
+      const isFull = answered.size > MAXIMUM_PARTS;
       if (!isFull && this.isCleared(oldest)) break;
-      this.#answeredAt.delete(oldest);
+      answered.delete(oldest);
     }
   }
 
@@ -48,7 +55,7 @@
 
   /** Time since a request with the part was answered, in milliseconds. */
   age(part: string): number | undefined {
-    const answeredAt = this.#answeredAt.get(part);
+    const answeredAt = this.#mapOf(part).get(part);
     return answeredAt === undefined
       ? undefined
       : this.#clock.monotonic() - answeredAt;
@@ -66,6 +73,10 @@
     return sum;
   }
 
+  #mapOf(part: string): Map<string, Deadline> {
+    return isContentId(part) ? this.#answeredContents : this.#answeredParts;
+  }
+
   #currentSecond(): number {
     return Math.floor(this.#clock.monotonic() / MILLISECONDS_PER_SECOND);
   }
--- a/src/quarantine/events.ts
+++ b/src/quarantine/events.ts
@@ -4,9 +4,11 @@
 export const partQuarantined = defineEvent(1350, "part-quarantined", {
   level: "warn",
   help: "Engines crashed while they ran requests with a certain prompt part, " +
-    "and none of these requests was answered. All entries refuse requests " +
-    "with the part, and items with it wait. Logged by the leader.",
+    "or a certain request that was repeated, and none of these requests was " +
+    "answered. All entries refuse them, and items with the part wait. Logged " +
+    "by the leader, and by an entry that decides without it.",
   fields: {
+    /** Prompt part; with the prefix `content:` the hash of a whole request. */
     part: z.string(),
     /** Crashes of engines that ran such requests. */
     crashes: z.number(),
@@ -19,14 +21,16 @@
 
 export const partReleased = defineEvent(1351, "part-released", {
   level: "info",
-  help: "A prompt part is no longer in quarantine: its time has passed, or a " +
+  help:
+    "A part or request is no longer in quarantine: its time has passed, or a " +
     "request with it was answered after all. Logged by the leader.",
   fields: { part: z.string(), reason: z.enum(["time", "answered"]) },
 });
 
 export const quarantineChanged = defineEvent(1352, "quarantine-changed", {
   level: "info",
-  help: "The leader sent other prompt parts in quarantine; this instance " +
+  help:
+    "The leader sent other parts or requests in quarantine; this instance " +
     "refuses requests with any of them.",
   fields: { parts: z.array(z.string()) },
 });
--- a/src/quarantine/find_harmful_parts_test.ts
+++ b/src/quarantine/find_harmful_parts_test.ts
@@ -1,6 +1,10 @@
 import test from "ava";
 import type { Deadline } from "../common/mod.ts";
-import { findHarmfulParts, findSuspects } from "./find_harmful_parts.ts";
+import {
+  countCrashes,
+  findHarmfulParts,
+  findSuspects,
+} from "./find_harmful_parts.ts";
 import type { IBrokenRun } from "./types.ts";
 
 const COMPLETED_REQUESTS = 300;
@@ -21,7 +25,7 @@
 ): string[] {
   const { cleared = [], quarantined = [], completed = COMPLETED_REQUESTS } =
     options;
-  return findHarmfulParts(runs, {
+  return findHarmfulParts(countCrashes(runs), {
     isCleared: (part) => cleared.includes(part),
     isQuarantined: (part) => quarantined.includes(part),
     completedRequests: completed,
@@ -133,6 +137,83 @@
     run("e1", "r1", ["caller", "a"]),
     run("e2", "r2", ["caller", "b"]),
   ];
-  t.deepEqual(findSuspects(runs, { isCleared: () => false }), ["caller"]);
-  t.deepEqual(findSuspects(runs, { isCleared: () => true }), []);
+  t.deepEqual(findSuspects(countCrashes(runs), { isCleared: () => false }), [
+    "caller",
+  ]);
+  t.deepEqual(findSuspects(countCrashes(runs), { isCleared: () => true }), []);
+});
+
+/** Parts of a request, the last two of which identify its content. */
+function contentOf(name: string, parts: string[] = ["caller"]): string[] {
+  return [...parts, `content:${name}`, `content:${name}:headers`];
+}
+
+// Guards against a request that its caller repeats and that crashes one engine
+// after the other, although its prompt parts are answered (inc-675b).
+test("repeated request is found after three crashes", (t) => {
+  const runs = ["e1", "e2", "e3"].flatMap((engine, index) => [
+    run(engine, `bad${index}`, contentOf("bad")),
+    run(engine, `other${index}`, contentOf(`other${index}`)),
+  ]);
+  t.deepEqual(harmful(runs, { cleared: ["caller"] }), ["content:bad:headers"]);
+  t.deepEqual(harmful(runs.slice(0, 4), { cleared: ["caller"] }), []);
+});
+
+// Guards against a caller whose equal request is answered hiding it.
+test("equal request of another caller is innocent", (t) => {
+  const runs = ["e1", "e2", "e3"].map((engine, index) =>
+    run(engine, `bad${index}`, contentOf("bad"))
+  );
+  const cleared = ["caller", "content:bad", "content:bad:other"];
+  t.deepEqual(harmful(runs, { cleared }), ["content:bad:headers"]);
+});
+
+test("repeated request is found if its headers change", (t) => {
+  const runs = ["e1", "e2", "e3"].map((engine, index) =>
+    run(engine, `bad${index}`, ["content:bad", `content:bad:${index}`])
+  );
+  t.deepEqual(harmful(runs), ["content:bad"]);
+});
+
+// Guards against refusing a request that was retried beside a harmful one.
+test("companion in all three crashes is told apart by further ones", (t) => {
+  const runs = ["e1", "e2", "e3"].flatMap((engine, index) => [
+    run(engine, `bad${index}`, contentOf("bad")),
+    run(engine, `other${index}`, contentOf("other")),
+  ]);
+  t.deepEqual(harmful(runs, { cleared: ["caller"] }), []);
+  const later = run("e4", "bad3", contentOf("bad"));
+  t.deepEqual(harmful([...runs, later], { cleared: ["caller"] }), [
+    "content:bad:headers",
+  ]);
+});
+
+test("requests that are never told apart are refused together", (t) => {
+  const runs = ["e1", "e2", "e3", "e4", "e5"].flatMap((engine) => [
+    run(engine, `bad ${engine}`, contentOf("bad")),
+    run(engine, `other ${engine}`, contentOf("other")),
+  ]);
+  t.deepEqual(harmful(runs, { cleared: ["caller"] }).sort(), [
+    "content:bad:headers",
+    "content:other:headers",
+  ]);
+});
+
+// Guards against one harmful request after the other with the same part, each
+// repeated often enough to explain its own crashes (inc-3a1e).
+test("part of two harmful requests is their common cause", (t) => {
+  const first = ["e1", "e2", "e3"].map((engine) =>
+    run(engine, `x ${engine}`, contentOf("x", ["caller", "bad"]))
+  );
+  const second = ["e4", "e5", "e6"].map((engine) =>
+    run(engine, `y ${engine}`, contentOf("y", ["caller", "bad"]))
+  );
+  const quarantined = ["content:x:headers", "content:y:headers"];
+  const cleared = ["caller"];
+  const runs = [...first, ...second];
+  t.deepEqual(harmful(runs, { cleared, quarantined }), ["bad"]);
+  t.deepEqual(
+    harmful(first, { cleared, quarantined: ["content:x:headers"] }),
+    [],
+  );
 });
--- a/src/quarantine/messages.ts
+++ b/src/quarantine/messages.ts
@@ -4,7 +4,7 @@
 export const brokenRunSchema = z.object({
   engine: z.string(),
   request: z.string(),
-  /** Prompt parts that the request shares with others, in order. */
+  /** Shared prompt parts in order, then identifiers of the content. */
   parts: z.array(z.string()),
   /** Time since the run broke off, in milliseconds. */
   ageMilliseconds: z.number(),
--- a/src/quarantine/part_judge.ts
+++ b/src/quarantine/part_judge.ts
@@ -2,8 +2,14 @@
 import type { IEventLog } from "../events/mod.ts";
 import { Completions } from "./completions.ts";
 import { partQuarantined, partReleased } from "./events.ts";
-import { findHarmfulParts, findSuspects } from "./find_harmful_parts.ts";
+import {
+  countCrashes,
+  findHarmfulParts,
+  findSuspects,
+  type ICrashStatistics,
+} from "./find_harmful_parts.ts";
 import type { PartReport, PartVerdicts } from "./messages.ts";
+import { isContentId } from "./request_content.ts";
 import type { IBrokenRun, IPartObserver, IQuarantineEntry } from "./types.ts";
 
 /** Time for which broken runs are considered, in milliseconds. */
@@ -18,14 +24,26 @@
  */
 const HEARING_MILLISECONDS = 500;
 
-/** Time for which a part stays in quarantine, in milliseconds. */
-const QUARANTINE_MILLISECONDS = 600_000;
+/** Time for which a prompt part stays in quarantine, in milliseconds. */
+const PART_QUARANTINE_MILLISECONDS = 600_000;
+
+/**
+ * The same for a request's content, in milliseconds. It affects no other
+ * request, and each release costs engines if the caller still repeats it.
+ */
+const CONTENT_QUARANTINE_MILLISECONDS = 3_600_000;
 
 /** Difference of times up to which two reports are of the same run, in ms. */
 const SAME_RUN_MILLISECONDS = 1_000;
 
+/**
+ * Time after a broken run within which the engine cannot be back if it has
+ * crashed, in milliseconds.
+ */
+const RESTART_MILLISECONDS = 1_000;
+
 /** Interval between two evaluations of the broken runs, in milliseconds. */
-const EVALUATION_INTERVAL_MILLISECONDS = 50;
+const EVALUATION_INTERVAL_MILLISECONDS = 150;
 
 /** Time without a report after which an instance's count is dropped. */
 const REPORT_LIFETIME_MILLISECONDS = 3_000;
@@ -39,12 +57,16 @@
   #clock: IClock;
   #events: IEventLog;
   #completions: Completions;
-  #brokenRuns: IBrokenRun[] = [];
+  #brokenRuns: readonly IBrokenRun[] = [];
+  /** Statistics of the broken runs; undefined when these have changed. */
+  #statistics: ICrashStatistics | undefined;
   /** Completed requests that instances have reported. */
   #completedRequests = new Map<string, { count: number; until: Deadline }>();
   /** Suspects, with the time until which instances are asked about them. */
   #hearings = new Map<string, Deadline>();
   #quarantined = new Map<string, Deadline>();
+  /** Times at which engines last passed a health check. */
+  #aliveAt = new Map<string, Deadline>();
   #nextEvaluation = 0 as Deadline;
 
   constructor(clock: IClock, options: { events: IEventLog }) {
@@ -58,6 +80,15 @@
     this.#add({ ...run, brokenAt: this.#clock.monotonic() as Deadline });
   }
 
+  /**
+   * Records that an engine was healthy at a point in time. Runs that it broke
+   * off shortly before are no crashes.
+   */
+  recordAlive(engine: string, aliveAt: Deadline): void {
+    this.#aliveAt.set(engine, aliveAt);
+    this.#keepRuns((run) => this.#isCrash(run));
+  }
+
   recordCompletion(parts: readonly string[]): void {
     this.#completions.record(parts);
     for (const part of parts) this.#clear(part, this.#clock.monotonic());
@@ -111,15 +142,29 @@
     };
   }
 
+  #isCrash({ engine, brokenAt }: IBrokenRun): boolean {
+    const aliveAt = this.#aliveAt.get(engine);
+    return aliveAt === undefined || aliveAt < brokenAt ||
+      aliveAt - brokenAt > RESTART_MILLISECONDS;
+  }
+
   #add(run: IBrokenRun): void {
+    if (!this.#isCrash(run)) return;
     // An instance reports a run again if the answer to its report was lost.
     const isKnown = this.#brokenRuns.some(({ request, engine, brokenAt }) =>
       request === run.request && engine === run.engine &&
       Math.abs(brokenAt - run.brokenAt) < SAME_RUN_MILLISECONDS
     );
     if (isKnown) return;
-    this.#brokenRuns.push(run);
-    if (this.#brokenRuns.length > MAXIMUM_BROKEN_RUNS) this.#brokenRuns.shift();
+    this.#brokenRuns = [...this.#brokenRuns, run].slice(-MAXIMUM_BROKEN_RUNS);
+    this.#statistics = undefined;
+  }
+
+  #keepRuns(isKept: (run: IBrokenRun) => boolean): void {
+    const kept = this.#brokenRuns.filter(isKept);
+    if (kept.length === this.#brokenRuns.length) return;
+    this.#brokenRuns = kept;
+    this.#statistics = undefined;
   }
 
   #evaluate(): void {
@@ -131,13 +176,14 @@
     this.#removeExpired();
     const isCleared = (part: string) => this.#completions.isCleared(part);
     const isQuarantined = (part: string) => this.#quarantined.has(part);
-    const suspects = findSuspects(this.#brokenRuns, { isCleared });
+    this.#statistics ??= countCrashes(this.#brokenRuns);
+    const suspects = findSuspects(this.#statistics, { isCleared });
     this.#hearings = new Map(suspects.map((part) => [
       part,
       this.#hearings.get(part) ?? this.#clock.deadlineIn(HEARING_MILLISECONDS),
     ]));
     const counts = [...this.#completedRequests.values()];
-    const harmful = findHarmfulParts(this.#brokenRuns, {
+    const harmful = findHarmfulParts(this.#statistics, {
       ...{ isCleared, isQuarantined },
       completedRequests: counts.reduce(
         (sum, { count }) => sum + count,
@@ -147,19 +193,24 @@
     for (const { part, crashes, requests } of harmful) {
       const hearing = this.#hearings.get(part);
       if (!hearing || !this.#clock.isPast(hearing)) continue;
-      const expiresAt = this.#clock.deadlineIn(QUARANTINE_MILLISECONDS);
+      const milliseconds = isContentId(part)
+        ? CONTENT_QUARANTINE_MILLISECONDS
+        : PART_QUARANTINE_MILLISECONDS;
+      const expiresAt = this.#clock.deadlineIn(milliseconds);
       this.#quarantined.set(part, expiresAt);
       this.#events.emit(partQuarantined, {
         ...{ part, crashes: crashes.size, requests: requests.size },
-        milliseconds: QUARANTINE_MILLISECONDS,
+        milliseconds,
       });
     }
   }
 
   #removeExpired(): void {
     const earliest = this.#clock.monotonic() - BROKEN_RUN_LIFETIME_MILLISECONDS;
-    this.#brokenRuns = this.#brokenRuns
-      .filter(({ brokenAt }) => brokenAt >= earliest);
+    this.#keepRuns(({ brokenAt }) => brokenAt >= earliest);
+    for (const [engine, aliveAt] of this.#aliveAt) {
+      if (aliveAt < earliest) this.#aliveAt.delete(engine);
+    }
     for (const [instance, { until }] of this.#completedRequests) {
       if (this.#clock.isPast(until)) this.#completedRequests.delete(instance);
     }
@@ -175,11 +226,16 @@
    * that are no evidence against it.
    */
   #clear(part: string, answeredAt: Deadline): void {
-    this.#brokenRuns = this.#brokenRuns.map((run) =>
-      run.brokenAt > answeredAt || !run.parts.includes(part)
-        ? run
-        : { ...run, parts: run.parts.filter((other) => other !== part) }
-    );
+    const isEvidence = ({ brokenAt, parts }: IBrokenRun) =>
+      brokenAt <= answeredAt && parts.includes(part);
+    if (this.#brokenRuns.some(isEvidence)) {
+      this.#brokenRuns = this.#brokenRuns.map((run) =>
+        isEvidence(run)
+          ? { ...run, parts: run.parts.filter((other) => other !== part) }
+          : run
+      );
+      this.#statistics = undefined;
+    }
     if (!this.#quarantined.delete(part)) return;
     this.#events.emit(partReleased, { part, reason: "answered" });
   }
--- a/src/quarantine/part_judge_test.ts
+++ b/src/quarantine/part_judge_test.ts
@@ -43,6 +43,7 @@
     const verdicts = report
       ? this.judge.receive(name, report.message)
       : this.judge.findNews();
+    entry.recordLeaderContact();
     if (verdicts) entry.applyVerdicts(verdicts, { term, report });
   }
 
@@ -166,3 +167,63 @@
   }
   t.is(reports, 5);
 });
+
+const REPEATED = ["caller", "content:bad", "content:bad:headers"];
+
+// Guards against a request that its caller repeats and that crashes one engine
+// after the other (inc-675b).
+test("all entries refuse a request within a second of its third crash", async (t) => {
+  const fleet = new Fleet();
+  await fleet.exchangeFor(200);
+  fleet.complete(60, ["caller", "content:sound"]);
+  for (const engine of ["a", "b", "c"]) fleet.crash(engine, REPEATED);
+  await fleet.exchangeFor(1_000);
+  t.is(fleet.refusedBy(REPEATED), 3);
+  t.is(fleet.refusedBy(["caller", "content:sound"]), 0);
+  fleet.judge = fleet.createJudge();
+  fleet.term = 2;
+  await fleet.exchangeFor(300);
+  t.is(fleet.refusedBy(REPEATED), 3);
+});
+
+// Guards against refusing requests whose answers a faulty engine breaks off.
+test("engine that is healthy after a broken run has not crashed", async (t) => {
+  const fleet = new Fleet();
+  await fleet.exchangeFor(200);
+  for (const engine of ["a", "b", "c"]) {
+    fleet.crash(engine, REPEATED);
+    await fleet.exchangeFor(300);
+    fleet.judge.recordAlive(engine, fleet.clock.monotonic());
+  }
+  await fleet.exchangeFor(2_000);
+  t.is(fleet.refusedBy(REPEATED), 0);
+});
+
+test("engine that is back after seconds has crashed", async (t) => {
+  const fleet = new Fleet();
+  await fleet.exchangeFor(200);
+  for (const engine of ["a", "b", "c"]) {
+    fleet.crash(engine, REPEATED);
+    await fleet.exchangeFor(2_000);
+    fleet.judge.recordAlive(engine, fleet.clock.monotonic());
+  }
+  await fleet.exchangeFor(300);
+  t.is(fleet.refusedBy(REPEATED), 3);
+});
+
+test("entry out of touch refuses a request by its own crashes", async (t) => {
+  const fleet = new Fleet();
+  await fleet.exchangeFor(200);
+  await fleet.time.advance(2_000);
+  const [entry] = fleet.entries;
+  for (const engine of ["a", "b", "c"]) {
+    t.is(entry?.findQuarantined(REPEATED), undefined);
+    entry?.recordBrokenRun({ engine, request: engine, parts: REPEATED });
+  }
+  t.not(entry?.findQuarantined(REPEATED), undefined);
+  t.is(entry?.findQuarantined(["caller", "content:other"]), undefined);
+  // An answer elsewhere is known to the leader only.
+  fleet.entries[1]?.recordCompletion(REPEATED);
+  await fleet.exchangeFor(2_000);
+  t.is(fleet.refusedBy(REPEATED), 0);
+});
--- a/src/quarantine/part_monitor.ts
+++ b/src/quarantine/part_monitor.ts
@@ -1,7 +1,8 @@
 import type { Deadline, IClock } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import { Completions } from "./completions.ts";
-import { quarantineChanged } from "./events.ts";
+import { partQuarantined, quarantineChanged } from "./events.ts";
+import { countCrashes, findHarmfulParts } from "./find_harmful_parts.ts";
 import type { PartReport, PartVerdicts } from "./messages.ts";
 import type { IBrokenRun, IPartObserver, IQuarantineEntry } from "./types.ts";
 
@@ -11,6 +12,15 @@
 /** Maximum number of broken runs that are kept; the oldest are dropped. */
 const MAXIMUM_BROKEN_RUNS = 1_000;
 
+/** Time without the leader after which this instance decides itself, in ms. */
+const OUT_OF_TOUCH_MILLISECONDS = 1_000;
+
+/**
+ * Time for which requests are refused by this instance's own decision, in
+ * milliseconds. It does not see where they may have been answered.
+ */
+const OWN_QUARANTINE_MILLISECONDS = 60_000;
+
 interface IHeldRun extends IBrokenRun {
   /** Term of the leader that has received the run. */
   reportedTerm: number | undefined;
@@ -39,6 +49,9 @@
   #brokenRuns: IHeldRun[] = [];
   #suspects: readonly string[] = [];
   #quarantined = new Map<string, Deadline>();
+  /** Request contents that this instance refuses by its own decision. */
+  #ownQuarantine = new Map<string, Deadline>();
+  #leaderAnsweredAt = Number.NEGATIVE_INFINITY;
   /** Term of the leader that has received the parts in quarantine. */
   #mergedTerm: number | undefined;
   #nextReport = 0 as Deadline;
@@ -59,6 +72,12 @@
     this.#brokenRuns = [...recent, {
       ...{ ...run, brokenAt, reportedTerm: undefined },
     }];
+    if (this.#isOutOfTouch) this.#decideAlone();
+  }
+
+  /** Records that the leader has answered a call. */
+  recordLeaderContact(): void {
+    this.#leaderAnsweredAt = this.#clock.monotonic();
   }
 
   recordCompletion(parts: readonly string[]): void {
@@ -66,15 +85,45 @@
   }
 
   findQuarantined(parts: readonly string[]): IQuarantineEntry | undefined {
-    for (const part of parts) {
-      const expiresAt = this.#quarantined.get(part);
-      if (expiresAt === undefined) continue;
-      if (!this.#clock.isPast(expiresAt)) return { part, expiresAt };
-      this.#quarantined.delete(part);
+    const decisions = this.#isOutOfTouch
+      ? [this.#quarantined, this.#ownQuarantine]
+      : [this.#quarantined];
+    for (const quarantine of decisions) {
+      for (const part of parts) {
+        const expiresAt = quarantine.get(part);
+        if (expiresAt === undefined) continue;
+        if (!this.#clock.isPast(expiresAt)) return { part, expiresAt };
+        quarantine.delete(part);
+      }
     }
     return undefined;
   }
 
+  get #isOutOfTouch(): boolean {
+    const silence = this.#clock.monotonic() - this.#leaderAnsweredAt;
+    return silence > OUT_OF_TOUCH_MILLISECONDS;
+  }
+
+  /**
+   * Finds harmful requests by the runs of this instance only. Prompt parts are
+   * left to the leader, as other requests with them may have been answered.
+   */
+  #decideAlone(): void {
+    const harmful = findHarmfulParts(countCrashes(this.#brokenRuns), {
+      isCleared: (part) => this.#completions.isCleared(part),
+      isQuarantined: (part) => this.#ownQuarantine.has(part),
+      completedRequests: 0,
+    });
+    for (const { part, crashes, requests } of harmful) {
+      const expiresAt = this.#clock.deadlineIn(OWN_QUARANTINE_MILLISECONDS);
+      this.#ownQuarantine.set(part, expiresAt);
+      this.#events.emit(partQuarantined, {
+        ...{ part, crashes: crashes.size, requests: requests.size },
+        milliseconds: OWN_QUARANTINE_MILLISECONDS,
+      });
+    }
+  }
+
   /**
    * Prepares a report to the leader of a term. Returns undefined while there is
    * nothing new, since reports are sent with frequent calls.
--- a/src/quarantine/types.ts
+++ b/src/quarantine/types.ts
@@ -4,7 +4,11 @@
 export interface IBrokenRun {
   readonly engine: string;
   readonly request: string;
-  /** Prompt parts that the request shares with others, in order. */
+  /**
+   * Prompt parts that the request shares with others, in order, and then the
+   * identifiers of its content. Items have no such identifiers: they are owed
+   * to their callers whatever happens.
+   */
   readonly parts: readonly string[];
   readonly brokenAt: Deadline;
 }
@@ -19,7 +23,7 @@
   findQuarantined(parts: readonly string[]): IQuarantineEntry | undefined;
 }
 
-/** A prompt part whose requests are refused. */
+/** A prompt part or request content whose requests are refused. */
 export interface IQuarantineEntry {
   readonly part: string;
   readonly expiresAt: Deadline;
--- a/src/streams/events.ts
+++ b/src/streams/events.ts
@@ -58,6 +58,8 @@
     reason: z.string(),
     /** Prompt parts that the request shares with others. */
     promptParts: z.array(z.string()),
+    /** Hash of the request, the same each time its caller repeats it. */
+    content: z.string().optional(),
     lastEventId: z.string().optional(),
     milliseconds: z.number(),
   },
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -9,7 +9,7 @@
   Placer,
   StreamOrigins,
 } from "../placement/mod.ts";
-import type { IPartObserver } from "../quarantine/mod.ts";
+import { type IPartObserver, isContentId } from "../quarantine/mod.ts";
 import { chooseService, type Route } from "../service_routes/mod.ts";
 import {
   attemptFailed,
@@ -137,10 +137,12 @@
   async #reserveSlot(run: IRequestRun): Promise<IPlacedRequest | undefined> {
     const { placer, clock, failureDomain, parts } = this.#options;
     const { request, service, softwareVersion } = run;
-    const quarantined = parts.findQuarantined(request.promptParts);
+    const quarantined = parts.findQuarantined(partsOf(request));
     if (quarantined) {
       this.#endUnplaced(run, {
-        reason: `engines crash on prompt part ${quarantined.part}`,
+        reason: isContentId(quarantined.part)
+          ? `engines crash on this request, ${quarantined.part}`
+          : `engines crash on prompt part ${quarantined.part}`,
         retryMilliseconds: clock.remaining(quarantined.expiresAt),
       });
       return undefined;
@@ -242,7 +244,7 @@
         .with({ kind: "answered" }, ({ status }) => {
           table.recordDuration(engine.id, milliseconds);
           health.recordSuccess(engine.id);
-          parts.recordCompletion(request.promptParts);
+          parts.recordCompletion(partsOf(request));
           this.#reportAnswer(run, engine.id, status);
         })
         .with({ kind: "failed" }, (failed) => {
@@ -251,9 +253,10 @@
             health.recordFailure(engine.id, failed.reason);
           }
           if (failed.isBroken) {
-            const { id, promptParts } = request;
             parts.recordBrokenRun({
-              ...{ engine: engine.id, request: id, parts: promptParts },
+              engine: engine.id,
+              request: request.id,
+              parts: partsOf(request),
             });
           }
           events.emit(attemptFailed, {
@@ -263,6 +266,7 @@
             verdict: failed.verdict,
             reason: failed.reason,
             promptParts: [...request.promptParts],
+            content: request.contentIds.at(-1),
             lastEventId: progress.lastEventId,
             milliseconds: Math.round(milliseconds),
           });
@@ -388,6 +392,11 @@
   return ![408, 421, 429, 503].includes(status);
 }
 
+/** Parts by which the request is judged, the most specific last. */
+function partsOf({ promptParts, contentIds }: IForwardedRequest): string[] {
+  return [...promptParts, ...contentIds];
+}
+
 function mayServe(route: Route, { service }: ResumptionTarget): boolean {
   return route.shares.some((share) =>
     share.service === service && share.weight > 0
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -107,6 +107,7 @@
       routeDeadline: clock.deadlineIn(5_000),
       isReturned: false,
       promptParts: [],
+      contentIds: [],
       lastEventId: undefined,
       resumedRequest: undefined,
       ...changes,
--- a/src/streams/types.ts
+++ b/src/streams/types.ts
@@ -24,6 +24,8 @@
   readonly isReturned: boolean;
   /** Identifiers of the prompt parts that it shares with other requests. */
   readonly promptParts: readonly string[];
+  /** Identifiers that repetitions of the request share. */
+  readonly contentIds: readonly string[];
   /** Identifier of the event after which the caller resumes a stream. */
   readonly lastEventId: string | undefined;
   /** Attempt of the caller in which the resumed stream began. */
