Run items on under which engines crashed

What callers would see: an item that was in progress at five crashes was held for up to ten minutes, and so were all items with a prompt part in quarantine. An item can then pass its retention.

Cause: items were judged and held like live requests. They also cleared parts: an item that was answered would have released a part that crashes engines under live requests.

Change: items are neither judged nor evidence, and no quarantine holds them. So that an item costs few engines whatever the reason, the delay before it runs again doubles up to 5 s while engines break its runs off.

--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -4,7 +4,6 @@
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { EngineHealth, ListedEngine } from "../placement/mod.ts";
-import type { IPartObserver } from "../quarantine/mod.ts";
 import type { Route, RouteTable } from "../service_routes/mod.ts";
 import { type IBulkEngine, missingSlots, planBulk } from "./bulk_schedule.ts";
 import type { BulkSection } from "./bulk_section.ts";
@@ -22,11 +21,7 @@
 import type { IItemExecutor, ItemOutcome } from "./item_run.ts";
 import { assignItems } from "./item_assignment.ts";
 import { bulkSection } from "./messages.ts";
-import {
-  type IPendingItem,
-  PendingItems,
-  type PromptPartsOf,
-} from "./pending_items.ts";
+import { type IPendingItem, PendingItems } from "./pending_items.ts";
 import { ProgressWriter } from "./progress_writer.ts";
 import type { BulkResult, HeldJob } from "./types.ts";
 
@@ -39,6 +34,12 @@
 /** Delay before an item is retried after a failed run, in milliseconds. */
 const RETRY_DELAY_MILLISECONDS = 200;
 
+/**
+ * Upper bound of that delay, which doubles with each run in a row that an
+ * engine broke off, in milliseconds.
+ */
+const MAXIMUM_RETRY_DELAY_MILLISECONDS = 5_000;
+
 /** Longest wait for the commit of a result, in milliseconds. */
 const RECORD_TIMEOUT_MILLISECONDS = 3_000;
 
@@ -65,8 +66,6 @@
   readonly clock: IClock;
   readonly events: IEventLog;
   readonly health: EngineHealth;
-  readonly parts: IPartObserver;
-  readonly promptPartsOf: PromptPartsOf;
   readonly routes: () => RouteTable | undefined;
   /** Time from the submission for which results can be read, in ms. */
   readonly jobRetentionMilliseconds: number;
@@ -89,7 +88,7 @@
   constructor(options: IBulkRunnerOptions) {
     const { log, section, clock } = options;
     this.#options = options;
-    this.#items = new PendingItems(section, options);
+    this.#items = new PendingItems(section);
     this.#writer = new ProgressWriter(log, this.#items, { clock });
     this.#subscription = section.onChanged((job) => this.#onJobChanged(job));
   }
@@ -137,7 +136,7 @@
 
   /** Starts items in free slots and preempts items at overloaded engines. */
   #plan(): void {
-    const { clock, isLoadKnown, parts, limiter } = this.#options;
+    const { clock, isLoadKnown, limiter } = this.#options;
     if (!isLoadKnown()) return;
     const engines = this.#options.engines().map((it) => ({
       ...it,
@@ -145,9 +144,7 @@
       startable: limiter.startableItems(it.engine.id),
     }));
     const now = { wall: clock.wall(), monotonic: clock.monotonic() };
-    const waiting = this.#items.startable(now).filter(({ promptParts }) =>
-      !parts.findQuarantined(promptParts)
-    );
+    const waiting = this.#items.startable(now);
     const versions = new EngineVersions(engines);
     for (const item of waiting) {
       item.versionDeadline ??= clock.deadlineIn(VERSION_WAIT_MILLISECONDS);
@@ -317,12 +314,12 @@
     engine: string,
     outcome: ItemOutcome,
   ): Promise<void> {
-    const { health, clock, parts } = this.#options;
-    const { promptParts } = pending;
+    const { health, clock } = this.#options;
+    const isBrokenOff = outcome.kind === "broken" && outcome.isBrokenOff;
+    pending.breaks = isBrokenOff ? pending.breaks + 1 : 0;
     await match(outcome)
       .with({ kind: "complete" }, () => {
         health.recordSuccess(engine);
-        parts.recordCompletion(promptParts);
         return this.#recordResult(pending, "done", "complete");
       })
       .with(
@@ -340,12 +337,8 @@
       .with({ kind: "turned-away" }, ({ reason }) => {
         this.#reportFailure(pending, engine, reason);
       })
-      .with({ kind: "broken" }, ({ reason, isBrokenOff }) => {
+      .with({ kind: "broken" }, ({ reason }) => {
         health.recordFailure(engine, reason);
-        if (isBrokenOff) {
-          const request = pending.item.id;
-          parts.recordBrokenRun({ engine, request, parts: promptParts });
-        }
         this.#reportFailure(pending, engine, reason);
       })
       .with({ kind: "abandoned" }, ({ reason }) => {
@@ -354,7 +347,11 @@
       .with({ kind: "stopped" }, () => undefined)
       .exhaustive();
     if (outcome.kind === "stopped" || outcome.kind === "abandoned") return;
-    pending.notBefore = clock.monotonic() + RETRY_DELAY_MILLISECONDS;
+    const delay = Math.min(
+      RETRY_DELAY_MILLISECONDS * 2 ** Math.max(0, pending.breaks - 1),
+      MAXIMUM_RETRY_DELAY_MILLISECONDS,
+    );
+    pending.notBefore = clock.monotonic() + delay;
   }
 
   #reportFailure(pending: IPendingItem, engine: string, reason: string): void {
--- a/src/bulk/mod.ts
+++ b/src/bulk/mod.ts
@@ -6,6 +6,5 @@
 export * from "./run_host.ts";
 export * from "./store_executor.ts";
 export * from "./waiting_token_limiter.ts";
-export type { PromptPartsOf } from "./pending_items.ts";
 export * from "./messages.ts";
 export * from "./types.ts";
--- a/src/bulk/pending_items.ts
+++ b/src/bulk/pending_items.ts
@@ -13,16 +13,11 @@
   isStopping: boolean;
 }
 
-/** Returns the prompt parts that an item shares with other requests. */
-export type PromptPartsOf = (item: BulkItem) => readonly string[];
-
 /** An item that has no result yet. */
 export interface IPendingItem {
   readonly key: string;
   readonly item: BulkItem;
   readonly job: HeldJob;
-  /** Prompt parts that the item shares with other requests. */
-  readonly promptParts: readonly string[];
   progress: IItemProgress;
   /** Software version that made the progress; undefined if it is not known. */
   softwareVersion: string | undefined;
@@ -30,6 +25,8 @@
   readonly dueAt: number;
   /** Number of answers in which an engine reported a failure of the item. */
   failures: number;
+  /** Number of runs in a row that engines broke off. */
+  breaks: number;
   /** Monotonic time before which the item is not started again. */
   notBefore: number;
   activeRun: IActiveRun | undefined;
@@ -44,18 +41,13 @@
 export class PendingItems {
   readonly estimates = new ItemEstimates();
   #section: BulkSection;
-  #promptPartsOf: PromptPartsOf;
   #items = new Map<string, IPendingItem>();
   #knownJobs = new Set<string>();
   /** Number of running items by engine, without those that are stopping. */
   #load = new Map<string, number>();
 
-  constructor(
-    section: BulkSection,
-    options: { promptPartsOf: PromptPartsOf } = { promptPartsOf: () => [] },
-  ) {
+  constructor(section: BulkSection) {
     this.#section = section;
-    this.#promptPartsOf = options.promptPartsOf;
   }
 
   get all(): IterableIterator<IPendingItem> {
@@ -81,9 +73,9 @@
           data: [...(written?.data ?? [])],
           lastEventId: written?.lastEventId,
         },
-        promptParts: this.#promptPartsOf(item),
         softwareVersion: written?.softwareVersion,
         failures: 0,
+        breaks: 0,
         notBefore: 0,
         versionDeadline: undefined,
         activeRun: undefined,
--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -3,7 +3,6 @@
   BulkRunner,
   type BulkSection,
   type IItemExecutor,
-  type PromptPartsOf,
   StoreExecutor,
 } from "../bulk/mod.ts";
 import {
@@ -42,10 +41,9 @@
   readonly ledger: LoadLedger;
   readonly list: IEngineListSource;
   readonly probe: IEngineProbe;
-  readonly parts: PartJudge;
+  readonly judge: Pick<PartJudge, "recordAlive">;
   readonly leaving: LeavingEngines;
   readonly engineLimits: EngineLimits;
-  readonly promptPartsOf: PromptPartsOf;
   /** Runs items on this store. */
   readonly executor: IItemExecutor;
   readonly rpc: IRpcClient;
@@ -147,7 +145,7 @@
   #startTerm(): void {
     const { log, clock, events, list, probe, ledger } = this.#options;
     const { bulkSection, routes, executor, rpc, server } = this.#options;
-    const { parts, promptPartsOf, leaving, engineLimits } = this.#options;
+    const { judge, leaving, engineLimits } = this.#options;
     const disposables = new DisposableStore();
     const health = new EngineHealth(clock, { events });
     const limiter = new FleetRateLimiter(clock, engineLimits);
@@ -166,7 +164,7 @@
         events,
         suspectCounts,
         limiter,
-        onHealthy: (engine, at) => parts.recordAlive(engine, at),
+        onHealthy: (engine, at) => judge.recordAlive(engine, at),
       }),
     );
     const storeExecutor = disposables.add(
@@ -181,7 +179,7 @@
     const readiness = new LoadReadiness(ledger, clock);
     const runner = disposables.add(
       new BulkRunner({
-        ...{ log, clock, events, health, parts, promptPartsOf, limiter },
+        ...{ log, clock, events, health, limiter },
         executor: storeExecutor,
         jobRetentionMilliseconds: this.#options.jobRetentionMilliseconds,
         section: bulkSection,
--- a/src/quarantine/events.ts
+++ b/src/quarantine/events.ts
@@ -5,8 +5,8 @@
   level: "warn",
   help: "Engines crashed while they ran requests with a certain prompt part, " +
     "or a certain request that was repeated, and none of these requests was " +
-    "answered. All entries refuse them, and items with the part wait. Logged " +
-    "by the leader, and by an entry that decides without it.",
+    "answered. All entries refuse them. Logged by the leader, and by an " +
+    "entry that decides without it.",
   fields: {
     /** Prompt part; with the prefix `content:` the hash of a whole request. */
     part: z.string(),
--- a/src/quarantine/types.ts
+++ b/src/quarantine/types.ts
@@ -6,8 +6,7 @@
   readonly request: string;
   /**
    * Prompt parts that the request shares with others, in order, and then the
-   * identifiers of its content. Items have no such identifiers: they are owed
-   * to their callers whatever happens.
+   * identifiers of its content.
    */
   readonly parts: readonly string[];
   readonly brokenAt: Deadline;
