Soak: an engine limits its requests

The first engine names a limit of one request a second for two thirds of a soak. The check counts what the engine got in each window, from the machines that were not stopped, killed or frozen shortly before, against what the platform tolerates.

--- a/soak/platform/platform_checks.ts
+++ b/soak/platform/platform_checks.ts
@@ -6,6 +6,7 @@
 import type { ISoakJob, PlatformRecord } from "./platform_record.ts";
 import {
   type IEngineRun,
+  LIMIT,
   possibleStreams,
   possibleTexts,
   type SoakEngine,
@@ -39,6 +40,14 @@
  */
 const DRAIN_MILLISECONDS = 3_000;
 
+/**
+ * Requests that an engine with a limit may get in a window, and the time after
+ * its first word from which this holds, as the users' platform states them.
+ */
+const LIMIT_WINDOW_MILLISECONDS = 4_000;
+const LIMIT_TOLERANCE = 1.5 * LIMIT * LIMIT_WINDOW_MILLISECONDS / 1_000 + 5;
+const LIMIT_CONTACT_MILLISECONDS = 3_000;
+
 /** Inputs of the checks. */
 export interface ICheckContext {
   readonly fleet: PlatformFleet<SoakEngine>;
@@ -101,6 +110,41 @@
   }
 }
 
+/**
+ * Checks that engines get no more requests than they allow. Machines that were
+ * stopped, killed or frozen shortly before are excused.
+ */
+export function checkLimits({ fleet, record }: ICheckContext): void {
+  const entries = new Map(record.streams.map(({ id, entry }) => [id, entry]));
+  const isExcused = ({ id, at }: { id: string; at: number }) => {
+    const entry = entries.get(id);
+    return record.processFaults.some((fault) =>
+      (entry === undefined
+        ? fault.name.startsWith("store")
+        : fault.name === entry) &&
+      fault.at <= at && fault.at >= at - LIMIT_CONTACT_MILLISECONDS
+    );
+  };
+  for (const [index, { limitedArrivals }] of fleet.engines.entries()) {
+    const since = (limitedArrivals[0]?.at ?? 0) + LIMIT_CONTACT_MILLISECONDS;
+    const counted = limitedArrivals
+      .filter((arrival) => arrival.at >= since && !isExcused(arrival));
+    const most = Math.max(
+      0,
+      ...counted.map(({ at: start }) =>
+        counted.filter(({ at }) =>
+          at >= start && at < start + LIMIT_WINDOW_MILLISECONDS
+        ).length
+      ),
+    );
+    if (most <= LIMIT_TOLERANCE) continue;
+    record.addViolation(
+      `engine i-${index} got ${most} requests in a window, ` +
+        `${LIMIT_TOLERANCE} allowed`,
+    );
+  }
+}
+
 function checkPlannedStops(record: PlatformRecord): void {
   for (const { processName, startedAt, endedAt } of record.plannedStops) {
     for (const stream of record.streams) {
--- a/soak/platform/run_platform_soak.ts
+++ b/soak/platform/run_platform_soak.ts
@@ -10,6 +10,7 @@
 import {
   checkConfiguration,
   checkJobs,
+  checkLimits,
   checkStreams,
 } from "./platform_checks.ts";
 import {
@@ -77,6 +78,7 @@
     const busyNames = new Set<string>();
     await Promise.all([
       announceLeaving(fleet, options),
+      limitRequests(fleet, options),
       ...schedule.map(async (fault) => {
         await sleep(fault.startMilliseconds);
         await runPlatformFault({ fleet, record, busyNames }, fault);
@@ -87,6 +89,7 @@
     await Promise.all(tasks);
     await checkJobs(context);
     checkStreams(context);
+    checkLimits(context);
     await checkConfiguration(context);
   } catch (error) {
     record.addViolation((error as Error).stack ?? String(error));
@@ -112,6 +115,20 @@
   if (engine) engine.isLeaving = true;
 }
 
+/** Makes the first engine limit its requests for a part of the soak. */
+async function limitRequests(
+  fleet: PlatformFleet<SoakEngine>,
+  { seed, seconds }: IPlatformSoakOptions,
+): Promise<void> {
+  const [engine] = fleet.engines;
+  if (!engine) return;
+  const latest = Math.round(seconds * 1_000 / 6);
+  await sleep(new TestRandom(seed).integer(0, latest));
+  engine.limitedSince = Date.now();
+  await sleep(seconds * 1_000 * 2 / 3);
+  engine.limitedSince = undefined;
+}
+
 function startLoad(
   context: { fleet: PlatformFleet<SoakEngine>; record: PlatformRecord },
   options: { seed: number; signal: AbortSignal },
--- a/soak/platform/soak_engine.ts
+++ b/soak/platform/soak_engine.ts
@@ -57,14 +57,21 @@
   readonly after: number;
 }
 
+/** Requests a second that an engine in need takes from all machines. */
+export const LIMIT = 1;
+
 /** Stand-in engine behind a relay that records the requests it runs. */
 export class SoakEngine implements IListedStandin {
   readonly runs: IEngineRun[] = [];
+  /** Requests received while the engine limited them, with wall times. */
+  readonly limitedArrivals: { readonly id: string; readonly at: number }[] = [];
   readonly standin: IListedStandin["standin"];
   readonly softwareVersion: string;
   relay: Relay | undefined;
   /** Whether all answers announce that the engine leaves. */
   isLeaving = false;
+  /** Wall time since which all answers name `LIMIT`, if they do. */
+  limitedSince: number | undefined;
   /** Whether running requests pause until this is cleared. */
   isFrozen = false;
   #id: string;
@@ -100,6 +107,10 @@
     }
     if (this.isLeaving) response.setHeader("Server-Leaving", "1");
     const id = String(request.headers["request-id"] ?? "");
+    if (this.limitedSince !== undefined) {
+      response.setHeader("Server-Limit", String(LIMIT));
+      this.limitedArrivals.push({ id, at: Date.now() });
+    }
     const isExpectedInstance = request.headers["expect-instance"] === this.#id;
     if (!isExpectedInstance || this.#runningRequests >= SLOTS) {
       const status = isExpectedInstance ? 503 : 421;
