figroad status: which engines leave or limit their requests

An on-call engineer could see in logs only which engines had announced that they leave, and nowhere how each machine knows it.

--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -1,6 +1,11 @@
 import { err } from "neverthrow";
 import { defineCliCommand } from "../define_cli_command.ts";
-import { createOperatorsClient, operatorsArgument } from "../http_clients.ts";
+import {
+  createOperatorsClient,
+  createStoresClients,
+  operatorsArgument,
+  storesArgument,
+} from "../http_clients.ts";
 import { ExitCode } from "../exit_code.ts";
 import { formatTable } from "../output.ts";
 import { type Status, statusSchema } from "../../operators/mod.ts";
@@ -10,6 +15,7 @@
   type Rollout,
 } from "../../configuration/mod.ts";
 import type { Member } from "../../membership/mod.ts";
+import { showPlatformStatus } from "./platform_status.ts";
 import { readRollout } from "../rollout.ts";
 import { type Voters, votersSchema } from "./voters.ts";
 import { configurationResponseSchema } from "./config_show.ts";
@@ -18,8 +24,13 @@
 export const status = defineCliCommand({
   name: "status",
   description: "Show instances, targets, the leader and versions in force",
-  args: operatorsArgument,
+  args: { ...operatorsArgument, ...storesArgument },
   async run(args, output) {
+    if (args.stores !== undefined) {
+      const clients = createStoresClients(args);
+      if (clients.isErr()) return err(clients.error);
+      return await showPlatformStatus(clients.value, output);
+    }
     const clientResult = createOperatorsClient(args);
     if (clientResult.isErr()) return err(clientResult.error);
     const client = clientResult.value;
--- a/src/cli/figroad_test.ts
+++ b/src/cli/figroad_test.ts
@@ -297,6 +297,9 @@
   t.is((await run("settings", "check", path)).exitCode, ExitCode.usage);
 });
 
+/** URL at which nothing listens. */
+const NOBODY = "http://127.0.0.1:9";
+
 test("failures print one line", async (t) => {
   const lines: [string[], number][] = [
     [[], ExitCode.usage],
@@ -345,3 +348,38 @@
   t.regex(lone.stderr, /none of the stores that answered is the leader/);
   t.is((await run("limits")).exitCode, ExitCode.usage);
 });
+
+test("status of the platform tells which engines leave, and who knows", async (t) => {
+  const instance = (name: string, states: object[]) =>
+    startFakeServer(({ url }) =>
+      url === "/engines"
+        ? { instance: name, listAgeMilliseconds: 300, engines: states }
+        : undefined
+    );
+  const engine = (id: string, changes: object = {}) => ({
+    ...{ engine: id, service: "writer", failureDomain: "a" },
+    ...{ isSuspect: false, ...changes },
+  });
+  const entry = await instance("entry-1", [
+    engine("i-1", { leaving: "answer", announcedMilliseconds: 12_000 }),
+    engine("i-2", { limitPerSecond: 3.5 }),
+    engine("i-3", { leaving: "list" }),
+  ]);
+  const store = await instance("store-1", [
+    engine("i-1"),
+    engine("i-2", { limitPerSecond: 3.5 }),
+    engine("i-3", { leaving: "list" }),
+  ]);
+  t.teardown(() => [entry, store].forEach((server) => server.close()));
+  const stores = `${entry.url},${store.url}`;
+  const shown = await run("status", "--stores", stores);
+  t.is(shown.exitCode, ExitCode.done);
+  t.regex(shown.stdout, /entry-1: list of engines read 300 ms ago\n/);
+  t.regex(shown.stdout, /i-1 .* answer, 12 s ago \(entry-1\) +- +-\n/);
+  t.regex(shown.stdout, /i-2 .* - +3\.5 +-\n/);
+  t.regex(shown.stdout, /i-3 .* list +- +-\n/);
+  const partial = await run("status", "--stores", `${entry.url},${NOBODY}`);
+  t.is(partial.exitCode, ExitCode.incomplete);
+  const silent = await run("status", "--stores", NOBODY);
+  t.is(silent.exitCode, ExitCode.noAnswer);
+});
--- a/src/cli/http_clients.ts
+++ b/src/cli/http_clients.ts
@@ -38,8 +38,8 @@
 export const storesArgument = {
   stores: {
     type: "string",
-    description: "Metrics URLs of the stores, separated by commas " +
-      `(or ${STORES_VARIABLE})`,
+    description: "Metrics URLs of stores of the users' platform, separated " +
+      `by commas (or ${STORES_VARIABLE}); status also takes those of entries`,
     valueHint: "URL,URL",
   },
 } as const;
--- a/src/composition/telemetry.ts
+++ b/src/composition/telemetry.ts
@@ -15,7 +15,13 @@
   Metrics,
   MetricsEventLog,
 } from "../metrics/mod.ts";
-import type { EngineTable, ExchangeClient } from "../placement/mod.ts";
+import {
+  describeEngines,
+  ENGINE_STATES_PATH,
+  type EngineTable,
+  type ExchangeClient,
+  type LeavingEngines,
+} from "../placement/mod.ts";
 import type { IRpcStatistics } from "../rpc/mod.ts";
 import type { RoutesHolder } from "../service_routes/mod.ts";
 
@@ -74,12 +80,24 @@
     );
   }
 
-  /** Defines metrics of the limits that engines name. */
-  defineEngineLimitMetrics(limits: EngineLimits): void {
+  /** Defines metrics and a page with what engines say of themselves. */
+  defineEngineStates(
+    instance: string,
+    sources: {
+      table: EngineTable;
+      leaving: LeavingEngines;
+      engineLimits: EngineLimits;
+    },
+  ): void {
+    const { engineLimits } = sources;
     this.metrics.gauge(
       "figroad_engines_with_limit",
       "Engines that limit the requests they take from all instances.",
-      () => [{ value: limits.count }],
+      () => [{ value: engineLimits.count }],
+    );
+    this.#pages.set(
+      ENGINE_STATES_PATH,
+      () => describeEngines(instance, sources),
     );
   }
 
--- a/src/placement/engine_table.ts
+++ b/src/placement/engine_table.ts
@@ -143,6 +143,10 @@
     return this.#leaving.ids();
   }
 
+  isSuspect(engine: string): boolean {
+    return this.#health.isSuspect(engine);
+  }
+
   /** Software version of a service; undefined if the list has several. */
   listedVersion(service: string): string | undefined {
     return this.#soleVersions.get(service)?.softwareVersion;
--- a/src/placement/leaving_engines.ts
+++ b/src/placement/leaving_engines.ts
@@ -17,6 +17,8 @@
   bornAt: number | undefined;
   /** Time until which a missing engine is kept; undefined while it is listed. */
   forgetAt: Deadline | undefined;
+  readonly source: LeavingSource;
+  readonly announcedAt: Deadline;
 }
 
 /** How an instance learned that an engine leaves. */
@@ -49,6 +51,7 @@
     if (this.#announcements.has(engine)) return;
     const isListed = this.#births.has(engine);
     this.#announcements.set(engine, {
+      ...{ source, announcedAt: this.#clock.monotonic() },
       bornAt: this.#births.get(engine),
       forgetAt: isListed
         ? undefined
@@ -71,6 +74,16 @@
     return this.#announcements.has(engine);
   }
 
+  /** How and how long ago the engine announced that it leaves, if it did. */
+  announcementOf(
+    engine: string,
+  ): { source: LeavingSource; ageMilliseconds: number } | undefined {
+    const announcement = this.#announcements.get(engine);
+    if (!announcement) return undefined;
+    const age = this.#clock.monotonic() - announcement.announcedAt;
+    return { source: announcement.source, ageMilliseconds: Math.round(age) };
+  }
+
   /** The engine as listed, marked as leaving if it has announced that. */
   withAnnouncement(engine: ListedEngine): ListedEngine {
     if (engine.isLeaving || !this.has(engine.id)) return engine;
--- a/src/placement/mod.ts
+++ b/src/placement/mod.ts
@@ -1,6 +1,7 @@
 export * from "./clock_offset_monitor.ts";
 export * from "./engine_directory.ts";
 export * from "./engine_health.ts";
+export * from "./engine_states.ts";
 export * from "./engine_table.ts";
 export * from "./exchange_client.ts";
 export * from "./exchange_handler.ts";
--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -13,6 +13,9 @@
 /** Ports of each process; every process has its own loopback address. */
 const PORTS = { front: 8_161, ready: 8_167, control: 8_166, peers: 7_720 };
 
+/** Port on which every process serves its metrics. */
+const METRICS_PORT = 9_464;
+
 /** Time limit of a stop; long, so that tests pass on an overloaded machine. */
 const SHUTDOWN_GRACE_SECONDS = 60;
 
@@ -230,6 +233,10 @@
     return { address: this.entries[index]!.address, port: PORTS.ready };
   }
 
+  metrics(entry: number) {
+    return { address: this.entries[entry]!.address, port: METRICS_PORT };
+  }
+
   control(index: number) {
     return { address: this.stores[index]!.address, port: PORTS.control };
   }
