Stop reading endless bytes of faulty engines

By the platform's pages, bytes that are no answer may come without end until the caller closes.

An item's silence limit was renewed by any bytes, so an item stayed at an engine that sent no events.

Live requests are bounded by their deadline, one event, one error body and the head of an answer by their sizes.

--- a/src/bulk/item_run.ts
+++ b/src/bulk/item_run.ts
@@ -165,9 +165,10 @@
   signal.addEventListener("abort", stop, { once: true });
   try {
     for await (const bytes of answer.body) {
-      timer.refresh();
       for (const event of splitter.push(bytes)) {
         if (event.id === undefined) continue;
+        // A faulty engine may send other bytes without end.
+        timer.refresh();
         progress.data.push(...fieldValues(event.bytes, "data"));
         progress.lastEventId = event.id;
       }
--- a/src/streams/request_run.ts
+++ b/src/streams/request_run.ts
@@ -18,3 +18,10 @@
   possibleRuns: number;
   sends: number;
 }
+
+/** Parts by which the request is judged, the most specific last. */
+export function partsOf(
+  { promptParts, contentIds }: IForwardedRequest,
+): string[] {
+  return [...promptParts, ...contentIds];
+}
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -29,7 +29,7 @@
   ResumptionTarget,
   StreamOriginResolver,
 } from "./stream_origin_resolver.ts";
-import type { IRequestRun } from "./request_run.ts";
+import { type IRequestRun, partsOf } from "./request_run.ts";
 import type { IAnswerSink, IForwardedRequest, ILocalFailure } from "./types.ts";
 
 /** Time allowed for the first event beyond the expected wait, in ms. */
@@ -391,11 +391,6 @@
   return ![408, 421, 429, 503].includes(status);
 }
 
-/** Parts by which the request is judged, the most specific last. */
-function partsOf({ promptParts, contentIds }: IForwardedRequest): string[] {
-  return [...promptParts, ...contentIds];
-}
-
 function mayServe(route: Route, { service }: ResumptionTarget): boolean {
   return route.shares.some((share) =>
     share.service === service && share.weight > 0
