Log and count the loss of an entry's own links to all engines

The logs of an entry do not tell whether engines fail or its own links do: both show as failed connections. After a failed request an entry now opens connections to up to four engines in different failure domains; if none opens, it logs 1300 engines-unreachable and sets figroad_engine_links_lost until one does. Nothing is decided by it yet.

--- a/src/composition/telemetry.ts
+++ b/src/composition/telemetry.ts
@@ -22,6 +22,7 @@
   type ExchangeClient,
   type LeavingEngines,
 } from "../placement/mod.ts";
+import type { ILinkState } from "../relaying/mod.ts";
 import type { IRpcStatistics } from "../rpc/mod.ts";
 import type { RoutesHolder } from "../service_routes/mod.ts";
 
@@ -110,6 +111,15 @@
     );
   }
 
+  /** Defines a metric of this instance's own links to the engines. */
+  defineLinkMetrics(links: ILinkState): void {
+    this.metrics.gauge(
+      "figroad_engine_links_lost",
+      "1 while this instance can open a connection to no engine, else 0.",
+      () => [{ value: links.isCutOff ? 1 : 0 }],
+    );
+  }
+
   /** Defines metrics of open requests. */
   defineEdgeMetrics(edge: HttpEdge): void {
     this.metrics.gauge(
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -34,6 +34,7 @@
   { slice: "bulk", first: 1150, last: 1199 },
   { slice: "retirement", first: 1200, last: 1249 },
   { slice: "edge", first: 1250, last: 1299 },
+  { slice: "relaying", first: 1300, last: 1349 },
   { slice: "quarantine", first: 1350, last: 1399 },
 ];
 
--- /dev/null
+++ b/src/relaying/mod.ts
@@ -0,0 +1,2 @@
+export * from "./link_monitor.ts";
+export * from "./types.ts";
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -10,6 +10,7 @@
   StreamOrigins,
 } from "../placement/mod.ts";
 import { type IPartObserver, isContentId } from "../quarantine/mod.ts";
+import type { ILinkState } from "../relaying/mod.ts";
 import { chooseService, type Route } from "../service_routes/mod.ts";
 import {
   attemptFailed,
@@ -66,6 +67,7 @@
   readonly origins: StreamOrigins;
   readonly resolver: StreamOriginResolver;
   readonly parts: IPartObserver;
+  readonly links: ILinkState;
   readonly failureDomain: string;
   /** Source of random numbers from 0 up to, not including, 1. */
   readonly random: () => number;
@@ -208,7 +210,8 @@
     run: IRequestRun,
     placement: IPlacedRequest,
   ): Promise<AttemptOutcome> {
-    const { table, health, events, clock, attempt, parts } = this.#options;
+    const { table, health, events, clock, attempt, parts, links } =
+      this.#options;
     const { request, sink, progress, isIdempotent } = run;
     const { engine, live, bulk, chosenBy } = placement;
     const waitMilliseconds = Math.round(placement.waitMilliseconds);
@@ -249,6 +252,7 @@
         .with({ kind: "failed" }, (failed) => {
           if (failed.verdict === "may-have-run") run.possibleRuns += 1;
           if (failed.isEngineFault && !sink.signal.aborted) {
+            void links.check();
             health.recordFailure(engine.id, failed.reason);
           }
           if (failed.isBroken) {
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -82,6 +82,7 @@
   const dispatcher = new StreamDispatcher({
     ...{ table, health, clock, events, origins },
     parts: new PartMonitor(clock, { events }),
+    links: { isCutOff: false, check: () => Promise.resolve(false) },
     resolver: new StreamOriginResolver({
       ...{ origins, table, clock },
       leader: { findOrigin: () => Promise.resolve(undefined) },
--- a/src/targets/http_exchange.ts
+++ b/src/targets/http_exchange.ts
@@ -46,6 +46,8 @@
   readonly connectDeadline?: Deadline;
   /** Whether to use a connection that no other request has used. */
   readonly freshConnection?: boolean;
+  /** Called when a new connection has opened. */
+  readonly onConnected?: () => void;
 }
 
 /**
@@ -112,9 +114,14 @@
       if (!incoming.complete) incoming.destroy(error);
     });
     outgoing.on("socket", (socket) => {
-      const markConnected = () => connected = true;
-      if (socket.connecting) socket.once("connect", markConnected);
-      else markConnected();
+      if (socket.connecting) {
+        socket.once("connect", () => {
+          connected = true;
+          options.onConnected?.();
+        });
+      } else {
+        connected = true;
+      }
       const checkReset = () => {
         if (incoming && !incoming.complete && isReset(socket)) {
           incoming.destroy(new Error("the connection was reset"));
