--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -6,10 +6,17 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
+import { fileURLToPath } from "node:url";
 import { HttpStandin } from "./http_standin.ts";
+import type { ILinkFault, LinkFaultKind } from "./link_faults.ts";
 
 const PROGRAM = "dist/platform/main.js";
 
+/** Module that lets a fleet cut the links of an entry to the engines. */
+const LINK_FAULTS_MODULE = fileURLToPath(
+  new URL("./link_faults.js", import.meta.url),
+);
+
 /** Ports of each process; every process has its own loopback address. */
 const PORTS = { front: 8_161, ready: 8_167, control: 8_166, peers: 7_720 };
 
@@ -179,6 +186,7 @@
   /** Log output of all processes, in the order received. */
   logs = "";
   #list: HttpStandin | undefined;
+  #enginePorts: number[] = [];
   #folder = "";
   /** First three octets of the addresses of this fleet. */
   #addressPrefix: string;
@@ -200,6 +208,7 @@
     const instances = await Promise.all(
       this.engines.map(async ({ standin, softwareVersion }, index) => {
         const { address, port } = await standin.start();
+        this.#enginePorts.push(port);
         return {
           id: `i-${index}`,
           service: "writer",
@@ -241,6 +250,15 @@
     return { address: this.stores[index]!.address, port: PORTS.control };
   }
 
+  /**
+   * Cuts the links of an entry to all engines, or restores them. The links to
+   * clients and other processes keep working.
+   */
+  setLinkFault(entry: number, kind: LinkFaultKind | undefined): void {
+    const fault: ILinkFault = { ports: this.#enginePorts, kind };
+    this.entries[entry]!.child.send(fault);
+  }
+
   /** Restarts an ended process with its previous settings. */
   restart(process: IRoleProcess): void {
     process.child = this.#run(process);
@@ -313,9 +331,10 @@
   }
 
   #run({ role, settingsPath }: Omit<IRoleProcess, "child">): ChildProcess {
-    const child = spawn(process.execPath, [PROGRAM, role], {
+    const imports = role === "entry" ? [`--import=${LINK_FAULTS_MODULE}`] : [];
+    const child = spawn(process.execPath, [...imports, PROGRAM, role], {
       env: { ...process.env, FIGROAD_CONFIG: settingsPath },
-      stdio: ["ignore", "pipe", "inherit"],
+      stdio: ["ignore", "pipe", "inherit", "ipc"],
     });
     child.stdout?.setEncoding("utf8").on("data", (text: string) => {
       this.logs += text;
