Send requests of entries without links through entries that reach engines

Cause: an entry had only its own links, and took their loss for a fault of one engine after the other. Each request waited 300 ms for each of five connections. The slots granted for these attempts were missing elsewhere: other entries refused requests and batch items were stopped.

After a failed request, an entry now finds out whether it opens connections to other engines before it blames the engine. If it opens none, it reports this with its exchanges, the leader names up to 16 entries that reach engines, and requests go through one of them: same placement, same attempts, deadline and verdicts, one more hop. The first connection that opens ends the state. Without any path a request is refused after one attempt. Lost links no longer count as crashes under a request.

--- a/src/bulk/item_run_test.ts
+++ b/src/bulk/item_run_test.ts
@@ -51,6 +51,7 @@
         isNotRun: false,
         isGenuine: true,
         isFramed: true,
+        isRelayed: false,
         body: (async function* () {
           while (isOpen) {
             await sleep(50);
--- a/src/edge/drain.ts
+++ b/src/edge/drain.ts
@@ -28,6 +28,18 @@
   const balancerDeadline = clock.deadlineIn(BALANCER_DELAY_MILLISECONDS);
   await clock.sleepUntil(earlierDeadline(balancerDeadline, deadline));
   edge.closeListener();
+  return await waitUntilIdle(edge, options);
+}
+
+/**
+ * Waits until a server answers no request. Resolves with the number of requests
+ * that are still open at the deadline.
+ */
+export async function waitUntilIdle(
+  edge: HttpEdge,
+  options: { clock: IClock; deadline: Deadline },
+): Promise<number> {
+  const { clock, deadline } = options;
   while (edge.openRequests > 0 && !clock.isPast(deadline)) {
     await clock.sleepUntil(clock.deadlineIn(POLL_INTERVAL_MILLISECONDS));
   }
--- a/src/placement/engine_health.ts
+++ b/src/placement/engine_health.ts
@@ -51,6 +51,11 @@
     this.#events.emit(engineTrusted, { engine });
   }
 
+  /** Trusts all engines that this instance has suspected. */
+  clear(): void {
+    this.#suspicions.clear();
+  }
+
   isSuspect(engine: string): boolean {
     if (this.#leaderSuspects.has(engine)) return true;
     const suspicion = this.#suspicions.get(engine);
--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -4,6 +4,7 @@
 import type { IControlClient } from "../consensus/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { PartMonitor } from "../quarantine/mod.ts";
+import type { ILinkState, RelayDirectory } from "../relaying/mod.ts";
 import type { RoutesHolder } from "../service_routes/mod.ts";
 import { ClockOffsetMonitor } from "./clock_offset_monitor.ts";
 import type { EngineHealth } from "./engine_health.ts";
@@ -48,6 +49,14 @@
 /** Timeout for reading the platform's engine list. */
 const LIST_READ_TIMEOUT_MILLISECONDS = 1_000;
 
+/** What an instance reports and receives about forwarding. */
+export interface IRelayingSources {
+  readonly links: Pick<ILinkState, "isCutOff">;
+  readonly relays: Pick<RelayDirectory, "update">;
+  /** Port for requests of other instances; undefined to receive none. */
+  readonly port: () => number | undefined;
+}
+
 /** Identity of the instance, and dependencies of the client. */
 export interface IExchangeClientOptions {
   readonly instance: string;
@@ -64,6 +73,8 @@
   readonly origins?: StreamOrigins;
   /** Prompt parts that this instance reports; absent on stores. */
   readonly parts?: PartMonitor;
+  /** Forwarding between instances; absent on stores. */
+  readonly relaying?: IRelayingSources;
   /** Source of random numbers from 0 up to, not including, 1. */
   readonly random: () => number;
   /**
@@ -168,7 +179,7 @@
     want?: PlacementRequest,
   ): Promise<PlacementDecision | undefined> {
     const { clock, table, health, routes, origins, parts } = this.#options;
-    const { instance, name, role, engineLimits } = this.#options;
+    const { instance, name, role, engineLimits, relaying } = this.#options;
     const reported = table.ownLiveCounts();
     this.#sequence += 1;
     const sequence = this.#sequence;
@@ -195,6 +206,8 @@
       parts: report?.message,
       routesVersion: routes.version,
       listRevision: table.revision,
+      relayPort: relaying?.port(),
+      isCutOff: relaying?.links.isCutOff || undefined,
     }, { deadline: clock.deadlineIn(timeout) });
     if (answer.isErr()) {
       this.#recordFailure(answer.error.message);
@@ -210,6 +223,7 @@
     engineLimits.markReported(limits, term);
     engineLimits.merge(answer.value.engineLimits ?? [], term);
     this.#entries = answer.value.entries ?? this.#entries;
+    if (answer.value.relays) relaying?.relays.update(answer.value.relays);
     parts?.recordLeaderContact();
     const verdicts = answer.value.parts;
     if (verdicts) parts?.applyVerdicts(verdicts, { term, report });
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -119,6 +119,9 @@
       list: isNewList ? list : undefined,
       routes: isNewRoutes ? routes : undefined,
       parts: parts ? judge.receive(params.instance, parts) : judge.findNews(),
+      relays: params.isCutOff
+        ? ledger.relays({ asking: params.instance, random: options.random() })
+        : undefined,
       grant,
       pauseMilliseconds: exchangeInterval(ledger.entryCount()),
     }));
--- a/src/placement/exchange_test.ts
+++ b/src/placement/exchange_test.ts
@@ -8,11 +8,12 @@
 import type { Deadline } from "../common/mod.ts";
 import type { IControlClient } from "../consensus/mod.ts";
 import { SilentEventLog } from "../events/mod.ts";
+import type { Relay } from "../relaying/mod.ts";
 import { PartJudge } from "../quarantine/mod.ts";
 import { RoutesHolder } from "../service_routes/mod.ts";
 import { EngineHealth } from "./engine_health.ts";
 import { EngineTable } from "./engine_table.ts";
-import { ExchangeClient } from "./exchange_client.ts";
+import { ExchangeClient, type IRelayingSources } from "./exchange_client.ts";
 import {
   exchangeInterval,
   type ILeaderState,
@@ -68,7 +69,7 @@
   }
 
   /** Starts an entry instance. */
-  entry(name: string) {
+  entry(name: string, relaying?: IRelayingSources) {
     const { clock } = this;
     const events = new SilentEventLog();
     const endpoint = this.network.connect(name, clock);
@@ -93,6 +94,7 @@
         },
       },
       random: () => 0,
+      ...(relaying ? { relaying } : {}),
     });
     exchange.start();
     const placer = new Placer(exchange, table, {
@@ -283,3 +285,25 @@
   leaving.announce("two", "answer");
   t.is((await fleet.place(placer)).kind, "no-engine");
 });
+
+test("entry without links learns which entries forward requests", async (t) => {
+  const fleet = new Fleet();
+  const named: Relay[][] = [];
+  const start = (name: string, port: number | undefined, isCutOff = false) => {
+    const links = { isCutOff };
+    const relays = {
+      update: (list: readonly Relay[]) => named.push([...list]),
+    };
+    fleet.entry(name, { links, relays, port: () => port });
+    return links;
+  };
+  const links = start("one", 7_720);
+  start("two", 7_720);
+  start("also-without-links", 7_720, true);
+  start("stopping", undefined);
+  await fleet.time.advance(500);
+  named.length = 0;
+  links.isCutOff = true;
+  await fleet.time.advance(500);
+  t.deepEqual(named.at(-1), [{ address: "two", port: 7_720 }]);
+});
--- a/src/placement/load_ledger.ts
+++ b/src/placement/load_ledger.ts
@@ -1,4 +1,5 @@
 import type { IClock } from "../common/mod.ts";
+import type { Relay } from "../relaying/mod.ts";
 import type { PeerAddress } from "../rpc/mod.ts";
 import type { ExchangeParams, LoadEntry } from "./messages.ts";
 
@@ -11,6 +12,9 @@
 /** Time after which a grant that no report confirms is dropped. */
 const GRANT_LIFETIME_MILLISECONDS = 400;
 
+/** Instances that forward requests, named to an instance without links. */
+const MAXIMUM_NAMED_RELAYS = 16;
+
 /** Time for which the summary over all instances is cached. */
 const SUMMARY_LIFETIME_MILLISECONDS = 250;
 
@@ -96,6 +100,24 @@
     return this.#currentSummary().entries;
   }
 
+  /**
+   * Some of the instances that forward requests of others, chosen at random.
+   *
+   * @param options.asking instance that is not chosen.
+   * @param options.random random number from 0 up to, not including, 1.
+   */
+  relays(options: { asking: string; random: number }): Relay[] {
+    const relays = this.#recent(REPORT_LIFETIME_MILLISECONDS)
+      .flatMap(({ params: { instance, relayPort, isCutOff } }) =>
+        relayPort === undefined || isCutOff || instance === options.asking
+          ? []
+          : [{ address: instance, port: relayPort }]
+      );
+    const start = Math.floor(options.random * relays.length);
+    return [...relays.slice(start), ...relays.slice(0, start)]
+      .slice(0, MAXIMUM_NAMED_RELAYS);
+  }
+
   /** Live requests and batch items of all engines that have any. */
   entries(bulk: ReadonlyMap<string, number>): LoadEntry[] {
     const live = this.liveCounts();
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import { reportedEngineLimitSchema } from "../admission/messages.ts";
 import { partReportSchema, partVerdictsSchema } from "../quarantine/mod.ts";
+import { relaySchema } from "../relaying/messages.ts";
 import { defineMethod } from "../rpc/mod.ts";
 import { routeSetSchema } from "../service_routes/mod.ts";
 import { listedEngineSchema } from "./types.ts";
@@ -99,6 +100,13 @@
     engineLimits: z.array(reportedEngineLimitSchema).optional(),
     /** Broken and answered prompt parts; absent if there is nothing new. */
     parts: partReportSchema.optional(),
+    /**
+     * Port on which the instance forwards requests of other instances; absent
+     * if it forwards none.
+     */
+    relayPort: z.number().optional(),
+    /** Whether the instance has lost its own links to all engines. */
+    isCutOff: z.boolean().optional(),
     /** A request to place. */
     want: placementRequestSchema.optional(),
   }),
@@ -123,6 +131,11 @@
     entries: z.number().optional(),
     /** Prompt parts in quarantine; absent if nothing is known of any. */
     parts: partVerdictsSchema.optional(),
+    /**
+     * Some of the instances that forward requests; sent to instances that have
+     * lost their own links.
+     */
+    relays: z.array(relaySchema).optional(),
     /** Decision about `want`, if the call had it. */
     grant: placementDecisionSchema.optional(),
     /** Interval until the next exchange, in milliseconds. */
--- a/src/relaying/link_monitor.ts
+++ b/src/relaying/link_monitor.ts
@@ -1,4 +1,9 @@
-import { Emitter, type IClock, type IDisposable } from "../common/mod.ts";
+import {
+  type Deadline,
+  Emitter,
+  type IClock,
+  type IDisposable,
+} from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { ListedEngine } from "../placement/mod.ts";
 import { enginesReachable, enginesUnreachable } from "./events.ts";
@@ -10,9 +15,6 @@
 /** Time in which a connection to an engine must open. */
 const CONNECT_TIMEOUT_MILLISECONDS = 300;
 
-/** Time for which an opened connection shows that the links work. */
-const EVIDENCE_LIFETIME_MILLISECONDS = 200;
-
 /** Interval between checks while this instance is cut off. */
 const RECHECK_INTERVAL_MILLISECONDS = 500;
 
@@ -64,10 +66,9 @@
     this.#options.events.emit(enginesReachable, { milliseconds });
   }
 
-  async check(): Promise<boolean> {
+  async check(since: Deadline): Promise<boolean> {
     if (this.isCutOff) return true;
-    const age = this.#clock.monotonic() - this.#connectedAt;
-    if (age < EVIDENCE_LIFETIME_MILLISECONDS) return false;
+    if (this.#connectedAt >= since) return false;
     this.#runningCheck ??= this.#tryEngines();
     return await this.#runningCheck;
   }
@@ -79,11 +80,11 @@
   async #tryEngines(): Promise<boolean> {
     const { engines, random, events } = this.#options;
     const sample = sampleAcrossDomains(engines(), random);
+    const startedAt = this.#clock.monotonic();
     const isReached = await this.#connectsToAny(sample);
     this.#runningCheck = undefined;
     // A request of this instance may have opened a connection meanwhile.
-    const age = this.#clock.monotonic() - this.#connectedAt;
-    if (isReached || age < CONNECT_TIMEOUT_MILLISECONDS) return false;
+    if (isReached || this.#connectedAt > startedAt) return false;
     if (sample.length === 0 || this.#stopping.signal.aborted) return false;
     this.#cutOffSince = this.#clock.monotonic();
     events.emit(enginesUnreachable, {
--- a/src/relaying/link_monitor_test.ts
+++ b/src/relaying/link_monitor_test.ts
@@ -6,9 +6,6 @@
 import type { ListedEngine } from "../placement/mod.ts";
 import { LinkMonitor } from "./link_monitor.ts";
 
-/** Longer than a connection counts as evidence of working links. */
-const AGED_MILLISECONDS = 1_000;
-
 /** Longer than the interval between checks of an instance that is cut off. */
 const RECHECK_MILLISECONDS = 600;
 
@@ -41,7 +38,6 @@
       },
     },
   });
-  clock.advance(AGED_MILLISECONDS);
   return { clock, monitor, reachable, tried };
 }
 
@@ -50,10 +46,10 @@
 
 test("instance that reaches no engine is cut off until it does", async (t) => {
   const { clock, monitor, reachable } = setup(enginesIn("abc", 8));
-  t.false(await monitor.check());
-  clock.advance(AGED_MILLISECONDS);
+  t.false(await monitor.check(clock.monotonic()));
+  clock.advance(1);
   reachable.clear();
-  t.true(await monitor.check());
+  t.true(await monitor.check(clock.monotonic()));
   t.true(monitor.isCutOff);
   clock.advance(RECHECK_MILLISECONDS);
   await settle();
@@ -68,42 +64,46 @@
 test("loss of the engines in one failure domain cuts off nobody", async (t) => {
   for (let seed = 1; seed <= 50; seed++) {
     const engines = enginesIn("abc", 9);
-    const { monitor, reachable } = setup(engines, seed);
+    const { clock, monitor, reachable } = setup(engines, seed);
     for (const { id, failureDomain } of engines) {
       if (failureDomain === "a") reachable.delete(id);
     }
-    t.false(await monitor.check(), `seed ${seed}`);
+    t.false(await monitor.check(clock.monotonic()), `seed ${seed}`);
   }
 });
 
-test("opened connection answers checks for a while", async (t) => {
+test("connection that opened after a request began is enough", async (t) => {
   const { clock, monitor, tried } = setup(enginesIn("abc", 8));
+  const before = clock.monotonic();
+  clock.advance(1);
   monitor.recordConnected();
-  t.false(await monitor.check());
+  t.false(await monitor.check(before));
   t.is(tried.length, 0);
-  clock.advance(AGED_MILLISECONDS);
-  t.false(await monitor.check());
+  clock.advance(1);
+  t.false(await monitor.check(clock.monotonic()));
   t.true(tried.length > 0);
 });
 
 test("checks at the same time try each engine once", async (t) => {
-  const { monitor, reachable, tried } = setup(enginesIn("abc", 8));
+  const { clock, monitor, reachable, tried } = setup(enginesIn("abc", 8));
   reachable.clear();
-  const results = await Promise.all([monitor.check(), monitor.check()]);
+  const now = clock.monotonic();
+  const results = await Promise.all([monitor.check(now), monitor.check(now)]);
   t.deepEqual(results, [true, true]);
   t.is(new Set(tried).size, tried.length);
   monitor.dispose();
 });
 
 test("connection of a request ends the state at once", async (t) => {
-  const { monitor, reachable } = setup(enginesIn("a", 1));
+  const { clock, monitor, reachable } = setup(enginesIn("a", 1));
   reachable.clear();
-  t.true(await monitor.check());
+  t.true(await monitor.check(clock.monotonic()));
   monitor.recordConnected();
   t.false(monitor.isCutOff);
   monitor.dispose();
 });
 
 test("instance that knows no engine is not cut off", async (t) => {
-  t.false(await setup([]).monitor.check());
+  const { clock, monitor } = setup([]);
+  t.false(await monitor.check(clock.monotonic()));
 });
--- a/src/streams/events.ts
+++ b/src/streams/events.ts
@@ -56,6 +56,8 @@
     attempt: z.number(),
     verdict: z.string(),
     reason: z.string(),
+    /** What is at fault; the links are those of this instance. */
+    fault: z.enum(["engine", "connection", "own-links", "relay", "none"]),
     /** Prompt parts that the request shares with others. */
     promptParts: z.array(z.string()),
     /** Hash of the request, the same each time its caller repeats it. */
@@ -63,7 +65,7 @@
     lastEventId: z.string().optional(),
     milliseconds: z.number(),
   },
-  labels: ["verdict"],
+  labels: ["verdict", "fault"],
 });
 
 export const requestAnswered = defineEvent(1103, "request-answered", {
--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import type { Deadline, IClock, Verdict } from "../common/mod.ts";
 import type { ListedEngine } from "../placement/mod.ts";
+import { RelayError } from "../relaying/mod.ts";
 import { HttpExchangeError } from "../targets/http_exchange.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type {
@@ -11,6 +12,13 @@
   IForwardedRequest,
 } from "./types.ts";
 
+/**
+ * What is at fault in a failed attempt: the engine; the connection to it, which
+ * may be the engine or this instance's own links; an instance that should have
+ * forwarded the request; or nothing, as with too much load.
+ */
+export type AttemptFault = "engine" | "connection" | "relay" | "none";
+
 /** Outcome of one attempt at an engine. */
 export type AttemptOutcome =
   | { readonly kind: "answered"; readonly status: number }
@@ -18,14 +26,15 @@
     readonly kind: "failed";
     readonly verdict: Verdict;
     readonly reason: string;
-    /** Whether the engine itself is at fault, rather than its load. */
-    readonly isEngineFault: boolean;
+    readonly fault: AttemptFault;
     /** Whether the engine broke off the run, as it does when it crashes. */
     readonly isBroken: boolean;
     /** The engine's error answer, forwarded if no other attempt follows. */
     readonly answer?: IBufferedAnswer;
   };
 
+export type FailedAttempt = Extract<AttemptOutcome, { kind: "failed" }>;
+
 /** An engine's answer with a status other than 2xx, read completely. */
 export interface IBufferedAnswer {
   readonly status: number;
@@ -39,6 +48,8 @@
   lastEventId: string | undefined;
   /** Time at which the first bytes of the body arrived. */
   firstByteAt: Deadline | undefined;
+  /** Time at which the latest bytes of a body arrived. */
+  lastByteAt: Deadline | undefined;
 }
 
 /** Time limits of one attempt, and whether the request may fail over. */
@@ -107,11 +118,11 @@
     if (answer.status < 200 || answer.status > 299) {
       return await this.#bufferFailure(answer, limits);
     }
-    return await this.#relay(answer, request, options);
+    return await this.#forward(answer, request, options);
   }
 
   /** Forwards complete events on a stream route, else bytes as they arrive. */
-  async #relay(
+  async #forward(
     answer: IEngineAnswer,
     request: IForwardedRequest,
     options: {
@@ -131,7 +142,8 @@
     try {
       for await (const bytes of answer.body) {
         watchdog.reset();
-        progress.firstByteAt ??= this.#clock.monotonic();
+        progress.lastByteAt = this.#clock.monotonic();
+        progress.firstByteAt ??= progress.lastByteAt;
         if (!isStream) {
           if (!sink.hasBegun) sink.begin(answer.status, answer.headers);
           await sink.write(bytes);
@@ -150,9 +162,7 @@
         progress.lastEventId = id ?? progress.lastEventId;
       }
       if (sink.signal.aborted) {
-        return mayHaveRun("the caller left", {
-          isEngineFault: false,
-        });
+        return mayHaveRun("the caller left", { fault: "none" });
       }
       if (splitter.incompleteBytes.length > 0) {
         return mayHaveRun("the stream ended inside an event", {
@@ -172,9 +182,10 @@
       return { kind: "answered", status: answer.status };
     } catch (error) {
       const reason = watchdog.closeReason ?? (error as Error).message;
-      const isEngineFault = !sink.signal.aborted;
-      const isBroken = isEngineFault && watchdog.closeReason === undefined;
-      return mayHaveRun(reason, { isEngineFault, isBroken });
+      if (sink.signal.aborted) return mayHaveRun(reason, { fault: "none" });
+      if (answer.isRelayed) return mayHaveRun(reason, { fault: "relay" });
+      const isBroken = watchdog.closeReason === undefined;
+      return mayHaveRun(reason, { fault: "connection", isBroken });
     } finally {
       sink.signal.removeEventListener("abort", stop);
       watchdog.dispose();
@@ -197,7 +208,7 @@
       }
       return {
         ...mayHaveRun(`the engine answered with status ${answer.status}`, {
-          isEngineFault: false,
+          fault: "none",
         }),
         answer: { status: answer.status, answer, body },
       };
@@ -259,37 +270,41 @@
   return headers.filter(([name]) => name.toLowerCase() !== "content-length");
 }
 
-function notRun(reason: string, isEngineFault = false) {
+function notRun(reason: string, fault: AttemptFault = "none") {
   return {
     kind: "failed",
     verdict: "not-run",
-    reason,
-    isEngineFault,
-    isBroken: false,
+    ...{ reason, fault, isBroken: false },
   } as const;
 }
 
 function mayHaveRun(
   reason: string,
-  options: { isEngineFault?: boolean; isBroken?: boolean } = {},
+  options: { fault?: AttemptFault; isBroken?: boolean } = {},
 ) {
-  const { isEngineFault = true, isBroken = false } = options;
+  const { fault = "engine", isBroken = false } = options;
   return {
     kind: "failed",
     verdict: "may-have-run",
-    ...{ reason, isEngineFault, isBroken },
+    ...{ reason, fault, isBroken },
   } as const;
 }
 
 function sendErrorOutcome(error: unknown): AttemptOutcome {
+  if (error instanceof RelayError) {
+    const { message, fault } = error;
+    return error.mayHaveRun
+      ? mayHaveRun(message, { fault })
+      : notRun(message, fault);
+  }
   if (!(error instanceof HttpExchangeError)) {
     return mayHaveRun((error as Error).message);
   }
-  const isCancelled = error.code === "cancelled";
+  const fault = error.code === "cancelled" ? "none" : "connection";
   return error.mayHaveRun
     ? mayHaveRun(error.message, {
-      isEngineFault: !isCancelled,
+      fault,
       isBroken: error.code === "connection",
     })
-    : notRun(error.message, !isCancelled);
+    : notRun(error.message, fault);
 }
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -10,18 +10,19 @@
   StreamOrigins,
 } from "../placement/mod.ts";
 import { type IPartObserver, isContentId } from "../quarantine/mod.ts";
-import type { ILinkState } from "../relaying/mod.ts";
+import type { IEnginePaths } from "../relaying/mod.ts";
 import { chooseService, type Route } from "../service_routes/mod.ts";
 import {
-  attemptFailed,
   callerLeft,
   requestAnswered,
   requestFailed,
   requestPlaced,
   requestRefused,
 } from "./events.ts";
+import { FailureRecorder } from "./failure_recorder.ts";
 import type {
   AttemptOutcome,
+  FailedAttempt,
   IAttemptLimits,
   IBufferedAnswer,
   StreamAttempt,
@@ -67,7 +68,7 @@
   readonly origins: StreamOrigins;
   readonly resolver: StreamOriginResolver;
   readonly parts: IPartObserver;
-  readonly links: ILinkState;
+  readonly paths: IEnginePaths;
   readonly failureDomain: string;
   /** Source of random numbers from 0 up to, not including, 1. */
   readonly random: () => number;
@@ -76,9 +77,11 @@
 /** Forwards a request to engines until one has answered it. */
 export class StreamDispatcher {
   #options: IStreamDispatcherOptions;
+  #failures: FailureRecorder;
 
   constructor(options: IStreamDispatcherOptions) {
     this.#options = options;
+    this.#failures = new FailureRecorder(options);
   }
 
   async dispatch(request: IForwardedRequest, sink: IAnswerSink): Promise<void> {
@@ -89,7 +92,11 @@
       startedAt: this.#options.clock.monotonic(),
       deadline: earlierDeadline(request.deadline, request.routeDeadline),
       excluded: new Set(),
-      progress: { lastEventId: undefined, firstByteAt: undefined },
+      progress: {
+        lastEventId: undefined,
+        firstByteAt: undefined,
+        lastByteAt: undefined,
+      },
       isIdempotent: route.kind === "safe" ||
         route.kind === "stream" && route.isResumable,
       service: chooseService(route, this.#options.random()),
@@ -137,7 +144,7 @@
 
   /** Reserves an engine slot; answers the caller if there is none. */
   async #reserveSlot(run: IRequestRun): Promise<IPlacedRequest | undefined> {
-    const { placer, clock, failureDomain, parts } = this.#options;
+    const { placer, clock, failureDomain, parts, paths, table } = this.#options;
     const { request, service, softwareVersion } = run;
     const quarantined = parts.findQuarantined(partsOf(request));
     if (quarantined) {
@@ -162,7 +169,16 @@
       excluded: [...run.excluded],
       softwareVersion,
     });
-    if (placement.kind === "engine") return placement;
+    if (placement.kind === "engine") {
+      // Without a path, further attempts would only delay the refusal.
+      if (run.sends === 0 || paths.hasPath) return placement;
+      table.endRequest(placement.engine.id);
+      this.#endUnplaced(run, {
+        reason: "no engine can be reached from here or through an instance",
+        retryMilliseconds: NO_ENGINE_RETRY_MILLISECONDS,
+      });
+      return undefined;
+    }
     const retryMilliseconds = placement.kind === "refused"
       ? placement.retryMilliseconds
       : NO_ENGINE_RETRY_MILLISECONDS;
@@ -210,8 +226,7 @@
     run: IRequestRun,
     placement: IPlacedRequest,
   ): Promise<AttemptOutcome> {
-    const { table, health, events, clock, attempt, parts, links } =
-      this.#options;
+    const { table, health, events, clock, attempt, parts } = this.#options;
     const { request, sink, progress, isIdempotent } = run;
     const { engine, live, bulk, chosenBy } = placement;
     const waitMilliseconds = Math.round(placement.waitMilliseconds);
@@ -233,52 +248,32 @@
       isResumed: progress.lastEventId !== undefined,
     });
     const startedAt = clock.monotonic();
+    let outcome: AttemptOutcome;
     try {
-      const outcome = await attempt.run(engine, request, {
+      outcome = await attempt.run(engine, request, {
         sink,
         progress,
         isIdempotent,
         limits: this.#limits(run, waitMilliseconds),
         onFirstEvent: () => this.#recordOrigin(run, engine),
       });
-      const milliseconds = clock.monotonic() - startedAt;
-      match(outcome)
-        .with({ kind: "answered" }, ({ status }) => {
-          table.recordDuration(engine.id, milliseconds);
-          health.recordSuccess(engine.id);
-          parts.recordCompletion(partsOf(request));
-          this.#reportAnswer(run, engine.id, status);
-        })
-        .with({ kind: "failed" }, (failed) => {
-          if (failed.verdict === "may-have-run") run.possibleRuns += 1;
-          if (failed.isEngineFault && !sink.signal.aborted) {
-            void links.check();
-            health.recordFailure(engine.id, failed.reason);
-          }
-          if (failed.isBroken) {
-            parts.recordBrokenRun({
-              engine: engine.id,
-              request: request.id,
-              parts: partsOf(request),
-            });
-          }
-          events.emit(attemptFailed, {
-            request: request.id,
-            engine: engine.id,
-            attempt: run.sends,
-            verdict: failed.verdict,
-            reason: failed.reason,
-            promptParts: [...request.promptParts],
-            content: request.contentIds.at(-1),
-            lastEventId: progress.lastEventId,
-            milliseconds: Math.round(milliseconds),
-          });
-        })
-        .exhaustive();
-      return outcome;
     } finally {
       table.endRequest(engine.id);
     }
+    await match(outcome)
+      .with({ kind: "answered" }, ({ status }) => {
+        table.recordDuration(engine.id, clock.monotonic() - startedAt);
+        health.recordSuccess(engine.id);
+        parts.recordCompletion(partsOf(request));
+        this.#reportAnswer(run, engine.id, status);
+      })
+      .with(
+        { kind: "failed" },
+        (failed) =>
+          this.#failures.record(run, engine.id, { failed, startedAt }),
+      )
+      .exhaustive();
+    return outcome;
   }
 
   /** Records where a stream begins, before its caller can resume it. */
@@ -315,7 +310,7 @@
 
   #mayRetry(
     run: IRequestRun,
-    outcome: Extract<AttemptOutcome, { kind: "failed" }>,
+    outcome: FailedAttempt,
   ): boolean {
     const { clock } = this.#options;
     const remaining = clock.remaining(run.deadline);
@@ -329,10 +324,7 @@
   }
 
   /** Ends a request whose last attempt has failed. */
-  #endFailed(
-    run: IRequestRun,
-    outcome: Extract<AttemptOutcome, { kind: "failed" }>,
-  ): void {
+  #endFailed(run: IRequestRun, outcome: FailedAttempt): void {
     const { reason, answer } = outcome;
     if (answer && !run.sink.hasBegun && mayForward(answer)) {
       run.sink.begin(answer.status, answer.answer.headers);
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -55,14 +55,20 @@
   readonly table: EngineTable;
   readonly health: EngineHealth;
   readonly sink: FakeSink;
+  readonly parts: PartMonitor;
   run(route: Route, changes?: Partial<IForwardedRequest>): Promise<void>;
 }
 
-/** @param versions software versions of engines by id; others run `v1`. */
+/**
+ * @param versions software versions of engines by id; others run `v1`.
+ * @param links whether this instance has lost its own links, and whether
+ * requests reach engines all the same.
+ */
 function setup(
   scripts: EngineScript[],
   ids = ["one", "two", "three"],
   versions: Record<string, string> = {},
+  links = { isCutOff: false, hasPath: true },
 ): ITestSetup {
   const clock = new SystemClock();
   const events = new SilentEventLog();
@@ -79,10 +85,14 @@
   const origins = new StreamOrigins(clock);
   const engines = new FakeEngines(scripts);
   const sink = new FakeSink();
+  const parts = new PartMonitor(clock, { events });
   const dispatcher = new StreamDispatcher({
     ...{ table, health, clock, events, origins },
-    parts: new PartMonitor(clock, { events }),
-    links: { isCutOff: false, check: () => Promise.resolve(false) },
+    parts,
+    paths: {
+      hasPath: links.hasPath,
+      checkLinks: () => Promise.resolve(links.isCutOff),
+    },
     resolver: new StreamOriginResolver({
       ...{ origins, table, clock },
       leader: { findOrigin: () => Promise.resolve(undefined) },
@@ -113,7 +123,7 @@
       resumedRequest: undefined,
       ...changes,
     }, sink);
-  return { engines, table, health, sink, run };
+  return { engines, table, health, sink, parts, run };
 }
 
 test("forwards a complete stream unchanged", async (t) => {
@@ -280,3 +290,50 @@
   await resumed.run(RESUMABLE_ROUTE, { lastEventId: String(EVENTS) });
   t.is(resumed.sink.endKind, "end");
 });
+
+// Guards against the loss of an instance's own links counting as a fault of all
+// engines (day-1e2e).
+test("engines are not blamed for lost links of this instance", async (t) => {
+  const links = { isCutOff: true, hasPath: true };
+  const { sink, run, health, parts } = setup(
+    [
+      { kind: "unreachable" },
+      { kind: "stream", events: EVENTS, breakAt: 4 },
+      { kind: "stream", events: EVENTS },
+    ],
+    ["one"],
+    {},
+    links,
+  );
+  await run({ ...RESUMABLE_ROUTE, attempts: 2 }, { contentIds: ["content:1"] });
+  t.false(health.isSuspect("one"));
+  t.is(parts.report(1)?.message.brokenRuns.length, 0);
+  t.is(sink.endKind, "abort", "the engine that may have run it is excluded");
+});
+
+test("engine is tried again after a request did not reach it", async (t) => {
+  const links = { isCutOff: true, hasPath: true };
+  const { sink, run, engines } = setup(
+    [{ kind: "unreachable" }, { kind: "stream", events: EVENTS }],
+    ["one"],
+    {},
+    links,
+  );
+  await run(NON_RESUMABLE_ROUTE);
+  t.is(sink.text, WHOLE_STREAM);
+  t.deepEqual(engines.received.map(({ engine }) => engine), ["one"]);
+});
+
+// Guards against callers who wait for several connections that cannot open.
+test("request without any path is refused after one attempt", async (t) => {
+  const links = { isCutOff: true, hasPath: false };
+  const { sink, run, table } = setup(
+    [{ kind: "unreachable" }, { kind: "stream", events: EVENTS }],
+    ["one", "two"],
+    {},
+    links,
+  );
+  await run(NON_RESUMABLE_ROUTE);
+  t.is(sink.failure?.kind, "refused");
+  t.is(table.ownLiveCounts().size, 0);
+});
--- a/src/streams/types.ts
+++ b/src/streams/types.ts
@@ -1,5 +1,6 @@
 import type { Buffer } from "node:buffer";
 import type { Deadline } from "../common/mod.ts";
+import type { Relay } from "../relaying/mod.ts";
 import type { Route } from "../service_routes/mod.ts";
 
 /** Header lines as sent: name and value, in order. */
@@ -71,6 +72,8 @@
   readonly isGenuine: boolean;
   /** Whether a length or chunks tell where the answer ends. */
   readonly isFramed: boolean;
+  /** Whether another instance has forwarded the answer. */
+  readonly isRelayed: boolean;
   readonly body: AsyncIterable<Buffer>;
   /** Closes the connection; the engine then drops the request. */
   close(): void;
@@ -78,7 +81,7 @@
 
 /** Sends requests to engines; implemented by the platform's adapter. */
 export interface IEngineClient {
-  /** @throws HttpExchangeError */
+  /** @throws HttpExchangeError, or RelayError if a relay is given */
   send(
     engine: { id: string; address: string; port: number },
     request: IEngineRequest,
@@ -86,6 +89,8 @@
       signal: AbortSignal;
       headDeadline: Deadline;
       freshConnection: boolean;
+      /** Instance that forwards the request; absent to send it directly. */
+      relay?: Relay;
     },
   ): Promise<IEngineAnswer>;
 }
--- a/testing/fake_engines.ts
+++ b/testing/fake_engines.ts
@@ -74,6 +74,7 @@
       headers: [["Engine-Signature", `signed by ${engine.id}`]],
       isNotRun: script.kind === "status" && script.notRun === true,
       isGenuine: script.kind !== "foreign",
+      isRelayed: options.relay !== undefined,
       isFramed: !(script.kind === "stream" && script.unframed),
       body: bodyOf(script, Number(request.lastEventId ?? 0), closed.signal),
       close: () => {
