Streams that stall between bytes go on at another engine

Callers of a stream whose engine sent comments or parts of an event now and then, but no further event, waited until their deadline: any byte counted as progress. Only complete events with an identifier count now, so the stream goes on elsewhere after the usual silence. The test failed before: the stream ended at its deadline.

--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -141,10 +141,10 @@
     if (sink.signal.aborted) stop();
     try {
       for await (const bytes of answer.body) {
-        watchdog.reset();
         progress.lastByteAt = this.#clock.monotonic();
         progress.firstByteAt ??= progress.lastByteAt;
         if (!isStream) {
+          watchdog.reset();
           if (!sink.hasBegun) sink.begin(answer.status, answer.headers);
           await sink.write(bytes);
           continue;
@@ -159,6 +159,9 @@
         }
         await sink.write(Buffer.concat(events.map((event) => event.bytes)));
         const id = events.findLast((event) => event.id !== undefined)?.id;
+        // Comments and parts of an event are no progress: a stalled engine may
+        // send them without end.
+        if (id !== undefined) watchdog.reset();
         progress.lastEventId = id ?? progress.lastEventId;
       }
       if (sink.signal.aborted) {
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -337,3 +337,19 @@
   t.is(sink.failure?.kind, "refused");
   t.is(table.ownLiveCounts().size, 0);
 });
+
+// Guards against stalled streams that never end, as the engine sends some bytes
+// now and then.
+test("stream that stalls between bytes goes on elsewhere", async (t) => {
+  for (const stallBytes of [":", ": still here\n\n", "d"]) {
+    const { sink, run, engines } = setup([
+      { kind: "stream", events: EVENTS, stallAt: 4, stallBytes },
+      { kind: "stream", events: EVENTS },
+    ]);
+    await run(RESUMABLE_ROUTE);
+    t.is(sink.endKind, "end");
+    t.is(sink.text.replaceAll(": still here\n\n", ""), WHOLE_STREAM);
+    t.is(engines.received[1]?.request.lastEventId, "3");
+    t.true(engines.received[0]?.isClosed);
+  }
+});
--- a/testing/fake_engines.ts
+++ b/testing/fake_engines.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import { setTimeout as sleep } from "node:timers/promises";
 import { HttpExchangeError } from "../src/targets/http_exchange.ts";
 import type {
   HeaderLines,
@@ -9,17 +10,23 @@
   ILocalFailure,
 } from "../src/streams/mod.ts";
 
+/** Interval at which a stalled engine sends bytes, in milliseconds. */
+const STALL_INTERVAL_MILLISECONDS = 50;
+
 /** Scripted response of a fake engine to one request. */
 export type EngineScript =
   /**
    * Streams all events, or resets the connection before event `breakAt`; with
    * `inEvent`, only after the first bytes of that event. An `unframed` answer
-   * ends with its connection.
+   * ends with its connection. From event `stallAt` on, `stallBytes` are sent
+   * every now and then, and no further event.
    */
   | {
     kind: "stream";
     events: number;
     breakAt?: number;
+    stallAt?: number;
+    stallBytes?: string;
     inEvent?: boolean;
     unframed?: boolean;
   }
@@ -94,6 +101,11 @@
   for (let id = after + 1; id <= script.events; id++) {
     await Promise.resolve();
     if (signal.aborted) throw new Error("answer was closed by the client");
+    while (id === script.stallAt) {
+      await sleep(STALL_INTERVAL_MILLISECONDS);
+      if (signal.aborted) throw new Error("answer was closed by the client");
+      yield Buffer.from(script.stallBytes ?? "");
+    }
     if (id === script.breakAt) {
       if (script.inEvent) yield Buffer.from(`id: ${id}\nda`);
       throw new Error("connection reset");
