Streams of slow readers stay at their engine

A caller that read slower than its stream was written had the stream cut off and continued at another engine, and the sound engine was suspected: the time in which the answer is not read, because the caller has not taken the last bytes, counted as silence of the engine. It no longer does.

--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -3,6 +3,7 @@
 import type { ListedEngine } from "../placement/mod.ts";
 import { RelayError } from "../relaying/mod.ts";
 import { HttpExchangeError } from "../targets/http_exchange.ts";
+import { AnswerWatchdog } from "./answer_watchdog.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type {
   HeaderLines,
@@ -146,7 +147,7 @@
         if (!isStream) {
           watchdog.reset();
           if (!sink.hasBegun) sink.begin(answer.status, answer.headers);
-          await sink.write(bytes);
+          await watchdog.excludeFromSilence(sink.write(bytes));
           continue;
         }
         const events = splitter.push(bytes);
@@ -157,7 +158,8 @@
           options.onFirstEvent();
           sink.begin(answer.status, streamHeaders(answer));
         }
-        await sink.write(Buffer.concat(events.map((event) => event.bytes)));
+        const complete = Buffer.concat(events.map(({ bytes }) => bytes));
+        await watchdog.excludeFromSilence(sink.write(complete));
         const id = events.findLast((event) => event.id !== undefined)?.id;
         // Comments and parts of an event are no progress: a stalled engine may
         // send them without end.
@@ -224,50 +226,6 @@
   }
 }
 
-/** Closes an answer after too long a silence or at the request's deadline. */
-class AnswerWatchdog {
-  #silenceTimer: NodeJS.Timeout;
-  #deadlineTimer: NodeJS.Timeout;
-  #limits: IAttemptLimits;
-  #closeAnswer: (reason: string) => void;
-  /** Why the watchdog closed the answer; undefined if it did not. */
-  closeReason: string | undefined;
-
-  constructor(clock: IClock, answer: IEngineAnswer, limits: IAttemptLimits) {
-    this.#limits = limits;
-    const closeAnswer = (reason: string) => {
-      this.closeReason = reason;
-      answer.close();
-    };
-    const first = limits.mayFailOver
-      ? clock.remaining(limits.firstEventDeadline)
-      : clock.remaining(limits.deadline);
-    this.#silenceTimer = setTimeout(
-      () => closeAnswer("the engine is silent"),
-      first,
-    );
-    this.#deadlineTimer = setTimeout(
-      () => closeAnswer("the request's deadline was reached"),
-      clock.remaining(limits.deadline),
-    );
-    this.#closeAnswer = closeAnswer;
-  }
-
-  reset(): void {
-    clearTimeout(this.#silenceTimer);
-    if (!this.#limits.mayFailOver) return;
-    this.#silenceTimer = setTimeout(
-      () => this.#closeAnswer("the engine is silent"),
-      this.#limits.silenceMilliseconds,
-    );
-  }
-
-  dispose(): void {
-    clearTimeout(this.#silenceTimer);
-    clearTimeout(this.#deadlineTimer);
-  }
-}
-
 /** Omits `Content-Length`, which a stream resumed elsewhere could exceed. */
 function streamHeaders({ headers }: IEngineAnswer): HeaderLines {
   return headers.filter(([name]) => name.toLowerCase() !== "content-length");
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import { setTimeout as sleep } from "node:timers/promises";
 import test from "ava";
 import { unlimitedEngines } from "../../testing/unlimited_engines.ts";
 import {
@@ -353,3 +354,20 @@
     t.true(engines.received[0]?.isClosed);
   }
 });
+
+// Guards against sound streams that are cut because their caller reads slowly.
+test("stream of a slow reader stays at its engine", async (t) => {
+  const { sink, run, engines, health } = setup([
+    { kind: "stream", events: EVENTS },
+  ]);
+  const write = sink.write.bind(sink);
+  sink.write = async (bytes) => {
+    await sleep(600);
+    await write(bytes);
+  };
+  await run(RESUMABLE_ROUTE);
+  t.is(sink.text, WHOLE_STREAM);
+  t.is(sink.endKind, "end");
+  t.is(engines.received.length, 1);
+  t.false(health.isSuspect("one"));
+});
