Serve requests that arrive as a stopping entry closes its listener

A request on a connection that was accepted just before an entry closed its listener was cut off without an answer, if no other request was open at that moment. The entry now waits up to 500 ms for requests on such connections.

--- a/src/edge/drain.ts
+++ b/src/edge/drain.ts
@@ -9,6 +9,12 @@
  */
 const BALANCER_DELAY_MILLISECONDS = 2_600;
 
+/**
+ * Time that a request may take to arrive on a connection that was accepted
+ * before the listener closed.
+ */
+const ARRIVAL_MILLISECONDS = 500;
+
 /** Interval at which the number of open requests is checked. */
 const POLL_INTERVAL_MILLISECONDS = 50;
 
@@ -28,6 +34,13 @@
   const balancerDeadline = clock.deadlineIn(BALANCER_DELAY_MILLISECONDS);
   await clock.sleepUntil(earlierDeadline(balancerDeadline, deadline));
   edge.closeListener();
+  const arrivalDeadline = earlierDeadline(
+    clock.deadlineIn(ARRIVAL_MILLISECONDS),
+    deadline,
+  );
+  while (edge.openConnections > 0 && !clock.isPast(arrivalDeadline)) {
+    await clock.sleepUntil(clock.deadlineIn(POLL_INTERVAL_MILLISECONDS));
+  }
   return await waitUntilIdle(edge, options);
 }
 
--- a/src/edge/http_edge.ts
+++ b/src/edge/http_edge.ts
@@ -39,6 +39,7 @@
   #handler: EdgeHandler;
   #events: IEventLog;
   #openResponses = new Set<ServerResponse>();
+  #openConnections = 0;
   #isKeepAliveDisabled = false;
   #limits: RequestLimits | undefined;
 
@@ -53,6 +54,10 @@
       },
       (request, response) => void this.#serve(request, response),
     );
+    this.#server.on("connection", (socket) => {
+      this.#openConnections += 1;
+      socket.once("close", () => this.#openConnections -= 1);
+    });
   }
 
   /** Number of requests that are being answered. */
@@ -60,6 +65,11 @@
     return this.#openResponses.size;
   }
 
+  /** Number of connections, with or without a request. */
+  get openConnections(): number {
+    return this.#openConnections;
+  }
+
   listen(address: string, port: number): Promise<number> {
     return listen(this.#server, address, { port });
   }
