Use a new connection for each further attempt

When all open connections of an entry go silent while new ones work, the second attempt of a request could go to another silent connection and, as the last one allowed, wait there until its deadline. Only the first attempt now uses a pooled connection.

--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -85,7 +85,8 @@
       sink: IAnswerSink;
       progress: IStreamProgress;
       limits: IAttemptLimits;
-      isIdempotent: boolean;
+      /** Whether to use a connection that no other request has used. */
+      freshConnection: boolean;
       /** Called before the first complete event is forwarded. */
       onFirstEvent: () => void;
     },
@@ -101,7 +102,7 @@
         headDeadline: limits.mayFailOver
           ? limits.firstEventDeadline
           : limits.deadline,
-        freshConnection: !options.isIdempotent,
+        freshConnection: options.freshConnection,
       });
     } catch (error) {
       return sendErrorOutcome(error);
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -253,7 +253,8 @@
       outcome = await attempt.run(engine, request, {
         sink,
         progress,
-        isIdempotent,
+        // Open connections may have gone silent together.
+        freshConnection: !isIdempotent || run.sends > 1,
         limits: this.#limits(run, waitMilliseconds),
         onFirstEvent: () => this.#recordOrigin(run, engine),
       });
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -371,3 +371,18 @@
   t.is(engines.received.length, 1);
   t.false(health.isSuspect("one"));
 });
+
+// Guards against requests whose attempts all go to open connections that have
+// gone silent, while new connections work.
+test("further attempt uses a connection of its own", async (t) => {
+  const { sink, run, engines } = setup([
+    { kind: "stream", events: EVENTS, breakAt: 4 },
+    { kind: "stream", events: EVENTS },
+  ]);
+  await run(RESUMABLE_ROUTE);
+  t.is(sink.text, WHOLE_STREAM);
+  t.deepEqual(
+    engines.received.map(({ freshConnection }) => freshConnection),
+    [false, true],
+  );
+});
