Answers that break off do not look complete over HTTP/1.0

A response to an HTTP/1.0 caller has no chunks and ends with its connection, so an answer that broke off looked complete. Its connection is now reset.

--- a/src/edge/http_edge.ts
+++ b/src/edge/http_edge.ts
@@ -10,6 +10,7 @@
 import type { IEventLog } from "../events/mod.ts";
 import type { RequestLimits } from "../service_routes/mod.ts";
 import { edgeFailed } from "./events.ts";
+import { breakOff } from "./break_off.ts";
 import { answerJson } from "./response_sink.ts";
 
 /**
@@ -119,7 +120,7 @@
         reason: (error as Error).stack ?? String(error),
       });
       const reason = "the program failed on this request";
-      if (response.headersSent) response.destroy();
+      if (response.headersSent) breakOff(response);
       else answerJson(response, 500, { body: { error: reason } });
     }
   }
--- a/src/edge/mod.ts
+++ b/src/edge/mod.ts
@@ -1,3 +1,4 @@
+export * from "./break_off.ts";
 export * from "./drain.ts";
 export * from "./http_edge.ts";
 export * from "./metrics_listener.ts";
--- a/src/edge/response_sink.ts
+++ b/src/edge/response_sink.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from "node:http";
 import { once } from "node:events";
 import { match } from "ts-pattern";
+import { breakOff } from "./break_off.ts";
 import type {
   HeaderLines,
   IAnswerSink,
@@ -49,7 +50,7 @@
   }
 
   abort(): void {
-    this.#response.destroy();
+    breakOff(this.#response);
   }
 
   fail(failure: ILocalFailure): void {
--- a/src/entry/callers_server.ts
+++ b/src/entry/callers_server.ts
@@ -16,6 +16,7 @@
 import type { IConfigurationSource } from "../configuration/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { IServingPermission } from "../membership/mod.ts";
+import { breakOff } from "../edge/mod.ts";
 import { requestCrashed } from "./events.ts";
 import { sendFailure } from "./respond.ts";
 import type { ICallerRequest, ICallersServer, IEndpoint } from "./types.ts";
@@ -129,7 +130,7 @@
       if (request.signal.aborted) return;
       this.#events.emit(requestCrashed, { request: id, error: String(error) });
       sendFailure(response, mayHaveRun("internal", "internal error"));
-      if (!response.writableEnded) response.destroy();
+      if (!response.writableEnded) breakOff(response);
     }
   }
 
--- a/src/entry/files_endpoint.ts
+++ b/src/entry/files_endpoint.ts
@@ -1,6 +1,7 @@
 import type { Result } from "neverthrow";
 import { type Failure, type IClock, notRun } from "../common/mod.ts";
 import type { IJobGateway, InputFile, IResultPage } from "../jobs/mod.ts";
+import { breakOff } from "../edge/mod.ts";
 import { openUpload } from "./multipart_file.ts";
 import { sendFailure, sendJson } from "./respond.ts";
 import type { ICallerRequest, IEndpoint } from "./types.ts";
@@ -107,7 +108,7 @@
       );
       if (page.isErr()) {
         const hasStarted = response.headersSent;
-        if (hasStarted) response.destroy();
+        if (hasStarted) breakOff(response);
         else sendFailure(response, page.error);
         return;
       }
--- a/src/entry/plain_endpoint.ts
+++ b/src/entry/plain_endpoint.ts
@@ -14,6 +14,7 @@
   type IHeaders,
   type IPlainResponse,
 } from "../targets/mod.ts";
+import { breakOff } from "../edge/mod.ts";
 import {
   IDEMPOTENCY_KEY_HEADER,
   openOperation,
@@ -182,7 +183,7 @@
  */
 function abortResponse(request: ICallerRequest, failure: Failure): void {
   sendFailure(request.response, failure);
-  if (!request.response.writableEnded) request.response.destroy();
+  if (!request.response.writableEnded) breakOff(request.response);
 }
 
 function forwardableHeaders(headers: IHeaders): OutgoingHttpHeaders {
--- a/src/entry/response_writer.ts
+++ b/src/entry/response_writer.ts
@@ -6,6 +6,7 @@
   mayHaveRun,
 } from "../common/mod.ts";
 import { GenerationError } from "../targets/mod.ts";
+import { breakOff } from "../edge/mod.ts";
 import type { ResponseCapture } from "./response_capture.ts";
 import { errorBody, sendFailure } from "./respond.ts";
 
@@ -90,7 +91,7 @@
         const reason = "caller did not read the response in time";
         reject(new GenerationError(mayHaveRun("deadline-exceeded", reason)));
         finish();
-        response.destroy();
+        breakOff(response);
       };
       const timer = setTimeout(expire, Math.ceil(clock.remaining(deadline)));
       response.once("drain", finish);
