Reuse connections only to targets that name the request they answer

A target of the product's own interface that sent a second copy of an answer late, on a connection in use again, gave it to the next request: Node.js matches answers to requests by their order only. Requests to engines and plain services now carry x-request-id; connections are kept only to targets that echo it, and an answer that names another request is a failure that may have run. Targets that do not echo it get a connection for each request. The platform's engines name the request already.

--- a/soak/platform/platform_checks.ts
+++ b/soak/platform/platform_checks.ts
@@ -3,7 +3,11 @@
 import type { TestRandom } from "../../testing/test_random.ts";
 import { Client } from "./client.ts";
 import { readConfiguration, readJob } from "./loads.ts";
-import type { ISoakJob, PlatformRecord } from "./platform_record.ts";
+import type {
+  ISoakJob,
+  IStreamRecord,
+  PlatformRecord,
+} from "./platform_record.ts";
 import {
   type IEngineRun,
   LIMIT,
@@ -42,11 +46,18 @@
 
 /**
  * Requests that an engine with a limit may get in a window, and the time after
- * its first word from which this holds, as the users' platform states them.
+ * which a machine must obey what it was told, as the users' platform states
+ * them.
  */
 const LIMIT_WINDOW_MILLISECONDS = 4_000;
 const LIMIT_TOLERANCE = 1.5 * LIMIT * LIMIT_WINDOW_MILLISECONDS / 1_000 + 5;
-const LIMIT_CONTACT_MILLISECONDS = 3_000;
+const CONTACT_MILLISECONDS = 3_000;
+
+/**
+ * Least share of streams that entries without links serve, relative to the
+ * share that others serve, as the users' platform states it.
+ */
+const STRANDED_SERVED_RATIO = 2 / 3;
 
 /** Inputs of the checks. */
 export interface ICheckContext {
@@ -122,11 +133,11 @@
       (entry === undefined
         ? fault.name.startsWith("store")
         : fault.name === entry) &&
-      fault.at <= at && fault.at >= at - LIMIT_CONTACT_MILLISECONDS
+      fault.at <= at && fault.at >= at - CONTACT_MILLISECONDS
     );
   };
   for (const [index, { limitedArrivals }] of fleet.engines.entries()) {
-    const since = (limitedArrivals[0]?.at ?? 0) + LIMIT_CONTACT_MILLISECONDS;
+    const since = (limitedArrivals[0]?.at ?? 0) + CONTACT_MILLISECONDS;
     const counted = limitedArrivals
       .filter((arrival) => arrival.at >= since && !isExcused(arrival));
     const most = Math.max(
@@ -145,6 +156,46 @@
   }
 }
 
+/**
+ * Checks that callers of entries without links to the engines are served nearly
+ * as often as those of other entries, as the users' platform states it. Entries
+ * with faults of their own do not count.
+ */
+export function checkStrandings({ record }: ICheckContext): void {
+  const [stranding] = record.strandings;
+  if (!stranding) return;
+  const since = stranding.startedAt + CONTACT_MILLISECONDS;
+  const isFaulty = (entry: string) =>
+    record.processFaults.some(({ name, at }) =>
+      name === entry && at > stranding.startedAt
+    ) ||
+    record.plannedStops.some(({ processName, endedAt }) =>
+      processName === entry && endedAt > stranding.startedAt
+    );
+  const tries = record.streams.filter((stream) =>
+    !stream.resumed && !isFaulty(stream.entry) &&
+    stream.startedAt >= since && stream.startedAt < stranding.endedAt
+  );
+  const stranded = new Set(record.strandings.map(({ entry }) => entry));
+  const summarize = (selected: readonly IStreamRecord[]) => {
+    const served =
+      selected.filter(({ status, isComplete }) => status === 200 && isComplete)
+        .length;
+    return { total: selected.length, served };
+  };
+  const here = summarize(tries.filter(({ entry }) => stranded.has(entry)));
+  const others = summarize(tries.filter(({ entry }) => !stranded.has(entry)));
+  if (here.total === 0 || others.total === 0) return;
+  const isRarer = here.served / here.total <
+    STRANDED_SERVED_RATIO * others.served / others.total;
+  const tolerated = 10 + here.total / 50;
+  if (!isRarer || here.total - here.served <= tolerated) return;
+  record.addViolation(
+    `entries without links served ${here.served} of ${here.total} streams, ` +
+      `the others ${others.served} of ${others.total}`,
+  );
+}
+
 function checkPlannedStops(record: PlatformRecord): void {
   for (const { processName, startedAt, endedAt } of record.plannedStops) {
     for (const stream of record.streams) {
--- a/soak/platform/platform_record.ts
+++ b/soak/platform/platform_record.ts
@@ -55,9 +55,17 @@
   endedAt: number;
 }
 
+/** Time in which an entry had lost its links to all engines. */
+export interface IStranding {
+  readonly entry: string;
+  readonly startedAt: number;
+  readonly endedAt: number;
+}
+
 /** Observations of the soak, independent of the state that figroad stores. */
 export class PlatformRecord {
   readonly streams: IStreamRecord[] = [];
+  readonly strandings: IStranding[] = [];
   readonly jobs: ISoakJob[] = [];
   readonly configurations: ISoakConfiguration[] = [];
   readonly plannedStops: IProcessStop[] = [];
--- a/soak/platform/run_platform_soak.ts
+++ b/soak/platform/run_platform_soak.ts
@@ -11,6 +11,7 @@
   checkConfiguration,
   checkJobs,
   checkLimits,
+  checkStrandings,
   checkStreams,
 } from "./platform_checks.ts";
 import {
@@ -79,6 +80,7 @@
     await Promise.all([
       announceLeaving(fleet, options),
       limitRequests(fleet, options),
+      strandEntries(context, options),
       ...schedule.map(async (fault) => {
         await sleep(fault.startMilliseconds);
         await runPlatformFault({ fleet, record, busyNames }, fault);
@@ -90,6 +92,7 @@
     await checkJobs(context);
     checkStreams(context);
     checkLimits(context);
+    checkStrandings(context);
     await checkConfiguration(context);
   } catch (error) {
     record.addViolation((error as Error).stack ?? String(error));
@@ -129,6 +132,36 @@
   engine.limitedSince = undefined;
 }
 
+/** Cuts some entries off from all engines, one third of the entries or more. */
+async function strandEntries(
+  { fleet, record }: {
+    fleet: PlatformFleet<SoakEngine>;
+    record: PlatformRecord;
+  },
+  { seed, seconds }: IPlatformSoakOptions,
+): Promise<void> {
+  const random = new TestRandom(seed);
+  await sleep(random.integer(0, Math.round(seconds * 1_000 / 6)));
+  const startedAt = Date.now();
+  const first = random.integer(0, fleet.entries.length - 1);
+  const count = random.integer(
+    Math.ceil(fleet.entries.length / 3),
+    Math.ceil(fleet.entries.length / 2),
+  );
+  const stranded = Array.from(
+    { length: count },
+    (_, index) => (first + index) % fleet.entries.length,
+  );
+  const kind = random.pick(["silent", "reset", "refuse"] as const);
+  for (const entry of stranded) fleet.setLinkFault(entry, kind);
+  await sleep(seconds * 1_000 * 2 / 3);
+  for (const entry of stranded) {
+    fleet.setLinkFault(entry, undefined);
+    const { name } = fleet.entries[entry]!;
+    record.strandings.push({ entry: name, startedAt, endedAt: Date.now() });
+  }
+}
+
 function startLoad(
   context: { fleet: PlatformFleet<SoakEngine>; record: PlatformRecord },
   options: { seed: number; signal: AbortSignal },
--- a/src/targets/http_engine_adapter.ts
+++ b/src/targets/http_engine_adapter.ts
@@ -21,6 +21,7 @@
   type IHttpRequest,
   readBody,
 } from "./http_exchange.ts";
+import { REQUEST_ID_HEADER, ReusableTargets } from "./reusable_targets.ts";
 import {
   type CacheEvent,
   cacheEventSchema,
@@ -61,6 +62,8 @@
     maxFreeSockets: MAXIMUM_IDLE_CONNECTIONS,
   });
 
+  #reusable = new ReusableTargets();
+
   constructor(clock: IClock) {
     this.#clock = clock;
   }
@@ -184,22 +187,26 @@
     return failureOfStatus(engine, response.statusCode ?? 0, text);
   }
 
-  #exchange(
+  async #exchange(
     engine: Engine,
     request: Omit<IHttpRequest, "address" | "port">,
     options: Omit<IExchangeOptions, "clock" | "agent">,
   ): Promise<IncomingMessage> {
-    const message = {
-      ...request,
-      address: engine.address,
-      port: engine.port,
-      headers: { "content-type": "application/json" },
+    const { address, port } = engine;
+    const requestId = this.#reusable.createRequestId();
+    const headers = {
+      "content-type": "application/json",
+      [REQUEST_ID_HEADER]: requestId,
     };
-    return exchange(message, {
+    const response = await exchange({ ...request, address, port, headers }, {
       ...options,
+      freshConnection: options.freshConnection ||
+        !this.#reusable.mayReuse(engine),
       clock: this.#clock,
       agent: this.#agent,
     });
+    this.#reusable.checkAnswer(engine, { response, requestId });
+    return response;
   }
 
   async #requestJson<S extends z.ZodType>(
--- a/src/targets/http_plain_adapter.ts
+++ b/src/targets/http_plain_adapter.ts
@@ -10,6 +10,7 @@
 } from "../common/mod.ts";
 import { GenerationError } from "./generation_error.ts";
 import { exchange, HttpExchangeError } from "./http_exchange.ts";
+import { REQUEST_ID_HEADER, ReusableTargets } from "./reusable_targets.ts";
 import type {
   IPlainAdapter,
   IPlainCallOptions,
@@ -29,6 +30,8 @@
     maxFreeSockets: MAXIMUM_IDLE_CONNECTIONS,
   });
 
+  #reusable = new ReusableTargets();
+
   constructor(clock: IClock) {
     this.#clock = clock;
   }
@@ -39,14 +42,22 @@
     options: IPlainCallOptions,
   ): Promise<Result<IPlainResponse, Failure>> {
     const { address, port } = target;
+    // The caller's own identifier may be the same in several requests.
+    const hasOwnId = request.headers?.[REQUEST_ID_HEADER] !== undefined;
+    const requestId = this.#reusable.createRequestId();
+    const headers = { [REQUEST_ID_HEADER]: requestId, ...request.headers };
     try {
-      const response = await exchange({ ...request, address, port }, {
+      const response = await exchange({ ...request, address, port, headers }, {
         clock: this.#clock,
         agent: this.#agent,
         deadline: options.headDeadline,
         signal: options.signal,
-        freshConnection: options.freshConnection,
+        freshConnection: options.freshConnection || hasOwnId ||
+          !this.#reusable.mayReuse(target),
       });
+      if (!hasOwnId) {
+        this.#reusable.checkAnswer(target, { response, requestId });
+      }
       this.#destroyAtDeadline(response, options);
       return ok({
         status: response.statusCode ?? 502,
--- a/testing/engine_standin.ts
+++ b/testing/engine_standin.ts
@@ -101,6 +101,8 @@
     this.#options = { ...DEFAULT_OPTIONS, ...options };
     this.#cache = new PrefixCache(this.#options.cacheBlocks);
     this.#server = createServer((request, response) => {
+      const requestId = request.headers["x-request-id"];
+      if (requestId) response.setHeader("x-request-id", requestId);
       void this.#handle(request, response);
     });
   }
--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -256,7 +256,9 @@
    */
   setLinkFault(entry: number, kind: LinkFaultKind | undefined): void {
     const fault: ILinkFault = { ports: this.#enginePorts, kind };
-    this.entries[entry]!.child.send(fault);
+    const { child } = this.entries[entry]!;
+    // An entry that has been killed has a new process with working links.
+    if (child.connected) child.send(fault);
   }
 
   /** Restarts an ended process with its previous settings. */
