--- a/src/entry/callers_server.ts
+++ b/src/entry/callers_server.ts
@@ -5,6 +5,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import { err, ok, type Result } from "neverthrow";
 import {
   type Failure,
@@ -39,6 +40,12 @@
 /** Interval between checks for requests that timed out, in milliseconds. */
 const CONNECTION_CHECK_INTERVAL_MILLISECONDS = 2_000;
 
+/**
+ * Time that a request may take to arrive on a connection that was accepted
+ * before the listener closed.
+ */
+const ARRIVAL_MILLISECONDS = 500;
+
 /** Maximum number of concurrent requests. */
 const MAXIMUM_ACTIVE_REQUESTS = 4_096;
 
@@ -53,6 +60,7 @@
   #permission: IServingPermission;
   #server: Server;
   #activeRequests = 0;
+  #openConnections = 0;
   #isDraining = false;
   #onIdle: (() => void) | undefined;
 
@@ -70,6 +78,10 @@
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS,
     }, (message, response) => void this.#trackRequest(message, response));
+    this.#server.on("connection", (socket) => {
+      this.#openConnections += 1;
+      socket.once("close", () => this.#openConnections -= 1);
+    });
   }
 
   get activeRequests(): number {
@@ -84,6 +96,7 @@
     this.#isDraining = true;
     this.#server.close();
     this.#server.closeIdleConnections();
+    if (this.#openConnections > 0) await sleep(ARRIVAL_MILLISECONDS);
     if (this.#activeRequests === 0) return;
     await new Promise<void>((resolve) => this.#onIdle = resolve);
   }
