Soak: entries that are down do not count as entries without links

A machine that is down is not in touch. Such entries are now left out on both sides of the comparison.

--- a/soak/platform/platform_checks.ts
+++ b/soak/platform/platform_checks.ts
@@ -162,10 +162,11 @@
  * with faults of their own do not count.
  */
 export function checkStrandings({ record }: ICheckContext): void {
-  const [stranding] = record.strandings;
+  const { stranding } = record;
   if (!stranding) return;
   const since = stranding.startedAt + CONTACT_MILLISECONDS;
   const isFaulty = (entry: string) =>
+    stranding.absentEntries.includes(entry) ||
     record.processFaults.some(({ name, at }) =>
       name === entry && at > stranding.startedAt
     ) ||
@@ -176,7 +177,7 @@
     !stream.resumed && !isFaulty(stream.entry) &&
     stream.startedAt >= since && stream.startedAt < stranding.endedAt
   );
-  const stranded = new Set(record.strandings.map(({ entry }) => entry));
+  const stranded = new Set(stranding.entries);
   const summarize = (selected: readonly IStreamRecord[]) => {
     const served =
       selected.filter(({ status, isComplete }) => status === 200 && isComplete)
--- a/soak/platform/platform_record.ts
+++ b/soak/platform/platform_record.ts
@@ -55,9 +55,11 @@
   endedAt: number;
 }
 
-/** Time in which an entry had lost its links to all engines. */
+/** Time in which some entries had lost their links to all engines. */
 export interface IStranding {
-  readonly entry: string;
+  readonly entries: readonly string[];
+  /** Entries without a process when it began. */
+  readonly absentEntries: readonly string[];
   readonly startedAt: number;
   readonly endedAt: number;
 }
@@ -65,7 +67,7 @@
 /** Observations of the soak, independent of the state that figroad stores. */
 export class PlatformRecord {
   readonly streams: IStreamRecord[] = [];
-  readonly strandings: IStranding[] = [];
+  stranding: IStranding | undefined;
   readonly jobs: ISoakJob[] = [];
   readonly configurations: ISoakConfiguration[] = [];
   readonly plannedStops: IProcessStop[] = [];
--- a/soak/platform/platform_soak_test.ts
+++ b/soak/platform/platform_soak_test.ts
@@ -3,8 +3,9 @@
 
 const SECONDS = 10;
 
-// Seed 602 continued streams at another software version (inc-defd).
-for (const seed of [1, 602]) {
+// Seed 602 continued streams at another software version (inc-defd). In seed
+// 801, entries are down while links of entries are lost.
+for (const seed of [1, 602, 801]) {
   test.serial(`no violations by platform roles, seed ${seed}`, async (t) => {
     t.timeout(600_000);
     const { record, logs } = await runPlatformSoak({
--- a/soak/platform/run_platform_soak.ts
+++ b/soak/platform/run_platform_soak.ts
@@ -154,12 +154,17 @@
   );
   const kind = random.pick(["silent", "reset", "refuse"] as const);
   for (const entry of stranded) fleet.setLinkFault(entry, kind);
+  const absentEntries = fleet.entries
+    .filter(({ child }) => !child.connected)
+    .map(({ name }) => name);
   await sleep(seconds * 1_000 * 2 / 3);
-  for (const entry of stranded) {
-    fleet.setLinkFault(entry, undefined);
-    const { name } = fleet.entries[entry]!;
-    record.strandings.push({ entry: name, startedAt, endedAt: Date.now() });
-  }
+  for (const entry of stranded) fleet.setLinkFault(entry, undefined);
+  record.stranding = {
+    entries: stranded.map((entry) => fleet.entries[entry]!.name),
+    absentEntries,
+    startedAt,
+    endedAt: Date.now(),
+  };
 }
 
 function startLoad(
