--- /dev/null
+++ b/src/admission/caller_use.ts
@@ -0,0 +1,139 @@
+import type { Deadline, IClock } from "../common/mod.ts";
+import type { CallerLimit } from "../service_routes/mod.ts";
+import { TokenBucket } from "./token_bucket.ts";
+
+/** Time over which the rate of admitted requests is observed, in ms. */
+const OBSERVED_MILLISECONDS = 5_000;
+
+/**
+ * Share of its limit that all instances together admit of a caller whose
+ * requests they have not seen of late.
+ */
+const UNSEEN_SHARE = 1 / 4;
+
+/** Number of callers from which on those without recent requests are dropped. */
+const SWEEP_THRESHOLD = 1_000;
+
+/**
+ * Pause after which a request without the leader begins anew: the leader has
+ * admitted requests in the meantime, so nothing was saved up.
+ */
+const PAUSE_MILLISECONDS = 2_000;
+
+/** Seconds for which this instance saves up a caller's rate. */
+const SAVED_SECONDS = 1 / 2;
+
+/**
+ * Share by which the rate may rise for a caller that left its burst unused:
+ * requests come unevenly, and it is below its limit.
+ */
+const MAXIMUM_HEADROOM = 1 / 2;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+interface IObservedCaller {
+  /** Times of the admitted requests, oldest first. */
+  readonly admittedAt: number[];
+  bucket: TokenBucket;
+  /** Unused part of the caller's burst, from 0 to 1, as last heard. */
+  level: number;
+  /** Time of the last request without the leader. */
+  askedAt: Deadline | undefined;
+}
+
+/**
+ * Keeps this instance's part of callers' limits while it places requests
+ * without the leader.
+ *
+ * It continues at the rate at which it has admitted each caller's requests.
+ * While there is a leader, the rates of all instances add up to what it allows.
+ */
+export class CallerUse {
+  #clock: IClock;
+  #instances: () => number | undefined;
+  #random: () => number;
+  #callers = new Map<string, IObservedCaller>();
+
+  /**
+   * @param options.instances number of instances that place requests;
+   * undefined if it is not known.
+   * @param options.random source of random numbers from 0 up to, not
+   * including, 1.
+   */
+  constructor(
+    clock: IClock,
+    options: { instances: () => number | undefined; random: () => number },
+  ) {
+    this.#clock = clock;
+    this.#instances = options.instances;
+    this.#random = options.random;
+  }
+
+  /**
+   * Records a request that was admitted.
+   *
+   * @param level unused part of the caller's burst, from 0 to 1.
+   */
+  record(caller: string, level = 0): void {
+    const observed = this.#callerOf(caller);
+    observed.admittedAt.push(this.#clock.monotonic());
+    observed.level = level;
+  }
+
+  /** Admits a request without the leader if the caller's rate allows it. */
+  tryAdmit(caller: string, limit: CallerLimit): boolean {
+    const observed = this.#callerOf(caller);
+    this.#dropOld(observed);
+    this.#beginAfterPause(observed);
+    const count = observed.admittedAt.length;
+    const seconds = OBSERVED_MILLISECONDS / MILLISECONDS_PER_SECOND;
+    const instances = Math.max(1, this.#instances() ?? 1);
+    const rate = count > 0
+      ? count / seconds * (1 + MAXIMUM_HEADROOM * observed.level)
+      : limit.requestsPerSecond * UNSEEN_SHARE / instances;
+    observed.bucket.setRate(rate, Math.max(1, rate * SAVED_SECONDS));
+    if (observed.bucket.take(1) === 0) return false;
+    observed.admittedAt.push(this.#clock.monotonic());
+    return true;
+  }
+
+  #callerOf(caller: string): IObservedCaller {
+    const known = this.#callers.get(caller);
+    if (known) return known;
+    if (this.#callers.size >= SWEEP_THRESHOLD) this.#dropUnseen();
+    const bucket = this.#createBucket();
+    const observed = { admittedAt: [], bucket, level: 0, askedAt: undefined };
+    this.#callers.set(caller, observed);
+    return observed;
+  }
+
+  /** Instances that all start with a token, or none, would act alike. */
+  #createBucket(): TokenBucket {
+    return new TokenBucket(this.#clock, { initialTokens: this.#random() });
+  }
+
+  #beginAfterPause(observed: IObservedCaller): void {
+    const now = this.#clock.monotonic();
+    const { askedAt } = observed;
+    if (askedAt !== undefined && now - askedAt > PAUSE_MILLISECONDS) {
+      observed.bucket = this.#createBucket();
+    }
+    observed.askedAt = now;
+  }
+
+  #dropOld({ admittedAt }: IObservedCaller): void {
+    const earliest = this.#clock.monotonic() - OBSERVED_MILLISECONDS;
+    let old = 0;
+    while (old < admittedAt.length && (admittedAt[old] ?? 0) < earliest) {
+      old += 1;
+    }
+    admittedAt.splice(0, old);
+  }
+
+  #dropUnseen(): void {
+    for (const [caller, observed] of this.#callers) {
+      this.#dropOld(observed);
+      if (observed.admittedAt.length === 0) this.#callers.delete(caller);
+    }
+  }
+}
--- /dev/null
+++ b/src/admission/fleet_caller_limiter_test.ts
@@ -0,0 +1,226 @@
+import test from "ava";
+import { FakeClock } from "../../testing/fake_clock.ts";
+import { TestRandom } from "../../testing/test_random.ts";
+import type { CallerLimit } from "../service_routes/mod.ts";
+import { CallerActivity } from "./caller_activity.ts";
+import { CallerUse } from "./caller_use.ts";
+import { FleetCallerLimiter } from "./fleet_caller_limiter.ts";
+
+/** Sliding window in which the limit is judged, and its tolerances. */
+const WINDOW_MILLISECONDS = 5_000;
+const TOLERATED_SHARE = 0.1;
+const TOLERATED_REQUESTS = 20;
+
+const STEP_MILLISECONDS = 10;
+
+/** Entries, some of which place requests without the leader at times. */
+class Fleet {
+  readonly clock = new FakeClock();
+  readonly random = new TestRandom(5);
+  limit: CallerLimit;
+  readonly admittedAt: number[] = [];
+  readonly entries: { use: CallerUse; activity: CallerActivity }[];
+  leader: FleetCallerLimiter;
+
+  constructor(entries: number, limit: CallerLimit) {
+    this.limit = limit;
+    this.leader = this.#newLeader();
+    const random = () => this.#next();
+    this.entries = Array.from({ length: entries }, () => ({
+      use: new CallerUse(this.clock, { instances: () => entries, random }),
+      activity: new CallerActivity(0),
+    }));
+  }
+
+  changeLeader(): void {
+    this.leader = this.#newLeader();
+  }
+
+  /** Sends a request to an entry; returns whether it was admitted. */
+  send(entry: number, hasLeader = true): boolean {
+    const { use, activity } = this.entries[entry]!;
+    const isAdmitted = hasLeader
+      ? this.leader.mayAdmit("caller")
+      : use.tryAdmit("caller", this.limit);
+    if (!isAdmitted) return false;
+    if (hasLeader) {
+      this.leader.take("caller");
+      use.record("caller", this.leader.levelOf("caller"));
+    } else {
+      activity.recordAdmitted("caller");
+    }
+    this.admittedAt.push(this.clock.monotonic());
+    return true;
+  }
+
+  /** All entries report to the leader. */
+  exchange(): void {
+    for (const [index, { activity }] of this.entries.entries()) {
+      const report = activity.report();
+      if (!report) continue;
+      this.leader.settle(`entry-${index}`, report);
+      activity.confirm(report);
+    }
+  }
+
+  /**
+   * Sends requests for some seconds, at random times.
+   *
+   * @param options.entry chooses the entry; by default, a random one.
+   */
+  run(seconds: number, options: {
+    perSecond: number;
+    hasLeader?: boolean;
+    entry?: () => number;
+  }): { sent: number; admitted: number; ideal: number } {
+    const { perSecond, hasLeader = true } = options;
+    const entry = options.entry ??
+      (() => this.random.integer(0, this.entries.length - 1));
+    let sent = 0;
+    let admitted = 0;
+    // What one bucket for the whole fleet admits.
+    let ideal = 0;
+    let { burst: tokens } = this.limit;
+    for (let time = 0; time < seconds * 1_000; time += STEP_MILLISECONDS) {
+      let due = perSecond * STEP_MILLISECONDS / 1_000;
+      while (due > 0 && this.#next() < due) {
+        due -= 1;
+        sent += 1;
+        if (tokens >= 1) {
+          ideal += 1;
+          tokens -= 1;
+        }
+        if (this.send(entry(), hasLeader)) admitted += 1;
+      }
+      const { requestsPerSecond, burst } = this.limit;
+      const added = requestsPerSecond * STEP_MILLISECONDS / 1_000;
+      tokens = Math.min(burst, tokens + added);
+      this.clock.advance(STEP_MILLISECONDS);
+      if (hasLeader && time % 250 === 0) this.exchange();
+    }
+    return { sent, admitted, ideal };
+  }
+
+  /** Most requests that were admitted in a window. */
+  get busiestWindow(): number {
+    let most = 0;
+    let first = 0;
+    for (const [last, time] of this.admittedAt.entries()) {
+      while ((this.admittedAt[first] ?? 0) < time - WINDOW_MILLISECONDS) {
+        first += 1;
+      }
+      most = Math.max(most, last - first + 1);
+    }
+    return most;
+  }
+
+  get allowedInWindow(): number {
+    const { requestsPerSecond, burst } = this.limit;
+    const seconds = WINDOW_MILLISECONDS / 1_000;
+    return (requestsPerSecond * seconds + burst) * (1 + TOLERATED_SHARE) +
+      TOLERATED_REQUESTS;
+  }
+
+  #next(): number {
+    return this.random.integer(0, 999_999) / 1_000_000;
+  }
+
+  #newLeader(): FleetCallerLimiter {
+    return new FleetCallerLimiter(this.clock, () => this.limit);
+  }
+}
+
+test("demand below the limit is served, through any entries", (t) => {
+  for (const perSecond of [2, 40]) {
+    const limit = { requestsPerSecond: perSecond, burst: perSecond };
+    for (const entry of [undefined, () => 0]) {
+      const fleet = new Fleet(98, limit);
+      const { admitted, ideal } = fleet.run(30, {
+        perSecond: perSecond / 1.6,
+        ...(entry && { entry }),
+      });
+      t.true(admitted >= ideal - 1, `${admitted} of ${ideal}`);
+    }
+  }
+});
+
+test("caller that sends 7.5 times its usual is kept to its limit", (t) => {
+  const fleet = new Fleet(98, { requestsPerSecond: 40, burst: 40 });
+  fleet.run(10, { perSecond: 25 });
+  const { admitted } = fleet.run(10, { perSecond: 7.5 * 25 });
+  t.true(fleet.busiestWindow <= 5 * 40 + 40, String(fleet.busiestWindow));
+  t.true(admitted >= 0.98 * 10 * 40, "what the limit allows is served");
+});
+
+test("limit holds while the leader is lost and replaced", (t) => {
+  for (const requestsPerSecond of [1, 4, 20, 190]) {
+    const limit = { requestsPerSecond, burst: requestsPerSecond };
+    const fleet = new Fleet(115, limit);
+    const perSecond = 7.5 * requestsPerSecond / 1.6;
+    fleet.run(8, { perSecond });
+    fleet.run(2, { perSecond, hasLeader: false });
+    fleet.changeLeader();
+    fleet.run(6, { perSecond });
+    fleet.run(1, { perSecond, hasLeader: false });
+    fleet.changeLeader();
+    fleet.run(6, { perSecond });
+    t.true(
+      fleet.busiestWindow <= fleet.allowedInWindow,
+      `${fleet.busiestWindow} of ${fleet.allowedInWindow}`,
+    );
+  }
+});
+
+test("callers go on at their rate while the leader is lost", (t) => {
+  const fleet = new Fleet(12, { requestsPerSecond: 190, burst: 190 });
+  fleet.run(10, { perSecond: 120 });
+  const { sent, admitted } = fleet.run(2, { perSecond: 120, hasLeader: false });
+  t.true(admitted >= 0.85 * sent, `${admitted} of ${sent}`);
+});
+
+test("lowered limit holds a window later", (t) => {
+  const fleet = new Fleet(50, { requestsPerSecond: 100, burst: 100 });
+  fleet.run(10, { perSecond: 90 });
+  fleet.limit = { requestsPerSecond: 10, burst: 10 };
+  fleet.admittedAt.length = 0;
+  fleet.run(15, { perSecond: 90 });
+  t.true(fleet.busiestWindow <= 5 * 10 + 10, String(fleet.busiestWindow));
+});
+
+test("report that arrives twice is counted once", (t) => {
+  const clock = new FakeClock();
+  const limit = { requestsPerSecond: 1, burst: 10 };
+  const limiter = new FleetCallerLimiter(clock, () => limit);
+  const activity = new CallerActivity(0);
+  t.true(limiter.mayAdmit("caller"));
+  for (let count = 0; count < 6; count++) activity.recordAdmitted("caller");
+  const report = activity.report()!;
+  limiter.settle("entry", report);
+  limiter.settle("entry", report);
+  t.is(limiter.usage()[0]?.available, 4);
+  activity.recordUnserved("caller");
+  t.is(activity.report(), report, "sent again until it is confirmed");
+  activity.confirm(report);
+  limiter.settle("entry", activity.report()!);
+  t.is(limiter.usage()[0]?.available, 5, "what was not served is given back");
+});
+
+test("refused requests are told to return one token apart", (t) => {
+  const clock = new FakeClock();
+  const limit = { requestsPerSecond: 4, burst: 1 };
+  const limiter = new FleetCallerLimiter(clock, () => limit);
+  limiter.take("caller");
+  t.false(limiter.mayAdmit("caller"));
+  const delays = [1, 2, 3].map(() => Math.round(limiter.refuse("caller")));
+  t.deepEqual(delays, [250, 500, 750]);
+  for (let count = 0; count < 50; count++) limiter.refuse("caller");
+  t.true(limiter.refuse("caller") <= 2_000);
+});
+
+test("caller without a limit is not limited", (t) => {
+  const limiter = new FleetCallerLimiter(new FakeClock(), () => undefined);
+  for (let count = 0; count < 1_000; count++) {
+    t.true(limiter.mayAdmit("caller"));
+    limiter.take("caller");
+  }
+});
--- a/src/admission/fleet_rate_limiter.ts
+++ b/src/admission/fleet_rate_limiter.ts
@@ -89,8 +89,8 @@
       return undefined;
     }
     const buckets = this.#buckets.get(engine) ?? {
-      live: new TokenBucket(this.#clock, { startsEmpty: true }),
-      items: new TokenBucket(this.#clock, { startsEmpty: true }),
+      live: new TokenBucket(this.#clock, { initialTokens: 0 }),
+      items: new TokenBucket(this.#clock, { initialTokens: 0 }),
     };
     this.#buckets.set(engine, buckets);
     const rate = minimumRate(limit);
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -38,3 +38,18 @@
   z.number(),
 ]);
 export type ReportedEngineLimit = z.infer<typeof reportedEngineLimitSchema>;
+
+/** A caller and a number of its requests. */
+export const callerCountSchema = z.tuple([z.string(), z.number()]);
+export type CallerCount = z.infer<typeof callerCountSchema>;
+
+/**
+ * Requests that an instance admitted without the leader, by caller; negative
+ * where more requests that the leader admitted could not be served.
+ */
+export const callerUseReportSchema = z.object({
+  /** Number of the report; a report that is sent again keeps it. */
+  batch: z.number(),
+  counts: z.array(callerCountSchema),
+});
+export type CallerUseReport = z.infer<typeof callerUseReportSchema>;
--- a/src/admission/token_bucket.ts
+++ b/src/admission/token_bucket.ts
@@ -8,21 +8,25 @@
  */
 export class TokenBucket {
   #clock: IClock;
-  #startsEmpty: boolean;
+  #initialTokens: number;
   #perSecond = 0;
   #capacity = 0;
   #tokens = 0;
   #filledAt: Deadline | undefined;
 
-  constructor(clock: IClock, options: { startsEmpty?: boolean } = {}) {
+  /**
+   * @param options.initialTokens tokens at the start, at most the capacity; by
+   * default, the bucket starts full.
+   */
+  constructor(clock: IClock, options: { initialTokens?: number } = {}) {
     this.#clock = clock;
-    this.#startsEmpty = options.startsEmpty ?? false;
+    this.#initialTokens = options.initialTokens ?? Number.POSITIVE_INFINITY;
   }
 
   /** Tokens that can be taken now. */
   get available(): number {
     this.#refill();
-    return Math.floor(this.#tokens);
+    return Math.max(0, Math.floor(this.#tokens));
   }
 
   /** Whether further tokens would be lost. */
@@ -31,16 +35,13 @@
     return this.#tokens >= this.#capacity;
   }
 
-  /**
-   * Sets the refill rate. When this is first called, the bucket is full unless
-   * it starts empty.
-   */
+  /** Sets the refill rate; the first call sets the initial tokens as well. */
   setRate(perSecond: number, capacity = Math.max(1, perSecond)): void {
     this.#refill();
     this.#perSecond = perSecond;
     this.#capacity = perSecond > 0 ? capacity : 0;
     if (this.#filledAt === undefined) {
-      this.#tokens = this.#startsEmpty ? 0 : this.#capacity;
+      this.#tokens = this.#initialTokens;
       this.#filledAt = this.#clock.monotonic();
     }
     this.#tokens = Math.min(this.#tokens, this.#capacity);
@@ -53,6 +54,15 @@
     return taken;
   }
 
+  /**
+   * Takes tokens that were used before the bucket heard of them, even if it
+   * holds fewer; returns them if the number is negative.
+   */
+  settle(count: number): void {
+    this.#refill();
+    this.#tokens = Math.min(this.#capacity, this.#tokens - count);
+  }
+
   /** Seconds until a token is available. */
   get secondsToNext(): number {
     return this.#secondsTo(1);
--- a/src/bulk/bulk_handlers.ts
+++ b/src/bulk/bulk_handlers.ts
@@ -48,7 +48,12 @@
     const confirmed = await log.barrier({ ...options, requiresQuorum: true });
     if (confirmed.isErr()) return err(confirmed.error);
     const decision = limiter.decide(job, log.leadership.term);
-    if (decision.kind === "known") return ok({});
+    if (decision.kind === "known") {
+      const known = section.job(job.id);
+      if (known && isOwn(known, job.caller)) return ok({});
+      const reason = "another job has this identifier";
+      return err(notRun("conflict", reason));
+    }
     if (decision.kind === "refused") {
       const { refusal } = decision;
       events.emit(jobRefused, { request: job.id, ...refusal });
@@ -71,7 +76,7 @@
     const confirmed = await log.barrier({ ...options, requiresQuorum: true });
     if (confirmed.isErr()) return err(confirmed.error);
     const held = section.job(params.job);
-    if (!held) {
+    if (!held || !isOwn(held, params.caller)) {
       return ok({ isKnown: false, total: 0, next: params.after, results: [] });
     }
     const end = clock.deadlineIn(params.wait);
@@ -89,9 +94,17 @@
   store.add(server.handle(readBulkItemMethod, async (params, options) => {
     const confirmed = await log.barrier({ ...options, requiresQuorum: true });
     if (confirmed.isErr()) return err(confirmed.error);
+    const held = section.job(params.job);
+    if (held && !isOwn(held, params.caller)) return ok({ body: undefined });
     return ok({ body: section.findOpenItem(params.job, params.item)?.body });
   }));
-  store.add(server.handle(endBulkMethod, async ({ job }, options) => {
+  store.add(server.handle(endBulkMethod, async ({ job, caller }, options) => {
+    if (caller !== undefined) {
+      const confirmed = await log.barrier({ ...options, requiresQuorum: true });
+      if (confirmed.isErr()) return err(confirmed.error);
+      const held = section.job(job);
+      if (held && !isOwn(held, caller)) return ok({ isKnown: false });
+    }
     const command = { kind: "end", job };
     const done = await log.propose(bulkSection.name, command, options);
     if (done.isErr()) return err(done.error);
@@ -101,6 +114,11 @@
   return store;
 }
 
+/** Whether a caller may use a job. Jobs without a caller are open to all. */
+function isOwn({ job }: HeldJob, caller: string | undefined): boolean {
+  return job.caller === undefined || job.caller === caller;
+}
+
 /** Describes why a job was refused; it provably does not run. */
 function limitFailure(refusal: IRefusal): Failure {
   const { route, tokens, waitingTokens, limit, retryMilliseconds } = refusal;
--- a/src/bulk/bulk_handlers_test.ts
+++ b/src/bulk/bulk_handlers_test.ts
@@ -1,16 +1,21 @@
 import test from "ava";
 import { err, ok, type Result } from "neverthrow";
+import type { z } from "zod";
 import { FakeClock } from "../../testing/fake_clock.ts";
 import { FakeLog } from "../../testing/fake_log.ts";
 import { type Deadline, type Failure, notRun } from "../common/mod.ts";
 import type { IBarrierOptions } from "../consensus/mod.ts";
 import { SilentEventLog } from "../events/mod.ts";
-import type { IRpcServer } from "../rpc/mod.ts";
+import type { IRpcMethod, IRpcServer } from "../rpc/mod.ts";
 import { RouteTable } from "../service_routes/mod.ts";
 import { registerBulkHandlers } from "./bulk_handlers.ts";
 import { BulkSection } from "./bulk_section.ts";
-import { submitBulkMethod } from "./messages.ts";
-import type { BulkJob } from "./types.ts";
+import {
+  endBulkMethod,
+  readBulkItemMethod,
+  readBulkMethod,
+  submitBulkMethod,
+} from "./messages.ts";
 import { WaitingTokenLimiter } from "./waiting_token_limiter.ts";
 
 const OPTIONS = { deadline: Infinity as Deadline };
@@ -65,18 +70,22 @@
     ...{ log, section, limiter, clock },
     events: new SilentEventLog(),
   });
-  const handler = handlers.get(submitBulkMethod.name) as (
-    params: { job: BulkJob },
-    options: typeof OPTIONS,
-  ) => Promise<Result<object, Failure>>;
-  const submit = (id: string, tokens: number) => {
-    const item = { id, path: "/", headers: {}, body: "", tokens };
-    return handler(
-      { job: { id, host: "h", path: "/", items: [item] } },
-      OPTIONS,
-    );
+  const call = <P extends z.ZodType, R extends z.ZodType>(
+    method: IRpcMethod<P, R>,
+    params: z.infer<P>,
+  ) => {
+    const handler = handlers.get(method.name) as (
+      params: z.infer<P>,
+      options: typeof OPTIONS,
+    ) => Promise<Result<z.infer<R>, Failure>>;
+    return handler(params, OPTIONS);
+  };
+  const submit = (id: string, tokens: number, caller?: string) => {
+    const item = { id, path: "/", headers: {}, body: "text", tokens };
+    const job = { id, host: "h", path: "/", caller, items: [item] };
+    return call(submitBulkMethod, { job });
   };
-  return { log, limiter, submit };
+  return { log, limiter, submit, call };
 }
 
 test("refused and known jobs are confirmed by a quorum", async (t) => {
@@ -98,3 +107,35 @@
   t.is((await submit("a", 6))._unsafeUnwrapErr().code, "unavailable");
   t.is(limiter.usage()[0]?.refusedJobs, 0);
 });
+
+test("job of another caller looks as if it did not exist", async (t) => {
+  const { submit, call } = createSubmit();
+  t.true((await submit("a", 1, "owner")).isOk());
+  t.true((await submit("a", 1, "owner")).isOk(), "sent again");
+  const taken = (await submit("a", 1, "other"))._unsafeUnwrapErr();
+  t.deepEqual([taken.code, taken.verdict], ["conflict", "not-run"]);
+  const read = async (caller: string | undefined) => {
+    const params = { job: "a", caller, after: 0, wait: 0 };
+    const item = { job: "a", caller, item: "a" };
+    const answer = (await call(readBulkMethod, params))._unsafeUnwrap();
+    const { body } = (await call(readBulkItemMethod, item))._unsafeUnwrap();
+    return [answer.isKnown, body !== undefined];
+  };
+  t.deepEqual(await read("owner"), [true, true]);
+  t.deepEqual(await read("other"), [false, false]);
+  t.deepEqual(await read(undefined), [false, false]);
+  const end = async (caller: string) =>
+    (await call(endBulkMethod, { job: "a", caller }))._unsafeUnwrap().isKnown;
+  t.false(await end("other"));
+  t.deepEqual(await read("owner"), [true, true], "it goes on");
+  t.true(await end("owner"));
+});
+
+test("limit of waiting tokens holds for each caller alone", async (t) => {
+  const { submit } = createSubmit();
+  t.true((await submit("a", 8, "one")).isOk());
+  t.true((await submit("b", 8, "two")).isOk());
+  const refused = (await submit("c", 8, "one"))._unsafeUnwrapErr();
+  t.is(refused.code, "limit-exceeded");
+  t.true((await submit("d", 2, "one")).isOk());
+});
--- a/src/bulk/events.ts
+++ b/src/bulk/events.ts
@@ -10,11 +10,12 @@
 export const jobRefused = defineEvent(1159, "bulk-job-refused", {
   level: "info",
   help: "A job was refused before anything was written to the replicated " +
-    "log, because its tokens and those that wait on its route exceed the " +
-    "route's limit. The limit comes from the routes with the given version.",
+    "log, because its tokens and those of its caller that wait on its route " +
+    "exceed the route's limit. The limit comes from the routes with the given version.",
   fields: {
     request: z.string(),
     route: z.string(),
+    caller: z.string().optional(),
     tokens: z.number(),
     waitingTokens: z.number(),
     limit: z.number(),
--- a/src/bulk/messages.ts
+++ b/src/bulk/messages.ts
@@ -50,6 +50,9 @@
   output: z.object({ isKnown: z.boolean() }),
 };
 
+/** Caller that asks about a job; absent if it needed no key. */
+const jobCallerSchema = z.string().optional();
+
 /** Submits a job; repeating the submission succeeds without effect. */
 export const submitBulkMethod = defineMethod("bulk.submit", {
   params: z.object({ job: bulkJobSchema }),
@@ -61,6 +64,7 @@
 export const readBulkMethod = defineMethod("bulk.read", {
   params: z.object({
     job: z.string(),
+    caller: jobCallerSchema,
     after: z.number(),
     /** Milliseconds that the caller waits for a first result. */
     wait: z.number(),
@@ -75,14 +79,18 @@
 
 /** Reads the body of an item. */
 export const readBulkItemMethod = defineMethod("bulk.read-item", {
-  params: z.object({ job: z.string(), item: z.string() }),
+  params: z.object({
+    job: z.string(),
+    caller: jobCallerSchema,
+    item: z.string(),
+  }),
   /** Body in base64; undefined for an item that is unknown or not open. */
   result: z.object({ body: z.string().optional() }),
 });
 
 /** Ends a job: its items without a result no longer run. */
 export const endBulkMethod = defineMethod("bulk.end", {
-  params: z.object({ job: z.string() }),
+  params: z.object({ job: z.string(), caller: jobCallerSchema }),
   result: z.object({ isKnown: z.boolean() }),
 });
 
--- a/src/bulk/types.ts
+++ b/src/bulk/types.ts
@@ -20,6 +20,8 @@
   host: z.string(),
   /** Path at which the job was submitted; determines the route. */
   path: z.string(),
+  /** Caller that submitted it; absent if it needed no key. */
+  caller: z.string().optional(),
   items: z.array(bulkItemSchema),
 });
 export type BulkJob = z.infer<typeof bulkJobSchema>;
--- a/src/bulk/waiting_token_limiter.ts
+++ b/src/bulk/waiting_token_limiter.ts
@@ -21,9 +21,11 @@
 /** Retry delay before any tokens were seen to be worked off, in ms. */
 const DEFAULT_RETRY_MILLISECONDS = 2_000;
 
-/** Use of a route's limit of waiting tokens. */
+/** Use of a route's limit of waiting tokens by one caller. */
 export const waitingTokenUsageSchema = z.object({
   route: z.string(),
+  /** Absent for jobs that needed no key, which count together. */
+  caller: z.string().optional(),
   /** Tokens that wait, with those of jobs that are being committed. */
   waitingTokens: z.number(),
   limit: z.number(),
@@ -66,7 +68,8 @@
 }
 
 /**
- * Limits the tokens that wait on a route for batch jobs, over all callers.
+ * Limits the tokens of each caller's batch jobs that wait on a route. Jobs that
+ * needed no key count as those of one caller.
  *
  * Only the leader of the log decides, after a barrier, so that its state
  * includes all accepted jobs. Jobs that it has proposed count until they are
@@ -80,7 +83,7 @@
   #clock: IClock;
   #routes: () => RouteTable | undefined;
   #pending = new Map<string, IPendingJob>();
-  /** Number of refused jobs by route. */
+  /** Number of refused jobs by route and caller. */
   #refusedJobs = new Map<string, number>();
   #drainRate = new DrainRate();
   #disposables = new DisposableStore();
@@ -109,8 +112,8 @@
     const tokens = job.items.reduce((sum, item) => sum + item.tokens, 0);
     const refusal = this.#findRefusal(job, tokens);
     if (refusal) {
-      const { route } = refusal;
-      this.#refusedJobs.set(route, (this.#refusedJobs.get(route) ?? 0) + 1);
+      const key = usageKey(refusal.route, job.caller);
+      this.#refusedJobs.set(key, (this.#refusedJobs.get(key) ?? 0) + 1);
       return { kind: "refused", refusal };
     }
     this.#pending.set(job.id, { job, tokens, term });
@@ -122,16 +125,23 @@
     this.#pending.delete(job);
   }
 
-  /** Use of all limits in force. */
+  /** Use of all limits in force, by each caller that uses one. */
   usage(): WaitingTokenUsage[] {
     const table = this.#routes();
     if (!table) return [];
     return table.set.routes.flatMap((route) => {
       const { name, waitingTokensLimit: limit } = route;
       if (limit === undefined) return [];
-      const waitingTokens = this.#waitingTokens(route, table);
-      const refusedJobs = this.#refusedJobs.get(name) ?? 0;
-      return [{ route: name, waitingTokens, limit, refusedJobs }];
+      const callers = table.requiresKeys
+        ? (table.set.callers ?? []).map((caller) => caller.name)
+        : [undefined];
+      return callers.flatMap((caller) => {
+        const waitingTokens = this.#waitingTokens({ route, caller }, table);
+        const refusedJobs = this.#refusedJobs.get(usageKey(name, caller)) ?? 0;
+        const isUsed = waitingTokens > 0 || refusedJobs > 0;
+        if (caller !== undefined && !isUsed) return [];
+        return [{ route: name, caller, waitingTokens, limit, refusedJobs }];
+      });
     });
   }
 
@@ -144,11 +154,13 @@
     const route = table?.find(job.host, job.path);
     const limit = route?.waitingTokensLimit;
     if (!table || !route || limit === undefined) return undefined;
-    const waitingTokens = this.#waitingTokens(route, table);
+    const { caller } = job;
+    const waitingTokens = this.#waitingTokens({ route, caller }, table);
     const excess = waitingTokens + tokens - limit;
     if (excess <= 0) return undefined;
     return {
       route: route.name,
+      ...(caller !== undefined && { caller }),
       ...{ tokens, waitingTokens, limit },
       routesVersion: table.version,
       retryMilliseconds: tokens > limit
@@ -157,13 +169,17 @@
     };
   }
 
-  #waitingTokens(route: Route, table: RouteTable): number {
-    const isOnRoute = ({ host, path }: BulkJob) =>
-      table.find(host, path) === route;
+  /** Tokens of a caller's jobs that wait on a route. */
+  #waitingTokens(
+    scope: { route: Route; caller: string | undefined },
+    table: RouteTable,
+  ): number {
+    const isCounted = ({ host, path, caller }: BulkJob) =>
+      caller === scope.caller && table.find(host, path) === scope.route;
     const pending = [...this.#pending.values()]
-      .filter(({ job }) => isOnRoute(job))
+      .filter(({ job }) => isCounted(job))
       .reduce((sum, { tokens }) => sum + tokens, 0);
-    return this.#section.waitingTokens(isOnRoute) + pending;
+    return this.#section.waitingTokens(isCounted) + pending;
   }
 
   /** Estimated time in which a number of tokens is worked off. */
@@ -191,3 +207,7 @@
     }
   }
 }
+
+function usageKey(route: string, caller: string | undefined): string {
+  return caller === undefined ? route : `${route} ${caller}`;
+}
--- a/src/cli/commands/limits.ts
+++ b/src/cli/commands/limits.ts
@@ -1,20 +1,27 @@
 import { err, ok } from "neverthrow";
 import type { z } from "zod";
+import {
+  CALLER_LIMITS_PATH,
+  callerLimitReportSchema,
+} from "../../admission/mod.ts";
 import {
   WAITING_TOKENS_PATH,
   waitingTokenReportSchema,
 } from "../../bulk/mod.ts";
 import { defineCliCommand } from "../define_cli_command.ts";
 import { ExitCode } from "../exit_code.ts";
+import type { HttpClient } from "../http_client.ts";
 import { createStoresClients, storesArgument } from "../http_clients.ts";
 import { formatTable } from "../output.ts";
 
 type Report = z.infer<typeof waitingTokenReportSchema>;
 
-/** `figroad limits`: shows the limits of waiting batch tokens and their use. */
+type CallerReport = z.infer<typeof callerLimitReportSchema>;
+
+/** `figroad limits`: shows limits of waiting tokens and of callers' requests. */
 export const limits = defineCliCommand({
   name: "limits",
-  description: "Show the limits of waiting batch tokens, their use, refusals",
+  description: "Show limits of waiting tokens and of callers, use, refusals",
   args: storesArgument,
   async run(args, output) {
     const clients = createStoresClients(args);
@@ -36,19 +43,22 @@
     }
     const routes = leader.routes.map((usage) => ({
       ...usage,
-      refusedJobs: countRefusedJobs(reports, usage.route),
+      refusedJobs: countRefusedJobs(reports, usage),
     }));
-    output.result({ leader: leader.instance, routes }, () => [
+    const callers = await readCallers(clients.value);
+    output.result({ leader: leader.instance, routes, callers }, () => [
       `leader: ${leader.instance}`,
       ...formatTable(
-        ["ROUTE", "WAITING TOKENS", "LIMIT", "REFUSED JOBS"],
-        routes.map(({ route, waitingTokens, limit, refusedJobs }) => [
+        ["ROUTE", "CALLER", "WAITING TOKENS", "LIMIT", "REFUSED JOBS"],
+        routes.map(({ route, caller, waitingTokens, limit, refusedJobs }) => [
           route,
+          caller ?? "-",
           String(waitingTokens),
           String(limit),
           String(refusedJobs),
         ]),
       ),
+      ...callerLines(callers),
     ]);
     const isComplete = reports.length === answers.length;
     return ok(isComplete ? ExitCode.done : ExitCode.incomplete);
@@ -56,9 +66,45 @@
 });
 
 /** Adds the refusals of all stores, since each counts those it has made. */
-function countRefusedJobs(reports: readonly Report[], route: string): number {
+function countRefusedJobs(
+  reports: readonly Report[],
+  { route, caller }: Report["routes"][number],
+): number {
   const counts = reports.flatMap(({ routes }) =>
-    routes.filter((usage) => usage.route === route)
+    routes.filter((usage) => usage.route === route && usage.caller === caller)
   );
   return counts.reduce((sum, { refusedJobs }) => sum + refusedJobs, 0);
 }
+
+/** Reads the use of callers' limits from the leader, if it answers. */
+async function readCallers(
+  clients: readonly HttpClient[],
+): Promise<CallerReport["callers"]> {
+  const answers = await Promise.all(
+    clients.map((client) =>
+      client.fetch({ path: CALLER_LIMITS_PATH }, callerLimitReportSchema)
+    ),
+  );
+  return answers.flatMap((answer) =>
+    answer.isOk() && answer.value.isLeader ? answer.value.callers : []
+  );
+}
+
+function callerLines(callers: CallerReport["callers"]): string[] {
+  if (callers.length === 0) return [];
+  return [
+    "",
+    ...formatTable(
+      ["CALLER", "PER SECOND", "BURST", "FREE", "RUNNING", "SENT", "REFUSED"],
+      callers.map((caller) => [
+        caller.caller,
+        String(caller.perSecond),
+        String(caller.burst),
+        String(caller.available),
+        String(caller.inProgress),
+        String(caller.admitted),
+        String(caller.refused),
+      ]),
+    ),
+  ];
+}
--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -1,4 +1,9 @@
-import { type EngineLimits, FleetRateLimiter } from "../admission/mod.ts";
+import {
+  type CallerLimitUsage,
+  type EngineLimits,
+  FleetCallerLimiter,
+  FleetRateLimiter,
+} from "../admission/mod.ts";
 import {
   BulkRunner,
   type BulkSection,
@@ -6,6 +11,7 @@
   StoreExecutor,
 } from "../bulk/mod.ts";
 import {
+  ClockWatch,
   DisposableStore,
   type IClock,
   type IDisposable,
@@ -65,6 +71,7 @@
   readonly runner: BulkRunner;
   readonly health: EngineHealth;
   readonly limiter: FleetRateLimiter;
+  readonly callerLimiter: FleetCallerLimiter;
 }
 
 /** Runs the components that only the leader of the log needs. */
@@ -75,9 +82,11 @@
   #ledTerm: number | undefined;
   #disposables = new DisposableStore();
   #isDisposed = false;
+  #clockWatch: ClockWatch;
 
   constructor(options: ILeaderDutiesOptions) {
     this.#options = options;
+    this.#clockWatch = new ClockWatch(options.clock);
     this.#disposables.add(
       options.log.onLeadershipChange(() => this.#handleLeadershipChange()),
     );
@@ -85,22 +94,33 @@
 
   /** State that the leader sends to other instances; undefined on followers. */
   get leaderState(): ILeaderState | undefined {
-    const { routesSection, log, leaving } = this.#options;
+    const { routes, log, leaving } = this.#options;
     if (!this.#term) return undefined;
-    const { directory, runner, limiter } = this.#term;
+    const { directory, runner, limiter, callerLimiter } = this.#term;
     return {
       term: log.leadership.term,
       list: directory.list,
       listAge: directory.listAge,
       failing: directory.failing,
       bulk: runner.load,
-      routes: routesSection.current,
+      routes: routes.table,
+      confirmedMilliseconds: this.#confirmedMilliseconds(),
       leaving,
       limiter,
+      callerLimiter,
       preemptBatchItems: (load) => runner.preemptBatchItems(load),
     };
   }
 
+  /** Use of callers' limits; undefined on followers. */
+  get callerLimitUsage(): CallerLimitUsage[] | undefined {
+    const inProgress = this.#options.ledger.callerCounts();
+    return this.#term?.callerLimiter.usage().map((usage) => ({
+      ...usage,
+      inProgress: inProgress.get(usage.caller) ?? 0,
+    }));
+  }
+
   /** Number of running items; undefined on followers. */
   get runningItemCount(): number | undefined {
     if (!this.#term) return undefined;
@@ -149,6 +169,10 @@
     const disposables = new DisposableStore();
     const health = new EngineHealth(clock, { events });
     const limiter = new FleetRateLimiter(clock, engineLimits);
+    const callerLimiter = new FleetCallerLimiter(
+      clock,
+      (caller) => routes.table?.callerByName(caller)?.limit,
+    );
     const suspectCounts = () => {
       const counts = ledger.suspectCounts();
       for (const engine of health.suspects()) {
@@ -188,11 +212,22 @@
         engines: () => this.#engines(directory, health),
       }),
     );
-    this.#term = { disposables, directory, runner, health, limiter };
+    this.#term = {
+      ...{ disposables, directory, runner, health, limiter, callerLimiter },
+    };
     directory.start();
     runner.start();
   }
 
+  /** Time since a quorum followed this leader; undefined if not certain. */
+  #confirmedMilliseconds(): number | undefined {
+    const { log, clock } = this.#options;
+    const { confirmedAt } = log;
+    const isCertain = confirmedAt !== undefined &&
+      this.#clockWatch.isContinuousSince(confirmedAt);
+    return isCertain ? clock.monotonic() - confirmedAt : undefined;
+  }
+
   #engines(directory: EngineDirectory, health: EngineHealth) {
     const { ledger, leaving } = this.#options;
     const live = ledger.liveCounts();
--- a/src/composition/telemetry.ts
+++ b/src/composition/telemetry.ts
@@ -4,7 +4,11 @@
   type WaitingTokenLimiter,
 } from "../bulk/mod.ts";
 import { DisposableStore, type IDisposable } from "../common/mod.ts";
-import type { EngineLimits } from "../admission/mod.ts";
+import {
+  CALLER_LIMITS_PATH,
+  type CallerLimitUsage,
+  type EngineLimits,
+} from "../admission/mod.ts";
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import { logLinesLeftOut } from "../edge/events.ts";
 import { type HttpEdge, MetricsListener } from "../edge/mod.ts";
@@ -24,11 +28,17 @@
 } from "../placement/mod.ts";
 import type { ILinkState } from "../relaying/mod.ts";
 import type { IRpcStatistics } from "../rpc/mod.ts";
-import type { RoutesHolder } from "../service_routes/mod.ts";
+import type { KeyPermission, RoutesHolder } from "../service_routes/mod.ts";
 
 /** Port of the metrics; deploy/system.toml specifies it as well. */
 const METRICS_PORT = 9_464;
 
+/** Most callers with series of their own; the others count together. */
+const MAXIMUM_LABELLED_CALLERS = 50;
+
+/** Label of the callers without series of their own. */
+const OTHER_CALLERS = "others";
+
 /** Event log and metrics of a process. */
 export class Telemetry implements IDisposable {
   readonly metrics = new Metrics();
@@ -154,10 +164,15 @@
       "figroad_bulk_tokens",
       "Tokens of batch items without a result, and their limit, by route.",
       () =>
-        limiter.usage().flatMap(({ route, waitingTokens, limit }) => [
-          { value: waitingTokens, labels: { route, kind: "waiting" } },
-          { value: limit, labels: { route, kind: "limit" } },
-        ]),
+        limiter.usage().slice(0, MAXIMUM_LABELLED_CALLERS).flatMap((usage) => {
+          const { route, caller, waitingTokens, limit } = usage;
+          const labels: Record<string, string> = { route };
+          if (caller !== undefined) labels.caller = caller;
+          return [
+            { value: waitingTokens, labels: { ...labels, kind: "waiting" } },
+            { value: limit, labels: { ...labels, kind: "limit" } },
+          ];
+        }),
     );
     const { instance, log } = replica;
     this.#pages.set(WAITING_TOKENS_PATH, () => ({
@@ -167,6 +182,54 @@
     }));
   }
 
+  /** Defines metrics and a page with callers' limits, on the leader. */
+  defineCallerLimitMetrics(
+    instance: string,
+    usage: () => CallerLimitUsage[] | undefined,
+  ): void {
+    this.metrics.gauge(
+      "figroad_caller_requests",
+      "Requests of callers with a limit since the leader began to lead.",
+      () => {
+        const busiestFirst = (usage() ?? []).sort((first, second) =>
+          second.admitted + second.refused - first.admitted - first.refused
+        );
+        const labelled = busiestFirst.slice(0, MAXIMUM_LABELLED_CALLERS);
+        const others = busiestFirst.slice(MAXIMUM_LABELLED_CALLERS);
+        const sum = (outcome: "admitted" | "refused") =>
+          others.reduce((total, it) => total + it[outcome], 0);
+        const counts = [...labelled, {
+          caller: OTHER_CALLERS,
+          admitted: sum("admitted"),
+          refused: sum("refused"),
+        }];
+        return counts.flatMap(({ caller, admitted, refused }) => [
+          { value: admitted, labels: { caller, outcome: "admitted" } },
+          { value: refused, labels: { caller, outcome: "refused" } },
+        ]);
+      },
+    );
+    this.#pages.set(CALLER_LIMITS_PATH, () => ({
+      instance,
+      isLeader: usage() !== undefined,
+      callers: usage() ?? [],
+    }));
+  }
+
+  /** Defines a metric of how current the keys are that this entry knows. */
+  defineKeyMetrics(permission: KeyPermission): void {
+    this.metrics.gauge(
+      "figroad_key_permission_age_milliseconds",
+      "Time since the leader confirmed the callers' keys known here.",
+      () => {
+        const { ageMilliseconds } = permission;
+        return ageMilliseconds === undefined
+          ? []
+          : [{ value: ageMilliseconds }];
+      },
+    );
+  }
+
   /** Durations of syncs of the replicated log's files. */
   get syncTimes(): IHistogram {
     return this.metrics.histogram(
--- a/src/configuration/configuration_view.ts
+++ b/src/configuration/configuration_view.ts
@@ -1,4 +1,4 @@
-import { createHash } from "node:crypto";
+import { hashKey } from "../common/mod.ts";
 import type { AcceptedConfiguration } from "./messages.ts";
 import type {
   CallerRecord,
@@ -32,8 +32,7 @@
   }
 
   callerByKey(key: string): CallerRecord | undefined {
-    const digest = createHash("sha256").update(key).digest("hex");
-    return this.#callersByKey.get(digest);
+    return this.#callersByKey.get(hashKey(key));
   }
 
   callerByName(name: string): CallerRecord | undefined {
--- a/src/consensus/leader_term.ts
+++ b/src/consensus/leader_term.ts
@@ -139,12 +139,20 @@
     );
   }
 
+  /** Time until which no other replica can have become leader. */
+  get confirmedAt(): Deadline | undefined {
+    if (this.#transferring || this.#stopping.signal.aborted) return undefined;
+    return this.quorumContactAt as Deadline;
+  }
+
   /** End of the lease; until then no other replica can become leader. */
   get leaseUntil(): Deadline | undefined {
-    if (this.#transferring || this.#stopping.signal.aborted) return undefined;
+    const { confirmedAt } = this;
     const { minimumElectionTimeout } = this.#state.timing;
     const length = minimumElectionTimeout * (1 - CLOCK_DRIFT_BOUND);
-    return this.quorumContactAt + length as Deadline;
+    return confirmedAt === undefined
+      ? undefined
+      : confirmedAt + length as Deadline;
   }
 
   /** When a peer was last in contact; undefined if it is not a member. */
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -110,6 +110,10 @@
     return this.#replica?.leadership ?? none;
   }
 
+  get confirmedAt(): Deadline | undefined {
+    return this.#replica?.leader?.confirmedAt;
+  }
+
   get leaseUntil(): Deadline | undefined {
     return this.#replica?.leader?.leaseUntil;
   }
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -143,6 +143,11 @@
   barrier(options: IBarrierOptions): Promise<Result<void, Failure>>;
   readonly leadership: ILeadership;
   readonly onLeadershipChange: IEvent<ILeadership>;
+  /**
+   * Time as of which no other replica can have committed anything, since a
+   * quorum followed this leader. Undefined unless this replica leads.
+   */
+  readonly confirmedAt: Deadline | undefined;
   /**
    * End of the leader's lease, reduced by the bound on clock drift; until then
    * no other replica can lead. Undefined unless this replica leads. Effects
--- a/src/edge/drain_test.ts
+++ b/src/edge/drain_test.ts
@@ -31,6 +31,7 @@
   const readiness = new Readiness({
     hasRoutes: () => true,
     engineCount: () => 1,
+    lacksKeyPermission: () => false,
   }, { events });
   const port = await edge.listen("127.0.0.1", 0);
   const clock = new SystemClock();
--- a/src/edge/readiness.ts
+++ b/src/edge/readiness.ts
@@ -8,6 +8,8 @@
   readonly hasRoutes: () => boolean;
   /** Number of known engines. */
   readonly engineCount: () => number;
+  /** Whether requests that need a key would be refused. */
+  readonly lacksKeyPermission: () => boolean;
 }
 
 /** Reports to the load balancer whether this instance accepts callers. */
@@ -59,6 +61,8 @@
     if (this.#isStopping) return "the process is stopping";
     if (!this.#sources.hasRoutes()) return "no routes are known";
     if (this.#sources.engineCount() === 0) return "no engines are known";
-    return undefined;
+    return this.#sources.lacksKeyPermission()
+      ? "callers' keys are not confirmed"
+      : undefined;
   }
 }
--- a/src/edge/response_sink.ts
+++ b/src/edge/response_sink.ts
@@ -56,6 +56,7 @@
   fail(failure: ILocalFailure): void {
     const status = match(failure.kind)
       .with("refused", () => 503)
+      .with("limited", () => 429)
       .with("failed", () => 502)
       .with("timeout", () => 504)
       .exhaustive();
--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -1,11 +1,15 @@
 import { createHash } from "node:crypto";
-import type { EngineLimits } from "../admission/mod.ts";
+import type { CallerActivity, EngineLimits } from "../admission/mod.ts";
 import type { IClock, IDisposable } from "../common/mod.ts";
 import type { IControlClient } from "../consensus/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { PartMonitor } from "../quarantine/mod.ts";
 import type { ILinkState, RelayDirectory } from "../relaying/mod.ts";
-import type { RoutesHolder } from "../service_routes/mod.ts";
+import type {
+  IRoutesConfirmer,
+  KeyPermission,
+  RoutesHolder,
+} from "../service_routes/mod.ts";
 import { ClockOffsetMonitor } from "./clock_offset_monitor.ts";
 import type { EngineHealth } from "./engine_health.ts";
 import type { EngineTable } from "./engine_table.ts";
@@ -28,6 +32,9 @@
 /** Interval between exchanges until the leader sends another interval. */
 const INITIAL_INTERVAL_MILLISECONDS = 100;
 
+/** Longest wait for an exchange that confirms the routes, in milliseconds. */
+const CONFIRM_TIMEOUT_MILLISECONDS = 300;
+
 /** Interval at which the age of the engine list is checked. */
 const LIST_AGE_CHECK_INTERVAL_MILLISECONDS = 200;
 
@@ -75,6 +82,10 @@
   readonly parts?: PartMonitor;
   /** Forwarding between instances; absent on stores. */
   readonly relaying?: IRelayingSources;
+  /** Requests of callers with keys; absent on stores. */
+  readonly callers?: CallerActivity;
+  /** Is told when the leader confirms the routes; absent on stores. */
+  readonly permission?: KeyPermission;
   /** Source of random numbers from 0 up to, not including, 1. */
   readonly random: () => number;
   /**
@@ -94,7 +105,7 @@
  * Sends this instance's load to the leader periodically, and receives the
  * fleet's load, engine list and routes.
  */
-export class ExchangeClient implements IDisposable {
+export class ExchangeClient implements IRoutesConfirmer, IDisposable {
   #control: IControlClient;
   #options: IExchangeClientOptions;
   #stopping = new AbortController();
@@ -106,6 +117,7 @@
   #isLeaderReachable = true;
   #listAgeLimit: number;
   #entries: number | undefined;
+  #confirmation: Promise<unknown> | undefined;
   #clockOffset: ClockOffsetMonitor;
 
   constructor(control: IControlClient, options: IExchangeClientOptions) {
@@ -147,6 +159,13 @@
     return await this.#exchange(PLACEMENT_TIMEOUT_MILLISECONDS, request);
   }
 
+  /** Exchanges at once; calls at the same time share the exchange. */
+  async confirmRoutes(): Promise<void> {
+    this.#confirmation ??= this.#exchange(CONFIRM_TIMEOUT_MILLISECONDS)
+      .finally(() => this.#confirmation = undefined);
+    await this.#confirmation;
+  }
+
   /**
    * Asks the leader where a stream began. Resolves with undefined if it does
    * not know or answer.
@@ -180,19 +199,25 @@
   ): Promise<PlacementDecision | undefined> {
     const { clock, table, health, routes, origins, parts } = this.#options;
     const { instance, name, role, engineLimits, relaying } = this.#options;
+    const { callers, permission } = this.#options;
     const reported = table.ownLiveCounts();
     this.#sequence += 1;
     const sequence = this.#sequence;
     const sentAt = clock.wall();
     const startedAt = clock.monotonic();
+    const question = permission?.ask();
     const streams = origins?.unreported(this.#leaderTerm) ?? [];
     const report = parts?.report(this.#leaderTerm);
     const limits = engineLimits.unreported(this.#leaderTerm);
+    const callersInProgress = callers?.inProgress() ?? [];
+    const callerUse = callers?.report();
     const answer = await this.#control.call(exchangeMethod, {
       ...{ instance, name, role, sequence, want },
       answered: this.#lastAnswered,
       live: [...reported],
       means: want ? undefined : table.meanDurations(),
+      callers: callersInProgress.length > 0 ? callersInProgress : undefined,
+      callerUse,
       suspects: health.suspects(),
       streams: streams.map((
         { request, service, softwareVersion, expiresAt },
@@ -220,6 +245,7 @@
     const listAge = answer.value.listAge + clock.monotonic() - startedAt;
     this.#leaderTerm = term;
     origins?.markReported(streams, term);
+    if (callerUse) callers?.confirm(callerUse);
     engineLimits.markReported(limits, term);
     engineLimits.merge(answer.value.engineLimits ?? [], term);
     this.#entries = answer.value.entries ?? this.#entries;
@@ -229,6 +255,10 @@
     if (verdicts) parts?.applyVerdicts(verdicts, { term, report });
     this.#interval = answer.value.pauseMilliseconds;
     if (answer.value.routes) routes.setIfNewer(answer.value.routes);
+    const { confirmedMilliseconds } = answer.value;
+    if (question && confirmedMilliseconds !== undefined) {
+      permission?.confirm(question, confirmedMilliseconds);
+    }
     if (list) table.updateList(list, { age: listAge, source: "leader" });
     else table.confirmListAge(listAge);
     if (load) table.updateLoad(load, reported);
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -6,10 +6,15 @@
   type IDisposable,
   notRun,
 } from "../common/mod.ts";
-import type { EngineLimits, IEngineRateLimiter } from "../admission/mod.ts";
+import {
+  type EngineLimits,
+  exceedsFairShare,
+  type FleetCallerLimiter,
+  type IEngineRateLimiter,
+} from "../admission/mod.ts";
 import type { PartJudge } from "../quarantine/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
-import type { RouteSet } from "../service_routes/mod.ts";
+import type { RouteTable } from "../service_routes/mod.ts";
 import type { LeavingEngines } from "./leaving_engines.ts";
 import type { LoadLedger } from "./load_ledger.ts";
 import {
@@ -46,7 +51,11 @@
   readonly failing: ReadonlySet<string>;
   /** Batch items by engine. */
   readonly bulk: ReadonlyMap<string, number>;
-  readonly routes: RouteSet | undefined;
+  readonly routes: RouteTable | undefined;
+  /** Time since a quorum followed this leader; undefined if not certain. */
+  readonly confirmedMilliseconds: number | undefined;
+  /** Keeps callers within their limits of requests. */
+  readonly callerLimiter: FleetCallerLimiter;
   /** Engines that have announced to the leader that they leave. */
   readonly leaving: Pick<LeavingEngines, "withAnnouncement">;
   /** Admits requests within the limits that engines name. */
@@ -92,8 +101,10 @@
   disposables.add(server.handle(exchangeMethod, (params) => {
     const state = leaderState();
     if (!state) return Promise.resolve(err(notLeader()));
-    const { streams, parts, engineLimits: limits, ...report } = params;
+    const { streams, parts, engineLimits: limits, callerUse, ...report } =
+      params;
     ledger.recordReport(report);
+    if (callerUse) state.callerLimiter.settle(params.instance, callerUse);
     for (const [request, service, softwareVersion, lifetime] of streams ?? []) {
       const expiresAt = clock.deadlineIn(lifetime);
       origins.record({ request, service, softwareVersion, expiresAt });
@@ -117,7 +128,8 @@
       suspects: [...state.failing],
       listAge: state.listAge,
       list: isNewList ? list : undefined,
-      routes: isNewRoutes ? routes : undefined,
+      routes: isNewRoutes ? withoutSource(routes) : undefined,
+      confirmedMilliseconds: state.confirmedMilliseconds,
       parts: parts ? judge.receive(params.instance, parts) : judge.findNews(),
       relays: params.isCutOff
         ? ledger.relays({ asking: params.instance, random: options.random() })
@@ -129,6 +141,11 @@
   return disposables;
 }
 
+/** Leaves out the operator's document, which contains callers' keys. */
+function withoutSource({ set }: RouteTable): RouteTable["set"] {
+  return set.callers === undefined ? set : { ...set, source: "" };
+}
+
 function notLeader() {
   return notRun("not-leader", "this instance is not the leader");
 }
@@ -149,6 +166,13 @@
   options: IExchangeHandlerOptions & { state: ILeaderState },
 ): PlacementDecision {
   const { ledger, state, random } = options;
+  const { callerLimiter } = state;
+  const { caller } = request;
+  const isLimited = caller !== undefined && !request.isAdmitted;
+  if (isLimited && !callerLimiter.mayAdmit(caller)) {
+    const retryMilliseconds = callerLimiter.refuse(caller);
+    return { kind: "refused", retryMilliseconds, missing: "caller-limit" };
+  }
   const live = ledger.liveCounts();
   const meanDurations = ledger.meanDurations();
   const suspects = new Set([...state.failing, ...params.suspects]);
@@ -164,14 +188,18 @@
     }));
   const excluded = new Set(request.excluded);
   const { limiter } = state;
+  const isOverShare = caller !== undefined &&
+    isBeyondShare(caller, { views, ledger, routes: state.routes });
   const placement = place(
-    { ...request, excluded, random: random(), limiter },
+    { ...request, excluded, random: random(), limiter, isOverShare },
     views,
   );
   return match(placement)
     .with({ kind: "engine" }, ({ view, waitMilliseconds }) => {
       const { engine, live } = view;
-      ledger.recordGrant(params.instance, engine.id, params.sequence);
+      const { instance, sequence } = params;
+      ledger.recordGrant({ instance, sequence, caller, engine: engine.id });
+      if (isLimited) callerLimiter.take(caller);
       limiter.take(engine.id);
       state.preemptBatchItems({ engine, live: live + 1 });
       return {
@@ -180,7 +208,38 @@
         live: view.live,
         bulk: view.bulk,
         waitMilliseconds,
+        callerLevel: caller === undefined
+          ? undefined
+          : callerLimiter.levelOf(caller),
       };
     })
     .otherwise((refusal) => refusal);
 }
+
+/** Whether a caller uses its share of the service's slots already. */
+function isBeyondShare(
+  caller: string,
+  options: {
+    views: readonly IEngineView[];
+    ledger: LoadLedger;
+    routes: RouteTable | undefined;
+  },
+): boolean {
+  const { views, ledger, routes } = options;
+  const usable = views.filter(({ engine, isSuspect }) =>
+    !engine.isLeaving && !isSuspect
+  );
+  const slots = usable.reduce((sum, { engine }) => sum + engine.slots, 0);
+  const live = usable.reduce((sum, view) => sum + view.live, 0);
+  if (live < slots) return false;
+  const demand = (name: string, inProgress: number) => ({
+    inProgress,
+    weight: routes?.weightOf(name) ?? 1,
+  });
+  const counts = ledger.callerCounts();
+  const others = [...counts]
+    .filter(([name]) => name !== caller)
+    .map(([name, count]) => demand(name, count));
+  const asking = demand(caller, counts.get(caller) ?? 0);
+  return exceedsFairShare(asking, others, slots);
+}
--- a/src/placement/exchange_test.ts
+++ b/src/placement/exchange_test.ts
@@ -1,5 +1,10 @@
 import test from "ava";
-import { EngineLimits } from "../admission/mod.ts";
+import {
+  CallerActivity,
+  CallerUse,
+  EngineLimits,
+  FleetCallerLimiter,
+} from "../admission/mod.ts";
 import { unlimitedEngines } from "../../testing/unlimited_engines.ts";
 import { FakeNetwork } from "../../testing/fake_network.ts";
 import { ENGINE_SLOTS, listedEngine } from "../../testing/listed_engine.ts";
@@ -10,7 +15,7 @@
 import { SilentEventLog } from "../events/mod.ts";
 import type { Relay } from "../relaying/mod.ts";
 import { PartJudge } from "../quarantine/mod.ts";
-import { RoutesHolder } from "../service_routes/mod.ts";
+import { type CallerLimit, RoutesHolder } from "../service_routes/mod.ts";
 import { EngineHealth } from "./engine_health.ts";
 import { EngineTable } from "./engine_table.ts";
 import { ExchangeClient, type IRelayingSources } from "./exchange_client.ts";
@@ -36,6 +41,8 @@
   readonly bulk = new Map<string, number>();
   readonly preemptedEngines: string[] = [];
   listReads = 0;
+  /** Limit of all callers; undefined if they have none. */
+  callerLimit: CallerLimit | undefined;
   /** Streams that the leader knows. */
   origins = new StreamOrigins(this.clock);
   leaderState: ILeaderState | undefined = {
@@ -45,6 +52,8 @@
     failing: new Set(),
     bulk: this.bulk,
     routes: undefined,
+    confirmedMilliseconds: 0,
+    callerLimiter: new FleetCallerLimiter(this.clock, () => this.callerLimit),
     leaving: new LeavingEngines(this.clock, { events: new SilentEventLog() }),
     limiter: unlimitedEngines,
     preemptBatchItems: ({ engine }) => this.preemptedEngines.push(engine.id),
@@ -82,6 +91,7 @@
     const leaving = new LeavingEngines(clock, { events });
     const table = new EngineTable(clock, { events, health, leaving });
     const origins = new StreamOrigins(clock);
+    const activity = new CallerActivity(0);
     const exchange = new ExchangeClient(control, {
       ...{ instance: name, name, role: "entry" as const },
       ...{ clock, events, table, health, origins },
@@ -94,14 +104,21 @@
         },
       },
       random: () => 0,
+      callers: activity,
       ...(relaying ? { relaying } : {}),
     });
     exchange.start();
     const placer = new Placer(exchange, table, {
       random: () => 0,
       limiter: unlimitedEngines,
+      callers: {
+        activity,
+        use: new CallerUse(clock, { instances: () => 1, random: () => 0 }),
+        limitOf: () => this.callerLimit,
+        version: () => 1,
+      },
     });
-    return { table, placer, exchange, origins, leaving };
+    return { table, placer, exchange, origins, leaving, activity };
   }
 
   /** Places a request and advances the clock until it is answered. */
@@ -307,3 +324,52 @@
   await fleet.time.advance(500);
   t.deepEqual(named.at(-1), [{ address: "two", port: 7_720 }]);
 });
+
+test("caller over its limit is refused, and others are placed", async (t) => {
+  const fleet = new Fleet();
+  const { placer } = fleet.entry("entry");
+  await fleet.time.advance(200);
+  fleet.callerLimit = { requestsPerSecond: 1, burst: 2 };
+  const kinds = [];
+  for (let count = 0; count < 3; count++) {
+    const placed = await fleet.place(placer, { caller: "hot" });
+    kinds.push(placed.kind === "refused" ? placed.missing : placed.kind);
+  }
+  t.deepEqual(kinds, ["engine", "engine", "caller-limit"]);
+  t.is((await fleet.place(placer, { caller: "other" })).kind, "engine");
+  const again = { caller: "hot", isAdmitted: true };
+  t.is((await fleet.place(placer, again)).kind, "engine", "further attempt");
+});
+
+test("entry without a leader keeps to the rate of each caller", async (t) => {
+  const fleet = new Fleet();
+  const { placer, activity } = fleet.entry("entry");
+  await fleet.time.advance(200);
+  fleet.callerLimit = { requestsPerSecond: 1, burst: 2 };
+  await fleet.place(placer, { caller: "hot" });
+  await fleet.place(placer, { caller: "hot" });
+  fleet.network.isolated.add("leader");
+  const kinds = [];
+  for (let count = 0; count < 40; count++) {
+    kinds.push((await fleet.place(placer, { caller: "hot" })).kind);
+  }
+  const admitted = kinds.filter((kind) => kind === "engine").length;
+  t.true(admitted >= 1 && admitted <= 3, `${admitted} in 4 s`);
+  t.deepEqual(activity.report()?.counts, [["hot", admitted]]);
+});
+
+// All slots are in use, most of them by one caller.
+test("callers below their share wait for a slot, others do not", async (t) => {
+  const fleet = new Fleet();
+  const { placer, activity } = fleet.entry("entry");
+  await fleet.time.advance(200);
+  for (let count = 0; count < 2 * ENGINE_SLOTS; count++) {
+    const caller = count < 12 ? "hot" : "other";
+    await fleet.place(placer, { caller });
+    activity.begin(caller);
+  }
+  await fleet.time.advance(200);
+  t.like(await fleet.place(placer, { caller: "hot" }), { missing: "share" });
+  t.is((await fleet.place(placer, { caller: "other" })).kind, "engine");
+  t.is((await fleet.place(placer, { caller: "quiet" })).kind, "engine");
+});
--- a/src/placement/limited_engines_test.ts
+++ b/src/placement/limited_engines_test.ts
@@ -5,6 +5,7 @@
 import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
 import {
   EngineLimits,
+  FleetCallerLimiter,
   FleetRateLimiter,
   ShareRateLimiter,
 } from "../admission/mod.ts";
@@ -72,6 +73,8 @@
         failing: new Set(),
         bulk: new Map(),
         routes: undefined,
+        confirmedMilliseconds: 0,
+        callerLimiter: new FleetCallerLimiter(clock, () => undefined),
         leaving,
         limiter: this.#limiter,
         preemptBatchItems: () => {},
--- a/src/placement/load_ledger.ts
+++ b/src/placement/load_ledger.ts
@@ -28,6 +28,7 @@
 interface IGrantRecord {
   readonly instance: string;
   readonly engine: string;
+  readonly caller: string | undefined;
   /** Sequence number of the exchange that asked for the grant. */
   readonly sequence: number;
   readonly expiresAt: number;
@@ -52,6 +53,8 @@
   #means = new Map<string, NonNullable<ExchangeParams["means"]>>();
   /** Live requests by engine, including grants. */
   #live = new Map<string, number>();
+  /** Live requests by caller, including grants. */
+  #callers = new Map<string, number>();
   /** Grants that no report includes yet. */
   #grants: IGrantRecord[] = [];
   #summary: ISummary | undefined;
@@ -66,7 +69,7 @@
     const earlier = this.#reports.get(instance);
     if (earlier) this.#subtract(earlier);
     this.#reports.set(instance, { receivedAt, params, isCounted: true });
-    for (const [engine, count] of params.live) this.#add(engine, count);
+    this.#count(params, 1);
     if (params.means) this.#means.set(instance, params.means);
     this.#dropGrants((grant) =>
       grant.instance === instance && grant.sequence <= answered
@@ -74,22 +77,26 @@
   }
 
   /** Counts a request granted in the answer to an exchange. */
-  recordGrant(instance: string, engine: string, sequence: number): void {
+  recordGrant(
+    grant: Pick<IGrantRecord, "instance" | "engine" | "caller" | "sequence">,
+  ): void {
     const expiresAt = this.#clock.monotonic() + GRANT_LIFETIME_MILLISECONDS;
-    this.#grants.push({ instance, engine, sequence, expiresAt });
-    this.#add(engine, 1);
+    this.#grants.push({ ...grant, expiresAt });
+    this.#countGrant(grant, 1);
   }
 
   /** Live requests by engine. */
   liveCounts(): ReadonlyMap<string, number> {
-    this.#dropGrants(() => false);
-    const earliest = this.#clock.monotonic() - REPORT_LIFETIME_MILLISECONDS;
-    for (const report of this.#reports.values()) {
-      if (report.receivedAt < earliest) this.#subtract(report);
-    }
+    this.#dropOutdated();
     return this.#live;
   }
 
+  /** Live requests by caller. */
+  callerCounts(): ReadonlyMap<string, number> {
+    this.#dropOutdated();
+    return this.#callers;
+  }
+
   /** Mean duration of a live request by engine, over the instances. */
   meanDurations(): ReadonlyMap<string, number> {
     return this.#currentSummary().meanDurations;
@@ -162,16 +169,37 @@
       .map((address) => ({ id: address, address, port }));
   }
 
-  #add(engine: string, count: number): void {
-    const sum = (this.#live.get(engine) ?? 0) + count;
-    if (sum > 0) this.#live.set(engine, sum);
-    else this.#live.delete(engine);
+  /** Adds the load of a report, or subtracts it with the sign -1. */
+  #count(params: ExchangeParams, sign: 1 | -1): void {
+    for (const [engine, count] of params.live) {
+      add(this.#live, engine, sign * count);
+    }
+    for (const [caller, count] of params.callers ?? []) {
+      add(this.#callers, caller, sign * count);
+    }
+  }
+
+  #countGrant(
+    { engine, caller }: Pick<IGrantRecord, "engine" | "caller">,
+    sign: 1 | -1,
+  ): void {
+    add(this.#live, engine, sign);
+    if (caller !== undefined) add(this.#callers, caller, sign);
   }
 
   #subtract(report: IReport): void {
     if (!report.isCounted) return;
     report.isCounted = false;
-    for (const [engine, count] of report.params.live) this.#add(engine, -count);
+    this.#count(report.params, -1);
+  }
+
+  /** Drops expired grants and the load of instances that stay silent. */
+  #dropOutdated(): void {
+    this.#dropGrants(() => false);
+    const earliest = this.#clock.monotonic() - REPORT_LIFETIME_MILLISECONDS;
+    for (const report of this.#reports.values()) {
+      if (report.receivedAt < earliest) this.#subtract(report);
+    }
   }
 
   /** Drops grants that a report includes, and expired ones. */
@@ -179,7 +207,7 @@
     const now = this.#clock.monotonic();
     this.#grants = this.#grants.filter((grant) => {
       if (grant.expiresAt > now && !isIncluded(grant)) return true;
-      this.#add(grant.engine, -1);
+      this.#countGrant(grant, -1);
       return false;
     });
   }
@@ -213,3 +241,9 @@
       .filter(({ receivedAt }) => receivedAt >= earliest);
   }
 }
+
+function add(counts: Map<string, number>, key: string, change: number): void {
+  const sum = (counts.get(key) ?? 0) + change;
+  if (sum > 0) counts.set(key, sum);
+  else counts.delete(key);
+}
--- a/src/placement/load_ledger_property_test.ts
+++ b/src/placement/load_ledger_property_test.ts
@@ -73,7 +73,9 @@
           sequence += 1;
           if (next.kind === "time") await time.advance(next.milliseconds);
           if (next.kind === "grant") {
-            ledger.recordGrant(next.instance, next.engine, sequence);
+            const { instance, engine } = next;
+            const grant = { instance, engine, sequence, caller: undefined };
+            ledger.recordGrant(grant);
             reference.grant(time.now, next.instance, next.engine, sequence);
           }
           if (next.kind === "report") {
--- a/src/placement/load_ledger_test.ts
+++ b/src/placement/load_ledger_test.ts
@@ -22,6 +22,12 @@
   };
 }
 
+/** Grants an instance a request at an engine. */
+function recordGrant(ledger: LoadLedger, caller?: string): void {
+  const grant = { instance: "one", engine: "engine-1", sequence: 1 };
+  ledger.recordGrant({ ...grant, caller });
+}
+
 test("load is summed over all instances", (t) => {
   const time = new VirtualTime();
   const ledger = new LoadLedger(new VirtualClock(time));
@@ -53,7 +59,7 @@
   const time = new VirtualTime();
   const ledger = new LoadLedger(new VirtualClock(time));
   ledger.recordReport(report("one", { sequence: 1 }));
-  ledger.recordGrant("one", "engine-1", 1);
+  recordGrant(ledger);
   t.is(ledger.liveCounts().get("engine-1"), 1);
   // This report was sent before the answer with the grant arrived, so it does
   // not include the granted request.
@@ -67,7 +73,21 @@
 test("a grant whose answer is lost expires", async (t) => {
   const time = new VirtualTime();
   const ledger = new LoadLedger(new VirtualClock(time));
-  ledger.recordGrant("one", "engine-1", 1);
+  recordGrant(ledger);
   await time.advance(500);
   t.is(ledger.liveCounts().size, 0);
 });
+
+test("requests are counted by caller, grants included", async (t) => {
+  const time = new VirtualTime();
+  const ledger = new LoadLedger(new VirtualClock(time));
+  ledger.recordReport(report("two", { callers: [["a", 2], ["b", 1]] }));
+  recordGrant(ledger, "a");
+  t.deepEqual([...ledger.callerCounts()], [["a", 3], ["b", 1]]);
+  ledger.recordReport(report("one", { answered: 1, callers: [["a", 1]] }));
+  t.is(ledger.callerCounts().get("a"), 3, "the report includes the grant");
+  ledger.recordReport(report("two", { callers: [["b", 1]] }));
+  t.deepEqual([...ledger.callerCounts()], [["a", 1], ["b", 1]]);
+  await time.advance(1_600);
+  t.is(ledger.callerCounts().size, 0);
+});
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -1,5 +1,9 @@
 import { z } from "zod";
-import { reportedEngineLimitSchema } from "../admission/messages.ts";
+import {
+  callerCountSchema,
+  callerUseReportSchema,
+  reportedEngineLimitSchema,
+} from "../admission/messages.ts";
 import { partReportSchema, partVerdictsSchema } from "../quarantine/mod.ts";
 import { relaySchema } from "../relaying/messages.ts";
 import { defineMethod } from "../rpc/mod.ts";
@@ -33,6 +37,10 @@
   excluded: z.array(z.string()),
   /** Software version that the engine must have; any if absent. */
   softwareVersion: z.string().optional(),
+  /** Caller whose limit and share apply; absent if requests need no key. */
+  caller: z.string().optional(),
+  /** Whether the caller's limit has admitted the request before. */
+  isAdmitted: z.boolean().optional(),
 });
 export type PlacementRequest = z.infer<typeof placementRequestSchema>;
 
@@ -44,15 +52,18 @@
     live: z.number(),
     bulk: z.number(),
     waitMilliseconds: z.number(),
+    /** Unused part of the caller's burst, from 0 to 1, if it has a limit. */
+    callerLevel: z.number().optional(),
   }),
   z.object({
     kind: z.literal("refused"),
     retryMilliseconds: z.number(),
     /**
-     * What is missing: a slot, or a request within the limits that the engines
-     * name. Absent from leaders of earlier versions, which know slots only.
+     * What is missing: a slot, a request within the limits that the engines
+     * name, a request within the caller's limit, or a slot within its fair
+     * share. Absent from leaders of earlier versions, which know slots only.
      */
-    missing: z.enum(["slot", "rate"]).optional(),
+    missing: z.enum(["slot", "rate", "caller-limit", "share"]).optional(),
   }),
   z.object({ kind: z.literal("no-engine") }),
 ]);
@@ -88,6 +99,10 @@
      * where a request is placed.
      */
     means: z.array(z.tuple([z.string(), z.number()])).optional(),
+    /** Live requests by caller, from this instance. */
+    callers: z.array(callerCountSchema).optional(),
+    /** Use of callers' limits that this leader may not have received yet. */
+    callerUse: callerUseReportSchema.optional(),
     /** Engines that this instance suspects after failed requests. */
     suspects: z.array(z.string()),
     /** Version of the routes that the instance has. */
@@ -125,6 +140,11 @@
     listAge: z.number(),
     list: engineListSchema.optional(),
     routes: routeSetSchema.optional(),
+    /**
+     * Time since a quorum followed the leader, in milliseconds; until then, no
+     * other leader can have accepted newer routes. Absent if it is not certain.
+     */
+    confirmedMilliseconds: z.number().optional(),
     /** Limits that engines name; left out where a request is placed. */
     engineLimits: z.array(reportedEngineLimitSchema).optional(),
     /** Number of entries that reported recently. */
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -44,8 +44,8 @@
   | {
     readonly kind: "refused";
     readonly retryMilliseconds: number;
-    /** Whether a slot or the limits that engines name are missing. */
-    readonly missing: "slot" | "rate";
+    /** What is missing, as in a `PlacementDecision`. */
+    readonly missing: "slot" | "rate" | "share";
   }
   | { readonly kind: "no-engine" };
 
@@ -62,6 +62,11 @@
   readonly excluded: ReadonlySet<string>;
   /** Software version that the engine must have; any if absent. */
   readonly softwareVersion?: string | undefined;
+  /**
+   * Whether the request goes beyond its caller's fair share; it then gets free
+   * slots only.
+   */
+  readonly isOverShare?: boolean | undefined;
   /** Random number from 0 up to, not including, 1. */
   readonly random: number;
   readonly limiter: Pick<
@@ -96,7 +101,10 @@
   const isLimited = candidates.some(({ engine }) =>
     request.limiter.isLimited(engine.id)
   );
-  const refuse = (wait: number, missing: "slot" | "rate"): Placement => ({
+  const refuse = (
+    wait: number,
+    missing: "slot" | "rate" | "share",
+  ): Placement => ({
     kind: "refused",
     retryMilliseconds: Math.max(wait, minimumRetry(request, isLimited)),
     missing,
@@ -114,6 +122,9 @@
     return refuse(wait, "rate");
   }
   const wait = expectedWait(best);
+  if (wait > 0 && request.isOverShare && !request.hasBegun) {
+    return refuse(wait, "share");
+  }
   const mayWaitLonger = request.hasBegun ||
     request.isReturned && !isLimited;
   const ratio = mayWaitLonger ? RETRY_MAXIMUM_WAIT_RATIO : MAXIMUM_WAIT_RATIO;
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -1,4 +1,9 @@
-import type { IEngineRateLimiter } from "../admission/mod.ts";
+import type {
+  CallerActivity,
+  CallerUse,
+  IEngineRateLimiter,
+} from "../admission/mod.ts";
+import type { CallerLimit } from "../service_routes/mod.ts";
 import type { EngineTable } from "./engine_table.ts";
 import type { PlacementDecision, PlacementRequest } from "./messages.ts";
 import { place } from "./placement.ts";
@@ -29,6 +34,19 @@
   | IPlacedRequest
   | Exclude<PlacementDecision, { kind: "engine" }>;
 
+/** Time after which a caller over its limit may retry without a leader. */
+const LIMIT_RETRY_MILLISECONDS = 1_000;
+
+/** Limits of callers with keys, for requests placed without the leader. */
+export interface ICallerLimits {
+  readonly use: CallerUse;
+  readonly activity: CallerActivity;
+  /** The limit in force; undefined if the caller has none. */
+  readonly limitOf: (caller: string) => CallerLimit | undefined;
+  /** Version of the routes that contain the limits. */
+  readonly version: () => number;
+}
+
 /**
  * Chooses engines for live requests.
  *
@@ -41,6 +59,7 @@
   #table: EngineTable;
   #random: () => number;
   #limiter: IEngineRateLimiter;
+  #callers: ICallerLimits | undefined;
 
   /**
    * @param options.limiter admits the requests that this instance places.
@@ -50,12 +69,17 @@
   constructor(
     source: IPlacementSource,
     table: EngineTable,
-    options: { random: () => number; limiter: IEngineRateLimiter },
+    options: {
+      random: () => number;
+      limiter: IEngineRateLimiter;
+      callers?: ICallerLimits;
+    },
   ) {
     this.#source = source;
     this.#table = table;
     this.#random = options.random;
     this.#limiter = options.limiter;
+    this.#callers = options.callers;
   }
 
   async place(request: PlacementRequest): Promise<PlacerResult> {
@@ -64,6 +88,9 @@
     const grant = await this.#source.requestPlacement({ ...request, excluded });
     if (!grant) return this.#placeLocally(request);
     if (grant.kind !== "engine") return grant;
+    const { caller } = request;
+    const isNewlyAdmitted = caller !== undefined && !request.isAdmitted;
+    if (isNewlyAdmitted) this.#callers?.use.record(caller, grant.callerLevel);
     const engine = this.#table.engine(grant.engine);
     const { softwareVersion } = request;
     // A leader of an earlier version of figroad ignores the software version.
@@ -73,7 +100,11 @@
       return { ...grant, engine, chosenBy: "leader" };
     }
     this.#table.endRequest(grant.engine);
-    return this.#placeLocally(request);
+    const placed = this.#placeLocally({ ...request, isAdmitted: true });
+    if (isNewlyAdmitted && placed.kind !== "engine") {
+      this.#callers?.activity.recordUnserved(caller);
+    }
+    return placed;
   }
 
   #placeLocally(request: PlacementRequest): PlacerResult {
@@ -83,6 +114,10 @@
     const limiter = this.#limiter;
     const placement = place({ ...request, excluded, random, limiter }, views);
     if (placement.kind !== "engine") return placement;
+    if (!this.#admitLocally(request)) {
+      const retryMilliseconds = LIMIT_RETRY_MILLISECONDS * (1 + random);
+      return { kind: "refused", retryMilliseconds, missing: "caller-limit" };
+    }
     const { engine, live, bulk } = placement.view;
     this.#table.beginRequest(engine.id);
     limiter.take(engine.id);
@@ -93,4 +128,15 @@
       chosenBy: "instance",
     };
   }
+
+  /** Counts a request against its caller's limit; false if it is used up. */
+  #admitLocally({ caller, isAdmitted }: PlacementRequest): boolean {
+    const limit = caller === undefined
+      ? undefined
+      : this.#callers?.limitOf(caller);
+    if (caller === undefined || !limit || isAdmitted) return true;
+    if (!this.#callers?.use.tryAdmit(caller, limit)) return false;
+    this.#callers.activity.recordAdmitted(caller);
+    return true;
+  }
 }
--- a/src/service_routes/events.ts
+++ b/src/service_routes/events.ts
@@ -8,5 +8,48 @@
     version: z.number(),
     previous: z.number(),
     routes: z.number(),
+    callers: z.number(),
   },
 });
+
+export const keyPermissionChanged = defineEvent(
+  1001,
+  "key-permission-changed",
+  {
+    level: "warn",
+    help: "This instance may or may no longer rely on the callers' keys that " +
+      "it knows. Without permission it answers requests that need a key with " +
+      "503, because a key may have been withdrawn in the meantime.",
+    fields: {
+      isValid: z.boolean(),
+      version: z.number(),
+      /** Time since the leader confirmed the version as the newest. */
+      ageMilliseconds: z.number().optional(),
+    },
+    labels: ["isValid"],
+  },
+);
+
+export const requestUnauthorized = defineEvent(1002, "request-unauthorized", {
+  level: "info",
+  help: "A request needed a key and was refused: no caller holds its key, or " +
+    "this instance may not rely on the keys that it knows. It did not run.",
+  fields: {
+    request: z.string(),
+    outcome: z.enum(["unknown-key", "unconfirmed"]),
+    /** Whether the request had a key. */
+    hasKey: z.boolean(),
+    version: z.number(),
+    /** Time since the leader confirmed the version as the newest. */
+    ageMilliseconds: z.number().optional(),
+  },
+  labels: ["outcome"],
+});
+
+export const routesUndecodable = defineEvent(1003, "routes-undecodable", {
+  level: "error",
+  help:
+    "Routes that an earlier version of figroad accepted cannot be decoded " +
+    "by this version; the previous ones stay in force at this instance.",
+  fields: { version: z.number(), kept: z.number() },
+});
--- a/src/service_routes/route_table.ts
+++ b/src/service_routes/route_table.ts
@@ -1,10 +1,14 @@
-import type { Route, RouteSet, Service } from "./types.ts";
+import { hashKey } from "../common/mod.ts";
+import type { CallerAccount, Route, RouteSet, Service } from "./types.ts";
 
-/** Looks up routes by host and path. */
+/** Looks up routes by host and path, and callers by key. */
 export class RouteTable {
   readonly set: RouteSet;
   #byHost = new Map<string, Route[]>();
   #services: Map<string, Service>;
+  #callersByHash = new Map<string, CallerAccount>();
+  #callersByName = new Map<string, CallerAccount>();
+  #areAllLimited: boolean;
 
   constructor(set: RouteSet) {
     this.set = set;
@@ -20,6 +24,37 @@
     this.#services = new Map(
       set.services.map((service) => [service.name, service]),
     );
+    const callers = set.callers ?? [];
+    this.#areAllLimited = callers.every(({ limit }) => limit !== undefined);
+    for (const caller of callers) {
+      this.#callersByName.set(caller.name, caller);
+      for (const hash of caller.keyHashes) {
+        this.#callersByHash.set(hash, caller);
+      }
+    }
+  }
+
+  /** Whether requests need a key, except those on public routes. */
+  get requiresKeys(): boolean {
+    return this.#callersByName.size > 0;
+  }
+
+  /** Returns the caller that holds a key. */
+  callerByKey(key: string): CallerAccount | undefined {
+    return this.#callersByHash.get(hashKey(key));
+  }
+
+  /**
+   * Weight of a caller where slots are shared: its limit of requests, or the
+   * same for all if some callers have no limit.
+   */
+  weightOf(name: string): number {
+    if (!this.#areAllLimited) return 1;
+    return this.#callersByName.get(name)?.limit?.requestsPerSecond ?? 1;
+  }
+
+  callerByName(name: string): CallerAccount | undefined {
+    return this.#callersByName.get(name);
   }
 
   get version(): number {
--- a/src/service_routes/routes_holder.ts
+++ b/src/service_routes/routes_holder.ts
@@ -1,6 +1,6 @@
 import { Emitter } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
-import { routesInForce } from "./events.ts";
+import { routesInForce, routesUndecodable } from "./events.ts";
 import { RouteTable } from "./route_table.ts";
 import type { RouteSet } from "./types.ts";
 
@@ -21,16 +21,25 @@
     random * NO_ROUTES_JITTER_MILLISECONDS;
 }
 
+/**
+ * Completes routes that an earlier version of figroad has decoded from their
+ * document. Returns undefined if the document cannot be decoded.
+ */
+export type RouteCompleter = (routes: RouteSet) => RouteSet | undefined;
+
 /** Holds the routes in force here; their version never decreases. */
 export class RoutesHolder {
   #table: RouteTable | undefined;
   #events: IEventLog;
+  #complete: RouteCompleter;
   #change = new Emitter<RouteSet>();
   /** Fires when another version comes into force. */
   readonly onChange = this.#change.event;
 
-  constructor(options: { events: IEventLog }) {
+  /** @param options.complete by default, routes are complete as received. */
+  constructor(options: { events: IEventLog; complete?: RouteCompleter }) {
     this.#events = options.events;
+    this.#complete = options.complete ?? ((routes) => routes);
   }
 
   get table(): RouteTable | undefined {
@@ -42,14 +51,21 @@
   }
 
   /** Puts routes into force if they are newer than the current ones. */
-  setIfNewer(routes: RouteSet): void {
-    if (routes.version <= this.version) return;
+  setIfNewer(received: RouteSet): void {
+    if (received.version <= this.version) return;
+    const routes = this.#complete(received);
+    if (!routes) {
+      const { version } = received;
+      this.#events.emit(routesUndecodable, { version, kept: this.version });
+      return;
+    }
     const previous = this.version;
     this.#table = new RouteTable(routes);
     this.#events.emit(routesInForce, {
       version: routes.version,
       previous,
       routes: routes.routes.length,
+      callers: routes.callers?.length ?? 0,
     });
     this.#change.fire(routes);
   }
--- a/src/service_routes/types.ts
+++ b/src/service_routes/types.ts
@@ -40,8 +40,13 @@
   resultMilliseconds: z.number().optional(),
   /** Time after which an item may be abandoned. */
   retentionMilliseconds: z.number().optional(),
-  /** Most tokens of jobs that may wait for their results; absent if unlimited. */
+  /**
+   * Most tokens of jobs of one caller that may wait for their results; absent
+   * if unlimited.
+   */
   waitingTokensLimit: z.number().optional(),
+  /** Whether requests need no key although the configuration has callers. */
+  isPublic: z.boolean().optional(),
 });
 export type Route = z.infer<typeof routeSchema>;
 
@@ -63,13 +68,41 @@
 });
 export type RequestLimits = z.infer<typeof requestLimitsSchema>;
 
-/** Routes, services and limits of one version. */
+/** Limit of a caller's requests over the whole fleet. */
+export const callerLimitSchema = z.object({
+  requestsPerSecond: z.number(),
+  /** Requests that may come on top at once. */
+  burst: z.number(),
+});
+export type CallerLimit = z.infer<typeof callerLimitSchema>;
+
+/** A sender of requests, identified by its API keys. */
+export const callerAccountSchema = z.object({
+  name: z.string(),
+  /** SHA-256 of each key, in hexadecimal. */
+  keyHashes: z.array(z.string()),
+  /** Priority of its requests, instead of that of the route. */
+  priority: z.number().optional(),
+  /** Absent if its requests are not limited. */
+  limit: callerLimitSchema.optional(),
+});
+export type CallerAccount = z.infer<typeof callerAccountSchema>;
+
+/** Routes, services, callers and limits of one version. */
 export const routeSetSchema = z.object({
   version: z.number(),
   routes: z.array(routeSchema),
   services: z.array(serviceSchema),
   limits: requestLimitsSchema,
-  /** The document as the operator sent it, to be returned unchanged. */
+  /**
+   * Callers with keys; requests need none if there are no callers. Absent in
+   * routes that versions of figroad without callers have decoded.
+   */
+  callers: z.array(callerAccountSchema).optional(),
+  /**
+   * The document as the operator sent it, to be returned unchanged. It contains
+   * keys, so entries receive an empty string.
+   */
   source: z.string(),
 });
 export type RouteSet = z.infer<typeof routeSetSchema>;
--- a/src/streams/events.ts
+++ b/src/streams/events.ts
@@ -14,6 +14,7 @@
     live: z.number(),
     bulk: z.number(),
     waitMilliseconds: z.number(),
+    caller: z.string().optional(),
     /** The leader, or this instance while no leader was reachable. */
     chosenBy: z.enum(["leader", "instance"]),
     /** Version of the engine's software. */
@@ -42,6 +43,14 @@
     engines: z.number(),
     live: z.number(),
     bulk: z.number(),
+    caller: z.string().optional(),
+    /** Limit of the caller, if it has one. */
+    callerPerSecond: z.number().optional(),
+    callerBurst: z.number().optional(),
+    /** Version of the routes with this limit. */
+    routesVersion: z.number().optional(),
+    /** Requests of the caller in progress at this instance. */
+    callerInProgress: z.number().optional(),
   },
   labels: ["service", "reason"],
 });
--- /dev/null
+++ b/src/streams/request_reporter.ts
@@ -0,0 +1,133 @@
+import type { IClock } from "../common/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
+import type {
+  EngineTable,
+  ICallerLimits,
+  IPlacedRequest,
+} from "../placement/mod.ts";
+import {
+  callerLeft,
+  requestAnswered,
+  requestFailed,
+  requestPlaced,
+  requestRefused,
+} from "./events.ts";
+import type { IRequestRun } from "./request_run.ts";
+import type { ILocalFailure } from "./types.ts";
+
+/** Dependencies of a `RequestReporter`. */
+export interface IRequestReporterOptions {
+  readonly table: Pick<EngineTable, "views">;
+  readonly clock: IClock;
+  readonly events: IEventLog;
+  readonly callers?: ICallerLimits | undefined;
+}
+
+/** Logs what happens to requests, and answers those that figroad ends. */
+export class RequestReporter {
+  #options: IRequestReporterOptions;
+
+  constructor(options: IRequestReporterOptions) {
+    this.#options = options;
+  }
+
+  placed(run: IRequestRun, placement: IPlacedRequest): void {
+    const { request, progress } = run;
+    const { engine, live, bulk, chosenBy } = placement;
+    this.#options.events.emit(requestPlaced, {
+      request: request.id,
+      route: request.route.name,
+      service: engine.service,
+      engine: engine.id,
+      attempt: run.sends,
+      live,
+      bulk,
+      waitMilliseconds: Math.round(placement.waitMilliseconds),
+      caller: request.caller,
+      chosenBy,
+      softwareVersion: engine.softwareVersion,
+      lastEventId: progress.lastEventId ?? request.lastEventId,
+      resumedRequest: request.resumedRequest,
+      isResumed: progress.lastEventId !== undefined,
+    });
+  }
+
+  /** Refuses a request that has not run. */
+  refuse(
+    run: IRequestRun,
+    refusal: {
+      kind: "refused" | "limited";
+      reason: string;
+      retryMilliseconds: number;
+    },
+  ): void {
+    const { table, clock, events } = this.#options;
+    const { request, service } = run;
+    const { reason, retryMilliseconds } = refusal;
+    const views = table.views(service);
+    events.emit(requestRefused, {
+      request: request.id,
+      route: request.route.name,
+      service,
+      reason,
+      retryMilliseconds: Math.round(retryMilliseconds),
+      remainingMilliseconds: Math.round(clock.remaining(run.deadline)),
+      engines: views.length,
+      live: views.reduce((sum, { live }) => sum + live, 0),
+      bulk: views.reduce((sum, { bulk }) => sum + bulk, 0),
+      ...this.#describeCaller(request.caller),
+    });
+    run.sink.fail(refusal);
+  }
+
+  /** Ends a request whose last attempt has failed. */
+  fail(run: IRequestRun, failure: ILocalFailure): void {
+    const { sink, request } = run;
+    this.#options.events.emit(requestFailed, {
+      request: request.id,
+      kind: failure.kind,
+      reason: failure.reason,
+      hadBegun: sink.hasBegun,
+      milliseconds: this.#elapsed(run),
+    });
+    if (sink.hasBegun) sink.abort();
+    else sink.fail(failure);
+  }
+
+  answered(run: IRequestRun, engine: string, status: number): void {
+    const firstByteAt = run.progress.firstByteAt ??
+      this.#options.clock.monotonic();
+    this.#options.events.emit(requestAnswered, {
+      request: run.request.id,
+      engine,
+      status,
+      attempts: run.sends,
+      firstMilliseconds: Math.round(firstByteAt - run.startedAt),
+      milliseconds: this.#elapsed(run),
+    });
+  }
+
+  callerLeft(run: IRequestRun): void {
+    this.#options.events.emit(callerLeft, {
+      request: run.request.id,
+      milliseconds: this.#elapsed(run),
+    });
+  }
+
+  #describeCaller(caller: string | undefined) {
+    const { callers } = this.#options;
+    if (caller === undefined || !callers) return {};
+    const limit = callers.limitOf(caller);
+    return {
+      caller,
+      callerPerSecond: limit?.requestsPerSecond,
+      callerBurst: limit?.burst,
+      routesVersion: callers.version(),
+      callerInProgress: callers.activity.countOf(caller),
+    };
+  }
+
+  #elapsed(run: IRequestRun): number {
+    return Math.round(this.#options.clock.monotonic() - run.startedAt);
+  }
+}
--- a/src/streams/request_run.ts
+++ b/src/streams/request_run.ts
@@ -14,6 +14,10 @@
   service: string;
   /** Software version that began the stream; undefined before its first event. */
   softwareVersion: string | undefined;
+  /** Whether the caller's limit has admitted the request. */
+  isAdmitted: boolean;
+  /** Whether it counts as in progress for its caller. */
+  isCounted: boolean;
   /** Number of engines on which the request may have run. */
   possibleRuns: number;
   sends: number;
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -4,6 +4,7 @@
 import type {
   EngineHealth,
   EngineTable,
+  ICallerLimits,
   IPlacedRequest,
   ListedEngine,
   Placer,
@@ -12,13 +13,6 @@
 import { type IPartObserver, isContentId } from "../quarantine/mod.ts";
 import type { IEnginePaths } from "../relaying/mod.ts";
 import { chooseService, type Route } from "../service_routes/mod.ts";
-import {
-  callerLeft,
-  requestAnswered,
-  requestFailed,
-  requestPlaced,
-  requestRefused,
-} from "./events.ts";
 import { FailureRecorder } from "./failure_recorder.ts";
 import type {
   AttemptOutcome,
@@ -31,8 +25,9 @@
   ResumptionTarget,
   StreamOriginResolver,
 } from "./stream_origin_resolver.ts";
+import { RequestReporter } from "./request_reporter.ts";
 import { type IRequestRun, partsOf } from "./request_run.ts";
-import type { IAnswerSink, IForwardedRequest, ILocalFailure } from "./types.ts";
+import type { IAnswerSink, IForwardedRequest } from "./types.ts";
 
 /** Time allowed for the first event beyond the expected wait, in ms. */
 const FIRST_EVENT_TIMEOUT_MILLISECONDS = 600;
@@ -69,19 +64,31 @@
   readonly resolver: StreamOriginResolver;
   readonly parts: IPartObserver;
   readonly paths: IEnginePaths;
+  /** Limits of callers with keys; absent if requests need no key. */
+  readonly callers?: ICallerLimits;
   readonly failureDomain: string;
   /** Source of random numbers from 0 up to, not including, 1. */
   readonly random: () => number;
 }
 
+/** Why a request is refused, and when its caller may come back. */
+interface IRefusal {
+  /** Whether engines or the caller's limit are at fault. */
+  readonly kind: "refused" | "limited";
+  readonly reason: string;
+  readonly retryMilliseconds: number;
+}
+
 /** Forwards a request to engines until one has answered it. */
 export class StreamDispatcher {
   #options: IStreamDispatcherOptions;
   #failures: FailureRecorder;
+  #reporter: RequestReporter;
 
   constructor(options: IStreamDispatcherOptions) {
     this.#options = options;
     this.#failures = new FailureRecorder(options);
+    this.#reporter = new RequestReporter(options);
   }
 
   async dispatch(request: IForwardedRequest, sink: IAnswerSink): Promise<void> {
@@ -101,11 +108,25 @@
         route.kind === "stream" && route.isResumable,
       service: chooseService(route, this.#options.random()),
       softwareVersion: undefined,
+      isAdmitted: false,
+      isCounted: false,
       possibleRuns: 0,
       sends: 0,
     };
+    try {
+      await this.#run(run);
+    } finally {
+      const { caller } = request;
+      if (run.isCounted && caller !== undefined) {
+        this.#options.callers?.activity.end(caller);
+      }
+    }
+  }
+
+  async #run(run: IRequestRun): Promise<void> {
+    const { request: { route, lastEventId }, sink } = run;
     const isResumption = route.kind === "stream" &&
-      request.lastEventId !== undefined;
+      lastEventId !== undefined;
     if (isResumption && !await this.#resolveOrigin(run)) return;
     while (!sink.signal.aborted) {
       const placement = await this.#reserveSlot(run);
@@ -114,7 +135,7 @@
       if (outcome.kind === "answered") return;
       if (!this.#mayRetry(run, outcome)) return this.#endFailed(run, outcome);
     }
-    this.#reportCallerLeft(run);
+    this.#reporter.callerLeft(run);
   }
 
   /**
@@ -132,13 +153,14 @@
       return true;
     }
     if (signal.aborted) {
-      this.#reportCallerLeft(run);
+      this.#reporter.callerLeft(run);
       return false;
     }
     const reason = target
       ? "the route no longer uses the service that began the stream"
       : "the software version that began the stream is not known";
-    this.#refuse(run, reason, NO_ENGINE_RETRY_MILLISECONDS);
+    const retryMilliseconds = NO_ENGINE_RETRY_MILLISECONDS;
+    this.#refuse(run, { kind: "refused", reason, retryMilliseconds });
     return false;
   }
 
@@ -149,6 +171,7 @@
     const quarantined = parts.findQuarantined(partsOf(request));
     if (quarantined) {
       this.#endUnplaced(run, {
+        kind: "refused",
         reason: isContentId(quarantined.part)
           ? `engines crash on this request, ${quarantined.part}`
           : `engines crash on prompt part ${quarantined.part}`,
@@ -168,85 +191,80 @@
       hasBegun,
       excluded: [...run.excluded],
       softwareVersion,
+      caller: request.caller,
+      isAdmitted: run.isAdmitted || undefined,
     });
     if (placement.kind === "engine") {
+      this.#countAdmitted(run);
       // Without a path, further attempts would only delay the refusal.
       if (run.sends === 0 || paths.hasPath) return placement;
       table.endRequest(placement.engine.id);
       this.#endUnplaced(run, {
+        kind: "refused",
         reason: "no engine can be reached from here or through an instance",
         retryMilliseconds: NO_ENGINE_RETRY_MILLISECONDS,
       });
       return undefined;
     }
-    const retryMilliseconds = placement.kind === "refused"
-      ? placement.retryMilliseconds
-      : NO_ENGINE_RETRY_MILLISECONDS;
-    const reason = placement.kind === "refused"
-      ? placement.missing === "rate"
-        ? "the limits that the engines name are used up"
-        : "no slot is expected to become free in time"
-      : softwareVersion === undefined
-      ? "no engine is known that may take the request"
-      : "no engine of the stream's software version may take the request";
-    this.#endUnplaced(run, { reason, retryMilliseconds });
+    if (placement.kind === "refused") {
+      const { missing, retryMilliseconds } = placement;
+      const kind = missing === "caller-limit" ? "limited" : "refused";
+      const reason = refusalReason(missing);
+      this.#endUnplaced(run, { kind, reason, retryMilliseconds });
+      return undefined;
+    }
+    this.#endUnplaced(run, {
+      kind: "refused",
+      reason: softwareVersion === undefined
+        ? "no engine is known that may take the request"
+        : "no engine of the stream's software version may take the request",
+      retryMilliseconds: NO_ENGINE_RETRY_MILLISECONDS,
+    });
     return undefined;
   }
 
   /** Ends a request that goes to no further engine. */
-  #endUnplaced(
-    run: IRequestRun,
-    end: { reason: string; retryMilliseconds: number },
-  ): void {
-    const { reason, retryMilliseconds } = end;
-    if (run.possibleRuns > 0) this.#fail(run, { kind: "failed", reason });
-    else this.#refuse(run, reason, retryMilliseconds);
+  #endUnplaced(run: IRequestRun, end: IRefusal): void {
+    const { reason } = end;
+    if (run.possibleRuns > 0) {
+      this.#reporter.fail(run, { kind: "failed", reason });
+    } else {
+      this.#refuse(run, end);
+    }
   }
 
-  /** Refuses a request that has not run. */
-  #refuse(run: IRequestRun, reason: string, retryMilliseconds: number): void {
-    const { table, clock, events } = this.#options;
-    const { request, service } = run;
-    const views = table.views(service);
-    events.emit(requestRefused, {
-      request: request.id,
-      route: request.route.name,
-      service,
-      reason,
-      retryMilliseconds: Math.round(retryMilliseconds),
-      remainingMilliseconds: Math.round(clock.remaining(run.deadline)),
-      engines: views.length,
-      live: views.reduce((sum, { live }) => sum + live, 0),
-      bulk: views.reduce((sum, { bulk }) => sum + bulk, 0),
-    });
-    run.sink.fail({ kind: "refused", reason, retryMilliseconds });
+  #refuse(run: IRequestRun, refusal: IRefusal): void {
+    this.#returnAdmission(run);
+    this.#reporter.refuse(run, refusal);
+  }
+
+  #countAdmitted(run: IRequestRun): void {
+    const { caller } = run.request;
+    if (caller === undefined) return;
+    run.isAdmitted = true;
+    if (!run.isCounted) this.#options.callers?.activity.begin(caller);
+    run.isCounted = true;
+  }
+
+  /** Returns what an unserved request has taken of its caller's limit. */
+  #returnAdmission(run: IRequestRun): void {
+    const { caller } = run.request;
+    if (!run.isAdmitted || caller === undefined) return;
+    run.isAdmitted = false;
+    this.#options.callers?.activity.recordUnserved(caller);
   }
 
   async #send(
     run: IRequestRun,
     placement: IPlacedRequest,
   ): Promise<AttemptOutcome> {
-    const { table, health, events, clock, attempt, parts } = this.#options;
+    const { table, health, clock, attempt, parts } = this.#options;
     const { request, sink, progress, isIdempotent } = run;
-    const { engine, live, bulk, chosenBy } = placement;
+    const { engine } = placement;
     const waitMilliseconds = Math.round(placement.waitMilliseconds);
     run.sends += 1;
     run.excluded.add(engine.id);
-    events.emit(requestPlaced, {
-      request: request.id,
-      route: request.route.name,
-      service: engine.service,
-      engine: engine.id,
-      attempt: run.sends,
-      live,
-      bulk,
-      waitMilliseconds,
-      chosenBy,
-      softwareVersion: engine.softwareVersion,
-      lastEventId: progress.lastEventId ?? request.lastEventId,
-      resumedRequest: request.resumedRequest,
-      isResumed: progress.lastEventId !== undefined,
-    });
+    this.#reporter.placed(run, placement);
     const startedAt = clock.monotonic();
     let outcome: AttemptOutcome;
     try {
@@ -266,7 +284,7 @@
         table.recordDuration(engine.id, clock.monotonic() - startedAt);
         health.recordSuccess(engine.id);
         parts.recordCompletion(partsOf(request));
-        this.#reportAnswer(run, engine.id, status);
+        this.#reporter.answered(run, engine.id, status);
       })
       .with(
         { kind: "failed" },
@@ -331,53 +349,32 @@
       run.sink.begin(answer.status, answer.answer.headers);
       for (const bytes of answer.body) void run.sink.write(bytes);
       run.sink.end();
-      return this.#reportAnswer(run, "", answer.status);
+      return this.#reporter.answered(run, "", answer.status);
     }
-    if (run.sink.signal.aborted) return this.#reportCallerLeft(run);
+    if (run.sink.signal.aborted) return this.#reporter.callerLeft(run);
     if (run.possibleRuns === 0) {
+      this.#returnAdmission(run);
       const retryMilliseconds = NO_ENGINE_RETRY_MILLISECONDS;
-      return this.#fail(run, { kind: "refused", reason, retryMilliseconds });
+      return this.#reporter.fail(run, {
+        kind: "refused",
+        reason,
+        retryMilliseconds,
+      });
     }
     const isLate = this.#options.clock.isPast(run.deadline);
-    this.#fail(run, { kind: isLate ? "timeout" : "failed", reason });
-  }
-
-  #fail(run: IRequestRun, failure: ILocalFailure): void {
-    const { sink, request } = run;
-    this.#options.events.emit(requestFailed, {
-      request: request.id,
-      kind: failure.kind,
-      reason: failure.reason,
-      hadBegun: sink.hasBegun,
-      milliseconds: this.#elapsed(run),
-    });
-    if (sink.hasBegun) sink.abort();
-    else sink.fail(failure);
-  }
-
-  #reportAnswer(run: IRequestRun, engine: string, status: number): void {
-    const firstByteAt = run.progress.firstByteAt ??
-      this.#options.clock.monotonic();
-    this.#options.events.emit(requestAnswered, {
-      request: run.request.id,
-      engine,
-      status,
-      attempts: run.sends,
-      firstMilliseconds: Math.round(firstByteAt - run.startedAt),
-      milliseconds: this.#elapsed(run),
-    });
-  }
-
-  #reportCallerLeft(run: IRequestRun): void {
-    this.#options.events.emit(callerLeft, {
-      request: run.request.id,
-      milliseconds: this.#elapsed(run),
-    });
+    this.#reporter.fail(run, { kind: isLate ? "timeout" : "failed", reason });
   }
+}
 
-  #elapsed(run: IRequestRun): number {
-    return Math.round(this.#options.clock.monotonic() - run.startedAt);
-  }
+/** Describes what the refused request lacked. */
+function refusalReason(
+  missing: "slot" | "rate" | "caller-limit" | "share" | undefined,
+): string {
+  return match(missing)
+    .with("rate", () => "the limits that the engines name are used up")
+    .with("caller-limit", () => "the caller's limit of requests is used up")
+    .with("share", () => "the caller uses its share of the slots already")
+    .otherwise(() => "no slot is expected to become free in time");
 }
 
 /**
--- a/src/streams/types.ts
+++ b/src/streams/types.ts
@@ -27,6 +27,8 @@
   readonly promptParts: readonly string[];
   /** Identifiers that repetitions of the request share. */
   readonly contentIds: readonly string[];
+  /** Caller that holds the request's key; absent if it needs none. */
+  readonly caller?: string | undefined;
   /** Identifier of the event after which the caller resumes a stream. */
   readonly lastEventId: string | undefined;
   /** Attempt of the caller in which the resumed stream began. */
@@ -53,10 +55,11 @@
 export interface ILocalFailure {
   /**
    * - `refused`: the request has not run and will not.
+   * - `limited`: the same, because of the caller's limit.
    * - `failed`: it may have run.
    * - `timeout`: it may have run, and its deadline has passed.
    */
-  readonly kind: "refused" | "failed" | "timeout";
+  readonly kind: "refused" | "limited" | "failed" | "timeout";
   readonly reason: string;
   /** Milliseconds after which the caller may retry. */
   readonly retryMilliseconds?: number;
--- a/testing/fake_log.ts
+++ b/testing/fake_log.ts
@@ -15,6 +15,7 @@
 /** In-memory replicated log whose leadership is set by the test. */
 export class FakeLog implements IReplicatedLog {
   leadership: ILeadership = { term: 1, leader: "voter-0", isLeader: true };
+  confirmedAt: Deadline | undefined = 0 as Deadline;
   leaseUntil: Deadline | undefined = Infinity as Deadline;
   transferCount = 0;
   #change = new Emitter<ILeadership>();
--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -2,7 +2,11 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { mkdir, mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
-import { request, type ServerResponse } from "node:http";
+import {
+  type IncomingHttpHeaders,
+  request,
+  type ServerResponse,
+} from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
@@ -100,6 +104,8 @@
   readonly standin: HttpStandin;
   /** Ids of the received requests, in order. */
   readonly receivedRequestIds: string[] = [];
+  /** Headers of the received requests, in order. */
+  readonly received: IncomingHttpHeaders[] = [];
   /** Status with which requests are rejected without running them. */
   refusalStatus: number | undefined;
   /** Id of the event before which the next answer is interrupted. */
@@ -135,6 +141,7 @@
         return;
       }
       this.receivedRequestIds.push(requestId);
+      this.received.push(incoming.headers);
       const refusal = this.refusalStatus;
       if (refusal !== undefined) {
         response.writeHead(refusal, { "Not-Run": "1" }).end();
@@ -323,7 +330,7 @@
       bootstrap: true,
       "data-dir": isStore ? dataFolder : null,
       tolerate: { machines: 1 },
-      bounds: { "grace-s": SHUTDOWN_GRACE_SECONDS },
+      bounds: { "grace-s": SHUTDOWN_GRACE_SECONDS, "strict-revoke": true },
       cloud: { address: list },
     };
     const settingsPath = join(this.#folder, `${name}.json`);
