Leave the failure domain only when it pays; callers: findings of the review

Two matters share files (exchange, placer), so they are one commit.

The exchange carries the load as plain numbers, and mean durations only when they have changed.

Callers, found by a reader who did not write the part: the rate without a leader is fixed at the leader's last grant and capped at the limit; routes and sender are looked up again if other routes came into force meanwhile; 401 and 404 only with confirmed routes; a discarded grant returns its token; times of admitted requests are dropped as they age; a further attempt does not count itself against its caller's share; calls about jobs with a key are authenticated also where public jobs exist; routes that cannot be decoded are not confirmed.

--- a/src/admission/caller_use.ts
+++ b/src/admission/caller_use.ts
@@ -2,7 +2,7 @@
 import type { CallerLimit } from "../service_routes/mod.ts";
 import { TokenBucket } from "./token_bucket.ts";
 
-/** Time over which the rate of admitted requests is observed, in ms. */
+/** Time over which the rate that the leader admits is observed, in ms. */
 const OBSERVED_MILLISECONDS = 5_000;
 
 /**
@@ -37,6 +37,8 @@
   bucket: TokenBucket;
   /** Unused part of the caller's burst, from 0 to 1, as last heard. */
   level: number;
+  /** Rate since the leader last admitted a request; undefined while it does. */
+  rate: number | undefined;
   /** Time of the last request without the leader. */
   askedAt: Deadline | undefined;
 }
@@ -45,8 +47,8 @@
  * Keeps this instance's part of callers' limits while it places requests
  * without the leader.
  *
- * It continues at the rate at which it has admitted each caller's requests.
- * While there is a leader, the rates of all instances add up to what it allows.
+ * It continues at the rate at which the leader last admitted each caller's
+ * requests here. The rates of all instances add up to what the leader allows.
  */
 export class CallerUse {
   #clock: IClock;
@@ -70,7 +72,7 @@
   }
 
   /**
-   * Records a request that was admitted.
+   * Records a request that the leader has admitted.
    *
    * @param level unused part of the caller's burst, from 0 to 1.
    */
@@ -78,23 +80,28 @@
     const observed = this.#callerOf(caller);
     observed.admittedAt.push(this.#clock.monotonic());
     observed.level = level;
+    observed.rate = undefined;
+    dropOld(observed, this.#clock.monotonic() - OBSERVED_MILLISECONDS);
   }
 
   /** Admits a request without the leader if the caller's rate allows it. */
   tryAdmit(caller: string, limit: CallerLimit): boolean {
     const observed = this.#callerOf(caller);
-    this.#dropOld(observed);
     this.#beginAfterPause(observed);
-    const count = observed.admittedAt.length;
-    const seconds = OBSERVED_MILLISECONDS / MILLISECONDS_PER_SECOND;
+    observed.rate ??= this.#rateOf(observed);
     const instances = Math.max(1, this.#instances() ?? 1);
-    const rate = count > 0
-      ? count / seconds * (1 + MAXIMUM_HEADROOM * observed.level)
-      : limit.requestsPerSecond * UNSEEN_SHARE / instances;
+    const unseen = limit.requestsPerSecond * UNSEEN_SHARE / instances;
+    const rate = Math.min(observed.rate || unseen, limit.requestsPerSecond);
     observed.bucket.setRate(rate, Math.max(1, rate * SAVED_SECONDS));
-    if (observed.bucket.take(1) === 0) return false;
-    observed.admittedAt.push(this.#clock.monotonic());
-    return true;
+    return observed.bucket.take(1) === 1;
+  }
+
+  /** Rate at which the leader has admitted requests here, a second. */
+  #rateOf(observed: IObservedCaller): number {
+    dropOld(observed, this.#clock.monotonic() - OBSERVED_MILLISECONDS);
+    const seconds = OBSERVED_MILLISECONDS / MILLISECONDS_PER_SECOND;
+    return observed.admittedAt.length / seconds *
+      (1 + MAXIMUM_HEADROOM * observed.level);
   }
 
   #callerOf(caller: string): IObservedCaller {
@@ -102,7 +109,10 @@
     if (known) return known;
     if (this.#callers.size >= SWEEP_THRESHOLD) this.#dropUnseen();
     const bucket = this.#createBucket();
-    const observed = { admittedAt: [], bucket, level: 0, askedAt: undefined };
+    const observed = {
+      ...{ admittedAt: [], bucket, level: 0 },
+      ...{ rate: undefined, askedAt: undefined },
+    };
     this.#callers.set(caller, observed);
     return observed;
   }
@@ -121,19 +131,20 @@
     observed.askedAt = now;
   }
 
-  #dropOld({ admittedAt }: IObservedCaller): void {
-    const earliest = this.#clock.monotonic() - OBSERVED_MILLISECONDS;
-    let old = 0;
-    while (old < admittedAt.length && (admittedAt[old] ?? 0) < earliest) {
-      old += 1;
-    }
-    admittedAt.splice(0, old);
-  }
-
   #dropUnseen(): void {
+    const earliest = this.#clock.monotonic() - OBSERVED_MILLISECONDS;
     for (const [caller, observed] of this.#callers) {
-      this.#dropOld(observed);
+      dropOld(observed, earliest);
       if (observed.admittedAt.length === 0) this.#callers.delete(caller);
     }
   }
 }
+
+/** Drops the times of requests before a point in time. */
+function dropOld({ admittedAt }: IObservedCaller, earliest: number): void {
+  let old = 0;
+  while (old < admittedAt.length && (admittedAt[old] ?? 0) < earliest) {
+    old += 1;
+  }
+  admittedAt.splice(0, old);
+}
--- a/src/bulk/bulk_handlers.ts
+++ b/src/bulk/bulk_handlers.ts
@@ -31,6 +31,8 @@
   readonly log: IReplicatedLog;
   readonly section: BulkSection;
   readonly limiter: WaitingTokenLimiter;
+  /** Whether requests need keys; otherwise, jobs are open to all. */
+  readonly requiresKeys: () => boolean;
   readonly clock: IClock;
   readonly events: IEventLog;
 }
@@ -41,6 +43,9 @@
   handlerOptions: IBulkHandlerOptions,
 ): IDisposable {
   const { log, section, limiter, clock, events } = handlerOptions;
+  const isOwn = ({ job }: HeldJob, caller: string | undefined) =>
+    job.caller === undefined || job.caller === caller ||
+    !handlerOptions.requiresKeys();
   const store = new DisposableStore();
   store.add(server.handle(submitBulkMethod, async ({ job }, options) => {
     // The barrier makes the state include every job that was acknowledged,
@@ -114,11 +119,6 @@
   return store;
 }
 
-/** Whether a caller may use a job. Jobs without a caller are open to all. */
-function isOwn({ job }: HeldJob, caller: string | undefined): boolean {
-  return job.caller === undefined || job.caller === caller;
-}
-
 /** Describes why a job was refused; it provably does not run. */
 function limitFailure(refusal: IRefusal): Failure {
   const { route, tokens, waitingTokens, limit, retryMilliseconds } = refusal;
--- a/src/bulk/bulk_handlers_test.ts
+++ b/src/bulk/bulk_handlers_test.ts
@@ -68,6 +68,7 @@
   };
   registerBulkHandlers(server as unknown as IRpcServer, {
     ...{ log, section, limiter, clock },
+    requiresKeys: () => true,
     events: new SilentEventLog(),
   });
   const call = <P extends z.ZodType, R extends z.ZodType>(
--- a/src/bulk/waiting_token_limiter.ts
+++ b/src/bulk/waiting_token_limiter.ts
@@ -209,5 +209,5 @@
 }
 
 function usageKey(route: string, caller: string | undefined): string {
-  return caller === undefined ? route : `${route} ${caller}`;
+  return caller === undefined ? route : `${route}\n${caller}`;
 }
--- a/src/cli/commands/limits.ts
+++ b/src/cli/commands/limits.ts
@@ -48,16 +48,7 @@
     const callers = await readCallers(clients.value);
     output.result({ leader: leader.instance, routes, callers }, () => [
       `leader: ${leader.instance}`,
-      ...formatTable(
-        ["ROUTE", "CALLER", "WAITING TOKENS", "LIMIT", "REFUSED JOBS"],
-        routes.map(({ route, caller, waitingTokens, limit, refusedJobs }) => [
-          route,
-          caller ?? "-",
-          String(waitingTokens),
-          String(limit),
-          String(refusedJobs),
-        ]),
-      ),
+      ...routeLines(routes),
       ...callerLines(callers),
     ]);
     const isComplete = reports.length === answers.length;
@@ -65,6 +56,25 @@
   },
 });
 
+function routeLines(routes: Report["routes"]): string[] {
+  const hasCallers = routes.some(({ caller }) => caller !== undefined);
+  const callerCells = (cell: string) => hasCallers ? [cell] : [];
+  return formatTable(
+    [
+      "ROUTE",
+      ...callerCells("CALLER"),
+      ...["WAITING TOKENS", "LIMIT", "REFUSED JOBS"],
+    ],
+    routes.map(({ route, caller, waitingTokens, limit, refusedJobs }) => [
+      route,
+      ...callerCells(caller ?? "-"),
+      String(waitingTokens),
+      String(limit),
+      String(refusedJobs),
+    ]),
+  );
+}
+
 /** Adds the refusals of all stores, since each counts those it has made. */
 function countRefusedJobs(
   reports: readonly Report[],
--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -221,9 +221,10 @@
 
   /** Time since a quorum followed this leader; undefined if not certain. */
   #confirmedMilliseconds(): number | undefined {
-    const { log, clock } = this.#options;
+    const { log, clock, routes, routesSection } = this.#options;
     const { confirmedAt } = log;
     const isCertain = confirmedAt !== undefined &&
+      routes.version >= (routesSection.current?.version ?? 0) &&
       this.#clockWatch.isContinuousSince(confirmedAt);
     return isCertain ? clock.monotonic() - confirmedAt : undefined;
   }
--- a/src/placement/engine_table.ts
+++ b/src/placement/engine_table.ts
@@ -19,6 +19,17 @@
 /** Weight of a new duration in the exponential moving average. */
 const MEAN_SMOOTHING_FACTOR = 0.1;
 
+/** Change of a mean from which on it is reported again. */
+const REPORTED_CHANGE = 0.1;
+
+/** Mean duration of the live requests at an engine, in milliseconds. */
+interface IMeanDuration {
+  mean: number;
+  /** Mean that the leader of a term has received last. */
+  reportedMean?: number;
+  reportedTerm?: number;
+}
+
 /** The only software version of a service in the list of engines. */
 interface ISoleVersion {
   readonly softwareVersion: string;
@@ -41,7 +52,7 @@
   #otherLoad = new Map<string, { live: number; bulk: number }>();
   #loadReceivedAt = Number.NEGATIVE_INFINITY;
   #ownLive = new Map<string, number>();
-  #meanDurations = new Map<string, number>();
+  #meanDurations = new Map<string, IMeanDuration>();
 
   constructor(
     clock: IClock,
@@ -121,16 +132,45 @@
     this.#loadReceivedAt = this.#clock.monotonic();
   }
 
+  /** Replaces the load of the fleet by the short form for the current list. */
+  updateShortLoad(
+    load: readonly number[],
+    reported: ReadonlyMap<string, number>,
+  ): void {
+    const entries = this.#list.engines.map(({ id }, index): LoadEntry => [
+      id,
+      load[2 * index] ?? 0,
+      load[2 * index + 1] ?? 0,
+    ]);
+    this.updateLoad(entries, reported);
+  }
+
   /** Live requests of this instance by engine. */
   ownLiveCounts(): Map<string, number> {
     return new Map(this.#ownLive);
   }
 
-  /** Mean time of a live request by engine, in milliseconds. */
-  meanDurations(): [string, number][] {
-    return [...this.#meanDurations].map((
-      [engine, mean],
-    ) => [engine, Math.round(mean)]);
+  /**
+   * Mean time of a live request by engine, in milliseconds, where the leader of
+   * a term has not received it or it has changed much since.
+   */
+  unreportedMeans(term: number): [string, number][] {
+    return [...this.#meanDurations].flatMap(([engine, duration]) => {
+      const { mean, reportedMean, reportedTerm } = duration;
+      const change = Math.abs(mean - (reportedMean ?? 0)) / mean;
+      const isKnown = reportedTerm === term && change < REPORTED_CHANGE;
+      return isKnown ? [] : [[engine, Math.round(mean)]];
+    });
+  }
+
+  /** Records that the leader of a term has received means. */
+  markMeansReported(means: readonly [string, number][], term: number): void {
+    for (const [engine, reportedMean] of means) {
+      const known = this.#meanDurations.get(engine);
+      if (!known) continue;
+      known.reportedMean = reportedMean;
+      known.reportedTerm = term;
+    }
   }
 
   engine(id: string): ListedEngine | undefined {
@@ -177,11 +217,10 @@
 
   /** Adds the duration of a completed request to the engine's mean. */
   recordDuration(engine: string, milliseconds: number): void {
-    const mean = this.#meanDurations.get(engine);
-    const next = mean === undefined
-      ? milliseconds
-      : mean + MEAN_SMOOTHING_FACTOR * (milliseconds - mean);
-    this.#meanDurations.set(engine, next);
+    const known = this.#meanDurations.get(engine);
+    if (known) {
+      known.mean += MEAN_SMOOTHING_FACTOR * (milliseconds - known.mean);
+    } else this.#meanDurations.set(engine, { mean: Math.max(1, milliseconds) });
   }
 
   /** Engines of a service with their load, health and mean duration. */
@@ -197,7 +236,7 @@
           live: (others?.live ?? 0) + (this.#ownLive.get(engine.id) ?? 0),
           bulk: others?.bulk ?? 0,
           isSuspect: this.#health.isSuspect(engine.id),
-          meanMilliseconds: this.#meanDurations.get(engine.id) ??
+          meanMilliseconds: this.#meanDurations.get(engine.id)?.mean ??
             INITIAL_MEAN_MILLISECONDS,
         };
       });
--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -209,13 +209,16 @@
     const streams = origins?.unreported(this.#leaderTerm) ?? [];
     const report = parts?.report(this.#leaderTerm);
     const limits = engineLimits.unreported(this.#leaderTerm);
+    const { revision } = table;
+    const means = want ? undefined : table.unreportedMeans(this.#leaderTerm);
     const callersInProgress = callers?.inProgress() ?? [];
     const callerUse = callers?.report();
     const answer = await this.#control.call(exchangeMethod, {
       ...{ instance, name, role, sequence, want },
       answered: this.#lastAnswered,
       live: [...reported],
-      means: want ? undefined : table.meanDurations(),
+      means,
+      readsShortLoad: true,
       callers: callersInProgress.length > 0 ? callersInProgress : undefined,
       callerUse,
       suspects: health.suspects(),
@@ -230,7 +233,7 @@
       engineLimits: limits.length > 0 ? limits : undefined,
       parts: report?.message,
       routesVersion: routes.version,
-      listRevision: table.revision,
+      listRevision: revision,
       relayPort: relaying?.port(),
       isCutOff: relaying?.links.isCutOff || undefined,
     }, { deadline: clock.deadlineIn(timeout) });
@@ -240,7 +243,7 @@
     }
     this.#recordSuccess();
     this.#clockOffset.recordResponse(answer.value, sentAt);
-    const { load, suspects, list, grant, term } = answer.value;
+    const { load, shortLoad, suspects, list, grant, term } = answer.value;
     // The answer may have waited, for example while this process was frozen.
     const listAge = answer.value.listAge + clock.monotonic() - startedAt;
     this.#leaderTerm = term;
@@ -255,18 +258,28 @@
     if (verdicts) parts?.applyVerdicts(verdicts, { term, report });
     this.#interval = answer.value.pauseMilliseconds;
     if (answer.value.routes) routes.setIfNewer(answer.value.routes);
-    const { confirmedMilliseconds } = answer.value;
-    if (question && confirmedMilliseconds !== undefined) {
+    const { confirmedMilliseconds, routesVersion } = answer.value;
+    const isNewest = routes.version >= (routesVersion ?? Infinity);
+    if (question && isNewest && confirmedMilliseconds !== undefined) {
       permission?.confirm(question, confirmedMilliseconds);
     }
     if (list) table.updateList(list, { age: listAge, source: "leader" });
     else table.confirmListAge(listAge);
     if (load) table.updateLoad(load, reported);
+    // The short form refers to the list that the leader was told.
+    if (shortLoad && table.revision === revision) {
+      table.updateShortLoad(shortLoad, reported);
+    }
+    if (means) table.markMeansReported(means, term);
     health.setLeaderSuspects(suspects);
     this.#lastAnswered = Math.max(this.#lastAnswered, sequence);
     if (grant?.kind !== "engine") return grant;
     // A new leader may not have heard yet that the engine names a limit.
-    if (!engineLimits.isKnownToLeader(grant.engine, term)) return undefined;
+    if (!engineLimits.isKnownToLeader(grant.engine, term)) {
+      const { caller, isAdmitted } = want ?? {};
+      if (caller !== undefined && !isAdmitted) callers?.recordUnserved(caller);
+      return undefined;
+    }
     table.beginRequest(grant.engine);
     return grant;
   }
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -15,6 +15,7 @@
 import type { PartJudge } from "../quarantine/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
 import type { RouteTable } from "../service_routes/mod.ts";
+import type { IEngineChooser } from "./engine_chooser.ts";
 import type { LeavingEngines } from "./leaving_engines.ts";
 import type { LoadLedger } from "./load_ledger.ts";
 import {
@@ -22,6 +23,7 @@
   exchangeMethod,
   type ExchangeParams,
   findStreamMethod,
+  type LoadEntry,
   type PlacementDecision,
   type PlacementRequest,
 } from "./messages.ts";
@@ -74,6 +76,8 @@
   readonly origins: Pick<StreamOrigins, "find" | "record">;
   readonly judge: Pick<PartJudge, "receive" | "findNews">;
   readonly engineLimits: Pick<EngineLimits, "merge" | "all">;
+  /** By default, the least loaded engine is chosen. */
+  readonly chooser?: IEngineChooser | undefined;
   /** Returns undefined on an instance that does not lead. */
   readonly leaderState: () => ILeaderState | undefined;
   /** Source of random numbers from 0 up to, not including, 1. */
@@ -115,20 +119,25 @@
       state,
     });
     const { list, routes } = state;
+    const hasSameList = list.revision === params.listRevision;
+    const isShort = hasSameList && params.readsShortLoad === true;
+    const load = params.want ? undefined : ledger.entries(state.bulk);
     const hasList = list.revision !== "";
-    const isNewList = hasList && list.revision !== params.listRevision;
+    const isNewList = hasList && !hasSameList;
     const isNewRoutes = routes && routes.version > params.routesVersion;
     return Promise.resolve(ok({
       leader: name,
       term: state.term,
       wall: clock.wall(),
-      load: params.want ? undefined : ledger.entries(state.bulk),
+      load: isShort ? undefined : load,
+      shortLoad: isShort && load ? shortLoad(list, load) : undefined,
       engineLimits: params.want ? undefined : engineLimits.all(),
       entries: ledger.entryCount(),
       suspects: [...state.failing],
       listAge: state.listAge,
       list: isNewList ? list : undefined,
       routes: isNewRoutes ? withoutSource(routes) : undefined,
+      routesVersion: routes?.version,
       confirmedMilliseconds: state.confirmedMilliseconds,
       parts: parts ? judge.receive(params.instance, parts) : judge.findNews(),
       relays: params.isCutOff
@@ -141,6 +150,15 @@
   return disposables;
 }
 
+/** The load in the order of the list of engines. */
+function shortLoad(list: EngineList, load: readonly LoadEntry[]): number[] {
+  const byEngine = new Map(load.map((entry) => [entry[0], entry]));
+  return list.engines.flatMap(({ id }) => {
+    const [, live, bulk] = byEngine.get(id) ?? [id, 0, 0];
+    return [live, bulk];
+  });
+}
+
 /** Leaves out the operator's document, which contains callers' keys. */
 function withoutSource({ set }: RouteTable): RouteTable["set"] {
   return set.callers === undefined ? set : { ...set, source: "" };
@@ -165,7 +183,7 @@
   request: PlacementRequest,
   options: IExchangeHandlerOptions & { state: ILeaderState },
 ): PlacementDecision {
-  const { ledger, state, random } = options;
+  const { ledger, state, random, chooser } = options;
   const { callerLimiter } = state;
   const { caller } = request;
   const isLimited = caller !== undefined && !request.isAdmitted;
@@ -188,10 +206,11 @@
     }));
   const excluded = new Set(request.excluded);
   const { limiter } = state;
-  const isOverShare = caller !== undefined &&
+  // A further attempt is counted among its caller's requests already.
+  const isOverShare = caller !== undefined && !request.isAdmitted &&
     isBeyondShare(caller, { views, ledger, routes: state.routes });
   const placement = place(
-    { ...request, excluded, random: random(), limiter, isOverShare },
+    { ...request, excluded, random: random(), limiter, isOverShare, chooser },
     views,
   );
   return match(placement)
--- a/src/placement/load_ledger.ts
+++ b/src/placement/load_ledger.ts
@@ -15,6 +15,9 @@
 /** Instances that forward requests, named to an instance without links. */
 const MAXIMUM_NAMED_RELAYS = 16;
 
+/** Most engines whose mean durations are kept for an instance. */
+const MAXIMUM_ENGINES_WITH_MEANS = 2_000;
+
 /** Time for which the summary over all instances is cached. */
 const SUMMARY_LIFETIME_MILLISECONDS = 250;
 
@@ -50,7 +53,8 @@
 export class LoadLedger {
   #clock: IClock;
   #reports = new Map<string, IReport>();
-  #means = new Map<string, NonNullable<ExchangeParams["means"]>>();
+  /** Mean durations by instance and engine. */
+  #means = new Map<string, Map<string, number>>();
   /** Live requests by engine, including grants. */
   #live = new Map<string, number>();
   /** Live requests by caller, including grants. */
@@ -70,7 +74,7 @@
     if (earlier) this.#subtract(earlier);
     this.#reports.set(instance, { receivedAt, params, isCounted: true });
     this.#count(params, 1);
-    if (params.means) this.#means.set(instance, params.means);
+    if (params.means) this.#mergeMeans(instance, params.means);
     this.#dropGrants((grant) =>
       grant.instance === instance && grant.sequence <= answered
     );
@@ -169,6 +173,22 @@
       .map((address) => ({ id: address, address, port }));
   }
 
+  #mergeMeans(
+    instance: string,
+    means: NonNullable<ExchangeParams["means"]>,
+  ): void {
+    const known = this.#means.get(instance) ?? new Map<string, number>();
+    for (const [engine, mean] of means) {
+      known.delete(engine);
+      known.set(engine, mean);
+    }
+    for (const engine of known.keys()) {
+      if (known.size <= MAXIMUM_ENGINES_WITH_MEANS) break;
+      known.delete(engine);
+    }
+    this.#means.set(instance, known);
+  }
+
   /** Adds the load of a report, or subtracts it with the sign -1. */
   #count(params: ExchangeParams, sign: 1 | -1): void {
     for (const [engine, count] of params.live) {
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -95,8 +95,8 @@
     /** Live requests at each engine, from this instance. */
     live: z.array(z.tuple([z.string(), z.number()])),
     /**
-     * Mean duration of a live request by engine, in milliseconds; left out
-     * where a request is placed.
+     * Mean durations of live requests by engine, in milliseconds, as far as
+     * this leader does not know them; left out where a request is placed.
      */
     means: z.array(z.tuple([z.string(), z.number()])).optional(),
     /** Live requests by caller, from this instance. */
@@ -105,6 +105,11 @@
     callerUse: callerUseReportSchema.optional(),
     /** Engines that this instance suspects after failed requests. */
     suspects: z.array(z.string()),
+    /**
+     * Whether the instance reads the load in the short form. Absent from
+     * versions that do not know it.
+     */
+    readsShortLoad: z.boolean().optional(),
     /** Version of the routes that the instance has. */
     routesVersion: z.number(),
     /** Revision of the engine list that the instance has. */
@@ -134,12 +139,19 @@
     wall: z.number(),
     /** Load of all engines; left out where a request is placed. */
     load: z.array(loadEntrySchema).optional(),
+    /**
+     * The same as live requests and items of each engine in turn, in the order
+     * of the list of engines that the instance has.
+     */
+    shortLoad: z.array(z.number()).optional(),
     /** Engines that fail the leader's health checks. */
     suspects: z.array(z.string()),
     /** Age of the engine list, in milliseconds. */
     listAge: z.number(),
     list: engineListSchema.optional(),
     routes: routeSetSchema.optional(),
+    /** Version of the routes in force at the leader. */
+    routesVersion: z.number().optional(),
     /**
      * Time since a quorum followed the leader, in milliseconds; until then, no
      * other leader can have accepted newer routes. Absent if it is not certain.
--- a/src/placement/mod.ts
+++ b/src/placement/mod.ts
@@ -1,4 +1,5 @@
 export * from "./clock_offset_monitor.ts";
+export * from "./engine_chooser.ts";
 export * from "./engine_directory.ts";
 export * from "./engine_health.ts";
 export * from "./engine_states.ts";
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -1,4 +1,9 @@
 import type { IEngineRateLimiter } from "../admission/types.ts";
+import {
+  expectedWait,
+  type IEngineChooser,
+  LeastLoadedChooser,
+} from "./engine_chooser.ts";
 import type { IEngineView } from "./types.ts";
 
 /**
@@ -30,8 +35,8 @@
  */
 const MAXIMUM_RATE_WAIT_MILLISECONDS = 2_000;
 
-/** Engines whose scores differ by less are treated as equally loaded. */
-const SCORE_TOLERANCE = 0.5;
+/** Used where the deployment configures no costs. */
+const DEFAULT_CHOOSER = new LeastLoadedChooser();
 
 /** Engine for a request, or the time after which its caller may retry. */
 export type Placement =
@@ -67,6 +72,8 @@
    * slots only.
    */
   readonly isOverShare?: boolean | undefined;
+  /** By default, the least loaded engine is chosen. */
+  readonly chooser?: IEngineChooser | undefined;
   /** Random number from 0 up to, not including, 1. */
   readonly random: number;
   readonly limiter: Pick<
@@ -75,15 +82,6 @@
   >;
 }
 
-/** Expected wait for a slot at an engine, in milliseconds. */
-export function expectedWait(view: IEngineView): number {
-  const { slots } = view.engine;
-  // Batch items are preempted, so only live requests are ahead.
-  const ahead = view.live - slots + 1;
-  if (ahead <= 0) return 0;
-  return ahead * view.meanMilliseconds / slots;
-}
-
 /** Chooses the engine for a live request, or refuses it. */
 export function place(
   request: IPlacementInput,
@@ -148,43 +146,16 @@
     random * LIMITED_RETRY_SPREAD_MILLISECONDS;
 }
 
-/**
- * Chooses the least loaded engine. Engines whose limits are scarce are used
- * only if the others have no free slot.
- */
+/** Uses engines whose limits are scarce only if others have no free slot. */
 function chooseEngine(
   request: IPlacementInput,
   views: readonly IEngineView[],
 ): IEngineView | undefined {
-  const plentiful = leastLoaded(
+  const { chooser = DEFAULT_CHOOSER } = request;
+  const plentiful = chooser.choose(
     request,
     views.filter(({ engine }) => !request.limiter.isScarce(engine.id)),
   );
   const isFree = plentiful !== undefined && expectedWait(plentiful) === 0;
-  return isFree ? plentiful : leastLoaded(request, views);
-}
-
-function leastLoaded(
-  request: IPlacementInput,
-  views: readonly IEngineView[],
-): IEngineView | undefined {
-  const scored = views.map((view) => ({ view, score: score(view) }));
-  const least = Math.min(...scored.map(({ score }) => score));
-  const equal = scored
-    .filter(({ score }) => score - least < SCORE_TOLERANCE)
-    .map(({ view }) => view);
-  const sameDomain = equal.filter(({ engine }) =>
-    engine.failureDomain === request.failureDomain
-  );
-  const choice = sameDomain.length > 0 ? sameDomain : equal;
-  return choice[Math.floor(request.random * choice.length)];
-}
-
-/** Requests ahead of a new one; full engines rank behind all others. */
-function score({ live, bulk, engine }: IEngineView): number {
-  const total = live + bulk;
-  if (total < engine.slots) return total;
-  // Among full engines, those with fewer live requests come first, because
-  // their batch items can be preempted.
-  return engine.slots + live;
+  return isFree ? plentiful : chooser.choose(request, views);
 }
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -1,7 +1,8 @@
 import test from "ava";
 import { unlimitedEngines } from "../../testing/unlimited_engines.ts";
 import { ENGINE_SLOTS, listedEngine } from "../../testing/listed_engine.ts";
-import { expectedWait, type IPlacementInput, place } from "./placement.ts";
+import { expectedWait } from "./engine_chooser.ts";
+import { type IPlacementInput, place } from "./placement.ts";
 import type { IEngineView } from "./types.ts";
 
 function view(
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -4,6 +4,7 @@
   IEngineRateLimiter,
 } from "../admission/mod.ts";
 import type { CallerLimit } from "../service_routes/mod.ts";
+import type { IEngineChooser } from "./engine_chooser.ts";
 import type { EngineTable } from "./engine_table.ts";
 import type { PlacementDecision, PlacementRequest } from "./messages.ts";
 import { place } from "./placement.ts";
@@ -60,6 +61,7 @@
   #random: () => number;
   #limiter: IEngineRateLimiter;
   #callers: ICallerLimits | undefined;
+  #chooser: IEngineChooser | undefined;
 
   /**
    * @param options.limiter admits the requests that this instance places.
@@ -73,6 +75,8 @@
       random: () => number;
       limiter: IEngineRateLimiter;
       callers?: ICallerLimits;
+      /** By default, the least loaded engine is chosen. */
+      chooser?: IEngineChooser | undefined;
     },
   ) {
     this.#source = source;
@@ -80,6 +84,7 @@
     this.#random = options.random;
     this.#limiter = options.limiter;
     this.#callers = options.callers;
+    this.#chooser = options.chooser;
   }
 
   async place(request: PlacementRequest): Promise<PlacerResult> {
@@ -90,7 +95,9 @@
     if (grant.kind !== "engine") return grant;
     const { caller } = request;
     const isNewlyAdmitted = caller !== undefined && !request.isAdmitted;
-    if (isNewlyAdmitted) this.#callers?.use.record(caller, grant.callerLevel);
+    if (isNewlyAdmitted && this.#callers?.limitOf(caller)) {
+      this.#callers.use.record(caller, grant.callerLevel);
+    }
     const engine = this.#table.engine(grant.engine);
     const { softwareVersion } = request;
     // A leader of an earlier version of figroad ignores the software version.
@@ -112,7 +119,11 @@
     const excluded = new Set(request.excluded);
     const random = this.#random();
     const limiter = this.#limiter;
-    const placement = place({ ...request, excluded, random, limiter }, views);
+    const chooser = this.#chooser;
+    const placement = place(
+      { ...request, excluded, random, limiter, chooser },
+      views,
+    );
     if (placement.kind !== "engine") return placement;
     if (!this.#admitLocally(request)) {
       const retryMilliseconds = LIMIT_RETRY_MILLISECONDS * (1 + random);
--- a/src/service_routes/caller_authenticator.ts
+++ b/src/service_routes/caller_authenticator.ts
@@ -59,6 +59,15 @@
     return found;
   }
 
+  /**
+   * Resolves with whether the routes in force here are the newest; asks the
+   * leader if that is not certain.
+   */
+  async checkRoutes(): Promise<boolean> {
+    if (!this.#permission.isCurrent) await this.#confirmer.confirmRoutes();
+    return this.#permission.isCurrent;
+  }
+
   #find(key: string | undefined): Authentication {
     const caller = key === undefined
       ? undefined
@@ -68,7 +77,7 @@
         ? { kind: "caller", caller }
         : { kind: "unconfirmed" };
     }
-    const isCertain = key === undefined || this.#permission.isCurrent;
-    return { kind: isCertain ? "unknown-key" : "unconfirmed" };
+    const { isCurrent } = this.#permission;
+    return { kind: isCurrent ? "unknown-key" : "unconfirmed" };
   }
 }
--- a/src/service_routes/key_permission.ts
+++ b/src/service_routes/key_permission.ts
@@ -75,6 +75,11 @@
     this.#confirmedAt = askedAt - ageMilliseconds as Deadline;
   }
 
+  /** Whether withdrawals have a bound that every instance has to keep. */
+  get isStrict(): boolean {
+    return this.#bound.isStrict;
+  }
+
   /** Whether a key that is known here may be accepted. */
   get mayAccept(): boolean {
     return !this.#bound.isStrict || this.isCurrent;
--- a/src/streams/events.ts
+++ b/src/streams/events.ts
@@ -15,6 +15,11 @@
     bulk: z.number(),
     waitMilliseconds: z.number(),
     caller: z.string().optional(),
+    /**
+     * Why the request left this failure domain: it has no usable engine, or
+     * none that costs less. Absent if it stayed.
+     */
+    crossing: z.enum(["no-engine", "no-slot"]).optional(),
     /** The leader, or this instance while no leader was reachable. */
     chosenBy: z.enum(["leader", "instance"]),
     /** Version of the engine's software. */
@@ -25,7 +30,7 @@
     /** Whether the request resumes a stream that another engine began. */
     isResumed: z.boolean(),
   },
-  labels: ["service", "chosenBy", "isResumed"],
+  labels: ["service", "chosenBy", "isResumed", "crossing"],
 });
 
 export const requestRefused = defineEvent(1101, "request-refused", {
--- a/src/streams/request_reporter.ts
+++ b/src/streams/request_reporter.ts
@@ -4,6 +4,7 @@
   EngineTable,
   ICallerLimits,
   IPlacedRequest,
+  ListedEngine,
 } from "../placement/mod.ts";
 import {
   callerLeft,
@@ -21,6 +22,7 @@
   readonly clock: IClock;
   readonly events: IEventLog;
   readonly callers?: ICallerLimits | undefined;
+  readonly failureDomain: string;
 }
 
 /** Logs what happens to requests, and answers those that figroad ends. */
@@ -44,6 +46,7 @@
       bulk,
       waitMilliseconds: Math.round(placement.waitMilliseconds),
       caller: request.caller,
+      crossing: this.#crossingReason(engine),
       chosenBy,
       softwareVersion: engine.softwareVersion,
       lastEventId: progress.lastEventId ?? request.lastEventId,
@@ -114,6 +117,15 @@
     });
   }
 
+  #crossingReason({ failureDomain, service }: ListedEngine) {
+    const { table, failureDomain: own } = this.#options;
+    if (failureDomain === own) return undefined;
+    const isUsable = table.views(service).some(({ engine, isSuspect }) =>
+      engine.failureDomain === own && !engine.isLeaving && !isSuspect
+    );
+    return isUsable ? "no-slot" : "no-engine";
+  }
+
   #describeCaller(caller: string | undefined) {
     const { callers } = this.#options;
     if (caller === undefined || !callers) return {};
