Room in tokens and for slow readers; abilities of versions

Three matters that share files of the exchange.

Memory of engines. Cause: load was a count of requests, so nothing kept the tokens of an engine's requests below its memory. Change: entries report, and the leader counts, the tokens that live requests may fill; engines without memory for a request are left out, items give way for live tokens and start only where the largest that waits fits (placement.ts, bulk_schedule.ts).

Slow readers. Cause: an answer was read no faster than its caller read, beyond 16 KiB, and engines cut off answers that stay unread.

Each role logs how it chooses engines (event 1061).

--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -3,9 +3,20 @@
 import type { IClock, IDisposable } from "../common/mod.ts";
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
-import type { EngineHealth, ListedEngine } from "../placement/mod.ts";
+import type {
+  EngineHealth,
+  IPreemptingLoad,
+  ListedEngine,
+} from "../placement/mod.ts";
 import type { Route, RouteTable } from "../service_routes/mod.ts";
-import { type IBulkEngine, missingSlots, planBulk } from "./bulk_schedule.ts";
+import {
+  type IBulkEngine,
+  type IMemoryUse,
+  itemsBeyondMemory,
+  missingSlots,
+  planBulk,
+  startableWithinMemory,
+} from "./bulk_schedule.ts";
 import type { BulkSection } from "./bulk_section.ts";
 import { EngineVersions } from "./engine_versions.ts";
 import {
@@ -14,12 +25,12 @@
   itemRestarted,
   itemStarted,
   itemYielded,
-  jobsForgotten,
   runnerStarted,
   runnerStopped,
 } from "./events.ts";
 import type { IItemExecutor, ItemOutcome } from "./item_run.ts";
 import { assignItems } from "./item_assignment.ts";
+import { JobExpiry } from "./job_expiry.ts";
 import { bulkSection } from "./messages.ts";
 import { type IPendingItem, PendingItems } from "./pending_items.ts";
 import { ProgressWriter } from "./progress_writer.ts";
@@ -28,9 +39,6 @@
 /** Interval between two plans, in milliseconds. */
 const PLAN_INTERVAL_MILLISECONDS = 25;
 
-/** Interval between two checks for expired items, in milliseconds. */
-const EXPIRY_INTERVAL_MILLISECONDS = 1_000;
-
 /** Delay before an item is retried after a failed run, in milliseconds. */
 const RETRY_DELAY_MILLISECONDS = 200;
 
@@ -43,21 +51,16 @@
 /** Longest wait for the commit of a result, in milliseconds. */
 const RECORD_TIMEOUT_MILLISECONDS = 3_000;
 
-/**
- * Time beyond its retention for which an item is kept, in milliseconds. The
- * clocks of stores may differ and jump by seconds.
- */
-const ITEM_RETENTION_MARGIN_MILLISECONDS = 10_000;
-
-/** Time beyond its retention for which a job with results is kept, in ms. */
-const JOB_RETENTION_MARGIN_MILLISECONDS = 60_000;
-
 /** Time within which results are due if the route does not set it, in ms. */
 const DEFAULT_RESULT_MILLISECONDS = 60_000;
 
 /** Longest wait for an engine that can resume an item, in milliseconds. */
 const VERSION_WAIT_MILLISECONDS = 5_000;
 
+/** An engine with its live load, without that of the items. */
+export interface IRunnerEngine
+  extends Omit<IBulkEngine, "bulk" | "startable">, IMemoryUse {}
+
 /** Dependencies of a `BulkRunner`. */
 export interface IBulkRunnerOptions {
   readonly log: IReplicatedLog;
@@ -72,7 +75,7 @@
   /** Whether a new leader knows the live load; no item starts before. */
   readonly isLoadKnown: () => boolean;
   /** Engines with their live load. */
-  readonly engines: () => readonly (Omit<IBulkEngine, "bulk" | "startable">)[];
+  readonly engines: () => readonly IRunnerEngine[];
   readonly limiter: IItemRateLimiter;
 }
 
@@ -81,6 +84,7 @@
   #options: IBulkRunnerOptions;
   #items: PendingItems;
   #writer: ProgressWriter;
+  #expiry: JobExpiry;
   #subscription: IDisposable;
   #stopping = new AbortController();
   #isStopped = false;
@@ -90,6 +94,12 @@
     this.#options = options;
     this.#items = new PendingItems(section);
     this.#writer = new ProgressWriter(log, this.#items, { clock });
+    this.#expiry = new JobExpiry({
+      ...options,
+      items: this.#items,
+      giveUp: (pending, reason) =>
+        void this.#recordResult(pending, "dead", reason),
+    });
     this.#subscription = section.onChanged((job) => this.#onJobChanged(job));
   }
 
@@ -100,7 +110,7 @@
     for (const held of open) this.#addJob(held);
     this.#writer.start();
     void this.#run();
-    void this.#runExpiry();
+    this.#expiry.start();
   }
 
   dispose(): void {
@@ -108,6 +118,7 @@
     this.#stopping.abort();
     this.#subscription.dispose();
     this.#writer.dispose();
+    this.#expiry.dispose();
     const running = [...this.#items.all].filter(({ activeRun }) => activeRun);
     for (const pending of running) this.#items.stop(pending);
     this.#options.events.emit(runnerStopped, { running: running.length });
@@ -119,9 +130,18 @@
   }
 
   /** Preempts items at an engine that has more requests than slots. */
-  preemptBatchItems(load: { engine: ListedEngine; live: number }): void {
-    const bulk = this.load.get(load.engine.id) ?? 0;
-    const count = missingSlots({ ...load, bulk });
+  preemptBatchItems(load: IPreemptingLoad): void {
+    const { id } = load.engine;
+    const bulk = this.load.get(id) ?? 0;
+    if (bulk === 0) return;
+    const wall = this.#options.clock.wall();
+    const itemTokens = load.memoryTokens === undefined
+      ? []
+      : this.#items.runningAt(id, wall).map(({ item }) => item.tokens);
+    const count = Math.max(
+      missingSlots({ ...load, bulk }),
+      itemsBeyondMemory(load, itemTokens),
+    );
     if (count > 0) this.#preempt(load, count);
   }
 
@@ -138,13 +158,17 @@
   #plan(): void {
     const { clock, isLoadKnown, limiter } = this.#options;
     if (!isLoadKnown()) return;
+    const now = { wall: clock.wall(), monotonic: clock.monotonic() };
+    const waiting = this.#items.startable(now);
+    const largest = waiting.map(({ item }) => item.tokens);
     const engines = this.#options.engines().map((it) => ({
       ...it,
       bulk: this.load.get(it.engine.id) ?? 0,
-      startable: limiter.startableItems(it.engine.id),
+      startable: Math.min(
+        limiter.startableItems(it.engine.id),
+        this.#startableWithinMemory(it, largest),
+      ),
     }));
-    const now = { wall: clock.wall(), monotonic: clock.monotonic() };
-    const waiting = this.#items.startable(now);
     const versions = new EngineVersions(engines);
     for (const item of waiting) {
       item.versionDeadline ??= clock.deadlineIn(VERSION_WAIT_MILLISECONDS);
@@ -167,6 +191,18 @@
     }
   }
 
+  #startableWithinMemory(
+    engine: IRunnerEngine,
+    waitingTokens: readonly number[],
+  ): number {
+    const { memoryTokens = 0 } = engine;
+    const fitting = waitingTokens.filter((tokens) => tokens <= memoryTokens);
+    return startableWithinMemory(engine, {
+      runningTokens: this.#items.tokensAt(engine.engine.id),
+      largestTokens: Math.max(0, ...fitting),
+    });
+  }
+
   #onJobChanged(job: string): void {
     const held = this.#options.section.job(job);
     if (held && !held.hasEnded) this.#addJob(held);
@@ -203,45 +239,6 @@
     return !(waits && versions.isServing(pending));
   }
 
-  /** Marks items as dead that have expired or whose route no longer exists. */
-  async #runExpiry(): Promise<void> {
-    const { clock, routes } = this.#options;
-    const { signal } = this.#stopping;
-    while (!signal.aborted) {
-      const next = clock.deadlineIn(EXPIRY_INTERVAL_MILLISECONDS);
-      await clock.sleepUntil(next, signal);
-      if (signal.aborted || !routes()) continue;
-      await this.#deleteOldJobs();
-      for (const pending of [...this.#items.all]) {
-        const route = this.#route(pending.job);
-        const retention = route?.retentionMilliseconds;
-        const isExpired = retention !== undefined &&
-          clock.wall() > pending.job.acceptedAt + retention +
-              ITEM_RETENTION_MARGIN_MILLISECONDS;
-        if (pending.isRecording || (route && !isExpired)) continue;
-        const reason = route
-          ? "the retention time has passed"
-          : "the route no longer exists";
-        void this.#recordResult(pending, "dead", reason);
-      }
-    }
-  }
-
-  /** Deletes jobs whose results can no longer be read. */
-  async #deleteOldJobs(): Promise<void> {
-    const { log, section, clock, events } = this.#options;
-    const keep = this.#options.jobRetentionMilliseconds +
-      JOB_RETENTION_MARGIN_MILLISECONDS;
-    const jobs = section.closedJobsAcceptedBefore(clock.wall() - keep);
-    if (jobs.length === 0) return;
-    const forgotten = await log.propose(bulkSection.name, {
-      ...{ kind: "forget", jobs },
-    }, { deadline: clock.deadlineIn(RECORD_TIMEOUT_MILLISECONDS) });
-    if (forgotten.isErr()) return;
-    for (const job of jobs) this.#items.forget(job);
-    events.emit(jobsForgotten, { jobs: jobs.length });
-  }
-
   #preempt(load: { engine: ListedEngine; live: number }, count: number): void {
     const { clock, events } = this.#options;
     const { id } = load.engine;
--- a/src/bulk/bulk_runner_test.ts
+++ b/src/bulk/bulk_runner_test.ts
@@ -92,6 +92,8 @@
       listed.engines.map((engine) => ({
         engine,
         live: 0,
+        liveTokens: 0,
+        memoryTokens: undefined,
         isSuspect: health.isSuspect(engine.id),
       })),
   });
--- a/src/bulk/bulk_schedule.ts
+++ b/src/bulk/bulk_schedule.ts
@@ -59,11 +59,55 @@
 
 /** Number of items to preempt at an engine with more requests than slots. */
 export function missingSlots(
-  { engine, live, bulk }: Omit<IBulkEngine, "isSuspect" | "startable">,
+  { engine, live, bulk }: Pick<IBulkEngine, "engine" | "live" | "bulk">,
 ): number {
   return Math.max(0, Math.min(bulk, live + bulk - engine.slots));
 }
 
+/** Tokens of an engine's memory that are in use. */
+export interface IMemoryUse {
+  /** Tokens that live requests may fill. */
+  readonly liveTokens: number;
+  /** Tokens that the memory holds; undefined if not known. */
+  readonly memoryTokens: number | undefined;
+}
+
+/**
+ * Number of items to preempt so that the others fit into the memory besides
+ * the live requests.
+ *
+ * @param itemTokens tokens of the running items, in the order of preemption.
+ */
+export function itemsBeyondMemory(
+  { liveTokens, memoryTokens }: IMemoryUse,
+  itemTokens: readonly number[],
+): number {
+  if (memoryTokens === undefined) return 0;
+  const used = itemTokens.reduce((sum, tokens) => sum + tokens, liveTokens);
+  let excess = used - memoryTokens;
+  let count = 0;
+  while (excess > 0 && count < itemTokens.length) {
+    excess -= itemTokens[count] ?? 0;
+    count += 1;
+  }
+  return count;
+}
+
+/**
+ * Number of items that may start within the memory, if each fills as much as
+ * the largest one that waits.
+ */
+export function startableWithinMemory(
+  { liveTokens, memoryTokens }: IMemoryUse,
+  items: { runningTokens: number; largestTokens: number },
+): number {
+  if (memoryTokens === undefined || items.largestTokens === 0) {
+    return Number.POSITIVE_INFINITY;
+  }
+  const free = memoryTokens - liveTokens - items.runningTokens;
+  return Math.max(0, Math.floor(free / items.largestTokens));
+}
+
 interface ICandidate {
   readonly engine: ListedEngine;
   /** Items that may still start. */
--- a/src/bulk/bulk_schedule_test.ts
+++ b/src/bulk/bulk_schedule_test.ts
@@ -1,6 +1,12 @@
 import test from "ava";
 import { listedEngine } from "../../testing/listed_engine.ts";
-import { type IBulkEngine, planBulk, rankItems } from "./bulk_schedule.ts";
+import {
+  type IBulkEngine,
+  itemsBeyondMemory,
+  planBulk,
+  rankItems,
+  startableWithinMemory,
+} from "./bulk_schedule.ts";
 
 function engine(
   id: string,
@@ -96,3 +102,22 @@
     "unlimited",
   ]);
 });
+
+// Long prompts of live requests come while items fill an engine's memory.
+test("items give way so that the memory holds the live requests", (t) => {
+  const use = { liveTokens: 60_000, memoryTokens: 100_000 };
+  t.is(itemsBeyondMemory(use, [20_000, 20_000]), 0);
+  t.is(itemsBeyondMemory(use, [20_000, 15_000, 20_000]), 1);
+  t.is(itemsBeyondMemory({ ...use, liveTokens: 99_000 }, [20_000, 15_000]), 2);
+  const unknown = { ...use, memoryTokens: undefined };
+  t.is(itemsBeyondMemory(unknown, [90_000]), 0);
+});
+
+test("items start only where the memory holds the largest one", (t) => {
+  const use = { liveTokens: 60_000, memoryTokens: 100_000 };
+  const items = { runningTokens: 10_000, largestTokens: 12_000 };
+  t.is(startableWithinMemory(use, items), 2);
+  t.is(startableWithinMemory({ ...use, liveTokens: 95_000 }, items), 0);
+  const unknown = { ...use, memoryTokens: undefined };
+  t.is(startableWithinMemory(unknown, items), Infinity);
+});
--- a/src/bulk/pending_items.ts
+++ b/src/bulk/pending_items.ts
@@ -45,6 +45,8 @@
   #knownJobs = new Set<string>();
   /** Number of running items by engine, without those that are stopping. */
   #load = new Map<string, number>();
+  /** Tokens of the same items, by engine. */
+  #tokens = new Map<string, number>();
 
   constructor(section: BulkSection) {
     this.#section = section;
@@ -59,6 +61,11 @@
     return this.#load;
   }
 
+  /** Tokens that the running items at an engine may fill. */
+  tokensAt(engine: string): number {
+    return this.#tokens.get(engine) ?? 0;
+  }
+
   /** Adds the items of a job that is not known yet. */
   addJob(held: HeldJob, dueAt: number): void {
     if (this.#knownJobs.has(held.job.id)) return;
@@ -113,21 +120,25 @@
     const abort = new AbortController();
     pending.activeRun = { engine, abort, isStopping: false };
     this.#load.set(engine, (this.#load.get(engine) ?? 0) + 1);
+    const tokens = this.tokensAt(engine) + pending.item.tokens;
+    this.#tokens.set(engine, tokens);
     return abort;
   }
 
   /** Stops the run of an item; its slot counts as free from now on. */
-  stop({ activeRun }: IPendingItem): void {
+  stop({ activeRun, item }: IPendingItem): void {
     if (!activeRun || activeRun.isStopping) return;
     activeRun.isStopping = true;
-    this.#release(activeRun.engine);
+    this.#release(activeRun.engine, item.tokens);
     activeRun.abort.abort();
   }
 
   /** Clears the run of an item after it has ended. */
   end(pending: IPendingItem): void {
-    const { activeRun } = pending;
-    if (activeRun && !activeRun.isStopping) this.#release(activeRun.engine);
+    const { activeRun, item } = pending;
+    if (activeRun && !activeRun.isStopping) {
+      this.#release(activeRun.engine, item.tokens);
+    }
     pending.activeRun = undefined;
   }
 
@@ -159,7 +170,10 @@
     return rankItems(ranked, wall).map(({ pending }) => pending);
   }
 
-  #release(engine: string): void {
+  #release(engine: string, tokens: number): void {
+    const remaining = this.tokensAt(engine) - tokens;
+    if (remaining > 0) this.#tokens.set(engine, remaining);
+    else this.#tokens.delete(engine);
     const count = (this.#load.get(engine) ?? 0) - 1;
     if (count > 0) this.#load.set(engine, count);
     else this.#load.delete(engine);
--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -230,11 +230,14 @@
   }
 
   #engines(directory: EngineDirectory, health: EngineHealth) {
-    const { ledger, leaving } = this.#options;
+    const { ledger, leaving, routes } = this.#options;
     const live = ledger.liveCounts();
+    const liveTokens = ledger.liveTokens();
     return directory.list.engines.map((engine) => ({
       engine: leaving.withAnnouncement(engine),
       live: live.get(engine.id) ?? 0,
+      liveTokens: liveTokens.get(engine.id) ?? 0,
+      memoryTokens: routes.table?.service(engine.service)?.memoryTokens,
       isSuspect: health.isSuspect(engine.id) ||
         directory.failing.has(engine.id),
     }));
--- a/src/composition/telemetry.ts
+++ b/src/composition/telemetry.ts
@@ -11,7 +11,11 @@
 } from "../admission/mod.ts";
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import { logLinesLeftOut } from "../edge/events.ts";
-import { type HttpEdge, MetricsListener } from "../edge/mod.ts";
+import {
+  type HttpEdge,
+  MetricsListener,
+  type OutputBudget,
+} from "../edge/mod.ts";
 import type { IEventLog, JsonLineLog } from "../events/mod.ts";
 import {
   defineProcessMetrics,
@@ -216,6 +220,18 @@
     }));
   }
 
+  /** Defines metrics of the bytes held for slow readers. */
+  defineOutputMetrics(budget: OutputBudget): void {
+    this.metrics.gauge(
+      "figroad_held_output",
+      "Responses that hold bytes for a slow reader, and those bytes.",
+      () => [
+        { value: budget.holders, labels: { kind: "responses" } },
+        { value: budget.totalBytes, labels: { kind: "bytes" } },
+      ],
+    );
+  }
+
   /** Defines a metric of how current the keys are that this entry knows. */
   defineKeyMetrics(permission: KeyPermission): void {
     this.metrics.gauge(
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -52,6 +52,14 @@
   readonly voterPolicy?: IVoterPolicy;
   readonly timing?: IReplicationTiming;
   readonly compaction?: ICompactionPolicy;
+  /**
+   * Says why a command must not be proposed now; undefined if it may be. Only
+   * the leader asks; commands in the log are always applied.
+   */
+  readonly findObstacle?: (
+    section: string,
+    command: unknown,
+  ) => string | undefined;
   /** Source of numbers from 0 up to 1 for election timeouts. */
   readonly random?: () => number;
 }
@@ -129,6 +137,8 @@
     if (parsed === undefined) {
       return err(notRun("bad-request", `no such command in ${section}`));
     }
+    const obstacle = this.#options.findObstacle?.(section, parsed);
+    if (obstacle !== undefined) return err(notRun("unavailable", obstacle));
     return await leader.propose(section, parsed, options);
   }
 
--- a/src/edge/response_sink.ts
+++ b/src/edge/response_sink.ts
@@ -3,6 +3,7 @@
 import { once } from "node:events";
 import { match } from "ts-pattern";
 import { breakOff } from "./break_off.ts";
+import type { IBufferedOutput, OutputBudget } from "./output_budget.ts";
 import type {
   HeaderLines,
   IAnswerSink,
@@ -12,18 +13,32 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Writes a response to a caller's connection. */
-export class ResponseSink implements IAnswerSink {
+export class ResponseSink implements IAnswerSink, IBufferedOutput {
   #response: ServerResponse;
+  #budget: OutputBudget | undefined;
   #disconnected = new AbortController();
+  /** Whether the budget counts bytes of this response. */
+  #isHolding = false;
 
-  constructor(response: ServerResponse) {
+  /**
+   * @param budget bounds the bytes held for a slow reader; without one, the
+   * writer waits as soon as the connection's own buffer is full.
+   */
+  constructor(response: ServerResponse, budget?: OutputBudget) {
     this.#response = response;
+    this.#budget = budget;
     response.on("error", () => this.#disconnected.abort());
+    response.on("drain", () => this.#updateBudget());
     response.on("close", () => {
+      budget?.remove(this);
       if (!response.writableFinished) this.#disconnected.abort();
     });
   }
 
+  get heldBytes(): number {
+    return this.#response.writableLength;
+  }
+
   get signal(): AbortSignal {
     return this.#disconnected.signal;
   }
@@ -39,7 +54,11 @@
   }
 
   async write(bytes: Buffer): Promise<void> {
-    if (this.#response.destroyed || this.#response.write(bytes)) return;
+    if (this.#response.destroyed) return;
+    const isTaken = this.#response.write(bytes);
+    if (isTaken && !this.#isHolding) return;
+    const mayHoldMore = this.#updateBudget();
+    if (isTaken || mayHoldMore) return;
     const { signal } = this;
     // The signal also ends the wait if the connection closes.
     await once(this.#response, "drain", { signal }).catch(() => {});
@@ -49,6 +68,13 @@
     this.#response.end();
   }
 
+  /** Returns whether the response may hold more bytes than it does. */
+  #updateBudget(): boolean {
+    if (!this.#budget || this.#response.destroyed) return false;
+    this.#isHolding = this.heldBytes > 0;
+    return this.#budget.update(this);
+  }
+
   abort(): void {
     breakOff(this.#response);
   }
--- a/src/placement/engine_table.ts
+++ b/src/placement/engine_table.ts
@@ -52,6 +52,9 @@
   #otherLoad = new Map<string, { live: number; bulk: number }>();
   #loadReceivedAt = Number.NEGATIVE_INFINITY;
   #ownLive = new Map<string, number>();
+  /** Tokens that the live requests of this instance may fill, by engine. */
+  #ownTokens = new Map<string, number>();
+  #memoryOf: (service: string) => number | undefined;
   #meanDurations = new Map<string, IMeanDuration>();
 
   constructor(
@@ -60,12 +63,15 @@
       events: IEventLog;
       health: EngineHealth;
       leaving: LeavingEngines;
+      /** Tokens that the memory of a service's engine holds, if known. */
+      memoryOf?: (service: string) => number | undefined;
     },
   ) {
     this.#clock = clock;
     this.#events = options.events;
     this.#health = options.health;
     this.#leaving = options.leaving;
+    this.#memoryOf = options.memoryOf ?? (() => undefined);
   }
 
   get revision(): string {
@@ -205,14 +211,21 @@
     return isLongEnough ? sole.softwareVersion : undefined;
   }
 
-  beginRequest(engine: string): void {
-    this.#ownLive.set(engine, (this.#ownLive.get(engine) ?? 0) + 1);
+  /** Tokens that this instance's live requests may fill, by engine. */
+  ownLiveTokens(): [string, number][] {
+    return [...this.#ownTokens];
   }
 
-  endRequest(engine: string): void {
-    const count = (this.#ownLive.get(engine) ?? 0) - 1;
-    if (count > 0) this.#ownLive.set(engine, count);
-    else this.#ownLive.delete(engine);
+  /** @param tokens tokens that the request may fill; 0 if not known. */
+  beginRequest(engine: string, tokens = 0): void {
+    addTo(this.#ownLive, engine, 1);
+    addTo(this.#ownTokens, engine, tokens);
+  }
+
+  /** @param tokens the same number as in `beginRequest`. */
+  endRequest(engine: string, tokens = 0): void {
+    addTo(this.#ownLive, engine, -1);
+    addTo(this.#ownTokens, engine, -tokens);
   }
 
   /** Adds the duration of a completed request to the engine's mean. */
@@ -227,6 +240,9 @@
   views(service: string): IEngineView[] {
     const isKnown = this.#clock.monotonic() - this.#loadReceivedAt <
       LOAD_LIFETIME_MILLISECONDS;
+    const memoryTokens = this.#memoryOf(service);
+    const tokensPerRequest = sumOf(this.#ownTokens) /
+      Math.max(1, sumOf(this.#ownLive));
     return this.#list.engines
       .filter((engine) => engine.service === service)
       .map((engine) => {
@@ -235,6 +251,10 @@
           engine: this.#leaving.withAnnouncement(engine),
           live: (others?.live ?? 0) + (this.#ownLive.get(engine.id) ?? 0),
           bulk: others?.bulk ?? 0,
+          // Only the leader knows the tokens of other instances' requests.
+          liveTokens: (this.#ownTokens.get(engine.id) ?? 0) +
+            (others?.live ?? 0) * tokensPerRequest,
+          memoryTokens,
           isSuspect: this.#health.isSuspect(engine.id),
           meanMilliseconds: this.#meanDurations.get(engine.id)?.mean ??
             INITIAL_MEAN_MILLISECONDS,
@@ -260,3 +280,13 @@
     }
   }
 }
+
+function addTo(sums: Map<string, number>, key: string, change: number): void {
+  const sum = (sums.get(key) ?? 0) + change;
+  if (sum > 0) sums.set(key, sum);
+  else sums.delete(key);
+}
+
+function sumOf(values: ReadonlyMap<string, number>): number {
+  return [...values.values()].reduce((sum, value) => sum + value, 0);
+}
--- a/src/placement/events.ts
+++ b/src/placement/events.ts
@@ -100,3 +100,14 @@
     "the start; logged once a minute at most.",
   fields: { engine: z.string(), count: z.number() },
 });
+
+export const engineChoiceSet = defineEvent(1061, "engine-choice-set", {
+  level: "info",
+  help: "How this instance chooses engines for live requests, as set at its " +
+    "start: by load alone, or by costs with these prices.",
+  fields: {
+    by: z.enum(["load", "cost"]),
+    crossingMilliseconds: z.number().optional(),
+    preemptionMilliseconds: z.number().optional(),
+  },
+});
--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -19,6 +19,7 @@
   leaderUnreachable,
 } from "./events.ts";
 import {
+  ABILITIES,
   type EngineList,
   exchangeMethod,
   findStreamMethod,
@@ -215,8 +216,10 @@
     const callerUse = callers?.report();
     const answer = await this.#control.call(exchangeMethod, {
       ...{ instance, name, role, sequence, want },
+      abilities: [...ABILITIES],
       answered: this.#lastAnswered,
       live: [...reported],
+      liveTokens: table.ownLiveTokens(),
       means,
       readsShortLoad: true,
       callers: callersInProgress.length > 0 ? callersInProgress : undefined,
@@ -280,7 +283,7 @@
       if (caller !== undefined && !isAdmitted) callers?.recordUnserved(caller);
       return undefined;
     }
-    table.beginRequest(grant.engine);
+    table.beginRequest(grant.engine, want?.tokens);
     return grant;
   }
 
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -43,6 +43,16 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** Live load of an engine for which batch items may have to give way. */
+export interface IPreemptingLoad {
+  readonly engine: ListedEngine;
+  readonly live: number;
+  /** Tokens that the live requests may fill. */
+  readonly liveTokens: number;
+  /** Tokens that the engine's memory holds; undefined if not known. */
+  readonly memoryTokens: number | undefined;
+}
+
 /** State of the leader that exchanges are answered from. */
 export interface ILeaderState {
   readonly term: number;
@@ -63,7 +73,7 @@
   /** Admits requests within the limits that engines name. */
   readonly limiter: IEngineRateLimiter;
   /** Stops batch items at an engine if its live requests need the slots. */
-  preemptBatchItems(load: { engine: ListedEngine; live: number }): void;
+  preemptBatchItems(load: IPreemptingLoad): void;
 }
 
 /** Dependencies of the exchange handler. */
@@ -124,7 +134,9 @@
     const load = params.want ? undefined : ledger.entries(state.bulk);
     const hasList = list.revision !== "";
     const isNewList = hasList && !hasSameList;
-    const isNewRoutes = routes && routes.version > params.routesVersion;
+    // A version without callers would serve requests without their keys.
+    const isNewRoutes = routes && routes.version > params.routesVersion &&
+      (!routes.requiresKeys || params.abilities?.includes("callers"));
     return Promise.resolve(ok({
       leader: name,
       term: state.term,
@@ -192,6 +204,8 @@
     return { kind: "refused", retryMilliseconds, missing: "caller-limit" };
   }
   const live = ledger.liveCounts();
+  const liveTokens = ledger.liveTokens();
+  const memoryTokens = state.routes?.service(request.service)?.memoryTokens;
   const meanDurations = ledger.meanDurations();
   const suspects = new Set([...state.failing, ...params.suspects]);
   const views: IEngineView[] = state.list.engines
@@ -200,6 +214,8 @@
       engine: state.leaving.withAnnouncement(engine),
       live: live.get(engine.id) ?? 0,
       bulk: state.bulk.get(engine.id) ?? 0,
+      liveTokens: liveTokens.get(engine.id) ?? 0,
+      memoryTokens,
       isSuspect: suspects.has(engine.id),
       meanMilliseconds: meanDurations.get(engine.id) ??
         INITIAL_MEAN_MILLISECONDS,
@@ -217,10 +233,17 @@
     .with({ kind: "engine" }, ({ view, waitMilliseconds }) => {
       const { engine, live } = view;
       const { instance, sequence } = params;
-      ledger.recordGrant({ instance, sequence, caller, engine: engine.id });
+      const { tokens = 0 } = request;
+      const grant = { instance, sequence, caller, tokens, engine: engine.id };
+      ledger.recordGrant(grant);
       if (isLimited) callerLimiter.take(caller);
       limiter.take(engine.id);
-      state.preemptBatchItems({ engine, live: live + 1 });
+      state.preemptBatchItems({
+        engine,
+        live: live + 1,
+        liveTokens: (view.liveTokens ?? 0) + tokens,
+        memoryTokens,
+      });
       return {
         kind: "engine" as const,
         engine: view.engine.id,
--- a/src/placement/load_ledger.ts
+++ b/src/placement/load_ledger.ts
@@ -1,7 +1,7 @@
 import type { IClock } from "../common/mod.ts";
 import type { Relay } from "../relaying/mod.ts";
 import type { PeerAddress } from "../rpc/mod.ts";
-import type { ExchangeParams, LoadEntry } from "./messages.ts";
+import type { Ability, ExchangeParams, LoadEntry } from "./messages.ts";
 
 /** Time without a report after which an instance's load is ignored. */
 const REPORT_LIFETIME_MILLISECONDS = 1_500;
@@ -32,6 +32,8 @@
   readonly instance: string;
   readonly engine: string;
   readonly caller: string | undefined;
+  /** Tokens that the request may fill. */
+  readonly tokens: number;
   /** Sequence number of the exchange that asked for the grant. */
   readonly sequence: number;
   readonly expiresAt: number;
@@ -57,6 +59,8 @@
   #means = new Map<string, Map<string, number>>();
   /** Live requests by engine, including grants. */
   #live = new Map<string, number>();
+  /** Tokens that live requests may fill, by engine, including grants. */
+  #liveTokens = new Map<string, number>();
   /** Live requests by caller, including grants. */
   #callers = new Map<string, number>();
   /** Grants that no report includes yet. */
@@ -82,7 +86,7 @@
 
   /** Counts a request granted in the answer to an exchange. */
   recordGrant(
-    grant: Pick<IGrantRecord, "instance" | "engine" | "caller" | "sequence">,
+    grant: Omit<IGrantRecord, "expiresAt">,
   ): void {
     const expiresAt = this.#clock.monotonic() + GRANT_LIFETIME_MILLISECONDS;
     this.#grants.push({ ...grant, expiresAt });
@@ -95,6 +99,12 @@
     return this.#live;
   }
 
+  /** Tokens that live requests may fill, by engine. */
+  liveTokens(): ReadonlyMap<string, number> {
+    this.#dropOutdated();
+    return this.#liveTokens;
+  }
+
   /** Live requests by caller. */
   callerCounts(): ReadonlyMap<string, number> {
     this.#dropOutdated();
@@ -160,6 +170,13 @@
     );
   }
 
+  /** Names of instances that reported of late and lack an ability. */
+  instancesWithout(ability: Ability): string[] {
+    return this.#recent(INSTANCE_LIFETIME_MILLISECONDS)
+      .filter(({ params }) => !params.abilities?.includes(ability))
+      .map(({ params }) => params.name);
+  }
+
   /** Whether an instance of a role has reported since a point in time. */
   hasReportSince(role: ExchangeParams["role"], since: number): boolean {
     return [...this.#reports.values()].some(({ params, receivedAt }) =>
@@ -194,16 +211,20 @@
     for (const [engine, count] of params.live) {
       add(this.#live, engine, sign * count);
     }
+    for (const [engine, tokens] of params.liveTokens ?? []) {
+      add(this.#liveTokens, engine, sign * tokens);
+    }
     for (const [caller, count] of params.callers ?? []) {
       add(this.#callers, caller, sign * count);
     }
   }
 
   #countGrant(
-    { engine, caller }: Pick<IGrantRecord, "engine" | "caller">,
+    { engine, caller, tokens }: Omit<IGrantRecord, "expiresAt">,
     sign: 1 | -1,
   ): void {
     add(this.#live, engine, sign);
+    add(this.#liveTokens, engine, sign * tokens);
     if (caller !== undefined) add(this.#callers, caller, sign);
   }
 
--- a/src/placement/load_ledger_property_test.ts
+++ b/src/placement/load_ledger_property_test.ts
@@ -74,7 +74,13 @@
           if (next.kind === "time") await time.advance(next.milliseconds);
           if (next.kind === "grant") {
             const { instance, engine } = next;
-            const grant = { instance, engine, sequence, caller: undefined };
+            const grant = {
+              instance,
+              engine,
+              sequence,
+              caller: undefined,
+              tokens: 0,
+            };
             ledger.recordGrant(grant);
             reference.grant(time.now, next.instance, next.engine, sequence);
           }
--- a/src/placement/load_ledger_test.ts
+++ b/src/placement/load_ledger_test.ts
@@ -25,7 +25,7 @@
 /** Grants an instance a request at an engine. */
 function recordGrant(ledger: LoadLedger, caller?: string): void {
   const grant = { instance: "one", engine: "engine-1", sequence: 1 };
-  ledger.recordGrant({ ...grant, caller });
+  ledger.recordGrant({ ...grant, caller, tokens: 0 });
 }
 
 test("load is summed over all instances", (t) => {
@@ -91,3 +91,15 @@
   await time.advance(1_600);
   t.is(ledger.callerCounts().size, 0);
 });
+
+test("tokens are counted by engine, grants included", (t) => {
+  const ledger = new LoadLedger(new VirtualClock(new VirtualTime()));
+  ledger.recordReport(report("two", { liveTokens: [["engine-1", 500]] }));
+  const grant = { instance: "one", engine: "engine-1", sequence: 1 };
+  ledger.recordGrant({ ...grant, caller: undefined, tokens: 300 });
+  t.is(ledger.liveTokens().get("engine-1"), 800);
+  ledger.recordReport(report("one", { answered: 1 }));
+  t.is(ledger.liveTokens().get("engine-1"), 500);
+  ledger.recordReport(report("two"));
+  t.is(ledger.liveTokens().size, 0);
+});
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -10,6 +10,15 @@
 import { routeSetSchema } from "../service_routes/mod.ts";
 import { listedEngineSchema } from "./types.ts";
 
+/**
+ * Features of a version of figroad that earlier versions lack and that an
+ * instance must have before others rely on it.
+ *
+ * - `callers`: routes and jobs with callers that have keys.
+ */
+export const ABILITIES = ["callers"] as const;
+export type Ability = typeof ABILITIES[number];
+
 /** Engine id, number of its live requests, number of its batch items. */
 export const loadEntrySchema = z.tuple([z.string(), z.number(), z.number()]);
 export type LoadEntry = z.infer<typeof loadEntrySchema>;
@@ -37,6 +46,8 @@
   excluded: z.array(z.string()),
   /** Software version that the engine must have; any if absent. */
   softwareVersion: z.string().optional(),
+  /** Tokens of its prompt and of the longest output; absent if not known. */
+  tokens: z.number().optional(),
   /** Caller whose limit and share apply; absent if requests need no key. */
   caller: z.string().optional(),
   /** Whether the caller's limit has admitted the request before. */
@@ -60,10 +71,11 @@
     retryMilliseconds: z.number(),
     /**
      * What is missing: a slot, a request within the limits that the engines
-     * name, a request within the caller's limit, or a slot within its fair
-     * share. Absent from leaders of earlier versions, which know slots only.
+     * name, a request within the caller's limit, a slot within its fair share,
+     * or memory of an engine. Absent from leaders of earlier versions, which know slots only.
      */
-    missing: z.enum(["slot", "rate", "caller-limit", "share"]).optional(),
+    missing: z.enum(["slot", "rate", "caller-limit", "share", "memory"])
+      .optional(),
   }),
   z.object({ kind: z.literal("no-engine") }),
 ]);
@@ -88,6 +100,8 @@
     /** Name of the machine, for operators. */
     name: z.string(),
     role: z.enum(["entry", "store"]),
+    /** Abilities of the instance; absent from versions before abilities. */
+    abilities: z.array(z.string()).optional(),
     /** Number of this call; increases with each call. */
     sequence: z.number(),
     /** Highest sequence number whose answer is reflected in `live`. */
@@ -99,6 +113,8 @@
      * this leader does not know them; left out where a request is placed.
      */
     means: z.array(z.tuple([z.string(), z.number()])).optional(),
+    /** Tokens that these requests may fill, by engine. */
+    liveTokens: z.array(z.tuple([z.string(), z.number()])).optional(),
     /** Live requests by caller, from this instance. */
     callers: z.array(callerCountSchema).optional(),
     /** Use of callers' limits that this leader may not have received yet. */
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -50,7 +50,7 @@
     readonly kind: "refused";
     readonly retryMilliseconds: number;
     /** What is missing, as in a `PlacementDecision`. */
-    readonly missing: "slot" | "rate" | "share";
+    readonly missing: "slot" | "rate" | "share" | "memory";
   }
   | { readonly kind: "no-engine" };
 
@@ -72,6 +72,8 @@
    * slots only.
    */
   readonly isOverShare?: boolean | undefined;
+  /** Tokens of its prompt and of the longest output; 0 if not known. */
+  readonly tokens?: number | undefined;
   /** By default, the least loaded engine is chosen. */
   readonly chooser?: IEngineChooser | undefined;
   /** Random number from 0 up to, not including, 1. */
@@ -101,19 +103,21 @@
   );
   const refuse = (
     wait: number,
-    missing: "slot" | "rate" | "share",
+    missing: "slot" | "rate" | "share" | "memory",
   ): Placement => ({
     kind: "refused",
     retryMilliseconds: Math.max(wait, minimumRetry(request, isLimited)),
     missing,
   });
-  const waits = new Map(candidates.map(({ engine }) => [
+  const fitting = candidates.filter((view) => hasMemory(view, request.tokens));
+  if (fitting.length === 0) return refuse(memoryWait(candidates), "memory");
+  const waits = new Map(fitting.map(({ engine }) => [
     engine.id,
     request.limiter.waitMilliseconds(engine.id),
   ]));
   const best = chooseEngine(
     request,
-    candidates.filter(({ engine }) => waits.get(engine.id) === 0),
+    fitting.filter(({ engine }) => waits.get(engine.id) === 0),
   );
   if (!best) {
     const wait = Math.min(...waits.values(), MAXIMUM_RATE_WAIT_MILLISECONDS);
@@ -159,3 +163,21 @@
   const isFree = plentiful !== undefined && expectedWait(plentiful) === 0;
   return isFree ? plentiful : chooser.choose(request, views);
 }
+
+/**
+ * Whether the memory of an engine holds the request besides its live ones.
+ * Items are preempted if their tokens are needed.
+ */
+function hasMemory(view: IEngineView, tokens: number | undefined): boolean {
+  const { memoryTokens, liveTokens = 0 } = view;
+  return tokens === undefined || memoryTokens === undefined ||
+    liveTokens + tokens <= memoryTokens;
+}
+
+/** Time until some engine is expected to complete a request, in ms. */
+function memoryWait(views: readonly IEngineView[]): number {
+  const waits = views.map(({ meanMilliseconds, engine }) =>
+    meanMilliseconds / engine.slots
+  );
+  return Math.min(...waits);
+}
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -146,3 +146,21 @@
   t.true(retries.every((milliseconds) => milliseconds >= 1_200));
   t.is(new Set(retries).size, 3);
 });
+
+// Long prompts: an engine crashes if its requests exceed its memory.
+test("engine without memory for the request is not chosen", (t) => {
+  const views = [
+    view("crowded", 1, { liveTokens: 95_000, memoryTokens: 100_000 }),
+    view("busy", 6, { liveTokens: 30_000, memoryTokens: 100_000 }),
+  ];
+  t.is(chosen(views, { ...REQUEST, tokens: 20_000 }), "busy");
+  t.is(chosen(views, { ...REQUEST, tokens: 5_000 }), "crowded", "just fits");
+  t.deepEqual(place({ ...REQUEST, tokens: 80_000 }, views), {
+    kind: "refused",
+    retryMilliseconds: 150,
+    missing: "memory",
+  });
+  t.is(chosen(views), "crowded", "requests without a size are not held back");
+  const unknown = [view("unknown", 0, { liveTokens: 95_000 })];
+  t.is(chosen(unknown, { ...REQUEST, tokens: 80_000 }), "unknown");
+});
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -106,7 +106,7 @@
     if (engine && isSuitable && !engine.isLeaving) {
       return { ...grant, engine, chosenBy: "leader" };
     }
-    this.#table.endRequest(grant.engine);
+    this.#table.endRequest(grant.engine, request.tokens);
     const placed = this.#placeLocally({ ...request, isAdmitted: true });
     if (isNewlyAdmitted && placed.kind !== "engine") {
       this.#callers?.activity.recordUnserved(caller);
@@ -130,7 +130,7 @@
       return { kind: "refused", retryMilliseconds, missing: "caller-limit" };
     }
     const { engine, live, bulk } = placement.view;
-    this.#table.beginRequest(engine.id);
+    this.#table.beginRequest(engine.id, request.tokens);
     limiter.take(engine.id);
     const { waitMilliseconds } = placement;
     return {
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -33,6 +33,10 @@
 /** An engine with the state that placement decides by. */
 export interface IEngineView extends IEngineLoad {
   readonly engine: ListedEngine;
+  /** Tokens that its live requests may fill. */
+  readonly liveTokens?: number;
+  /** Tokens that its memory holds; undefined if not known. */
+  readonly memoryTokens?: number | undefined;
   /** Whether requests to it fail or are not answered. */
   readonly isSuspect: boolean;
   /** Mean duration of a live request there, in milliseconds. */
--- a/src/service_routes/types.ts
+++ b/src/service_routes/types.ts
@@ -56,6 +56,8 @@
   healthPath: z.string(),
   /** Requests that an engine runs concurrently. */
   slots: z.number(),
+  /** Tokens that the memory of an engine holds; absent if not known. */
+  memoryTokens: z.number().optional(),
 });
 export type Service = z.infer<typeof serviceSchema>;
 
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -191,6 +191,7 @@
       hasBegun,
       excluded: [...run.excluded],
       softwareVersion,
+      tokens: request.tokens,
       caller: request.caller,
       isAdmitted: run.isAdmitted || undefined,
     });
@@ -198,7 +199,7 @@
       this.#countAdmitted(run);
       // Without a path, further attempts would only delay the refusal.
       if (run.sends === 0 || paths.hasPath) return placement;
-      table.endRequest(placement.engine.id);
+      table.endRequest(placement.engine.id, request.tokens);
       this.#endUnplaced(run, {
         kind: "refused",
         reason: "no engine can be reached from here or through an instance",
@@ -277,7 +278,7 @@
         onFirstEvent: () => this.#recordOrigin(run, engine),
       });
     } finally {
-      table.endRequest(engine.id);
+      table.endRequest(engine.id, request.tokens);
     }
     await match(outcome)
       .with({ kind: "answered" }, ({ status }) => {
@@ -368,11 +369,12 @@
 
 /** Describes what the refused request lacked. */
 function refusalReason(
-  missing: "slot" | "rate" | "caller-limit" | "share" | undefined,
+  missing: "slot" | "rate" | "caller-limit" | "share" | "memory" | undefined,
 ): string {
   return match(missing)
     .with("rate", () => "the limits that the engines name are used up")
     .with("caller-limit", () => "the caller's limit of requests is used up")
+    .with("memory", () => "no engine has memory for the request's tokens")
     .with("share", () => "the caller uses its share of the slots already")
     .otherwise(() => "no slot is expected to become free in time");
 }
--- a/src/streams/types.ts
+++ b/src/streams/types.ts
@@ -29,6 +29,8 @@
   readonly contentIds: readonly string[];
   /** Caller that holds the request's key; absent if it needs none. */
   readonly caller?: string | undefined;
+  /** Tokens of its prompt and of the longest output; absent if not known. */
+  readonly tokens?: number | undefined;
   /** Identifier of the event after which the caller resumes a stream. */
   readonly lastEventId: string | undefined;
   /** Attempt of the caller in which the resumed stream began. */
