--- a/soak/platform/client.ts
+++ b/soak/platform/client.ts
@@ -16,6 +16,12 @@
 /** HTTP client that keeps its connections open between requests. */
 export class Client {
   #agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  #headers: Record<string, string>;
+
+  /** @param headers sent with each request unless it has others. */
+  constructor(headers: Record<string, string> = {}) {
+    this.#headers = headers;
+  }
 
   /** Sends a request; resolves also if the answer is missing or incomplete. */
   send(
@@ -42,7 +48,7 @@
         port: endpoint.port,
         agent: this.#agent,
         ...{ method, path },
-        headers: { Host: HOST, ...message.headers },
+        headers: { Host: HOST, ...this.#headers, ...message.headers },
         signal: AbortSignal.timeout(timeoutMilliseconds),
       }, (response) => {
         status = response.statusCode;
--- a/soak/platform/loads.ts
+++ b/soak/platform/loads.ts
@@ -2,6 +2,12 @@
 import { platformConfiguration } from "../../testing/platform_configuration.ts";
 import type { PlatformFleet } from "../../testing/platform_fleet.ts";
 import type { TestRandom } from "../../testing/test_random.ts";
+import {
+  callersOf,
+  changingKey,
+  type ISoakKey,
+  STEADY_KEY,
+} from "./callers.ts";
 import { Client } from "./client.ts";
 import type {
   IReadResult,
@@ -27,6 +33,9 @@
 /** Attempts to send a configuration before its operator gives up. */
 const MAXIMUM_CONFIGURATION_ATTEMPTS = 12;
 
+/** Configurations from which changing keys are taken. */
+const RECENT_CONFIGURATIONS = 8;
+
 /** Longest delay before a retry, in milliseconds. */
 const MAXIMUM_RETRY_DELAY_MILLISECONDS = 500;
 
@@ -37,6 +46,8 @@
   readonly random: TestRandom;
   readonly name: string;
   readonly signal: AbortSignal;
+  /** Whether the configurations contain callers with keys. */
+  readonly hasCallers: boolean;
 }
 
 /** Sends streamed requests one at a time on persistent connections. */
@@ -48,6 +59,7 @@
   ): Promise<IStreamRecord> => {
     const index = random.integer(0, fleet.entries.length - 1);
     const { id, kind, resumed } = stream;
+    const key = chooseKey(context);
     const startedAt = Date.now();
     const answer = await clients[index]!.send(fleet.front(index), {
       method: "POST",
@@ -55,6 +67,7 @@
       headers: {
         "Request-Id": id,
         "Deadline-Ms": String(STREAM_DEADLINE_MILLISECONDS),
+        ...key && { Key: key.key },
         ...resumed && {
           Resumes: resumed.id,
           "Last-Event-Id": String(countEvents(resumed.text)),
@@ -65,7 +78,7 @@
     });
     const entry = fleet.entries[index]!.name;
     const endedAt = Date.now();
-    const sent = { ...stream, entry, startedAt, endedAt, ...answer };
+    const sent = { ...stream, entry, key, startedAt, endedAt, ...answer };
     record.streams.push(sent);
     return sent;
   };
@@ -82,6 +95,16 @@
   for (const client of clients) client.dispose();
 }
 
+/** Chooses the steady key, or one that some version of late contains. */
+function chooseKey(
+  { record, random, hasCallers }: ILoadContext,
+): ISoakKey | undefined {
+  if (!hasCallers) return undefined;
+  const recent = record.configurations.slice(-RECENT_CONFIGURATIONS);
+  if (recent.length === 0 || random.chance(50)) return STEADY_KEY;
+  return changingKey(random.pick(recent).version);
+}
+
 /** Number of events in text that ends with a complete event. */
 function countEvents(text: string): number {
   return text.split("\n\n").length - 1;
@@ -90,7 +113,7 @@
 /** Submits jobs, reads their results at random entries and ends some jobs. */
 export async function runJobLoad(context: ILoadContext): Promise<void> {
   const { record, random, name, signal } = context;
-  const client = new Client();
+  const client = new Client(context.hasCallers ? { Key: STEADY_KEY.key } : {});
   for (let count = 0; !signal.aborted; count++) {
     const id = `${name}-${count}`;
     const items = Array.from(
@@ -152,7 +175,10 @@
  * unread one, and compares them with earlier reads.
  */
 export async function readJob(
-  { fleet, record, random }: Omit<ILoadContext, "name" | "signal">,
+  { fleet, record, random }: Omit<
+    ILoadContext,
+    "name" | "signal" | "hasCallers"
+  >,
   client: Client,
   job: ISoakJob,
 ): Promise<void> {
@@ -208,6 +234,7 @@
       version += random.integer(1, 3);
       const source = platformConfiguration(version, {
         note: `order ${version}`,
+        ...context.hasCallers && { tenants: callersOf(version) },
       });
       const configuration: ISoakConfiguration = {
         version,
@@ -242,6 +269,7 @@
     });
     if (status === 200) {
       configuration.isAcknowledged = true;
+      configuration.acknowledgedAt = Date.now();
       return;
     }
     if (status !== undefined && status < 500) {
@@ -259,7 +287,10 @@
  * its version, or with undefined if no complete configuration was returned.
  */
 export async function readConfiguration(
-  { fleet, record, random }: Omit<ILoadContext, "name" | "signal">,
+  { fleet, record, random }: Omit<
+    ILoadContext,
+    "name" | "signal" | "hasCallers"
+  >,
   client: Client,
 ): Promise<number | undefined> {
   const acknowledgedVersion = record.highestAcknowledgedVersion();
--- a/soak/platform/platform_checks.ts
+++ b/soak/platform/platform_checks.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { PlatformFleet } from "../../testing/platform_fleet.ts";
 import type { TestRandom } from "../../testing/test_random.ts";
+import { STEADY_KEY } from "./callers.ts";
 import { Client } from "./client.ts";
 import { readConfiguration, readJob } from "./loads.ts";
 import type {
@@ -224,7 +225,8 @@
 export async function checkJobs(context: ICheckContext): Promise<void> {
   const { fleet, record } = context;
   const deadline = Date.now() + SETTLE_TIMEOUT_MILLISECONDS;
-  const client = new Client();
+  // The key is ignored where callers have none.
+  const client = new Client({ Key: STEADY_KEY.key });
   for (const job of record.jobs) {
     const isOpen = () =>
       !job.isEndSent && job.results.length < job.items.length;
--- a/soak/platform/platform_record.ts
+++ b/soak/platform/platform_record.ts
@@ -1,8 +1,12 @@
+import type { ISoakKey } from "./callers.ts";
+
 /** A streamed request as its client observed it. */
 export interface IStreamRecord {
   readonly id: string;
   readonly kind: "resumable" | "once";
   readonly entry: string;
+  /** Key that it was sent with; absent if callers have none. */
+  readonly key?: ISoakKey | undefined;
   readonly startedAt: number;
   endedAt: number;
   /** Undefined if no response headers arrived. */
@@ -46,6 +50,8 @@
   readonly version: number;
   readonly source: string;
   isAcknowledged: boolean;
+  /** Wall time of the acknowledgement. */
+  acknowledgedAt?: number;
 }
 
 /** A planned stop of an entry or store, from SIGTERM to the exit. */
--- a/soak/platform/run_platform_soak.ts
+++ b/soak/platform/run_platform_soak.ts
@@ -6,6 +6,7 @@
 import { PlatformFleet, sendRequest } from "../../testing/platform_fleet.ts";
 import { TestRandom } from "../../testing/test_random.ts";
 import { generateSchedule, type IScheduledFault } from "../faults.ts";
+import { callersOf, checkCallers } from "./callers.ts";
 import { runConfigurationLoad, runJobLoad, runStreamLoad } from "./loads.ts";
 import {
   checkConfiguration,
@@ -43,6 +44,8 @@
   readonly seconds: number;
   readonly entries: number;
   readonly engines: number;
+  /** Whether callers have keys, some of which are withdrawn. */
+  readonly hasCallers?: boolean;
 }
 
 /** Result of a soak. */
@@ -70,12 +73,14 @@
     (_, index) => new SoakEngine(index),
   );
   const fleet = new PlatformFleet(engines);
+  const { hasCallers = false } = options;
   const context = { fleet, record, random };
   try {
     await fleet.start(options.entries);
-    await waitUntilServing(fleet, record);
+    await waitUntilServing(fleet, record, hasCallers);
     const load = new AbortController();
-    const tasks = startLoad(context, { seed, signal: load.signal });
+    const { signal } = load;
+    const tasks = startLoad(context, { seed, signal, hasCallers });
     const busyNames = new Set<string>();
     await Promise.all([
       announceLeaving(fleet, options),
@@ -93,6 +98,7 @@
     checkStreams(context);
     checkLimits(context);
     checkStrandings(context);
+    if (hasCallers) checkCallers(context);
     await checkConfiguration(context);
   } catch (error) {
     record.addViolation((error as Error).stack ?? String(error));
@@ -169,9 +175,9 @@
 
 function startLoad(
   context: { fleet: PlatformFleet<SoakEngine>; record: PlatformRecord },
-  options: { seed: number; signal: AbortSignal },
+  options: { seed: number; signal: AbortSignal; hasCallers: boolean },
 ): Promise<void>[] {
-  const { seed, signal } = options;
+  const { seed, signal, hasCallers } = options;
   let taskCount = 0;
   // Each task has its own random numbers, so that its choices do not depend on
   // the timing of other tasks.
@@ -179,7 +185,7 @@
     ...context,
     name: `${name}-${taskCount}`,
     random: new TestRandom(seed * 1_000 + ++taskCount),
-    signal,
+    ...{ signal, hasCallers },
   });
   const streams = STREAM_CLIENTS * context.fleet.entries.length;
   return [
@@ -196,8 +202,10 @@
 async function waitUntilServing(
   fleet: PlatformFleet<SoakEngine>,
   record: PlatformRecord,
+  hasCallers: boolean,
 ): Promise<void> {
-  const source = platformConfiguration(1, {});
+  const tenants = hasCallers ? callersOf(1) : undefined;
+  const source = platformConfiguration(1, { tenants });
   record.configurations.push({ version: 1, source, isAcknowledged: true });
   const message = { method: "PUT", path: "/figroad/config", body: source };
   await retryUntilOk(
--- a/soak/platform/soak_engine.ts
+++ b/soak/platform/soak_engine.ts
@@ -55,6 +55,10 @@
   readonly startedAt: number;
   /** Id of the event after which the answer starts; 0 if not resumed. */
   readonly after: number;
+  /** Caller that the request names. */
+  readonly caller: string | undefined;
+  /** Whether the request contains a key. */
+  readonly hasKey: boolean;
 }
 
 /** Requests a second that an engine in need takes from all machines. */
@@ -119,7 +123,11 @@
     }
     const after = Number(request.headers["last-event-id"] ?? 0);
     const engine = this.#id;
-    this.runs.push({ id, engine, startedAt: Date.now(), after });
+    this.runs.push({
+      ...{ id, engine, startedAt: Date.now(), after },
+      caller: request.headers["tenant"]?.toString(),
+      hasKey: request.headers["key"] !== undefined,
+    });
     if (request.headers.model === POISON) {
       response.writeHead(422, { "Response-Stamp": engine }).end();
       return;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -68,6 +68,11 @@
     ...COMMON_ARGUMENTS,
     entries: { type: "string", default: "3", description: "Number of entries" },
     engines: { type: "string", default: "3", description: "Number of engines" },
+    callers: {
+      type: "boolean",
+      default: false,
+      description: "Callers have keys, some of which are withdrawn",
+    },
   },
   async run({ args }) {
     await runSeeds(args, async (seed) => {
@@ -76,6 +81,7 @@
         seconds: Number(args.seconds),
         entries: Number(args.entries),
         engines: Number(args.engines),
+        hasCallers: args.callers,
       });
       printSchedule(schedule);
       printPlatformCounts(record);
