Refuse callers over their limit at the entry; routes with periodic exchanges

Each request of a hot caller asked the leader, and answers to requests that wait for a placement carried the whole routes while versions came every 60 ms.

Change: after a refusal because of a caller's limit, an entry refuses its requests for the time until the next token, at most 500 ms, without asking; routes travel with periodic exchanges only.

--- a/src/admission/caller_use.ts
+++ b/src/admission/caller_use.ts
@@ -20,6 +20,12 @@
  */
 const PAUSE_MILLISECONDS = 2_000;
 
+/**
+ * Longest time for which requests are refused after one refusal of the leader,
+ * in milliseconds. Other instances may use the tokens of that time.
+ */
+const MAXIMUM_PAUSE_MILLISECONDS = 500;
+
 /** Seconds for which this instance saves up a caller's rate. */
 const SAVED_SECONDS = 1 / 2;
 
@@ -41,6 +47,8 @@
   rate: number | undefined;
   /** Time of the last request without the leader. */
   askedAt: Deadline | undefined;
+  /** Time until which requests are refused without asking the leader. */
+  refusedUntil: Deadline | undefined;
 }
 
 /**
@@ -96,6 +104,22 @@
     return observed.bucket.take(1) === 1;
   }
 
+  /**
+   * Records that the leader refused a request because of the caller's limit.
+   * Until its token is there, or the longest pause is over, further requests of
+   * the caller need not ask the leader, which would be overloaded by them.
+   */
+  recordRefusal(caller: string, retryMilliseconds: number): void {
+    const pause = Math.min(retryMilliseconds, MAXIMUM_PAUSE_MILLISECONDS);
+    this.#callerOf(caller).refusedUntil = this.#clock.deadlineIn(pause);
+  }
+
+  /** Milliseconds for which requests of the caller are refused here. */
+  refusalMilliseconds(caller: string): number {
+    const until = this.#callers.get(caller)?.refusedUntil;
+    return until === undefined ? 0 : this.#clock.remaining(until);
+  }
+
   /** Rate at which the leader has admitted requests here, a second. */
   #rateOf(observed: IObservedCaller): number {
     dropOld(observed, this.#clock.monotonic() - OBSERVED_MILLISECONDS);
@@ -111,7 +135,7 @@
     const bucket = this.#createBucket();
     const observed = {
       ...{ admittedAt: [], bucket, level: 0 },
-      ...{ rate: undefined, askedAt: undefined },
+      ...{ rate: undefined, askedAt: undefined, refusedUntil: undefined },
     };
     this.#callers.set(caller, observed);
     return observed;
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -135,7 +135,9 @@
     const hasList = list.revision !== "";
     const isNewList = hasList && !hasSameList;
     // A version without callers would serve requests without their keys.
-    const isNewRoutes = routes && routes.version > params.routesVersion &&
+    // Routes are large, and a request that is being placed would wait for them.
+    const isNewRoutes = routes && !params.want &&
+      routes.version > params.routesVersion &&
       (!routes.requiresKeys || params.abilities?.includes("callers"));
     return Promise.resolve(ok({
       leader: name,
--- a/src/placement/exchange_test.ts
+++ b/src/placement/exchange_test.ts
@@ -373,3 +373,20 @@
   t.is((await fleet.place(placer, { caller: "other" })).kind, "engine");
   t.is((await fleet.place(placer, { caller: "quiet" })).kind, "engine");
 });
+
+// One caller sends many times its limit through all entries: asking the leader
+// for each request would overload it.
+test("hot caller: few of its refused requests reach the leader", async (t) => {
+  const fleet = new Fleet();
+  const { placer } = fleet.entry("entry");
+  await fleet.time.advance(200);
+  fleet.callerLimit = { requestsPerSecond: 2, burst: 2 };
+  let admitted = 0;
+  for (let count = 0; count < 50; count++) {
+    const placed = await fleet.place(placer, { caller: "hot" });
+    if (placed.kind === "engine") admitted += 1;
+  }
+  const [usage] = fleet.leaderState!.callerLimiter.usage();
+  t.true(admitted >= 8, `${admitted} of 2 a second for 5 s, and 2 at once`);
+  t.true(usage!.refused <= 12, `${usage!.refused} of 50 asked the leader`);
+});
--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -88,11 +88,16 @@
   }
 
   async place(request: PlacementRequest): Promise<PlacerResult> {
+    const refusal = this.#findKnownRefusal(request);
+    if (refusal) return refusal;
     // The leader may not know yet which engines leave.
     const excluded = [...request.excluded, ...this.#table.announcedLeaving()];
     const grant = await this.#source.requestPlacement({ ...request, excluded });
     if (!grant) return this.#placeLocally(request);
-    if (grant.kind !== "engine") return grant;
+    if (grant.kind !== "engine") {
+      this.#recordRefusal(request, grant);
+      return grant;
+    }
     const { caller } = request;
     const isNewlyAdmitted = caller !== undefined && !request.isAdmitted;
     if (isNewlyAdmitted && this.#callers?.limitOf(caller)) {
@@ -140,6 +145,26 @@
     };
   }
 
+  /** Refuses a request whose caller's limit the leader just called used up. */
+  #findKnownRefusal(
+    { caller, isAdmitted }: PlacementRequest,
+  ): PlacerResult | undefined {
+    if (caller === undefined || isAdmitted) return undefined;
+    const pause = this.#callers?.use.refusalMilliseconds(caller) ?? 0;
+    if (pause === 0) return undefined;
+    const retryMilliseconds = pause + LIMIT_RETRY_MILLISECONDS * this.#random();
+    return { kind: "refused", retryMilliseconds, missing: "caller-limit" };
+  }
+
+  #recordRefusal(
+    { caller }: PlacementRequest,
+    grant: Exclude<PlacementDecision, { kind: "engine" }>,
+  ): void {
+    if (caller === undefined || grant.kind !== "refused") return;
+    if (grant.missing !== "caller-limit") return;
+    this.#callers?.use.recordRefusal(caller, grant.retryMilliseconds);
+  }
+
   /** Counts a request against its caller's limit; false if it is used up. */
   #admitLocally({ caller, isAdmitted }: PlacementRequest): boolean {
     const limit = caller === undefined
