Serve callers below their limit while the leader is lost

Cause: an entry without the leader went on at the rate that it had observed for a caller.

Change: an entry begins with a credit, its part of 2.5 s of the limit if the caller had left its burst unused, plus a few requests; callers with a limit of 4 requests a second or less are not held back. The limit of the platform's window holds in tests with a caller that is hot before, or turns hot as the leader is lost.

Checks: 'entry without a leader keeps to the rate' used a limit of 1 a second, which is no longer held back; it now uses 5 and the limit itself as bound, and that the leader counts all of them after it is back.

--- a/src/admission/caller_use.ts
+++ b/src/admission/caller_use.ts
@@ -26,6 +26,9 @@
  */
 const MAXIMUM_PAUSE_MILLISECONDS = 500;
 
+/** Number of instances that is assumed before the leader has named it. */
+const ASSUMED_INSTANCES = 100;
+
 /** Seconds for which this instance saves up a caller's rate. */
 const SAVED_SECONDS = 1 / 2;
 
@@ -37,10 +40,26 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/**
+ * Limit up to which a caller is not held back without the leader, in requests a
+ * second. Each instance sees too few requests of such a caller to tell its
+ * rate, and all of them together are few.
+ */
+const UNRESTRICTED_REQUESTS_PER_SECOND = 4;
+
+/**
+ * Seconds of its limit that all instances together admit at once of a caller
+ * that left its burst unused, and requests that they admit of any caller.
+ */
+const CREDIT_SECONDS = 2.5;
+const CREDIT_REQUESTS = 12;
+
 interface IObservedCaller {
   /** Times of the admitted requests, oldest first. */
   readonly admittedAt: number[];
-  bucket: TokenBucket;
+  bucket: TokenBucket | undefined;
+  /** Requests that may be admitted at once without the leader. */
+  credit: number;
   /** Unused part of the caller's burst, from 0 to 1, as last heard. */
   level: number;
   /** Rate since the leader last admitted a request; undefined while it does. */
@@ -94,14 +113,17 @@
 
   /** Admits a request without the leader if the caller's rate allows it. */
   tryAdmit(caller: string, limit: CallerLimit): boolean {
+    const { requestsPerSecond } = limit;
+    if (requestsPerSecond <= UNRESTRICTED_REQUESTS_PER_SECOND) return true;
     const observed = this.#callerOf(caller);
-    this.#beginAfterPause(observed);
+    const instances = this.#instances() ?? ASSUMED_INSTANCES;
+    const bucket = this.#bucketOf(observed, requestsPerSecond / instances);
     observed.rate ??= this.#rateOf(observed);
-    const instances = Math.max(1, this.#instances() ?? 1);
-    const unseen = limit.requestsPerSecond * UNSEEN_SHARE / instances;
-    const rate = Math.min(observed.rate || unseen, limit.requestsPerSecond);
-    observed.bucket.setRate(rate, Math.max(1, rate * SAVED_SECONDS));
-    return observed.bucket.take(1) === 1;
+    const unseen = requestsPerSecond * UNSEEN_SHARE / instances;
+    const rate = Math.min(observed.rate || unseen, requestsPerSecond);
+    const capacity = Math.max(rate * SAVED_SECONDS, observed.credit) + 1;
+    bucket.setRate(rate, capacity);
+    return bucket.take(1) === 1;
   }
 
   /**
@@ -132,27 +154,31 @@
     const known = this.#callers.get(caller);
     if (known) return known;
     if (this.#callers.size >= SWEEP_THRESHOLD) this.#dropUnseen();
-    const bucket = this.#createBucket();
     const observed = {
-      ...{ admittedAt: [], bucket, level: 0 },
-      ...{ rate: undefined, askedAt: undefined, refusedUntil: undefined },
+      ...{ admittedAt: [], bucket: undefined, credit: 0 },
+      // A caller whose requests are not seen here does not send many.
+      ...{ level: 1, rate: undefined },
+      ...{ askedAt: undefined, refusedUntil: undefined },
     };
     this.#callers.set(caller, observed);
     return observed;
   }
 
-  /** Instances that all start with a token, or none, would act alike. */
-  #createBucket(): TokenBucket {
-    return new TokenBucket(this.#clock, { initialTokens: this.#random() });
-  }
-
-  #beginAfterPause(observed: IObservedCaller): void {
+  /** The bucket since the leader was lost; begins with this part's credit. */
+  #bucketOf(observed: IObservedCaller, share: number): TokenBucket {
     const now = this.#clock.monotonic();
-    const { askedAt } = observed;
-    if (askedAt !== undefined && now - askedAt > PAUSE_MILLISECONDS) {
-      observed.bucket = this.#createBucket();
-    }
+    const { askedAt, bucket, level } = observed;
     observed.askedAt = now;
+    const isPaused = askedAt !== undefined &&
+      now - askedAt > PAUSE_MILLISECONDS;
+    if (bucket && !isPaused) return bucket;
+    const instances = this.#instances() ?? ASSUMED_INSTANCES;
+    observed.credit = CREDIT_SECONDS * share * level +
+      CREDIT_REQUESTS / instances;
+    // The random part spreads credits below one over the instances.
+    const initialTokens = observed.credit + this.#random();
+    observed.bucket = new TokenBucket(this.#clock, { initialTokens });
+    return observed.bucket;
   }
 
   #dropUnseen(): void {
