Forward only bytes that continue a stream

Items took status 422 and 500 from answers for another request on a kept connection, so a sound item was given up or counted as failed.

Change: only groups of lines with the fields of an event, and with numbers that increase, are forwarded; otherwise the attempt has failed at its engine. An answer without a length needs an event if a part of the stream precedes it. Items ignore answers that are not for them.

Remaining: an answer without a length and event to a caller who resumes counts as complete, because only the end may be missing.

--- a/src/bulk/item_run.ts
+++ b/src/bulk/item_run.ts
@@ -7,6 +7,7 @@
   fieldValues,
   type IEngineAnswer,
   type IEngineClient,
+  takeValidEvents,
 } from "../streams/mod.ts";
 import { HttpExchangeError } from "../targets/http_exchange.ts";
 import type { BulkItem } from "./types.ts";
@@ -70,6 +71,13 @@
   }
 }
 
+/** An engine sent bytes that do not continue the item's stream. */
+class InvalidEventError extends Error {
+  constructor() {
+    super("the engine sent bytes that do not continue the stream");
+  }
+}
+
 /** Runs items from this process. */
 export class LocalExecutor implements IItemExecutor {
   #client: IEngineClient;
@@ -112,10 +120,10 @@
         answer.close();
         return early;
       }
-      await collectEvents(answer, { progress, signal });
+      const hasEvent = await collectEvents(answer, { progress, signal });
       // Without a length, an engine that crashes before its first event seems
       // to have answered completely.
-      if (progress.lastEventId === undefined && !answer.isFramed) {
+      if (!hasEvent && !answer.isFramed) {
         throw new Error("the stream ended before its first event");
       }
       return signal.aborted ? { kind: "stopped" } : { kind: "complete" };
@@ -128,7 +136,8 @@
       }
       const isBrokenOff = isExchangeError
         ? error.code === "connection"
-        : !(error instanceof SilentEngineError);
+        : !(error instanceof SilentEngineError) &&
+          !(error instanceof InvalidEventError);
       return { kind: "broken", reason, isBrokenOff };
     }
   }
@@ -143,18 +152,26 @@
       reason: `the engine refused the item with status ${status}`,
     };
   }
+  if (!isGenuine) {
+    const reason = "the answer is unsigned or for another request";
+    return { kind: "broken", reason };
+  }
   if (status === 422) return { kind: "impossible" };
   if (status === 500) return { kind: "failed", reason: "engine answered 500" };
-  if (status === 200 && isGenuine) return undefined;
+  if (status === 200) return undefined;
   return { kind: "broken", reason: `unexpected answer with status ${status}` };
 }
 
-/** Adds the events of an answer to the progress of the item. */
+/**
+ * Adds the events of an answer to the progress of the item. Resolves with
+ * whether there were any.
+ */
 async function collectEvents(
   answer: { body: AsyncIterable<Buffer>; close: () => void },
   run: { progress: IItemProgress; signal: AbortSignal },
-): Promise<void> {
+): Promise<boolean> {
   const { progress, signal } = run;
+  let hasEvent = false;
   const splitter = new EventSplitter();
   let silent = false;
   const timer = setTimeout(() => {
@@ -165,18 +182,23 @@
   signal.addEventListener("abort", stop, { once: true });
   try {
     for await (const bytes of answer.body) {
-      for (const event of splitter.push(bytes)) {
+      const received = splitter.push(bytes);
+      const events = takeValidEvents(received, progress.lastEventId);
+      for (const event of events) {
         if (event.id === undefined) continue;
+        hasEvent = true;
         // A faulty engine may send other bytes without end.
         timer.refresh();
         progress.data.push(...fieldValues(event.bytes, "data"));
         progress.lastEventId = event.id;
       }
+      if (events.length < received.length) throw new InvalidEventError();
     }
     if (silent) throw new SilentEngineError();
     if (splitter.incompleteBytes.length > 0 && !signal.aborted) {
       throw new Error("the stream ended inside an event");
     }
+    return hasEvent;
   } catch (error) {
     throw silent ? new SilentEngineError() : error;
   } finally {
--- a/src/bulk/item_run_test.ts
+++ b/src/bulk/item_run_test.ts
@@ -1,11 +1,15 @@
 import { Buffer } from "node:buffer";
 import { setTimeout as sleep } from "node:timers/promises";
 import test from "ava";
-import { FakeEngines } from "../../testing/fake_engines.ts";
+import { type EngineScript, FakeEngines } from "../../testing/fake_engines.ts";
 import { listedEngine } from "../../testing/listed_engine.ts";
 import { SystemClock } from "../common/mod.ts";
 import type { IEngineClient } from "../streams/mod.ts";
-import { type IItemProgress, LocalExecutor } from "./item_run.ts";
+import {
+  type IItemProgress,
+  type ItemOutcome,
+  LocalExecutor,
+} from "./item_run.ts";
 
 const ITEM = { id: "item", path: "/", headers: {}, body: "", tokens: 10 };
 
@@ -73,3 +77,68 @@
   });
   t.deepEqual(progress.data, []);
 });
+
+/** Runs an item at engines that answer by the scripts, one after the other. */
+async function runAt(
+  scripts: EngineScript[],
+  progress: IItemProgress = { data: [], lastEventId: undefined },
+): Promise<ItemOutcome[]> {
+  const client = new FakeEngines(scripts);
+  const executor = new LocalExecutor(client, new SystemClock(), {
+    leaving: { has: () => false },
+  });
+  const { signal } = new AbortController();
+  const run = { item: ITEM, host: "reports.example", progress, signal };
+  const outcomes: ItemOutcome[] = [];
+  for (let index = 0; index < scripts.length; index++) {
+    outcomes.push(await executor.run(listedEngine(`engine-${index}`), run));
+  }
+  return outcomes;
+}
+
+// Guards against a repeated answer for another item on a kept connection, for
+// which a sound item was given up or counted as failed.
+test("answer for another item decides nothing about this one", async (t) => {
+  const outcomes = await runAt([
+    { kind: "status", status: 422, isForeign: true },
+    { kind: "status", status: 500, isForeign: true },
+    { kind: "status", status: 422 },
+  ]);
+  t.deepEqual(outcomes.map(({ kind }) => kind), [
+    "broken",
+    "broken",
+    "impossible",
+  ]);
+});
+
+// Guards against results that lack the events after an engine was lost.
+test("unframed answer without a further event completes no item", async (t) => {
+  const progress: IItemProgress = { data: [], lastEventId: undefined };
+  const outcomes = await runAt([
+    { kind: "stream", events: 3, breakAt: 3 },
+    { kind: "stream", events: 2, unframed: true },
+    { kind: "stream", events: 3, unframed: true },
+  ], progress);
+  t.deepEqual(outcomes.map(({ kind }) => kind), [
+    "broken",
+    "broken",
+    "complete",
+  ]);
+  t.deepEqual(progress.data, ["word 1", "word 2", "word 3"]);
+});
+
+// Guards against results with the text of an error or with events twice.
+test("bytes that do not continue an item's stream are not its result", async (t) => {
+  const other = "HTTP/1.1 500 Internal Server Error\r\n\r\n" +
+    "id: 9\ndata: of another answer\n\n";
+  const progress: IItemProgress = { data: [], lastEventId: undefined };
+  const outcomes = await runAt([
+    { kind: "stream", events: 2, unframed: true, extra: other },
+    { kind: "stream", events: 3, ignoresLastEventId: true },
+    { kind: "stream", events: 3 },
+  ], progress);
+  t.like(outcomes[0], { kind: "broken", isBrokenOff: false });
+  t.like(outcomes[1], { kind: "broken", isBrokenOff: false });
+  t.is(outcomes[2]?.kind, "complete");
+  t.deepEqual(progress.data, ["word 1", "word 2", "word 3"]);
+});
--- a/src/streams/event_splitter.ts
+++ b/src/streams/event_splitter.ts
@@ -3,9 +3,15 @@
 /** Maximum size of one event, in bytes. */
 const MAXIMUM_EVENT_BYTES = 1024 * 1024;
 
-const ID_PREFIX = Buffer.from("id:");
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const COLON = 0x3a;
+
+/** Name of a field, in the bytes before the colon of a line. */
+const FIELD_NAME_PATTERN = /^[A-Za-z][A-Za-z0-9_-]*$/;
+
+/** Fields that make a group of lines an event, if at least one is present. */
+const EVENT_FIELDS = new Set(["data", "event", "id", "retry"]);
 
 /** A complete server-sent event. */
 export interface IStreamEvent {
@@ -13,6 +19,8 @@
   readonly bytes: Buffer;
   /** Value of its `id` line, if it has one. */
   readonly id: string | undefined;
+  /** False for other text, such as the head of a further HTTP answer. */
+  readonly isWellFormed: boolean;
 }
 
 /** Splits a byte stream into complete server-sent events. */
@@ -40,7 +48,7 @@
       end = firstEventLength(rest)
     ) {
       const event = rest.subarray(0, end);
-      events.push({ bytes: event, id: findEventId(event) });
+      events.push({ bytes: event, ...parseLines(event) });
       rest = rest.subarray(end);
     }
     if (rest.length > MAXIMUM_EVENT_BYTES) {
@@ -51,6 +59,30 @@
   }
 }
 
+/**
+ * Returns the leading events that continue a stream: they are well formed, and
+ * their numbers increase. Identifiers that are no numbers are not compared.
+ *
+ * @param lastEventId identifier of the last event before them
+ */
+export function takeValidEvents(
+  events: readonly IStreamEvent[],
+  lastEventId: string | undefined,
+): IStreamEvent[] {
+  let last = toNumber(lastEventId);
+  const end = events.findIndex(({ id, isWellFormed }) => {
+    const number = toNumber(id);
+    if (!isWellFormed || (number ?? Infinity) <= (last ?? -1)) return true;
+    last = number ?? last;
+    return false;
+  });
+  return end === -1 ? [...events] : events.slice(0, end);
+}
+
+function toNumber(id: string | undefined): number | undefined {
+  return id !== undefined && /^\d{1,15}$/.test(id) ? Number(id) : undefined;
+}
+
 /** Values of a field of an event, in order. */
 export function fieldValues(event: Buffer, field: string): string[] {
   const prefix = `${field}:`;
@@ -62,17 +94,31 @@
     });
 }
 
-/** Returns the value of the `id` line without decoding the data. */
-function findEventId(event: Buffer): string | undefined {
+/** Reads the names of the fields without decoding the data. */
+function parseLines(event: Buffer): Omit<IStreamEvent, "bytes"> {
+  let id: string | undefined;
+  let hasComment = false;
+  let hasEventField = false;
   for (let from = 0; from < event.length;) {
-    const end = event.indexOf(LINE_FEED, from);
-    const until = end === -1 ? event.length : end;
-    if (event.indexOf(ID_PREFIX, from) === from) {
-      return event.toString("utf8", from + ID_PREFIX.length, until).trim();
+    const feed = event.indexOf(LINE_FEED, from);
+    const until = feed === -1 ? event.length : feed;
+    const isEmpty = until === from ||
+      (until === from + 1 && event[from] === CARRIAGE_RETURN);
+    if (event[from] === COLON) hasComment = true;
+    else if (!isEmpty) {
+      const colon = event.subarray(from, until).indexOf(COLON);
+      const name = event.toString("latin1", from, from + colon);
+      if (colon === -1 || !FIELD_NAME_PATTERN.test(name)) {
+        return { id: undefined, isWellFormed: false };
+      }
+      hasEventField ||= EVENT_FIELDS.has(name);
+      if (name === "id") {
+        id ??= event.toString("utf8", from + colon + 1, until).trim();
+      }
     }
     from = until + 1;
   }
-  return undefined;
+  return { id, isWellFormed: hasEventField || hasComment };
 }
 
 /** Returns the length of the first complete event, or 0 if there is none. */
--- a/src/streams/event_splitter_test.ts
+++ b/src/streams/event_splitter_test.ts
@@ -1,7 +1,11 @@
 import { Buffer } from "node:buffer";
 import test from "ava";
 import fc from "fast-check";
-import { EventSplitter, fieldValues } from "./event_splitter.ts";
+import {
+  EventSplitter,
+  fieldValues,
+  takeValidEvents,
+} from "./event_splitter.ts";
 
 test("splits events however the bytes are chunked", (t) => {
   const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
@@ -43,3 +47,41 @@
   const bytes = Buffer.alloc(1024 * 1024 + 1, "x");
   t.throws(() => splitter.push(bytes), { instanceOf: RangeError });
 });
+
+// Guards against the head or the text of another answer inside a stream.
+test("text that is no event does not continue a stream", (t) => {
+  const others = [
+    "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: other\r\n\r\n",
+    '{"error": "overloaded"}\n\n',
+    "Internal Server Error\n\n",
+    "error: overloaded\n\n",
+  ];
+  for (const other of others) {
+    const events = new EventSplitter().push(
+      Buffer.from(`id: 3\ndata: a\n\n${other}id: 4\ndata: b\n\n`),
+    );
+    t.is(events.length, 3, other);
+    const valid = takeValidEvents(events, "2");
+    t.deepEqual(valid.map(({ id }) => id), ["3"], other);
+  }
+});
+
+test("comments and fields before the data are part of an event", (t) => {
+  const text = ": ping\n\nweight-versions: 2\nid: 1\ndata: a\n\n" +
+    "event: end\r\ndata:\r\n\r\n";
+  const events = new EventSplitter().push(Buffer.from(text));
+  t.is(takeValidEvents(events, undefined).length, 3);
+});
+
+// Guards against events that come twice or go back to an earlier one.
+test("event numbers must increase", (t) => {
+  const events = new EventSplitter().push(
+    Buffer.from("id: 5\ndata: a\n\nid: 5\ndata: a\n\n"),
+  );
+  t.is(takeValidEvents(events, "4").length, 1);
+  t.is(takeValidEvents(events, "5").length, 0);
+  const named = new EventSplitter().push(
+    Buffer.from("id: b\ndata: a\n\nid: a\ndata: a\n\n"),
+  );
+  t.is(takeValidEvents(named, "c").length, 2);
+});
--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -4,7 +4,7 @@
 import { RelayError } from "../relaying/mod.ts";
 import { HttpExchangeError } from "../targets/http_exchange.ts";
 import { AnswerWatchdog } from "./answer_watchdog.ts";
-import { EventSplitter } from "./event_splitter.ts";
+import { EventSplitter, takeValidEvents } from "./event_splitter.ts";
 import type {
   HeaderLines,
   IAnswerSink,
@@ -136,6 +136,8 @@
   ): Promise<AttemptOutcome> {
     const { sink, progress, limits } = options;
     const isStream = request.route.kind === "stream";
+    const hadBegun = sink.hasBegun;
+    let hasEvent = false;
     const splitter = new EventSplitter();
     const watchdog = new AnswerWatchdog(this.#clock, answer, limits);
     const stop = () => answer.close();
@@ -151,8 +153,12 @@
           await watchdog.excludeFromSilence(sink.write(bytes));
           continue;
         }
-        const events = splitter.push(bytes);
+        const received = splitter.push(bytes);
+        const events = takeValidEvents(received, progress.lastEventId);
+        const isInvalid = events.length < received.length;
+        if (isInvalid && events.length === 0) return invalidEvent();
         if (events.length === 0) continue;
+        hasEvent = true;
         // The answer begins with the first complete event: until then, another
         // engine can still answer instead.
         if (!sink.hasBegun) {
@@ -166,6 +172,7 @@
         // send them without end.
         if (id !== undefined) watchdog.reset();
         progress.lastEventId = id ?? progress.lastEventId;
+        if (isInvalid) return invalidEvent();
       }
       if (sink.signal.aborted) {
         return mayHaveRun("the caller left", { fault: "none" });
@@ -177,8 +184,9 @@
       }
       // Without a length, an engine that crashes before its first event seems
       // to have answered completely.
-      const isEmpty = isStream && !sink.hasBegun;
-      if (isEmpty && !answer.isFramed && request.lastEventId === undefined) {
+      const isEmpty = isStream && !hasEvent && !answer.isFramed;
+      // A caller may resume a stream of which only the end is missing.
+      if (isEmpty && (hadBegun || request.lastEventId === undefined)) {
         return mayHaveRun("the stream ended before its first event", {
           isBroken: true,
         });
@@ -227,6 +235,10 @@
   }
 }
 
+function invalidEvent() {
+  return mayHaveRun("the engine sent bytes that do not continue the stream");
+}
+
 /** Omits `Content-Length`, which a stream resumed elsewhere could exceed. */
 function streamHeaders({ headers }: IEngineAnswer): HeaderLines {
   return headers.filter(([name]) => name.toLowerCase() !== "content-length");
--- a/testing/fake_engines.ts
+++ b/testing/fake_engines.ts
@@ -19,7 +19,8 @@
    * Streams all events, or resets the connection before event `breakAt`; with
    * `inEvent`, only after the first bytes of that event. An `unframed` answer
    * ends with its connection. From event `stallAt` on, `stallBytes` are sent
-   * every now and then, and no further event.
+   * every now and then, and no further event. The bytes `extra` follow the
+   * last event; `ignoresLastEventId` starts with the first event in any case.
    */
   | {
     kind: "stream";
@@ -29,9 +30,11 @@
     stallBytes?: string;
     inEvent?: boolean;
     unframed?: boolean;
+    extra?: string;
+    ignoresLastEventId?: boolean;
   }
-  /** Responds with the given status. */
-  | { kind: "status"; status: number; notRun?: boolean }
+  /** Responds with the given status, perhaps to another request. */
+  | { kind: "status"; status: number; notRun?: boolean; isForeign?: boolean }
   /** Refuses the connection. */
   | { kind: "unreachable" }
   /** Accepts the request and never responds. */
@@ -80,7 +83,8 @@
       status,
       headers: [["Engine-Signature", `signed by ${engine.id}`]],
       isNotRun: script.kind === "status" && script.notRun === true,
-      isGenuine: script.kind !== "foreign",
+      isGenuine: script.kind !== "foreign" &&
+        !(script.kind === "status" && script.isForeign),
       isRelayed: options.relay !== undefined,
       isFramed: !(script.kind === "stream" && script.unframed),
       body: bodyOf(script, Number(request.lastEventId ?? 0), closed.signal),
@@ -98,7 +102,8 @@
   signal: AbortSignal,
 ): AsyncGenerator<Buffer> {
   if (script.kind !== "stream") return;
-  for (let id = after + 1; id <= script.events; id++) {
+  const first = script.ignoresLastEventId ? 1 : after + 1;
+  for (let id = first; id <= script.events; id++) {
     await Promise.resolve();
     if (signal.aborted) throw new Error("answer was closed by the client");
     while (id === script.stallAt) {
@@ -112,6 +117,7 @@
     }
     yield Buffer.from(eventText(id));
   }
+  if (script.extra !== undefined) yield Buffer.from(script.extra);
 }
 
 function untilAborted(signal: AbortSignal): Promise<never> {
