Resume a stream only at a version that is certain for its caller

Callers found the first part of a text from engines of one software version and the rest from another, after all entries had been killed around a release (report of another operator, 'rejoined').

A caller that named no attempt was resumed at the version in the list, however short it had been there; the engines that began the stream may just have left. An origin that is lost with the entry that held it is no such way: neither the leader nor a list that is certain knows it, and the resumption is refused.

Change: one rule for both: an own record, or a list that has shown one version for longer than a stream lasts and that was read after the caller came back, or the leader's record. The search takes at most 900 ms, in which the list is renewed.

Evidence: three tests named 'rejoined' in stream_origin_resolver_test. The test that a caller without a named attempt resumes at the only version in the list asserted the fault; the new test in its place requires that version to be certain. The unframed answer to a caller that resumes is tested with a named attempt now.

--- a/src/placement/engine_table.ts
+++ b/src/placement/engine_table.ts
@@ -87,6 +87,11 @@
     return this.#clock.monotonic() - this.#listReadAt;
   }
 
+  /** Time as of which the list of engines is known to have been current. */
+  get listReadAt(): number {
+    return this.#listReadAt;
+  }
+
   /** Replaces the engine list by one read `age` milliseconds ago. */
   updateList(
     list: EngineList,
@@ -193,11 +198,6 @@
     return this.#health.isSuspect(engine);
   }
 
-  /** Software version of a service; undefined if the list has several. */
-  listedVersion(service: string): string | undefined {
-    return this.#soleVersions.get(service)?.softwareVersion;
-  }
-
   /**
    * The only software version that a service has had for a number of
    * milliseconds. Undefined if there were several or the list was not current
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -144,8 +144,8 @@
    */
   async #resolveOrigin(run: IRequestRun): Promise<boolean> {
     const { resumedRequest, route } = run.request;
-    const { service, sink: { signal } } = run;
-    const resumption = { route, resumedRequest, service, signal };
+    const { signal } = run.sink;
+    const resumption = { route, resumedRequest, signal };
     const target = await this.#options.resolver.resolve(resumption);
     if (target && mayServe(route, target)) {
       run.service = target.service;
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -9,7 +9,7 @@
   FakeSink,
 } from "../../testing/fake_engines.ts";
 import { listedEngine } from "../../testing/listed_engine.ts";
-import { SystemClock } from "../common/mod.ts";
+import { type Deadline, SystemClock } from "../common/mod.ts";
 import { SilentEventLog } from "../events/mod.ts";
 import {
   EngineHealth,
@@ -57,6 +57,7 @@
   readonly health: EngineHealth;
   readonly sink: FakeSink;
   readonly parts: PartMonitor;
+  readonly origins: StreamOrigins;
   run(route: Route, changes?: Partial<IForwardedRequest>): Promise<void>;
 }
 
@@ -124,7 +125,7 @@
       resumedRequest: undefined,
       ...changes,
     }, sink);
-  return { engines, table, health, sink, parts, run };
+  return { engines, table, health, sink, parts, origins, run };
 }
 
 test("forwards a complete stream unchanged", async (t) => {
@@ -288,7 +289,14 @@
   t.is(sink.text, WHOLE_STREAM);
   t.is(engines.received.length, 2);
   const resumed = setup([{ kind: "stream", events: EVENTS, unframed: true }]);
-  await resumed.run(RESUMABLE_ROUTE, { lastEventId: String(EVENTS) });
+  resumed.origins.record({
+    ...{ request: "begun", service: "writer", softwareVersion: "v1" },
+    expiresAt: Infinity as Deadline,
+  });
+  await resumed.run(RESUMABLE_ROUTE, {
+    lastEventId: String(EVENTS),
+    resumedRequest: "begun",
+  });
   t.is(resumed.sink.endKind, "end");
 });
 
--- a/src/streams/stream_origin_resolver.ts
+++ b/src/streams/stream_origin_resolver.ts
@@ -1,4 +1,4 @@
-import type { IClock } from "../common/mod.ts";
+import type { Deadline, IClock } from "../common/mod.ts";
 import type {
   EngineTable,
   IStreamOrigin,
@@ -6,12 +6,16 @@
 } from "../placement/mod.ts";
 import type { Route } from "../service_routes/mod.ts";
 
-/** Longest search for the origin of a stream, in milliseconds. */
-const SEARCH_MILLISECONDS = 600;
+/**
+ * Longest search for the origin of a stream, in milliseconds. The leader's list
+ * of engines, and with it the instance's, is renewed within this time.
+ */
+const SEARCH_MILLISECONDS = 900;
 
 /**
- * Pause between two questions to the leader, in milliseconds. The entry that
- * began the stream may have reported it only after the first question.
+ * Pause between two attempts to find the origin, in milliseconds. The entry
+ * that began the stream may have reported it only after the first question to
+ * the leader.
  */
 const SEARCH_INTERVAL_MILLISECONDS = 100;
 
@@ -39,8 +43,6 @@
   readonly route: Route;
   /** Attempt of the caller in which the stream began, if the caller names it. */
   readonly resumedRequest: string | undefined;
-  /** Service that a new request would go to. */
-  readonly service: string;
   /** Aborted when the caller has disconnected. */
   readonly signal: AbortSignal;
 }
@@ -72,22 +74,38 @@
   async resolve(
     resumption: IResumption,
   ): Promise<ResumptionTarget | undefined> {
-    const { origins, table } = this.#options;
-    const { route, resumedRequest, service } = resumption;
-    if (resumedRequest === undefined) {
-      const softwareVersion = table.listedVersion(service);
-      return softwareVersion === undefined
+    const { origins, leader, clock } = this.#options;
+    const { route, resumedRequest, signal } = resumption;
+    const arrivedAt = clock.monotonic();
+    const deadline = clock.deadlineIn(SEARCH_MILLISECONDS);
+    while (!signal.aborted) {
+      const own = resumedRequest === undefined
         ? undefined
-        : { service, softwareVersion };
+        : origins.find(resumedRequest);
+      const known = own ?? this.#findSole(route, arrivedAt);
+      if (known) return known;
+      const origin = resumedRequest === undefined
+        ? undefined
+        : await leader.findOrigin(resumedRequest);
+      if (origin) return origin;
+      const next = clock.deadlineIn(SEARCH_INTERVAL_MILLISECONDS);
+      await clock.sleepUntil(next, signal);
+      if (clock.isPast(deadline)) return undefined;
     }
-    const known = origins.find(resumedRequest) ?? this.#findSole(route);
-    return known ?? await this.#askLeader(resumedRequest, resumption.signal);
+    return undefined;
   }
 
-  #findSole(route: Route): ResumptionTarget | undefined {
+  /**
+   * Finds the only version at which a stream of the route can have begun. The
+   * list must have been read after the caller came back: another instance may
+   * have begun the stream at an engine that an older list does not show.
+   */
+  #findSole(route: Route, arrivedAt: Deadline): ResumptionTarget | undefined {
     const [share, ...others] = route.shares.filter(({ weight }) => weight > 0);
     if (!share || others.length > 0) return undefined;
-    const softwareVersion = this.#options.table.soleVersion(
+    const { table } = this.#options;
+    if (table.listReadAt < arrivedAt) return undefined;
+    const softwareVersion = table.soleVersion(
       share.service,
       route.timeoutMilliseconds + RESUMPTION_MARGIN_MILLISECONDS,
     );
@@ -95,19 +113,4 @@
       ? undefined
       : { service: share.service, softwareVersion };
   }
-
-  async #askLeader(
-    request: string,
-    signal: AbortSignal,
-  ): Promise<ResumptionTarget | undefined> {
-    const { leader, clock } = this.#options;
-    const deadline = clock.deadlineIn(SEARCH_MILLISECONDS);
-    while (!clock.isPast(deadline) && !signal.aborted) {
-      const origin = await leader.findOrigin(request);
-      if (origin) return origin;
-      const next = clock.deadlineIn(SEARCH_INTERVAL_MILLISECONDS);
-      await clock.sleepUntil(next, signal);
-    }
-    return undefined;
-  }
 }
--- a/src/streams/stream_origin_resolver_test.ts
+++ b/src/streams/stream_origin_resolver_test.ts
@@ -64,11 +64,19 @@
       table.confirmListAge(0);
     }
   };
-  const resolve = async (resumedRequest?: string, route = ROUTE) => {
+  const resolve = async (
+    resumedRequest?: string,
+    { route = ROUTE, confirms = true } = {},
+  ) => {
     const { signal } = new AbortController();
     const resolved = resolver.resolve({
-      ...{ route, resumedRequest, service: "writer", signal },
+      ...{ route, resumedRequest, signal },
     });
+    if (confirms) {
+      // The list is confirmed while the resolver searches.
+      await time.advance(300);
+      table.confirmListAge(0);
+    }
     await time.advance(2_000);
     return await resolved;
   };
@@ -131,12 +139,42 @@
   t.deepEqual(await resolve("stream"), { ...FIRST, softwareVersion: "v2" });
 });
 
-test("caller that names no attempt resumes if there is one version", async (t) => {
-  const { list, resolve } = createFixture();
-  list("v1", "v1");
-  t.deepEqual(await resolve(), FIRST);
+// Guards against streams with events of two software versions (rejoined): the
+// engines that began the stream may just have left.
+test("caller that names no attempt needs a version that is certain", async (t) => {
+  const { list, confirmFor, resolve } = createFixture();
   list("v1", "v2");
+  await confirmFor(LONG_MILLISECONDS);
+  list("v2");
   t.is(await resolve(), undefined);
+  await confirmFor(LONG_MILLISECONDS);
+  t.deepEqual(await resolve(), { ...FIRST, softwareVersion: "v2" });
+});
+
+// Guards against streams with events of two software versions (rejoined): the
+// stream may have begun at an engine that the list does not show yet.
+test("list from before the caller came back proves no version", async (t) => {
+  const { list, confirmFor, resolve, leader, time } = createFixture();
+  list("v1");
+  await confirmFor(LONG_MILLISECONDS);
+  await time.advance(200);
+  t.is(await resolve("stream", { confirms: false }), undefined);
+  await confirmFor(LONG_MILLISECONDS);
+  await time.advance(200);
+  const second = { ...FIRST, softwareVersion: "v2" };
+  leader.known = second;
+  t.deepEqual(await resolve("stream", { confirms: false }), second);
+});
+
+// Guards against streams with events of two software versions (rejoined): the
+// instance that began the stream was lost before it had reported it.
+test("stream that no instance remembers is not resumed", async (t) => {
+  const { list, confirmFor, resolve, leader } = createFixture();
+  list("v1", "v2");
+  await confirmFor(LONG_MILLISECONDS);
+  list("v2");
+  t.is(await resolve("stream"), undefined);
+  t.true(leader.asked > 1);
 });
 
 test("several services of a route leave the version uncertain", async (t) => {
@@ -144,5 +182,7 @@
   list("v1");
   await confirmFor(LONG_MILLISECONDS);
   const shares = [...ROUTE.shares, { service: "other", weight: 1 }];
-  t.is(await resolve("stream", { ...ROUTE, shares }), undefined);
+  const route = { ...ROUTE, shares };
+  t.is(await resolve("stream", { route }), undefined);
+  t.is(await resolve(undefined, { route }), undefined);
 });
