Log configurations on arrival, and what decided a rejection

Cause: the logs could not tell the hypotheses of the incident apart: whether an operator's configuration reached a store at all, how old the routes were by which a request was answered 404, and which statuses Node's parser sends by itself.

Change: configuration-received and configuration-answer-lost; request-rejected names the version of the routes and the time since the leader confirmed it; malformed-request logs and counts requests that the parser does not accept, by status and code. The answer to them is the same as Node's own.

--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -52,6 +52,10 @@
     request: z.string(),
     status: z.number(),
     reason: z.string(),
+    /** Version of the routes that decided; 0 if none are known. */
+    routesVersion: z.number(),
+    /** Time since the leader confirmed that version as the newest. */
+    confirmedMilliseconds: z.number().optional(),
   },
   labels: ["status", "reason"],
 });
@@ -63,6 +67,43 @@
   fields: { request: z.string(), reason: z.string() },
 });
 
+export const malformedRequest = defineEvent(1262, "malformed-request", {
+  level: "warn",
+  help: "A connection sent bytes that are no HTTP request, or no whole " +
+    "request in time. It is closed, if possible after an answer.",
+  fields: {
+    status: z.number(),
+    code: z.string(),
+    reason: z.string(),
+    isAnswered: z.boolean(),
+    /** Bytes that the parser was given last. */
+    bytes: z.number(),
+  },
+  labels: ["status", "code"],
+});
+
+export const configurationReceived = defineEvent(
+  1263,
+  "configuration-received",
+  {
+    level: "info",
+    help: "An operator's configuration has arrived and is passed on to the " +
+      "leader. A later configuration-ordered event has the outcome.",
+    fields: { version: z.number(), from: z.string() },
+  },
+);
+
+export const configurationAnswerLost = defineEvent(
+  1264,
+  "configuration-answer-lost",
+  {
+    level: "warn",
+    help: "The operator's connection had closed before the outcome of a " +
+      "configuration was known, so the operator did not receive it here.",
+    fields: { version: z.number(), milliseconds: z.number() },
+  },
+);
+
 export const configurationOrdered = defineEvent(
   1258,
   "configuration-ordered",
--- a/src/edge/http_edge.ts
+++ b/src/edge/http_edge.ts
@@ -4,12 +4,14 @@
   type IncomingMessage,
   type Server,
   type ServerResponse,
+  STATUS_CODES,
 } from "node:http";
+import type { Duplex } from "node:stream";
 import { err, ok, type Result } from "neverthrow";
 import { type IDisposable, listen } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { RequestLimits } from "../service_routes/mod.ts";
-import { edgeFailed } from "./events.ts";
+import { edgeFailed, malformedRequest } from "./events.ts";
 import { breakOff } from "./break_off.ts";
 import { answerJson } from "./response_sink.ts";
 
@@ -27,6 +29,22 @@
 /** Time in which a whole request must arrive. */
 const REQUEST_TIMEOUT_MILLISECONDS = 60_000;
 
+/** Statuses of requests that Node does not pass on, by its error code. */
+const MALFORMED_REQUEST_STATUSES: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: 431,
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+
+const BAD_REQUEST_STATUS = 400;
+
+/** Error of a connection, or of the parser of its requests. */
+interface IConnectionError extends Error {
+  readonly code?: string;
+  /** Bytes that the parser was given last. */
+  readonly rawPacket?: Buffer;
+}
+
 /** Answers a request whose body has been read. */
 export type EdgeHandler = (
   request: IncomingMessage,
@@ -55,6 +73,9 @@
       },
       (request, response) => void this.#serve(request, response),
     );
+    this.#server.on("clientError", (error: IConnectionError, socket) => {
+      this.#rejectMalformed(error, socket);
+    });
     this.#server.on("connection", (socket) => {
       this.#openConnections += 1;
       socket.once("close", () => this.#openConnections -= 1);
@@ -99,6 +120,31 @@
     this.#server.closeAllConnections();
   }
 
+  /** Answers bytes that Node's parser does not accept as a request. */
+  #rejectMalformed(error: IConnectionError, socket: Duplex): void {
+    const { code = "", rawPacket, message } = error;
+    const isMalformed = code.startsWith("HPE_") ||
+      code === "ERR_HTTP_REQUEST_TIMEOUT";
+    const hasResponseBegun = [...this.#openResponses].some((response) =>
+      response.socket === socket && response.headersSent
+    );
+    const isAnswered = isMalformed && socket.writable && !hasResponseBegun;
+    const status = MALFORMED_REQUEST_STATUSES[code] ?? BAD_REQUEST_STATUS;
+    if (isMalformed) {
+      this.#events.emit(malformedRequest, {
+        ...{ status, code, isAnswered, reason: message },
+        bytes: rawPacket?.length ?? 0,
+      });
+    }
+    if (isAnswered) {
+      socket.write(
+        `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n` +
+          "Connection: close\r\n\r\n",
+      );
+    }
+    socket.destroy(error);
+  }
+
   async #serve(
     request: IncomingMessage,
     response: ServerResponse,
--- a/src/service_routes/caller_authenticator.ts
+++ b/src/service_routes/caller_authenticator.ts
@@ -68,6 +68,14 @@
     return this.#permission.isCurrent;
   }
 
+  /**
+   * Time since the leader confirmed the routes in force here as the newest, in
+   * milliseconds; undefined if it never did.
+   */
+  get confirmedMilliseconds(): number | undefined {
+    return this.#permission.ageMilliseconds;
+  }
+
   #find(key: string | undefined): Authentication {
     const caller = key === undefined
       ? undefined
