Leave item runs to other stores when a leader serves many entries

Cause: the leader reads the events of up to 48 items itself, whatever else it does. With 98 entries, placing requests and answering exchanges takes most of its share of a processor already.

Change: each entry counts as a local run against the threshold of 48. With 13 entries, the leader runs 35 items itself, with 98 none; without other stores it still runs all.

'leader of many entries leaves runs to other stores' failed before: the leader ran all 48.

--- a/src/bulk/store_executor.ts
+++ b/src/bulk/store_executor.ts
@@ -17,7 +17,11 @@
   stopItemMethod,
 } from "./messages.ts";
 
-/** Number of local runs at which the leader starts to use other stores. */
+/**
+ * Number of local runs at which a leader without entries would start to use
+ * other stores. Placing the requests of an entry takes a leader about as much
+ * processor time as the events of a run, so each entry counts as one.
+ */
 const LOCAL_RUN_THRESHOLD = 48;
 
 /** Longest time of a run at another store, in milliseconds. */
@@ -55,6 +59,8 @@
   readonly leaving: Pick<LeavingEngines, "announce">;
   /** Other stores that were reachable recently. */
   readonly stores: () => readonly PeerAddress[];
+  /** Number of entries whose requests this store places. */
+  readonly entryCount: () => number;
 }
 
 /**
@@ -85,7 +91,8 @@
   }
 
   async run(engine: ListedEngine, run: IItemRun): Promise<ItemOutcome> {
-    const store = this.#localRuns < LOCAL_RUN_THRESHOLD
+    const localLoad = this.#localRuns + this.#options.entryCount();
+    const store = localLoad < LOCAL_RUN_THRESHOLD
       ? undefined
       : this.#leastLoadedStore();
     if (store) return await this.#runRemotely(store, engine, run);
--- a/src/bulk/store_executor_test.ts
+++ b/src/bulk/store_executor_test.ts
@@ -37,8 +37,12 @@
   }
 }
 
-/** Creates a leader with the threshold of local runs, and another store. */
-function setup() {
+/**
+ * Creates a leader with the threshold of local runs, and another store.
+ *
+ * @param entries number of entries whose requests the leader places.
+ */
+function setup(entries = 0) {
   const time = new VirtualTime();
   const clock = new VirtualClock(time);
   const network = new FakeNetwork(time, new TestRandom(1));
@@ -73,6 +77,7 @@
     term: 3,
     leaving: leaderLeaving,
     stores: () => [address("other")],
+    entryCount: () => entries,
   });
   const runOf = (
     signal = new AbortController().signal,
@@ -118,6 +123,19 @@
   t.is(run.progress.lastEventId, "4");
 });
 
+// Guards against a leader that reads so many items' events that it answers
+// neither entries nor operators in time (denied-short).
+test("leader of many entries leaves runs to other stores", async (t) => {
+  const some = setup(13);
+  await some.time.advance(50);
+  t.is(some.own.runs.length, LOCAL_RUN_THRESHOLD - 13);
+  t.is(some.hosted.runs.length, 13);
+  const many = setup(98);
+  await many.time.advance(50);
+  t.is(many.own.runs.length, 0);
+  t.is(many.hosted.runs.length, LOCAL_RUN_THRESHOLD);
+});
+
 test("aborting a run also stops it on another store", async (t) => {
   const { time, hosted, executor, runOf } = setup();
   const abort = new AbortController();
--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -198,6 +198,7 @@
         term: log.leadership.term,
         leaving,
         stores: () => this.#otherStores(),
+        entryCount: () => ledger.entryCount(),
       }),
     );
     const readiness = new LoadReadiness(ledger, clock);
