Plan items by group while two software versions are in service

What callers saw: as before, with the leader's log lines up to 1.8 s late during a release.

Cause: with two versions, a plan compared each waiting item with each engine that had a free slot, every 25 ms, and each comparison searched the route again. A part of the waiting items fits to none of the free slots for up to 5 s. The most tokens that fit an engine were computed anew for each engine.

Change: items of one route, version and wait, and engines of one service and version, are groups; each decision is made once for a plan, and a group that finds nothing is done. The results are the same.

--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -30,6 +30,7 @@
 } from "./events.ts";
 import type { IItemExecutor, ItemOutcome } from "./item_run.ts";
 import { assignItems } from "./item_assignment.ts";
+import { ItemEligibility } from "./item_eligibility.ts";
 import { JobExpiry } from "./job_expiry.ts";
 import { bulkSection } from "./messages.ts";
 import { type IPendingItem, PendingItems } from "./pending_items.ts";
@@ -160,13 +161,16 @@
     if (!isLoadKnown()) return;
     const now = { wall: clock.wall(), monotonic: clock.monotonic() };
     const waiting = this.#items.startable(now);
-    const largest = waiting.map(({ item }) => item.tokens);
+    const largestFitting = largestWithin(waiting);
     const engines = this.#options.engines().map((it) => ({
       ...it,
       bulk: this.load.get(it.engine.id) ?? 0,
       startable: Math.min(
         limiter.startableItems(it.engine.id),
-        this.#startableWithinMemory(it, largest),
+        startableWithinMemory(it, {
+          runningTokens: this.#items.tokensAt(it.engine.id),
+          largestTokens: largestFitting(it.memoryTokens ?? 0),
+        }),
       ),
     }));
     const versions = new EngineVersions(engines);
@@ -179,11 +183,11 @@
       const load = loads.get(engine);
       if (load) this.#preempt(load, count);
     }
-    const assignments = assignItems(
-      { starts, engines },
-      waiting,
-      (item, engine) => this.#canServe(item, engine, versions),
-    );
+    const eligibility = new ItemEligibility(versions, {
+      clock,
+      findRoute: ({ job }) => this.#route(job),
+    });
+    const assignments = assignItems({ starts, engines }, waiting, eligibility);
     for (const { item, engine } of assignments) {
       const live = loads.get(engine.id)?.live ?? 0;
       if (!versions.mayResume(item, engine)) this.#restart(item, engine);
@@ -191,18 +195,6 @@
     }
   }
 
-  #startableWithinMemory(
-    engine: IRunnerEngine,
-    waitingTokens: readonly number[],
-  ): number {
-    const { memoryTokens = 0 } = engine;
-    const fitting = waitingTokens.filter((tokens) => tokens <= memoryTokens);
-    return startableWithinMemory(engine, {
-      runningTokens: this.#items.tokensAt(engine.engine.id),
-      largestTokens: Math.max(0, ...fitting),
-    });
-  }
-
   #onJobChanged(job: string): void {
     const held = this.#options.section.job(job);
     if (held && !held.hasEnded) this.#addJob(held);
@@ -219,26 +211,6 @@
     return this.#options.routes()?.find(held.job.host, held.job.path);
   }
 
-  /**
-   * Whether an item may run at an engine. While an engine serves that can
-   * resume the item, it waits a while rather than start again elsewhere.
-   */
-  #canServe(
-    pending: IPendingItem,
-    engine: ListedEngine,
-    versions: EngineVersions,
-  ): boolean {
-    const route = this.#route(pending.job);
-    const isOnRoute =
-      route?.shares.some(({ service, weight }) =>
-        service === engine.service && weight > 0
-      ) ?? false;
-    if (!isOnRoute || versions.mayResume(pending, engine)) return isOnRoute;
-    const waitEnd = pending.versionDeadline;
-    const waits = waitEnd !== undefined && !this.#options.clock.isPast(waitEnd);
-    return !(waits && versions.isServing(pending));
-  }
-
   #preempt(load: { engine: ListedEngine; live: number }, count: number): void {
     const { clock, events } = this.#options;
     const { id } = load.engine;
@@ -394,3 +366,19 @@
     });
   }
 }
+
+/** Returns the most tokens of an item that fits into a number of tokens. */
+function largestWithin(
+  waiting: readonly IPendingItem[],
+): (tokens: number) => number {
+  const sizes = waiting.map(({ item }) => item.tokens);
+  const known = new Map<number, number>();
+  return (tokens) => {
+    const largest = known.get(tokens) ?? sizes.reduce(
+      (most, size) => size <= tokens ? Math.max(most, size) : most,
+      0,
+    );
+    known.set(tokens, largest);
+    return largest;
+  };
+}
--- a/src/bulk/item_assignment.ts
+++ b/src/bulk/item_assignment.ts
@@ -7,6 +7,15 @@
   readonly engine: ListedEngine;
 }
 
+/** Decides which engines items may use. */
+export interface IEligibility<T> {
+  mayUse(item: T, engine: ListedEngine): boolean;
+  /** Items of one group may use the same engines. */
+  groupOf(item: T): unknown;
+  /** Engines of one group may be used by the same items. */
+  engineGroupOf(engine: ListedEngine): unknown;
+}
+
 /**
  * Assigns items to the planned starts, in the order of the items.
  *
@@ -20,14 +29,21 @@
     readonly engines: readonly IBulkEngine[];
   },
   items: readonly T[],
-  canUse: (item: T, engine: ListedEngine) => boolean,
+  eligibility: IEligibility<T>,
 ): IAssignment<T>[] {
   const waiting = [...items];
   const assignments: IAssignment<T>[] = [];
+  // Items only become fewer, so a group of engines that no item can use is done.
+  const withoutItem = new Set<unknown>();
   for (const engine of plan.starts) {
-    const position = waiting.findIndex((item) => canUse(item, engine));
+    const engineGroup = eligibility.engineGroupOf(engine);
+    if (withoutItem.has(engineGroup)) continue;
+    const position = waiting.findIndex((item) =>
+      eligibility.mayUse(item, engine)
+    );
     const [item] = position === -1 ? [] : waiting.splice(position, 1);
     if (item !== undefined) assignments.push({ item, engine });
+    else withoutItem.add(engineGroup);
   }
   let unused = plan.starts.length - assignments.length;
   if (unused === 0) return assignments;
@@ -42,10 +58,20 @@
   for (const { engine } of assignments) {
     free.set(engine, (free.get(engine) ?? 0) - 1);
   }
+  // Slots only become fewer here, so a group that finds none is done.
+  const withoutEngine = new Set<unknown>();
   for (const item of waiting) {
     if (unused === 0) break;
-    const engine = freest(free, (candidate) => canUse(item, candidate));
-    if (!engine) continue;
+    const group = eligibility.groupOf(item);
+    if (withoutEngine.has(group)) continue;
+    const engine = freest(
+      free,
+      (candidate) => eligibility.mayUse(item, candidate),
+    );
+    if (!engine) {
+      withoutEngine.add(group);
+      continue;
+    }
     assignments.push({ item, engine });
     free.set(engine, (free.get(engine) ?? 0) - 1);
     unused -= 1;
