Spread exchanges over turns of the event loop, and drop expired ones

Cause: a leader handled all exchanges that had arrived in one turn of its event loop. A proposal passes several turns and so took longer than the 700 ms that its caller waits; exchanges were answered after their 500 ms, and entries sent them again. Handling calls whose callers had given up kept the leader busy.

A call whose deadline has passed in the meantime is answered without being handled.

--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -96,6 +96,7 @@
 
 /** Reports an instance's load to the leader and returns the fleet's state. */
 export const exchangeMethod = defineMethod("placement.exchange", {
+  mayWait: true,
   params: z.object({
     instance: z.string(),
     /** Name of the machine, for operators. */
--- a/src/rpc/rpc_server.ts
+++ b/src/rpc/rpc_server.ts
@@ -10,6 +10,7 @@
   notRun,
 } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
+import { CallBacklog } from "./call_backlog.ts";
 import { otherFleetRefused } from "./events.ts";
 import {
   DEFAULT_FLEET,
@@ -33,6 +34,7 @@
   #methods = new JSONRPCServer<void>({ errorListener: () => {} });
   #server: Server;
   #sockets = new Set<Socket>();
+  #backlog: CallBacklog;
 
   constructor(
     clock: IClock,
@@ -40,6 +42,7 @@
     options: { fleet?: string } = {},
   ) {
     this.#clock = clock;
+    this.#backlog = new CallBacklog(clock);
     this.#fleet = options.fleet ?? DEFAULT_FLEET;
     this.#events = events;
     this.#server = createServer((socket) => void this.#serve(socket));
@@ -95,15 +98,18 @@
         notRun("deadline-exceeded", "the caller's deadline has passed"),
       );
     }
+    const deadline = this.#clock.deadlineIn(envelope.data.remaining);
+    if (method.mayWait && !await this.#backlog.enter(deadline)) {
+      return err(
+        notRun("deadline-exceeded", "the call waited past its deadline"),
+      );
+    }
     const params = method.params.safeParse(envelope.data.body);
     if (!params.success) {
       const reason = `${method.name}: ${params.error.message}`;
       return err(notRun("bad-request", reason));
     }
-    const context: IRpcContext = {
-      deadline: this.#clock.deadlineIn(envelope.data.remaining),
-      from: envelope.data.from,
-    };
+    const context: IRpcContext = { deadline, from: envelope.data.from };
     return await handler(params.data, context);
   }
 
--- a/src/rpc/types.ts
+++ b/src/rpc/types.ts
@@ -21,6 +21,8 @@
   readonly name: string;
   /** Lane of all calls of the method; overrides the options of the call. */
   readonly lane?: RpcLane;
+  /** Whether calls may wait while others are handled; by default not. */
+  readonly mayWait?: boolean;
   readonly params: P;
   readonly result: R;
 }
