Findings of the review: resumed streams, splits, routes of one name

A stream that a caller resumes at event 2 was forwarded again from event 1: the numbers were compared with events forwarded by this entry only. 2. Comments counted as events of an answer without a length, which then looked complete. 3. Items of two routes with one name were taken for one group. 4. A head that begins inside an unfinished event passed as fields of that event; empty groups, bare fields and a byte order mark ended a sound stream. 5. A split that names one service twice could not be resumed. 6. Bytes after a request in progress were answered 400, as by Node itself; the caller took that for the answer to its request. 7. The search for a version ended one look too early.

--- a/src/bulk/item_eligibility.ts
+++ b/src/bulk/item_eligibility.ts
@@ -27,7 +27,7 @@
   #versions: EngineVersions;
   #clock: IClock;
   #findRoute: (item: IPendingItem) => Route | undefined;
-  #groups = new Map<string, IItemGroup>();
+  #groups = new Map<Route | undefined, Map<string, IItemGroup>>();
   #groupOfItem = new Map<IPendingItem, IItemGroup>();
   #engineGroups = new Map<ListedEngine, string>();
   #routes = new Map<string, Route | undefined>();
@@ -92,10 +92,12 @@
     const hasBegun = progress.lastEventId !== undefined;
     const waits = versionDeadline !== undefined &&
       !this.#clock.isPast(versionDeadline);
-    const key = [route?.name ?? "", hasBegun, softwareVersion, waits].join();
-    const group = this.#groups.get(key) ??
+    const key = `${hasBegun} ${waits} ${softwareVersion}`;
+    const ofRoute = this.#groups.get(route) ?? new Map<string, IItemGroup>();
+    this.#groups.set(route, ofRoute);
+    const group = ofRoute.get(key) ??
       { route, member: item, waits, decisions: new Map() };
-    this.#groups.set(key, group);
+    ofRoute.set(key, group);
     this.#groupOfItem.set(item, group);
     return group;
   }
--- a/src/edge/http_edge.ts
+++ b/src/edge/http_edge.ts
@@ -125,10 +125,11 @@
     const { code = "", rawPacket, message } = error;
     const isMalformed = code.startsWith("HPE_") ||
       code === "ERR_HTTP_REQUEST_TIMEOUT";
-    const hasResponseBegun = [...this.#openResponses].some((response) =>
-      response.socket === socket && response.headersSent
+    // An answer would be taken for that of the request that is in progress.
+    const hasRequest = [...this.#openResponses].some((response) =>
+      response.socket === socket && response.req.complete
     );
-    const isAnswered = isMalformed && socket.writable && !hasResponseBegun;
+    const isAnswered = isMalformed && socket.writable && !hasRequest;
     const status = MALFORMED_REQUEST_STATUSES[code] ?? BAD_REQUEST_STATUS;
     if (isMalformed) {
       this.#events.emit(malformedRequest, {
--- a/src/streams/event_splitter.ts
+++ b/src/streams/event_splitter.ts
@@ -7,12 +7,15 @@
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
 
-/** Name of a field, in the bytes before the colon of a line. */
-const FIELD_NAME_PATTERN = /^[A-Za-z][A-Za-z0-9_-]*$/;
-
-/** Fields that make a group of lines an event, if at least one is present. */
+/** Fields of server-sent events. */
 const EVENT_FIELDS = new Set(["data", "event", "id", "retry"]);
 
+/** First field of an event at which the weights of its engine change. */
+const LEADING_FIELD = "weight-versions";
+
+/** Mark of the byte order, which may precede the first event. */
+const BYTE_ORDER_MARK = Buffer.from("\ufeff");
+
 /** A complete server-sent event. */
 export interface IStreamEvent {
   /** Bytes of the event, including the blank line at its end. */
@@ -96,29 +99,30 @@
 
 /** Reads the names of the fields without decoding the data. */
 function parseLines(event: Buffer): Omit<IStreamEvent, "bytes"> {
+  const hasMark = event.subarray(0, BYTE_ORDER_MARK.length)
+    .equals(BYTE_ORDER_MARK);
   let id: string | undefined;
-  let hasComment = false;
-  let hasEventField = false;
-  for (let from = 0; from < event.length;) {
+  let isFirst = true;
+  for (let from = hasMark ? BYTE_ORDER_MARK.length : 0; from < event.length;) {
     const feed = event.indexOf(LINE_FEED, from);
-    const until = feed === -1 ? event.length : feed;
-    const isEmpty = until === from ||
-      (until === from + 1 && event[from] === CARRIAGE_RETURN);
-    if (event[from] === COLON) hasComment = true;
-    else if (!isEmpty) {
+    const end = feed === -1 ? event.length : feed;
+    const until = event[end - 1] === CARRIAGE_RETURN ? end - 1 : end;
+    const isComment = event[from] === COLON;
+    if (until > from && !isComment) {
       const colon = event.subarray(from, until).indexOf(COLON);
-      const name = event.toString("latin1", from, from + colon);
-      if (colon === -1 || !FIELD_NAME_PATTERN.test(name)) {
-        return { id: undefined, isWellFormed: false };
-      }
-      hasEventField ||= EVENT_FIELDS.has(name);
+      const nameEnd = colon === -1 ? until : from + colon;
+      const name = event.toString("latin1", from, nameEnd);
+      const isField = EVENT_FIELDS.has(name) ||
+        isFirst && name === LEADING_FIELD;
+      if (!isField) return { id: undefined, isWellFormed: false };
       if (name === "id") {
-        id ??= event.toString("utf8", from + colon + 1, until).trim();
+        id ??= event.toString("utf8", nameEnd + 1, until).trim();
       }
+      isFirst = false;
     }
-    from = until + 1;
+    from = end + 1;
   }
-  return { id, isWellFormed: hasEventField || hasComment };
+  return { id, isWellFormed: true };
 }
 
 /** Returns the length of the first complete event, or 0 if there is none. */
--- a/src/streams/event_splitter_test.ts
+++ b/src/streams/event_splitter_test.ts
@@ -55,6 +55,8 @@
     '{"error": "overloaded"}\n\n',
     "Internal Server Error\n\n",
     "error: overloaded\n\n",
+    ": comment\nerror: overloaded\n\n",
+    "data: cut off HTTP/1.1 503 Service Unavailable\r\nRequest-Id: x\r\n\r\n",
   ];
   for (const other of others) {
     const events = new EventSplitter().push(
@@ -66,11 +68,17 @@
   }
 });
 
-test("comments and fields before the data are part of an event", (t) => {
-  const text = ": ping\n\nweight-versions: 2\nid: 1\ndata: a\n\n" +
-    "event: end\r\ndata:\r\n\r\n";
-  const events = new EventSplitter().push(Buffer.from(text));
-  t.is(takeValidEvents(events, undefined).length, 3);
+test("all forms of an event are valid", (t) => {
+  const texts = [
+    "\ufeff: ping\n\n",
+    "weight-versions: 2\nid: 1\ndata: a\ndata: b\n\n",
+    "event: end\r\ndata:\r\n\r\n",
+    "\n\n",
+    "data\n\n",
+    "retry: 10\n\n",
+  ];
+  const events = new EventSplitter().push(Buffer.from(texts.join("")));
+  t.is(takeValidEvents(events, undefined).length, texts.length);
 });
 
 // Guards against events that come twice or go back to an earlier one.
--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -154,11 +154,13 @@
           continue;
         }
         const received = splitter.push(bytes);
-        const events = takeValidEvents(received, progress.lastEventId);
+        const events = takeValidEvents(
+          received,
+          progress.lastEventId ?? request.lastEventId,
+        );
         const isInvalid = events.length < received.length;
         if (isInvalid && events.length === 0) return invalidEvent();
         if (events.length === 0) continue;
-        hasEvent = true;
         // The answer begins with the first complete event: until then, another
         // engine can still answer instead.
         if (!sink.hasBegun) {
@@ -168,6 +170,7 @@
         const complete = Buffer.concat(events.map(({ bytes }) => bytes));
         await watchdog.excludeFromSilence(sink.write(complete));
         const id = events.findLast((event) => event.id !== undefined)?.id;
+        hasEvent ||= id !== undefined || progress.lastEventId === undefined;
         // Comments and parts of an event are no progress: a stalled engine may
         // send them without end.
         if (id !== undefined) watchdog.reset();
--- a/src/streams/stream_attempt_test.ts
+++ b/src/streams/stream_attempt_test.ts
@@ -32,7 +32,10 @@
   'Request-Id: other\r\n\r\n{"error": "overloaded"}';
 
 /** Makes one attempt for each script, as parts of the same answer. */
-async function attempt(scripts: EngineScript[]) {
+async function attempt(
+  scripts: EngineScript[],
+  lastEventId?: string,
+) {
   const clock = new SystemClock();
   const streams = new StreamAttempt(new FakeEngines(scripts), clock);
   const sink = new FakeSink();
@@ -51,7 +54,7 @@
         route: ROUTE,
         ...{ deadline, routeDeadline: deadline, isReturned: false },
         ...{ promptParts: [], contentIds: [] },
-        ...{ lastEventId: undefined, resumedRequest: undefined },
+        ...{ lastEventId, resumedRequest: undefined },
       }, {
         ...{ sink, progress, freshConnection: false },
         limits: {
@@ -105,6 +108,11 @@
   ]);
   t.like(outcomes[1], { kind: "failed", isBroken: true });
   t.is(sink.endKind, undefined);
+  const commented = await attempt([
+    { kind: "stream", events: 4, breakAt: 3 },
+    { kind: "stream", events: 2, unframed: true, extra: ": ping\n\n" },
+  ]);
+  t.like(commented.outcomes[1], { kind: "failed", isBroken: true });
 });
 
 // Guards against events that come twice.
@@ -115,4 +123,9 @@
   ]);
   t.is(outcomes[1]?.kind, "failed");
   t.is(sink.text, textOf(1, 2));
+  const resumed = await attempt([
+    { kind: "stream", events: 4, ignoresLastEventId: true },
+  ], "2");
+  t.is(resumed.outcomes[0]?.kind, "failed");
+  t.is(resumed.sink.text, "");
 });
--- a/src/streams/stream_origin_resolver.ts
+++ b/src/streams/stream_origin_resolver.ts
@@ -1,4 +1,4 @@
-import type { Deadline, IClock } from "../common/mod.ts";
+import { type Deadline, earlierDeadline, type IClock } from "../common/mod.ts";
 import type {
   EngineTable,
   IStreamOrigin,
@@ -78,21 +78,21 @@
     const { route, resumedRequest, signal } = resumption;
     const arrivedAt = clock.monotonic();
     const deadline = clock.deadlineIn(SEARCH_MILLISECONDS);
-    while (!signal.aborted) {
+    for (;;) {
       const own = resumedRequest === undefined
         ? undefined
         : origins.find(resumedRequest);
       const known = own ?? this.#findSole(route, arrivedAt);
       if (known) return known;
+      const isOver = clock.isPast(deadline) || signal.aborted;
+      if (isOver) return undefined;
       const origin = resumedRequest === undefined
         ? undefined
         : await leader.findOrigin(resumedRequest);
       if (origin) return origin;
       const next = clock.deadlineIn(SEARCH_INTERVAL_MILLISECONDS);
-      await clock.sleepUntil(next, signal);
-      if (clock.isPast(deadline)) return undefined;
+      await clock.sleepUntil(earlierDeadline(next, deadline), signal);
     }
-    return undefined;
   }
 
   /**
@@ -101,16 +101,19 @@
    * have begun the stream at an engine that an older list does not show.
    */
   #findSole(route: Route, arrivedAt: Deadline): ResumptionTarget | undefined {
-    const [share, ...others] = route.shares.filter(({ weight }) => weight > 0);
-    if (!share || others.length > 0) return undefined;
+    const [service, ...others] = new Set(
+      route.shares.filter(({ weight }) => weight > 0)
+        .map((share) => share.service),
+    );
+    if (service === undefined || others.length > 0) return undefined;
     const { table } = this.#options;
     if (table.listReadAt < arrivedAt) return undefined;
     const softwareVersion = table.soleVersion(
-      share.service,
+      service,
       route.timeoutMilliseconds + RESUMPTION_MARGIN_MILLISECONDS,
     );
     return softwareVersion === undefined
       ? undefined
-      : { service: share.service, softwareVersion };
+      : { service, softwareVersion };
   }
 }
--- a/src/streams/stream_origin_resolver_test.ts
+++ b/src/streams/stream_origin_resolver_test.ts
@@ -185,4 +185,8 @@
   const route = { ...ROUTE, shares };
   t.is(await resolve("stream", { route }), undefined);
   t.is(await resolve(undefined, { route }), undefined);
+  // The parts of a split may name the same service.
+  await confirmFor(LONG_MILLISECONDS);
+  const same = { ...ROUTE, shares: [...ROUTE.shares, ...ROUTE.shares] };
+  t.deepEqual(await resolve("stream", { route: same }), FIRST);
 });
