Entries learn from the leader since when there is one software version

What callers saw: after a restart of an entry, a resumption whose version only the list can prove would be refused for as long as a stream may last.

Cause: each entry counted this time from its own start.

Change: the leader, which reads the list all the time, says with an exchange for how long each service has had one version; an entry adopts it for the version in its own list, until it has been without a current list. The versions are in a class of their own, used by entries and the leader.

Evidence: 'leader tells a new entry since when there is one version'; without the adoption the version stays uncertain there.

--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -102,6 +102,7 @@
       list: directory.list,
       listAge: directory.listAge,
       failing: directory.failing,
+      soleVersions: directory.soleVersions,
       bulk: runner.load,
       routes: routes.table,
       confirmedMilliseconds: this.#confirmedMilliseconds(),
--- a/src/placement/engine_directory.ts
+++ b/src/placement/engine_directory.ts
@@ -4,6 +4,7 @@
 import { engineListUnreadable, probeFailed, probeSucceeded } from "./events.ts";
 import { revisionOf } from "./exchange_client.ts";
 import type { EngineList } from "./messages.ts";
+import { type SoleVersionReport, SoleVersions } from "./sole_versions.ts";
 import type { IEngineListSource, ListedEngine } from "./types.ts";
 
 /** Interval at which the platform's engine list is read. */
@@ -45,6 +46,7 @@
   #options: IEngineDirectoryOptions;
   #list: EngineList = { revision: "", engines: [] };
   #readAt = Number.NEGATIVE_INFINITY;
+  #soleVersions = new SoleVersions();
   /** Suspected engines whose health check failed as well. */
   #failing = new Set<string>();
   #stopping = new AbortController();
@@ -63,6 +65,11 @@
     return Math.min(age, Number.MAX_SAFE_INTEGER);
   }
 
+  /** Services that have one software version only, and for how long. */
+  get soleVersions(): SoleVersionReport[] {
+    return this.#soleVersions.report(this.#options.clock.monotonic());
+  }
+
   get failing(): ReadonlySet<string> {
     return this.#failing;
   }
@@ -87,6 +94,8 @@
         const engines = await list.read(AbortSignal.any([timeout, signal]));
         this.#list = { revision: revisionOf(engines), engines: [...engines] };
         this.#readAt = requestedAt;
+        this.#soleVersions.confirm(requestedAt);
+        this.#soleVersions.update(engines);
       } catch (error) {
         if (signal.aborted) return;
         events.emit(engineListUnreadable, {
--- a/src/placement/engine_table.ts
+++ b/src/placement/engine_table.ts
@@ -4,6 +4,11 @@
 import { engineListChanged } from "./events.ts";
 import type { LeavingEngines } from "./leaving_engines.ts";
 import type { EngineList, LoadEntry } from "./messages.ts";
+import {
+  CURRENT_LIST_MILLISECONDS,
+  type SoleVersionReport,
+  SoleVersions,
+} from "./sole_versions.ts";
 import {
   type IEngineView,
   INITIAL_MEAN_MILLISECONDS,
@@ -13,9 +18,6 @@
 /** Age from which the load reported by other instances is ignored. */
 const LOAD_LIFETIME_MILLISECONDS = 1_500;
 
-/** Age up to which the list of engines counts as current, in milliseconds. */
-const CURRENT_LIST_MILLISECONDS = 1_500;
-
 /** Weight of a new duration in the exponential moving average. */
 const MEAN_SMOOTHING_FACTOR = 0.1;
 
@@ -30,13 +32,6 @@
   reportedTerm?: number;
 }
 
-/** The only software version of a service in the list of engines. */
-interface ISoleVersion {
-  readonly softwareVersion: string;
-  /** Time since which all lists have had only this version. */
-  readonly since: number;
-}
-
 /** Engines and their load, as this instance knows them. */
 export class EngineTable {
   #clock: IClock;
@@ -45,9 +40,7 @@
   #leaving: LeavingEngines;
   #list: EngineList = { revision: "", engines: [] };
   #listReadAt = Number.NEGATIVE_INFINITY;
-  /** Time since which the list has been current without interruption. */
-  #listCurrentSince = Number.NEGATIVE_INFINITY;
-  #soleVersions = new Map<string, ISoleVersion>();
+  #soleVersions = new SoleVersions();
   /** Live requests of other instances and all batch items, by engine. */
   #otherLoad = new Map<string, { live: number; bulk: number }>();
   #loadReceivedAt = Number.NEGATIVE_INFINITY;
@@ -101,7 +94,7 @@
     this.#leaving.updateList(list.engines);
     if (list.revision === this.#list.revision) return;
     this.#list = list;
-    this.#updateSoleVersions();
+    this.#soleVersions.update(list.engines);
     const ids = new Set(list.engines.map(({ id }) => id));
     this.#health.retainEngines(ids);
     for (const id of this.#meanDurations.keys()) {
@@ -118,9 +111,7 @@
   /** Records that the current list was up to date `age` milliseconds ago. */
   confirmListAge(age: number): void {
     const readAt = this.#clock.monotonic() - age;
-    if (readAt - this.#listReadAt > CURRENT_LIST_MILLISECONDS) {
-      this.#listCurrentSince = readAt;
-    }
+    this.#soleVersions.confirm(readAt);
     this.#listReadAt = Math.max(this.#listReadAt, readAt);
   }
 
@@ -204,13 +195,17 @@
    * all the time.
    */
   soleVersion(service: string, milliseconds: number): string | undefined {
-    const sole = this.#soleVersions.get(service);
+    const sole = this.#soleVersions.find(service);
     if (!sole || this.listAge > CURRENT_LIST_MILLISECONDS) return undefined;
-    const since = Math.max(sole.since, this.#listCurrentSince);
-    const isLongEnough = this.#clock.monotonic() - since >= milliseconds;
+    const isLongEnough = this.#clock.monotonic() - sole.since >= milliseconds;
     return isLongEnough ? sole.softwareVersion : undefined;
   }
 
+  /** Takes over since when the leader has known the only versions. */
+  adoptSoleVersions(reports: readonly SoleVersionReport[]): void {
+    this.#soleVersions.adopt(reports, this.#clock.monotonic());
+  }
+
   /** Tokens that this instance's live requests may fill, by engine. */
   ownLiveTokens(): [string, number][] {
     return [...this.#ownTokens];
@@ -261,24 +256,6 @@
         };
       });
   }
-
-  #updateSoleVersions(): void {
-    const versions = new Map<string, Set<string>>();
-    for (const { service, softwareVersion } of this.#list.engines) {
-      const ofService = versions.get(service) ?? new Set();
-      versions.set(service, ofService.add(softwareVersion));
-    }
-    const previous = this.#soleVersions;
-    this.#soleVersions = new Map();
-    for (const [service, [softwareVersion = "", ...others]] of versions) {
-      if (softwareVersion === "" || others.length > 0) continue;
-      const known = previous.get(service);
-      const since = known?.softwareVersion === softwareVersion
-        ? known.since
-        : this.#listReadAt;
-      this.#soleVersions.set(service, { softwareVersion, since });
-    }
-  }
 }
 
 function addTo(sums: Map<string, number>, key: string, change: number): void {
--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -285,6 +285,7 @@
     }
     if (list) table.updateList(list, { age: listAge, source: "leader" });
     else table.confirmListAge(listAge);
+    table.adoptSoleVersions(answer.value.soleVersions ?? []);
     if (load) table.updateLoad(load, reported);
     // The short form refers to the list that the leader was told.
     if (shortLoad && table.revision === revision) {
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -28,6 +28,7 @@
   type PlacementRequest,
 } from "./messages.ts";
 import { place } from "./placement.ts";
+import type { SoleVersionReport } from "./sole_versions.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
 import {
   type IEngineView,
@@ -61,6 +62,8 @@
   readonly listAge: number;
   /** Engines that fail their health checks. */
   readonly failing: ReadonlySet<string>;
+  /** Services that have one software version only, and for how long. */
+  readonly soleVersions?: readonly SoleVersionReport[];
   /** Batch items by engine. */
   readonly bulk: ReadonlyMap<string, number>;
   readonly routes: RouteTable | undefined;
@@ -149,6 +152,9 @@
       engineLimits: params.want ? undefined : engineLimits.all(),
       entries: ledger.entryCount(),
       suspects: [...state.failing],
+      soleVersions: params.want || !state.soleVersions
+        ? undefined
+        : state.soleVersions.map((report) => [...report]),
       listAge: state.listAge,
       list: isNewList ? list : undefined,
       routes: isNewRoutes ? withoutSource(routes) : undefined,
--- a/src/placement/exchange_test.ts
+++ b/src/placement/exchange_test.ts
@@ -1,145 +1,13 @@
 import test from "ava";
-import {
-  CallerActivity,
-  CallerUse,
-  EngineLimits,
-  FleetCallerLimiter,
-} from "../admission/mod.ts";
-import { unlimitedEngines } from "../../testing/unlimited_engines.ts";
-import { FakeNetwork } from "../../testing/fake_network.ts";
-import { ENGINE_SLOTS, listedEngine } from "../../testing/listed_engine.ts";
-import { TestRandom } from "../../testing/test_random.ts";
-import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
+import { ENGINES, ExchangeFleet } from "../../testing/exchange_fleet.ts";
+import { ENGINE_SLOTS } from "../../testing/listed_engine.ts";
 import type { Deadline } from "../common/mod.ts";
-import type { IControlClient } from "../consensus/mod.ts";
-import { SilentEventLog } from "../events/mod.ts";
 import type { Relay } from "../relaying/mod.ts";
-import { PartJudge } from "../quarantine/mod.ts";
-import { type CallerLimit, RoutesHolder } from "../service_routes/mod.ts";
-import { EngineHealth } from "./engine_health.ts";
-import { EngineTable } from "./engine_table.ts";
-import { ExchangeClient, type IRelayingSources } from "./exchange_client.ts";
-import {
-  exchangeInterval,
-  type ILeaderState,
-  registerExchangeHandler,
-} from "./exchange_handler.ts";
-import { LeavingEngines } from "./leaving_engines.ts";
-import { LoadLedger } from "./load_ledger.ts";
-import type { PlacementRequest } from "./messages.ts";
-import { Placer } from "./placer.ts";
+import { exchangeInterval } from "./exchange_handler.ts";
 import { StreamOrigins } from "./stream_origins.ts";
 
-const ENGINES = ["one", "two"].map((id) => listedEngine(id));
-
-/** A leader and entry instances that exchange load with it. */
-class Fleet {
-  readonly time = new VirtualTime();
-  readonly clock = new VirtualClock(this.time);
-  readonly network = new FakeNetwork(this.time, new TestRandom(1));
-  readonly ledger = new LoadLedger(this.clock);
-  readonly bulk = new Map<string, number>();
-  readonly preemptedEngines: string[] = [];
-  listReads = 0;
-  /** Limit of all callers; undefined if they have none. */
-  callerLimit: CallerLimit | undefined;
-  /** Streams that the leader knows. */
-  origins = new StreamOrigins(this.clock);
-  leaderState: ILeaderState | undefined = {
-    term: 1,
-    list: { revision: "1", engines: ENGINES },
-    listAge: 0,
-    failing: new Set(),
-    bulk: this.bulk,
-    routes: undefined,
-    confirmedMilliseconds: 0,
-    callerLimiter: new FleetCallerLimiter(this.clock, () => this.callerLimit),
-    leaving: new LeavingEngines(this.clock, { events: new SilentEventLog() }),
-    limiter: unlimitedEngines,
-    preemptBatchItems: ({ engine }) => this.preemptedEngines.push(engine.id),
-  };
-
-  constructor() {
-    registerExchangeHandler(this.network.connect("leader", this.clock), {
-      name: "store-1",
-      judge: new PartJudge(this.clock, { events: new SilentEventLog() }),
-      engineLimits: new EngineLimits(this.clock, {
-        events: new SilentEventLog(),
-      }),
-      clock: this.clock,
-      ledger: this.ledger,
-      origins: {
-        find: (request) => this.origins.find(request),
-        record: (origin) => this.origins.record(origin),
-      },
-      leaderState: () => this.leaderState,
-      random: () => 0,
-    });
-  }
-
-  /** Starts an entry instance. */
-  entry(name: string, relaying?: IRelayingSources) {
-    const { clock } = this;
-    const events = new SilentEventLog();
-    const endpoint = this.network.connect(name, clock);
-    const leader = { id: "leader", address: "leader", port: 1 };
-    const control = {
-      call: (method: never, params: never, options: never) =>
-        endpoint.call(leader, method, params, options),
-    } as unknown as IControlClient;
-    const health = new EngineHealth(clock, { events });
-    const leaving = new LeavingEngines(clock, { events });
-    const table = new EngineTable(clock, { events, health, leaving });
-    const origins = new StreamOrigins(clock);
-    const activity = new CallerActivity(0);
-    const exchange = new ExchangeClient(control, {
-      ...{ instance: name, name, role: "entry" as const },
-      ...{ clock, events, table, health, origins },
-      engineLimits: new EngineLimits(clock, { events }),
-      routes: new RoutesHolder({ events }),
-      list: {
-        read: () => {
-          this.listReads += 1;
-          return Promise.resolve(ENGINES);
-        },
-      },
-      random: () => 0,
-      callers: activity,
-      ...(relaying ? { relaying } : {}),
-    });
-    exchange.start();
-    const placer = new Placer(exchange, table, {
-      random: () => 0,
-      limiter: unlimitedEngines,
-      callers: {
-        activity,
-        use: new CallerUse(clock, { instances: () => 1, random: () => 0 }),
-        limitOf: () => this.callerLimit,
-        version: () => 1,
-      },
-    });
-    return { table, placer, exchange, origins, leaving, activity };
-  }
-
-  /** Places a request and advances the clock until it is answered. */
-  async place(placer: Placer, changes: Partial<PlacementRequest> = {}) {
-    const placed = placer.place({
-      request: "request",
-      service: "writer",
-      failureDomain: "a",
-      objectiveMilliseconds: 300,
-      remainingMilliseconds: 5_000,
-      isReturned: false,
-      excluded: [],
-      ...changes,
-    });
-    await this.time.advance(100);
-    return await placed;
-  }
-}
-
 test("requests spread over engines before loads are exchanged", async (t) => {
-  const fleet = new Fleet();
+  const fleet = new ExchangeFleet();
   const entries = Array.from(
     { length: 8 },
     (_, index) => fleet.entry(`entry-${index}`),
@@ -157,7 +25,7 @@
 });
 
 test("grant on an engine full of batch preempts a batch item", async (t) => {
-  const fleet = new Fleet();
+  const fleet = new ExchangeFleet();
   const { placer } = fleet.entry("entry");
   await fleet.time.advance(200);
   for (const { id } of ENGINES) fleet.bulk.set(id, ENGINE_SLOTS);
@@ -167,7 +35,7 @@
 });
 
 test("the leader learns of ended requests within two exchanges", async (t) => {
-  const fleet = new Fleet();
+  const fleet = new ExchangeFleet();
   const { placer, table } = fleet.entry("entry");
   await fleet.time.advance(200);
   const placement = await fleet.place(placer);
@@ -180,7 +48,7 @@
 });
 
 test("no leader: entry process places requests, lists engines", async (t) => {
-  const fleet = new Fleet();
+  const fleet = new ExchangeFleet();
   const { placer, table } = fleet.entry("entry");
   await fleet.time.advance(200);
   fleet.network.isolated.add("leader");
@@ -192,7 +60,7 @@
 });
 
 test("frozen leader: only the first request waits for it", async (t) => {
-  const fleet = new Fleet();
+  const fleet = new ExchangeFleet();
   const { placer } = fleet.entry("entry");
   await fleet.time.advance(200);
   fleet.network.isolated.add("leader");
@@ -226,7 +94,7 @@
 }
 
 test("leader knows where streams of other entries began", async (t) => {
-  const fleet = new Fleet();
+  const fleet = new ExchangeFleet();
   const first = fleet.entry("entry-1");
   const second = fleet.entry("entry-2");
   begin(first.origins, "stream");
@@ -240,7 +108,7 @@
 });
 
 test("a new leader receives the streams that began before", async (t) => {
-  const fleet = new Fleet();
+  const fleet = new ExchangeFleet();
   const { origins, exchange } = fleet.entry("entry");
   begin(origins, "stream");
   await fleet.time.advance(500);
@@ -254,9 +122,32 @@
   t.is(await unanswered, undefined);
 });
 
+// Guards against streams that cannot be resumed for a while after all entries
+// have been restarted, although the leader knows their version (rejoined).
+test("leader tells a new entry since when there is one version", async (t) => {
+  const fleet = new ExchangeFleet();
+  const { service, softwareVersion } = fleet.leaderState!.list.engines[0]!;
+  const report = [service, softwareVersion, 60_000] as const;
+  fleet.leaderState = { ...fleet.leaderState!, soleVersions: [report] };
+  const { table } = fleet.entry("entry");
+  await fleet.time.advance(500);
+  t.is(table.soleVersion(service, 15_000), softwareVersion);
+  t.is(table.soleVersion(service, 70_000), undefined);
+  const other = [service, "v9", 60_000] as const;
+  fleet.leaderState = { ...fleet.leaderState!, soleVersions: [other] };
+  const second = fleet.entry("second");
+  await fleet.time.advance(500);
+  t.is(second.table.soleVersion(service, 15_000), undefined);
+  // What the leader knew does not hold after a time without any list.
+  fleet.network.isolated.add("leader");
+  await fleet.time.advance(3_000);
+  table.confirmListAge(0);
+  t.is(table.soleVersion(service, 15_000), undefined);
+});
+
 // Guards against streams with events of two software versions (inc-defd).
 test("engine granted at another software version is not used", async (t) => {
-  const fleet = new Fleet();
+  const fleet = new ExchangeFleet();
   const { placer, table } = fleet.entry("entry");
   await fleet.time.advance(200);
   // A leader of an earlier version of figroad ignores the software version.
@@ -275,7 +166,7 @@
 
 // Guards against requests to engines that have announced that they leave.
 test("engine that announced to one entry gets no grant there", async (t) => {
-  const fleet = new Fleet();
+  const fleet = new ExchangeFleet();
   const first = fleet.entry("entry-1");
   const second = fleet.entry("entry-2");
   await fleet.time.advance(200);
@@ -290,7 +181,7 @@
 
 // Guards against requests to engines that have announced that they leave.
 test("no leader and no list: an announcement still holds", async (t) => {
-  const fleet = new Fleet();
+  const fleet = new ExchangeFleet();
   const { placer, leaving } = fleet.entry("entry");
   await fleet.time.advance(200);
   fleet.network.isolated.add("leader");
@@ -304,7 +195,7 @@
 });
 
 test("entry without links learns which entries forward requests", async (t) => {
-  const fleet = new Fleet();
+  const fleet = new ExchangeFleet();
   const named: Relay[][] = [];
   const start = (name: string, port: number | undefined, isCutOff = false) => {
     const links = { isCutOff };
@@ -326,7 +217,7 @@
 });
 
 test("caller over its limit is refused, and others are placed", async (t) => {
-  const fleet = new Fleet();
+  const fleet = new ExchangeFleet();
   const { placer } = fleet.entry("entry");
   await fleet.time.advance(200);
   fleet.callerLimit = { requestsPerSecond: 1, burst: 2 };
@@ -342,7 +233,7 @@
 });
 
 test("entry without a leader keeps to the limit of each caller", async (t) => {
-  const fleet = new Fleet();
+  const fleet = new ExchangeFleet();
   const { placer, activity } = fleet.entry("entry");
   await fleet.time.advance(200);
   const limit = { requestsPerSecond: 5, burst: 5 };
@@ -366,7 +257,7 @@
 
 // All slots are in use, most of them by one caller.
 test("callers below their share wait for a slot, others do not", async (t) => {
-  const fleet = new Fleet();
+  const fleet = new ExchangeFleet();
   const { placer, activity } = fleet.entry("entry");
   await fleet.time.advance(200);
   for (let count = 0; count < 2 * ENGINE_SLOTS; count++) {
@@ -383,7 +274,7 @@
 // One caller sends many times its limit through all entries: asking the leader
 // for each request would overload it.
 test("hot caller: few of its refused requests reach the leader", async (t) => {
-  const fleet = new Fleet();
+  const fleet = new ExchangeFleet();
   const { placer } = fleet.entry("entry");
   await fleet.time.advance(200);
   fleet.callerLimit = { requestsPerSecond: 2, burst: 2 };
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -163,6 +163,12 @@
      * The same as live requests and items of each engine in turn, in the order
      * of the list of engines that the instance has.
      */
+    /**
+     * Services with one software version only, and for how many milliseconds
+     * the list has shown no other; absent in answers to a placement.
+     */
+    soleVersions: z.array(z.tuple([z.string(), z.string(), z.number()]))
+      .optional(),
     shortLoad: z.array(z.number()).optional(),
     /** Engines that fail the leader's health checks. */
     suspects: z.array(z.string()),
--- a/src/placement/mod.ts
+++ b/src/placement/mod.ts
@@ -14,3 +14,4 @@
 export * from "./placer.ts";
 export * from "./stream_origins.ts";
 export * from "./types.ts";
+export * from "./sole_versions.ts";
