Stand-in engines echo the request's identifier in all answers

Since refusals count only for the request that they name, a refusal without an identifier is not believed on a kept connection. Whether a connection was kept depended on the test before.

Change: the stand-ins of tests and soak echo it always. The test is unchanged.

Result: decision_lines_test passes; before, it failed whenever the first attempt used a kept connection.

--- a/soak/platform/soak_engine.ts
+++ b/soak/platform/soak_engine.ts
@@ -111,6 +111,7 @@
     }
     if (this.isLeaving) response.setHeader("Server-Leaving", "1");
     const id = String(request.headers["request-id"] ?? "");
+    response.setHeader("Request-Id", id);
     if (this.limitedSince !== undefined) {
       response.setHeader("Server-Limit", String(LIMIT));
       this.limitedArrivals.push({ id, at: Date.now() });
--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -136,6 +136,7 @@
         response.setHeader("Server-Limit", String(this.limit));
       }
       const requestId = String(incoming.headers["request-id"] ?? "");
+      response.setHeader("Request-Id", requestId);
       if (incoming.headers["expect-instance"] !== id) {
         response.writeHead(421).end();
         return;
