--- a/review/common/engine.ts
+++ b/review/common/engine.ts
@@ -10,6 +10,9 @@
 import type { IListedEngine } from "./fleet.ts";
 import type { Record } from "./record.ts";
 
+/** Requests that an engine queues while its slots are taken. */
+const QUEUE_LENGTH = 4;
+
 /** A request that an engine has received. */
 export interface IEngineRequest {
   readonly id: string;
@@ -37,12 +40,15 @@
   intervalMilliseconds = 10;
   intervene: Intervention | undefined;
   running = 0;
+  /** Called after each complete answer. */
+  onFinished = (): void => {};
   #service: string;
   #slots: number;
   #events: number;
   #record: Record;
   #server: Server;
   #runs = 0;
+  #queue: (() => void)[] = [];
 
   constructor(
     id: string,
@@ -100,11 +106,11 @@
       response.writeHead(421).end();
       return;
     }
-    if (this.running >= this.#slots) {
+    if (!await this.#takeSlot(response)) {
+      if (response.destroyed) return;
       response.writeHead(503, { "Not-Run": "1" }).end();
       return;
     }
-    this.running += 1;
     const after = Number(incoming.headers["last-event-id"] ?? 0);
     const run = ++this.#runs;
     this.#record.add("run", { engine: this.id, run, id, after });
@@ -115,9 +121,27 @@
       if (!isDone) await this.#stream(request, response);
     } finally {
       this.running -= 1;
+      this.#queue.shift()?.();
     }
   }
 
+  /** Waits in the queue if all slots are taken; false if that is full too. */
+  async #takeSlot(response: ServerResponse): Promise<boolean> {
+    if (this.running >= this.#slots) {
+      if (this.#queue.length >= QUEUE_LENGTH) return false;
+      await new Promise<void>((resolve) => {
+        this.#queue.push(resolve);
+        response.once("close", () => {
+          this.#queue = this.#queue.filter((it) => it !== resolve);
+          resolve();
+        });
+      });
+      if (response.destroyed) return false;
+    }
+    this.running += 1;
+    return true;
+  }
+
   async #stream(
     { id, after }: IEngineRequest,
     response: ServerResponse,
@@ -130,5 +154,6 @@
       await sleep(this.intervalMilliseconds);
     }
     response.end();
+    this.onFinished();
   }
 }
