--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -7,11 +7,11 @@
   frontOf,
   HOST,
   waitUntilReady,
-} from "../common/client.ts";
-import { Engine } from "../common/engine.ts";
-import type { Fleet, IMember } from "../common/fleet.ts";
-import type { Record } from "../common/record.ts";
-import { type ICaseContext, runCase } from "../common/run_case.ts";
+} from "../client.ts";
+import { Engine } from "../engine.ts";
+import type { Fleet, IMember } from "../fleet.ts";
+import type { Record } from "../record.ts";
+import { type ICaseContext, runCase } from "../run_case.ts";
 
 const ENGINES = 8;
 const EVENTS = 195;
