Keep the requests of large jobs in files, and limit their bytes

Callers saw: after 33 to 48 jobs of 4 MB, every accepted job answered 503 for good; all three stores ended again and again with "JavaScript heap out of memory".

Change: requests of a job of more than 32 KB, and of any job once all in memory exceed 8 MB, are in a file of the job, like the files of `jobs` (SegmentStore moves to consensus). A store that runs an item for the leader reads its own copy; at most 24 MB are being sent. The leader refuses at once what exceeds its space (429, with the time by the rate at which requests are removed) or the memory for jobs that are being committed (503). A job that was accepted before is acknowledged in any case.

Why it works: nothing that grows with the size of a job is left in memory but what is being committed or sent, and both have a budget in bytes.

Tests: large_jobs_test starts stores with a heap of 80 MB and submits 45 jobs of 4.1 MB. Further: request_files_test, request_space_limiter_test, byte_budget_test and checks in bulk_handlers_test and store_executor_test.

--- a/src/bulk/bulk_handlers.ts
+++ b/src/bulk/bulk_handlers.ts
@@ -1,16 +1,15 @@
 import { err, ok } from "neverthrow";
 import {
   DisposableStore,
-  type Failure,
   type IClock,
   type IDisposable,
-  notRun,
 } from "../common/mod.ts";
 import type { IReplicatedLog } from "../consensus/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
 import type { BulkSection } from "./bulk_section.ts";
-import { jobAccepted, jobEnded, jobRefused } from "./events.ts";
+import { jobEnded } from "./events.ts";
+import { JobSubmissions } from "./job_submissions.ts";
 import {
   bulkSection,
   endBulkMethod,
@@ -18,19 +17,19 @@
   readBulkMethod,
   submitBulkMethod,
 } from "./messages.ts";
+import type { RequestSpaceLimiter } from "./request_space_limiter.ts";
 import type { BulkResult, HeldJob } from "./types.ts";
-import type { IRefusal, WaitingTokenLimiter } from "./waiting_token_limiter.ts";
+import type { WaitingTokenLimiter } from "./waiting_token_limiter.ts";
 
 /** Maximum size of the results in one answer, in characters. */
 const PAGE_CHARACTERS = 1_000_000;
 
-const MILLISECONDS_PER_SECOND = 1_000;
-
 /** Dependencies of the bulk handlers. */
 export interface IBulkHandlerOptions {
   readonly log: IReplicatedLog;
   readonly section: BulkSection;
   readonly limiter: WaitingTokenLimiter;
+  readonly space: RequestSpaceLimiter;
   /** Whether requests need keys; otherwise, jobs are open to all. */
   readonly requiresKeys: () => boolean;
   readonly clock: IClock;
@@ -42,41 +41,16 @@
   server: IRpcServer,
   handlerOptions: IBulkHandlerOptions,
 ): IDisposable {
-  const { log, section, limiter, clock, events } = handlerOptions;
+  const { log, section, clock, events } = handlerOptions;
   const isOwn = ({ job }: HeldJob, caller: string | undefined) =>
     job.caller === undefined || job.caller === caller ||
     !handlerOptions.requiresKeys();
   const store = new DisposableStore();
-  store.add(server.handle(submitBulkMethod, async ({ job }, options) => {
-    // The barrier makes the state include every job that was acknowledged,
-    // also by the leaders of earlier terms.
-    const confirmed = await log.barrier({ ...options, requiresQuorum: true });
-    if (confirmed.isErr()) return err(confirmed.error);
-    const decision = limiter.decide(job, log.leadership.term);
-    if (decision.kind === "known") {
-      const known = section.job(job.id);
-      if (known && isOwn(known, job.caller)) return ok({});
-      const reason = "another job has this identifier";
-      return err(notRun("conflict", reason));
-    }
-    if (decision.kind === "refused") {
-      const { refusal } = decision;
-      events.emit(jobRefused, { request: job.id, ...refusal });
-      return err(limitFailure(refusal));
-    }
-    const command = { kind: "submit", job };
-    const done = await log.propose(bulkSection.name, command, options);
-    if (done.isErr()) {
-      if (done.error.verdict === "not-run") limiter.release(job.id);
-      return err(done.error);
-    }
-    events.emit(jobAccepted, {
-      request: job.id,
-      items: job.items.length,
-      path: job.path,
-    });
-    return ok({});
-  }));
+  const submissions = new JobSubmissions({ ...handlerOptions, isOwn });
+  store.add(server.handle(
+    submitBulkMethod,
+    ({ job }, options) => submissions.submit(job, options),
+  ));
   store.add(server.handle(readBulkMethod, async (params, options) => {
     const confirmed = await log.barrier({ ...options, requiresQuorum: true });
     if (confirmed.isErr()) return err(confirmed.error);
@@ -101,7 +75,8 @@
     if (confirmed.isErr()) return err(confirmed.error);
     const held = section.job(params.job);
     if (held && !isOwn(held, params.caller)) return ok({ body: undefined });
-    return ok({ body: section.findOpenItem(params.job, params.item)?.body });
+    const item = section.findOpenItem(params.job, params.item);
+    return ok({ body: item && section.loadRequest(item).body });
   }));
   store.add(server.handle(endBulkMethod, async ({ job, caller }, options) => {
     if (caller !== undefined) {
@@ -119,17 +94,6 @@
   return store;
 }
 
-/** Describes why a job was refused; it provably does not run. */
-function limitFailure(refusal: IRefusal): Failure {
-  const { route, tokens, waitingTokens, limit, retryMilliseconds } = refusal;
-  const reason = `the job has ${tokens} tokens; ${waitingTokens} of ` +
-    `${limit} tokens already wait on route ${route}`;
-  const retryAfterSeconds = retryMilliseconds === undefined
-    ? undefined
-    : retryMilliseconds / MILLISECONDS_PER_SECOND;
-  return notRun("limit-exceeded", reason, { retryAfterSeconds });
-}
-
 /** Waits until the job has more than `after` results, at most until `end`. */
 async function waitForResult(
   section: BulkSection,
--- a/src/bulk/bulk_handlers_test.ts
+++ b/src/bulk/bulk_handlers_test.ts
@@ -16,6 +16,7 @@
   readBulkMethod,
   submitBulkMethod,
 } from "./messages.ts";
+import { RequestSpaceLimiter } from "./request_space_limiter.ts";
 import { WaitingTokenLimiter } from "./waiting_token_limiter.ts";
 
 const OPTIONS = { deadline: Infinity as Deadline };
@@ -37,7 +38,7 @@
 }
 
 /** The handler of submissions, on a route with a limit of 10 tokens. */
-function createSubmit() {
+function createSubmit(maximumBytes = Number.POSITIVE_INFINITY) {
   const section = new BulkSection();
   const log = new BarrierLog([section]);
   const clock = new FakeClock();
@@ -59,6 +60,7 @@
     clock,
     routes: () => table,
   });
+  const space = new RequestSpaceLimiter(section, { clock, maximumBytes });
   const handlers = new Map<string, unknown>();
   const server = {
     handle(method: { name: string }, handler: unknown) {
@@ -67,7 +69,7 @@
     },
   };
   registerBulkHandlers(server as unknown as IRpcServer, {
-    ...{ log, section, limiter, clock },
+    ...{ log, section, limiter, space, clock },
     requiresKeys: () => true,
     events: new SilentEventLog(),
   });
@@ -81,8 +83,13 @@
     ) => Promise<Result<z.infer<R>, Failure>>;
     return handler(params, OPTIONS);
   };
-  const submit = (id: string, tokens: number, caller?: string) => {
-    const item = { id, path: "/", headers: {}, body: "text", tokens };
+  const submit = (
+    id: string,
+    tokens: number,
+    caller?: string,
+    body = "text",
+  ) => {
+    const item = { id, path: "/", headers: {}, body, tokens };
     const job = { id, host: "h", path: "/", caller, items: [item] };
     return call(submitBulkMethod, { job });
   };
@@ -140,3 +147,37 @@
   t.is(refused.code, "limit-exceeded");
   t.true((await submit("d", 2, "one")).isOk());
 });
+
+// Guards against stores that run out of memory and disk under a burst of large
+// jobs: what does not fit is refused at once, what was accepted never.
+test("job without space is refused, a known one acknowledged", async (t) => {
+  const { submit } = createSubmit(10_000);
+  const body = "x".repeat(6_000);
+  t.true((await submit("a", 1, "one", body)).isOk());
+  const refused = (await submit("b", 1, "one", body))._unsafeUnwrapErr();
+  t.deepEqual([refused.code, refused.verdict], ["limit-exceeded", "not-run"]);
+  t.true((refused.retryAfterSeconds ?? 0) > 0);
+  t.true((await submit("a", 1, "one", body)).isOk());
+  const huge = await submit("c", 1, "one", "x".repeat(20_000));
+  t.is(huge._unsafeUnwrapErr().code, "too-large");
+});
+
+// Guards against jobs that exhaust the memory of the leader before they are
+// committed.
+test("jobs beyond those being committed are refused", async (t) => {
+  const { log, submit } = createSubmit();
+  const body = "x".repeat(9_000_000);
+  let release = () => {};
+  const committed = new Promise<void>((resolve) => release = resolve);
+  const propose = log.propose.bind(log);
+  log.propose = async (...parameters) => {
+    await committed;
+    return await propose(...parameters);
+  };
+  const first = submit("a", 1, "one", body);
+  const refused = (await submit("b", 1, "one", body))._unsafeUnwrapErr();
+  t.deepEqual([refused.code, refused.verdict], ["overloaded", "not-run"]);
+  release();
+  t.true((await first).isOk());
+  t.true((await submit("b", 1, "one", body)).isOk());
+});
--- a/src/bulk/events.ts
+++ b/src/bulk/events.ts
@@ -25,6 +25,28 @@
   labels: ["route"],
 });
 
+export const jobWithoutSpace = defineEvent(1161, "bulk-job-without-space", {
+  level: "warn",
+  help: "A job was refused before anything was written to the replicated " +
+    "log, because the requests of the jobs that wait fill the space that " +
+    "stores have for them. Engines that answer too slowly for the jobs that " +
+    "arrive are the usual cause.",
+  fields: {
+    request: z.string(),
+    bytes: z.number(),
+    usedBytes: z.number(),
+    maximumBytes: z.number(),
+    retryMilliseconds: z.number().optional(),
+  },
+});
+
+export const submissionsBusy = defineEvent(1162, "bulk-submissions-busy", {
+  level: "warn",
+  help: "A job was refused because the jobs that are being submitted at the " +
+    "same time hold all memory that the leader has for them.",
+  fields: { request: z.string(), bytes: z.number() },
+});
+
 export const jobEnded = defineEvent(1151, "bulk-job-ended", {
   level: "info",
   help: "The caller ended a job; its items no longer run.",
--- a/src/bulk/item_run.ts
+++ b/src/bulk/item_run.ts
@@ -1,6 +1,6 @@
 import { Buffer } from "node:buffer";
 import { z } from "zod";
-import type { IClock } from "../common/mod.ts";
+import { ByteBudget, type IClock } from "../common/mod.ts";
 import type { LeavingEngines, ListedEngine } from "../placement/mod.ts";
 import {
   EventSplitter,
@@ -10,7 +10,7 @@
   takeValidEvents,
 } from "../streams/mod.ts";
 import { HttpExchangeError } from "../targets/http_exchange.ts";
-import type { BulkItem } from "./types.ts";
+import type { BulkItem, HeldItem } from "./types.ts";
 
 /** Longest wait for the headers of an answer, in milliseconds. */
 const HEAD_TIMEOUT_MILLISECONDS = 4_000;
@@ -18,6 +18,12 @@
 /** Maximum gap between two events of an item, in milliseconds. */
 const SILENCE_TIMEOUT_MILLISECONDS = 1_500;
 
+/**
+ * Size of the requests that are read from files and being sent, in bytes. They
+ * stay in memory until the engine begins its answer.
+ */
+const MAXIMUM_SENDING_BYTES = 24 * 1024 * 1024;
+
 /** Progress of an item across its runs. */
 export interface IItemProgress {
   /** Data of the events received so far. */
@@ -50,7 +56,7 @@
 
 /** A run of an item, which resumes after the events already received. */
 export interface IItemRun {
-  readonly item: BulkItem;
+  readonly item: HeldItem;
   /** Host of the job's route. */
   readonly host: string;
   /** Updated while the item runs. */
@@ -83,15 +89,22 @@
   #client: IEngineClient;
   #clock: IClock;
   #leaving: Pick<LeavingEngines, "has">;
+  #loadRequest: (item: HeldItem) => BulkItem;
+  #sending = new ByteBudget(MAXIMUM_SENDING_BYTES);
 
+  /** @param options.loadRequest reads requests that are in files */
   constructor(
     client: IEngineClient,
     clock: IClock,
-    options: { leaving: Pick<LeavingEngines, "has"> },
+    options: {
+      leaving: Pick<LeavingEngines, "has">;
+      loadRequest?: (item: HeldItem) => BulkItem;
+    },
   ) {
     this.#client = client;
     this.#clock = clock;
     this.#leaving = options.leaving;
+    this.#loadRequest = options.loadRequest ?? ((item) => item);
   }
 
   async run(engine: ListedEngine, run: IItemRun): Promise<ItemOutcome> {
@@ -100,21 +113,10 @@
       const reason = "the engine has announced that it leaves";
       return { kind: "turned-away", reason };
     }
-    const { item, host, progress, signal } = run;
+    const { progress, signal } = run;
     try {
-      const answer = await this.#client.send(engine, {
-        id: item.id,
-        method: "POST",
-        path: item.path,
-        headers: [["Host", host], ...Object.entries(item.headers)],
-        body: Buffer.from(item.body, "base64"),
-        deadline: undefined,
-        lastEventId: progress.lastEventId,
-      }, {
-        signal,
-        headDeadline: this.#clock.deadlineIn(HEAD_TIMEOUT_MILLISECONDS),
-        freshConnection: false,
-      });
+      const answer = await this.#send(engine, run);
+      if (!answer) return { kind: "stopped" };
       const early = outcomeWithoutStream(answer);
       if (early) {
         answer.close();
@@ -141,6 +143,37 @@
       return { kind: "broken", reason, isBrokenOff };
     }
   }
+
+  /**
+   * Sends the request of an item, and resolves when the engine's answer begins;
+   * undefined if the run was stopped before.
+   */
+  async #send(
+    engine: ListedEngine,
+    { item, host, progress, signal }: IItemRun,
+  ): Promise<IEngineAnswer | undefined> {
+    const bytes = item.stored?.length ?? 0;
+    await this.#sending.take(bytes);
+    try {
+      if (signal.aborted) return undefined;
+      const { path, headers, body } = this.#loadRequest(item);
+      return await this.#client.send(engine, {
+        id: item.id,
+        method: "POST",
+        path,
+        headers: [["Host", host], ...Object.entries(headers)],
+        body: Buffer.from(body, "base64"),
+        deadline: undefined,
+        lastEventId: progress.lastEventId,
+      }, {
+        signal,
+        headDeadline: this.#clock.deadlineIn(HEAD_TIMEOUT_MILLISECONDS),
+        freshConnection: false,
+      });
+    } finally {
+      this.#sending.release(bytes);
+    }
+  }
 }
 
 /** Outcome of an answer that is not a stream; undefined for a stream. */
--- a/src/bulk/messages.ts
+++ b/src/bulk/messages.ts
@@ -104,6 +104,12 @@
 });
 export type RunDelta = z.infer<typeof runDeltaSchema>;
 
+/** An item whose request the other store reads from its own files. */
+const itemReferenceSchema = z.object({
+  id: z.string(),
+  job: z.string(),
+});
+
 /** Makes another store run an item; answered when the run has ended. */
 export const runItemMethod = defineMethod("bulk.run-item", {
   params: z.object({
@@ -112,7 +118,7 @@
     term: z.number(),
     engine: listedEngineSchema,
     host: z.string(),
-    item: bulkItemSchema,
+    item: z.union([bulkItemSchema, itemReferenceSchema]),
     lastEventId: z.string().optional(),
   }),
   result: z.object({
--- a/src/bulk/run_host.ts
+++ b/src/bulk/run_host.ts
@@ -8,6 +8,7 @@
 import type { IControlClient, IReplicatedLog } from "../consensus/mod.ts";
 import type { LeavingEngines } from "../placement/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
+import type { BulkSection } from "./bulk_section.ts";
 import type { IItemExecutor, IItemProgress } from "./item_run.ts";
 import {
   reportRunsMethod,
@@ -39,6 +40,8 @@
   /** Identifier of this store. */
   readonly store: string;
   readonly executor: IItemExecutor;
+  /** Items of the jobs that this store has applied. */
+  readonly section: Pick<BulkSection, "findOpenItem">;
   readonly leaving: Pick<LeavingEngines, "has">;
   readonly control: IControlClient;
   readonly log: IReplicatedLog;
@@ -65,7 +68,10 @@
     this.#leaderAnsweredAt = clock.monotonic();
     this.#disposables.add(
       server.handle(runItemMethod, async (params) => {
-        const { run: id, term, engine, item, host, lastEventId } = params;
+        const { run: id, term, engine, host, lastEventId } = params;
+        const item = "job" in params.item
+          ? options.section.findOpenItem(params.item.job, params.item.id)
+          : params.item;
         if (this.#runs.size === 0) this.#leaderAnsweredAt = clock.monotonic();
         const run: IHostedRun = {
           ...{ id, term },
@@ -73,6 +79,11 @@
           abort: new AbortController(),
           reportedEvents: 0,
         };
+        if (!item) {
+          const reason = `${options.store} does not hold the item`;
+          const outcome = { kind: "abandoned" as const, reason };
+          return ok({ outcome, delta: runDelta(run) });
+        }
         this.#runs.set(id, run);
         const { signal } = run.abort;
         const { progress } = run;
--- a/src/bulk/store_executor.ts
+++ b/src/bulk/store_executor.ts
@@ -132,7 +132,11 @@
       });
     });
     const { lastEventId } = progress;
-    const params = { run: id, term, engine, host, item, lastEventId };
+    const { stored } = item;
+    const params = {
+      ...{ run: id, term, engine, host, lastEventId },
+      item: stored ? { id: item.id, job: stored.job } : item,
+    };
     const call = rpc.call(store, runItemMethod, params, {
       deadline: clock.deadlineIn(RUN_TIMEOUT_MILLISECONDS),
     });
@@ -141,14 +145,12 @@
     this.#remoteRuns.delete(id);
     signal.removeEventListener("abort", stop);
     if (!answer || answer.isErr()) {
-      this.#avoidedUntil.set(
-        store.id,
-        clock.deadlineIn(AVOIDANCE_MILLISECONDS),
-      );
+      this.#avoid(store);
       const reason = answer?.error.message ?? `no report from ${store.id}`;
       return { kind: "abandoned", reason };
     }
     const { outcome, delta, isEngineLeaving } = answer.value;
+    if (outcome.kind === "abandoned") this.#avoid(store);
     if (isEngineLeaving) this.#options.leaving.announce(engine.id, "store");
     if (remote) applyDelta(remote, delta);
     return outcome;
@@ -185,6 +187,11 @@
     }
   }
 
+  #avoid({ id }: PeerAddress): void {
+    const until = this.#options.clock.deadlineIn(AVOIDANCE_MILLISECONDS);
+    this.#avoidedUntil.set(id, until);
+  }
+
   #leastLoadedStore(): PeerAddress | undefined {
     const counts = new Map<string, number>();
     for (const { store } of this.#remoteRuns.values()) {
--- a/src/bulk/store_executor_test.ts
+++ b/src/bulk/store_executor_test.ts
@@ -11,6 +11,7 @@
 import type { IItemExecutor, IItemRun, ItemOutcome } from "./item_run.ts";
 import { RunHost } from "./run_host.ts";
 import { StoreExecutor } from "./store_executor.ts";
+import { EMPTY_REQUEST, type HeldItem } from "./types.ts";
 
 /** Number of local runs at which the leader starts to use other stores. */
 const LOCAL_RUN_THRESHOLD = 48;
@@ -62,9 +63,12 @@
       other.call(address("leader"), method, params, options),
     propose: () => Promise.resolve(ok(undefined)),
   } as unknown as IControlClient;
+  /** Items of the jobs that the other store has applied, by identifier. */
+  const applied = new Map<string, HeldItem>();
   const host = new RunHost({
     store: "other",
     executor: hosted,
+    section: { findOpenItem: (_, item) => applied.get(item) },
     ...{ control, log, clock, leaving },
     server: other,
   });
@@ -94,7 +98,7 @@
   for (let count = 0; count < LOCAL_RUN_THRESHOLD; count++) {
     void executor.run(ENGINE, runOf());
   }
-  return { time, network, own, hosted, log, executor, runOf };
+  return { time, network, own, hosted, log, executor, runOf, applied };
 }
 
 /** Adds events to the progress of a run. */
@@ -170,3 +174,24 @@
   log.setLeadership(4, false);
   t.true(hosted.runs[0]?.signal.aborted);
 });
+
+// Guards against messages as large as the requests, for each run.
+test("request in a file is not sent to the store that runs it", async (t) => {
+  const { time, hosted, executor, runOf, applied } = setup();
+  const location = { job: "job", file: "1", offset: 0, length: 9 };
+  const { tokens } = ITEM;
+  const item = { ...EMPTY_REQUEST, id: "stored", tokens, stored: location };
+  const missing = executor.run(ENGINE, { ...runOf(), item });
+  await time.advance(50);
+  t.like(await missing, { kind: "abandoned" }, "it is not applied there yet");
+  // The store is avoided for a while.
+  await time.advance(2_000);
+  const stored = { ...location, file: "2" };
+  applied.set("stored", { ...item, stored });
+  const outcome = executor.run(ENGINE, { ...runOf(), item });
+  await time.advanceUntil("hosted", () => hosted.runs.length === 1);
+  t.deepEqual(hosted.runs[0]?.item.stored, stored);
+  hosted.end(0, { kind: "complete" });
+  await time.advance(50);
+  t.is((await outcome).kind, "complete");
+});
--- a/src/bulk/types.ts
+++ b/src/bulk/types.ts
@@ -13,6 +13,37 @@
 });
 export type BulkItem = z.infer<typeof bulkItemSchema>;
 
+/** Where a request is in the files of the section that holds the jobs. */
+export const requestLocationSchema = z.object({
+  job: z.string(),
+  file: z.string(),
+  offset: z.number(),
+  length: z.number(),
+});
+export type RequestLocation = z.infer<typeof requestLocationSchema>;
+
+/** Request of an item without its content. */
+export const EMPTY_REQUEST: Pick<BulkItem, "path" | "headers" | "body"> = {
+  ...{ path: "", headers: {}, body: "" },
+};
+
+/** An item whose request is in a file, as snapshots contain it. */
+export const storedItemSchema = z.object({
+  id: z.string(),
+  tokens: z.number(),
+  stored: requestLocationSchema,
+});
+
+/**
+ * Item of a job that was accepted. Its path, headers and body are empty if the
+ * request is in a file, or if no run needs it any more.
+ */
+export const heldItemSchema = z.union([
+  bulkItemSchema.extend({ stored: z.undefined().optional() }),
+  storedItemSchema.transform((item) => ({ ...EMPTY_REQUEST, ...item })),
+]);
+export type HeldItem = z.infer<typeof heldItemSchema>;
+
 /** A job as a caller submits it. */
 export const bulkJobSchema = z.object({
   id: z.string(),
@@ -52,7 +83,7 @@
 
 /** A job with its results and progress. */
 export const heldJobSchema = z.object({
-  job: bulkJobSchema,
+  job: bulkJobSchema.extend({ items: z.array(heldItemSchema) }),
   /** Wall time of the submission, in milliseconds since the Unix epoch. */
   acceptedAt: z.number(),
   /** Results in the order in which they were recorded. */
@@ -61,3 +92,15 @@
   hasEnded: z.boolean(),
 });
 export type HeldJob = z.infer<typeof heldJobSchema>;
+
+/** Size of the requests of items, without those that are in files. */
+export function requestCharacters(items: readonly BulkItem[]): number {
+  let sum = 0;
+  for (const { path, headers, body } of items) {
+    sum += path.length + body.length;
+    for (const [name, value] of Object.entries(headers)) {
+      sum += name.length + value.length;
+    }
+  }
+  return sum;
+}
--- a/src/bulk/waiting_token_limiter.ts
+++ b/src/bulk/waiting_token_limiter.ts
@@ -7,20 +7,12 @@
 import type { Route, RouteTable } from "../service_routes/mod.ts";
 import type { BulkSection } from "./bulk_section.ts";
 import { DrainRate } from "./drain_rate.ts";
+import { PendingJobs } from "./pending_jobs.ts";
 import type { BulkJob } from "./types.ts";
 
 /** Path of the report to operators, on the metrics address of a store. */
 export const WAITING_TOKENS_PATH = "/waiting-tokens";
 
-/** Shortest retry delay of a refused job, in milliseconds. */
-const MINIMUM_RETRY_MILLISECONDS = 500;
-
-/** Longest retry delay of a refused job, in milliseconds. */
-const MAXIMUM_RETRY_MILLISECONDS = 30_000;
-
-/** Retry delay before any tokens were seen to be worked off, in ms. */
-const DEFAULT_RETRY_MILLISECONDS = 2_000;
-
 /** Use of a route's limit of waiting tokens by one caller. */
 export const waitingTokenUsageSchema = z.object({
   route: z.string(),
@@ -59,14 +51,6 @@
   | { readonly kind: "fits" }
   | { readonly kind: "refused"; readonly refusal: IRefusal };
 
-/** A job that was proposed and whose commit is not known yet. */
-interface IPendingJob {
-  readonly job: BulkJob;
-  readonly tokens: number;
-  /** Term of the log in which the job was proposed. */
-  readonly term: number;
-}
-
 /**
  * Limits the tokens of each caller's batch jobs that wait on a route. Jobs that
  * needed no key count as those of one caller.
@@ -82,7 +66,7 @@
   #section: BulkSection;
   #clock: IClock;
   #routes: () => RouteTable | undefined;
-  #pending = new Map<string, IPendingJob>();
+  #pending = new PendingJobs<{ job: BulkJob; tokens: number }>();
   /** Number of refused jobs by route and caller. */
   #refusedJobs = new Map<string, number>();
   #drainRate = new DrainRate();
@@ -105,7 +89,7 @@
    */
   decide(job: BulkJob, term: number): SubmissionDecision {
     if (this.#section.job(job.id)) return { kind: "known" };
-    this.#forgetEarlierTerms(term);
+    this.#pending.forgetEarlierTerms(term);
     // An earlier proposal of this job may still be committed, so the job must
     // not be refused any more.
     if (this.#pending.has(job.id)) return { kind: "fits" };
@@ -116,7 +100,7 @@
       this.#refusedJobs.set(key, (this.#refusedJobs.get(key) ?? 0) + 1);
       return { kind: "refused", refusal };
     }
-    this.#pending.set(job.id, { job, tokens, term });
+    this.#pending.add(job.id, term, { job, tokens });
     return { kind: "fits" };
   }
 
@@ -165,7 +149,7 @@
       routesVersion: table.version,
       retryMilliseconds: tokens > limit
         ? undefined
-        : this.#retryMilliseconds(excess),
+        : this.#drainRate.retryMilliseconds(excess),
     };
   }
 
@@ -176,23 +160,12 @@
   ): number {
     const isCounted = ({ host, path, caller }: BulkJob) =>
       caller === scope.caller && table.find(host, path) === scope.route;
-    const pending = [...this.#pending.values()]
+    const pending = this.#pending.values()
       .filter(({ job }) => isCounted(job))
       .reduce((sum, { tokens }) => sum + tokens, 0);
     return this.#section.waitingTokens(isCounted) + pending;
   }
 
-  /** Estimated time in which a number of tokens is worked off. */
-  #retryMilliseconds(tokens: number): number {
-    const rate = this.#drainRate.perMillisecond;
-    if (rate === undefined) return DEFAULT_RETRY_MILLISECONDS;
-    const estimate = Math.round(tokens / rate);
-    return Math.min(
-      MAXIMUM_RETRY_MILLISECONDS,
-      Math.max(MINIMUM_RETRY_MILLISECONDS, estimate),
-    );
-  }
-
   #onChanged(job: string): void {
     if (this.#section.job(job)) this.#pending.delete(job);
     this.#drainRate.sample(
@@ -200,12 +173,6 @@
       this.#section.settledTokens,
     );
   }
-
-  #forgetEarlierTerms(term: number): void {
-    for (const [id, pending] of this.#pending) {
-      if (pending.term !== term) this.#pending.delete(id);
-    }
-  }
 }
 
 function usageKey(route: string, caller: string | undefined): string {
--- a/src/common/mod.ts
+++ b/src/common/mod.ts
@@ -1,3 +1,4 @@
+export * from "./byte_budget.ts";
 export * from "./clock.ts";
 export * from "./clock_watch.ts";
 export * from "./deadline.ts";
--- a/src/consensus/mod.ts
+++ b/src/consensus/mod.ts
@@ -5,6 +5,7 @@
 export * from "./messages.ts";
 export * from "./replica_set.ts";
 export * from "./replicated_log.ts";
+export * from "./segment_store.ts";
 export * from "./state_machine.ts";
 export * from "./storage.ts";
 export * from "./timing.ts";
--- a/src/jobs/segment_store.ts
+++ b/src/consensus/segment_store.ts
@@ -12,7 +12,7 @@
 } from "node:fs";
 import { open } from "node:fs/promises";
 import { join } from "node:path";
-import type { SectionFile } from "../consensus/mod.ts";
+import type { SectionFile } from "./types.ts";
 
 /** Maximum number of open files. */
 const MAXIMUM_OPEN_FILES = 128;
@@ -54,6 +54,13 @@
     return this.#lengths.get(name) ?? 0;
   }
 
+  /** Length of all files together, in bytes. */
+  get bytes(): number {
+    let sum = 0;
+    for (const length of this.#lengths.values()) sum += length;
+    return sum;
+  }
+
   /** Appends bytes, written by the next `flush`, and returns their offset. */
   append(name: string, bytes: Buffer): number {
     const offset = this.length(name);
--- a/src/jobs/batch_job.ts
+++ b/src/jobs/batch_job.ts
@@ -10,7 +10,7 @@
   type IResultRecord,
   RESULT_RECORD_BYTES,
 } from "./result_record.ts";
-import type { SegmentStore } from "./segment_store.ts";
+import type { SegmentStore } from "../consensus/mod.ts";
 
 /** Result records per read of an index. */
 const READ_RECORDS = 50_000;
--- a/src/jobs/input_files.ts
+++ b/src/jobs/input_files.ts
@@ -2,7 +2,7 @@
 import { createHash } from "node:crypto";
 import { z } from "zod";
 import { type InputFile, inputFileSchema } from "./messages.ts";
-import type { SegmentStore } from "./segment_store.ts";
+import type { SegmentStore } from "../consensus/mod.ts";
 
 /** Age at which an unfinished upload is dropped, in milliseconds. */
 export const UPLOAD_RETENTION_MILLISECONDS = 3_600_000;
--- a/src/jobs/jobs_section.ts
+++ b/src/jobs/jobs_section.ts
@@ -1,9 +1,10 @@
 import { match } from "ts-pattern";
 import { z } from "zod";
-import type {
-  IApplyContext,
-  IStateSection,
-  SectionSnapshot,
+import {
+  type IApplyContext,
+  type IStateSection,
+  type SectionSnapshot,
+  SegmentStore,
 } from "../consensus/mod.ts";
 import { BatchJob, batchJobSnapshotSchema } from "./batch_job.ts";
 import { EndedJobs } from "./ended_jobs.ts";
@@ -26,7 +27,6 @@
   RetryQueue,
   retryQueueSnapshotSchema,
 } from "./retry_queue.ts";
-import { SegmentStore } from "./segment_store.ts";
 
 /** Maximum number of ended jobs, and of files, dropped by one sweep. */
 const MAXIMUM_DROPPED_PER_SWEEP = 500;
--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -193,6 +193,8 @@
   isListBroken = false;
   /** Log output of all processes, in the order received. */
   logs = "";
+  /** Size of the heap of the stores that are started next; Node's default. */
+  storeHeapMegabytes: number | undefined;
   #list: HttpStandin | undefined;
   #enginePorts: number[] = [];
   #folder = "";
@@ -341,8 +343,12 @@
   }
 
   #run({ role, settingsPath }: Omit<IRoleProcess, "child">): ChildProcess {
-    const imports = role === "entry" ? [`--import=${LINK_FAULTS_MODULE}`] : [];
-    const child = spawn(process.execPath, [...imports, PROGRAM, role], {
+    const options = role === "entry"
+      ? [`--import=${LINK_FAULTS_MODULE}`]
+      : this.storeHeapMegabytes === undefined
+      ? []
+      : [`--max-old-space-size=${this.storeHeapMegabytes}`];
+    const child = spawn(process.execPath, [...options, PROGRAM, role], {
       env: { ...process.env, FIGROAD_CONFIG: settingsPath },
       stdio: ["ignore", "pipe", "inherit", "ipc"],
     });
--- a/testing/start_platform_fleet.ts
+++ b/testing/start_platform_fleet.ts
@@ -42,12 +42,14 @@
 /** Starts a configured fleet of two entries, three stores and some engines. */
 export async function startPlatformFleet(
   engineCount = 2,
+  options: { storeHeapMegabytes?: number } = {},
 ): Promise<PlatformFleet> {
   const engines = Array.from(
     { length: engineCount },
     (_, index) => new StreamEngine(`i-${index}`, ANSWER_EVENTS),
   );
   const fleet = new PlatformFleet(engines);
+  fleet.storeHeapMegabytes = options.storeHeapMegabytes;
   await fleet.start(2);
   await retryUntilStatus(
     200,
