--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -121,6 +121,14 @@
   },
 );
 
+export const bodiesTooLarge = defineEvent(1269, "bodies-too-large", {
+  level: "warn",
+  help:
+    "A request was refused because the bodies of the requests in progress " +
+    "take all memory that the instance has for them.",
+  fields: { request: z.string(), bytes: z.number() },
+});
+
 export const logLinesLeftOut = defineEvent(1260, "log-lines-left-out", {
   level: "warn",
   help: "An event occurred more often than the rate limit of its log lines " +
--- a/src/edge/http_edge.ts
+++ b/src/edge/http_edge.ts
@@ -8,10 +8,10 @@
 } from "node:http";
 import type { Duplex } from "node:stream";
 import { err, ok, type Result } from "neverthrow";
-import { type IDisposable, listen } from "../common/mod.ts";
+import { ByteBudget, type IDisposable, listen } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { RequestLimits } from "../service_routes/mod.ts";
-import { edgeFailed, malformedRequest } from "./events.ts";
+import { bodiesTooLarge, edgeFailed, malformedRequest } from "./events.ts";
 import { breakOff } from "./break_off.ts";
 import { answerJson } from "./response_sink.ts";
 
@@ -26,6 +26,12 @@
 
 const MAXIMUM_HEADER_BYTES = 32 * 1024;
 
+/** Bytes of the bodies of all requests in progress. */
+const MAXIMUM_HELD_BYTES = 48 * 1024 * 1024;
+
+/** Delay before the retry of a request whose body found no room. */
+const HELD_RETRY_MILLISECONDS = 500;
+
 /** Time in which a whole request must arrive. */
 const REQUEST_TIMEOUT_MILLISECONDS = 60_000;
 
@@ -45,6 +51,13 @@
   readonly rawPacket?: Buffer;
 }
 
+/** Why the body of a request was not read. */
+interface IUnreadBody {
+  readonly status: number;
+  readonly reason: string;
+  readonly retryMilliseconds?: number;
+}
+
 /** Answers a request whose body has been read. */
 export type EdgeHandler = (
   request: IncomingMessage,
@@ -60,6 +73,7 @@
   #openResponses = new Set<ServerResponse>();
   #openConnections = 0;
   #isKeepAliveDisabled = false;
+  #heldBodies = new ByteBudget(MAXIMUM_HELD_BYTES);
   #limits: RequestLimits | undefined;
 
   constructor(handler: EdgeHandler, options: { events: IEventLog }) {
@@ -154,10 +168,14 @@
     response.on("close", () => this.#openResponses.delete(response));
     if (this.#isKeepAliveDisabled) response.shouldKeepAlive = false;
     try {
-      const body = await this.#readBody(request);
+      const body = await this.#readBody(request, response);
       if (body.isErr()) {
-        response.shouldKeepAlive = false;
-        return answerJson(response, 413, { body: { error: body.error } });
+        const { status, reason, retryMilliseconds } = body.error;
+        // The rest of a body that found no room is read and discarded.
+        if (retryMilliseconds === undefined) response.shouldKeepAlive = false;
+        else request.resume();
+        const options = { body: { error: reason }, retryMilliseconds };
+        return answerJson(response, status, options);
       }
       await this.#handler(request, response, body.value);
     } catch (error) {
@@ -172,13 +190,32 @@
     }
   }
 
-  async #readBody(request: IncomingMessage): Promise<Result<Buffer, string>> {
+  /** Reads a body, which counts as held until the response has ended. */
+  async #readBody(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<Result<Buffer, IUnreadBody>> {
     const maximum = this.#limits?.bodyBytes ?? DEFAULT_MAXIMUM_BODY_BYTES;
     const parts: Buffer[] = [];
     let length = 0;
-    for await (const part of request) {
+    let held = 0;
+    response.once("close", () => this.#heldBodies.release(held));
+    for await (const part of request.iterator({ destroyOnReturn: false })) {
       length += (part as Buffer).length;
-      if (length > maximum) return err(`the body exceeds ${maximum} bytes`);
+      if (length > maximum) {
+        const reason = `the body exceeds ${maximum} bytes`;
+        return err({ status: 413, reason });
+      }
+      if (!this.#heldBodies.tryTake((part as Buffer).length)) {
+        this.#events.emit(bodiesTooLarge, {
+          request: `${request.method} ${request.url}`,
+          bytes: length,
+        });
+        const reason = "the bodies of other requests leave no room";
+        const retryMilliseconds = HELD_RETRY_MILLISECONDS;
+        return err({ status: 503, reason, retryMilliseconds });
+      }
+      held += (part as Buffer).length;
       parts.push(part as Buffer);
     }
     return ok(parts.length === 1 ? parts[0] as Buffer : Buffer.concat(parts));
