--- a/src/targets/http_exchange.ts
+++ b/src/targets/http_exchange.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import {
   type Agent,
+  type ClientRequest,
   type IncomingMessage,
   type OutgoingHttpHeaders,
   request,
@@ -76,14 +77,7 @@
   return new Promise((resolve, reject) => {
     let connected = false;
     let incoming: IncomingMessage | undefined;
-    const outgoing = request({
-      agent: options.freshConnection ? false : options.agent,
-      host: message.address,
-      port: message.port,
-      method: message.method,
-      path: message.path,
-      headers: message.headers as OutgoingHttpHeaders,
-    });
+    const outgoing = createRequest(message, options);
     const cleanUp = () => {
       clearTimeout(timer);
       clearTimeout(connectTimer);
@@ -142,6 +136,31 @@
   });
 }
 
+/**
+ * Creates a request.
+ *
+ * @throws HttpExchangeError if it cannot be sent, for example because the port
+ * is out of range or a header contains characters that are not allowed.
+ */
+function createRequest(
+  message: IHttpRequest,
+  options: IExchangeOptions,
+): ClientRequest {
+  try {
+    return request({
+      agent: options.freshConnection ? false : options.agent,
+      host: message.address,
+      port: message.port,
+      method: message.method,
+      path: message.path,
+      headers: message.headers as OutgoingHttpHeaders,
+    });
+  } catch (error) {
+    const reason = (error as Error).message;
+    throw new HttpExchangeError("connection", reason, false);
+  }
+}
+
 /**
  * Whether a connection that has ended was reset. A reset that arrives with the
  * last bytes is reported as an end, but the remote address is then undefined.
