Do not let late answers and suspensions prove a software version

Four ways: - An answer of the leader that was on its way for long replaced a newer list that the entry had read itself, and the list kept the later time. - An answer without a list confirmed a list that the leader had not meant. - The leader's report since when there is one version was adopted although it was asked for before a pause, in which another version came and went. - A suspension, which the monotonic clock does not count, made lists seem newer than they were, on the entry and on the leader. Besides, a version that only the leader had seen was outweighed by the lists that this machine had read.

Change: a list does not replace one that was read later; an answer counts for the list that it was asked about, only if the clocks moved together since, and its report only if the lists here were read without interruption since it was asked for. A leader that was suspended does not know the age of its list until it has read it again. A later time in a leader's report resets the own one.

--- a/src/placement/engine_directory.ts
+++ b/src/placement/engine_directory.ts
@@ -1,5 +1,10 @@
 import type { IEngineRateLimiter } from "../admission/mod.ts";
-import type { Deadline, IClock, IDisposable } from "../common/mod.ts";
+import {
+  ClockWatch,
+  type Deadline,
+  type IClock,
+  type IDisposable,
+} from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import { engineListUnreadable, probeFailed, probeSucceeded } from "./events.ts";
 import { revisionOf } from "./exchange_client.ts";
@@ -45,7 +50,8 @@
 export class EngineDirectory implements IDisposable {
   #options: IEngineDirectoryOptions;
   #list: EngineList = { revision: "", engines: [] };
-  #readAt = Number.NEGATIVE_INFINITY;
+  #readAt = Number.NEGATIVE_INFINITY as Deadline;
+  #clockWatch: ClockWatch;
   #soleVersions = new SoleVersions();
   /** Suspected engines whose health check failed as well. */
   #failing = new Set<string>();
@@ -53,20 +59,26 @@
 
   constructor(options: IEngineDirectoryOptions) {
     this.#options = options;
+    this.#clockWatch = new ClockWatch(options.clock);
   }
 
   get list(): EngineList {
     return this.#list;
   }
 
-  /** Age of the list in milliseconds; very large before the first read. */
+  /**
+   * Age of the list in milliseconds; very large before the first read, and
+   * after a suspension of this machine, for which the age is not known.
+   */
   get listAge(): number {
+    if (!this.#isListContinuous) return Number.MAX_SAFE_INTEGER;
     const age = this.#options.clock.monotonic() - this.#readAt;
     return Math.min(age, Number.MAX_SAFE_INTEGER);
   }
 
   /** Services that have one software version only, and for how long. */
   get soleVersions(): SoleVersionReport[] {
+    if (!this.#isListContinuous) return [];
     return this.#soleVersions.report(this.#options.clock.monotonic());
   }
 
@@ -83,6 +95,11 @@
     this.#stopping.abort();
   }
 
+  /** Whether this machine was not suspended since it read the list. */
+  get #isListContinuous(): boolean {
+    return this.#clockWatch.isContinuousSince(this.#readAt);
+  }
+
   async #pollList(): Promise<void> {
     const { clock, list, events } = this.#options;
     const { signal } = this.#stopping;
@@ -91,9 +108,11 @@
       try {
         const timeout = AbortSignal.timeout(LIST_READ_TIMEOUT_MILLISECONDS);
         const requestedAt = clock.monotonic();
+        const wasContinuous = this.#isListContinuous;
         const engines = await list.read(AbortSignal.any([timeout, signal]));
         this.#list = { revision: revisionOf(engines), engines: [...engines] };
         this.#readAt = requestedAt;
+        if (!wasContinuous) this.#soleVersions.interrupt(requestedAt);
         this.#soleVersions.confirm(requestedAt);
         this.#soleVersions.update(engines);
       } catch (error) {
--- a/src/placement/engine_table.ts
+++ b/src/placement/engine_table.ts
@@ -1,4 +1,4 @@
-import type { IClock } from "../common/mod.ts";
+import { ClockWatch, type Deadline, type IClock } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { EngineHealth } from "./engine_health.ts";
 import { engineListChanged } from "./events.ts";
@@ -24,6 +24,20 @@
 /** Change of a mean from which on it is reported again. */
 const REPORTED_CHANGE = 0.1;
 
+/** What an answer of the leader says about the list of engines. */
+export interface ILeaderListReport {
+  readonly term: number;
+  /** When the answer was asked for. */
+  readonly requestedAt: Deadline;
+  /** Revision of the list of this instance, as the leader was told. */
+  readonly revision: string;
+  /** Age of the leader's list when it answered, in milliseconds. */
+  readonly listAge: number;
+  /** The leader's list if its revision is another one. */
+  readonly list: EngineList | undefined;
+  readonly soleVersions: readonly SoleVersionReport[];
+}
+
 /** Mean duration of the live requests at an engine, in milliseconds. */
 interface IMeanDuration {
   mean: number;
@@ -35,6 +49,8 @@
 /** Engines and their load, as this instance knows them. */
 export class EngineTable {
   #clock: IClock;
+  #clockWatch: ClockWatch;
+  #seenDisturbances = 0;
   #events: IEventLog;
   #health: EngineHealth;
   #leaving: LeavingEngines;
@@ -61,6 +77,7 @@
     },
   ) {
     this.#clock = clock;
+    this.#clockWatch = new ClockWatch(clock);
     this.#events = options.events;
     this.#health = options.health;
     this.#leaving = options.leaving;
@@ -85,11 +102,33 @@
     return this.#listReadAt;
   }
 
-  /** Replaces the engine list by one read `age` milliseconds ago. */
+  /**
+   * Adopts what the leader says about the list, unless it refers to another
+   * list than the present one, or this machine was suspended meanwhile.
+   */
+  updateFromLeader(report: ILeaderListReport): void {
+    const { term, requestedAt, revision, list, soleVersions } = report;
+    if (!this.#clockWatch.isContinuousSince(requestedAt)) return;
+    const now = this.#clock.monotonic();
+    // The answer may have waited, for example while this process was frozen.
+    const age = report.listAge + now - requestedAt;
+    if (list) this.updateList(list, { age, source: "leader" });
+    else if (revision === this.revision) this.confirmListAge(age);
+    const isPresent = this.revision === (list?.revision ?? revision);
+    if (!isPresent) return;
+    this.#soleVersions.adopt(soleVersions, { term, requestedAt, now });
+  }
+
+  /**
+   * Replaces the engine list by one read `age` milliseconds ago, unless the
+   * present one was read later.
+   */
   updateList(
     list: EngineList,
     options: { age: number; source: "leader" | "platform" },
   ): void {
+    const isOlder = this.listAge < options.age;
+    if (isOlder && list.revision !== this.revision) return;
     this.confirmListAge(options.age);
     this.#leaving.updateList(list.engines);
     if (list.revision === this.#list.revision) return;
@@ -110,6 +149,7 @@
 
   /** Records that the current list was up to date `age` milliseconds ago. */
   confirmListAge(age: number): void {
+    this.#noticeSuspension();
     const readAt = this.#clock.monotonic() - age;
     this.#soleVersions.confirm(readAt);
     this.#listReadAt = Math.max(this.#listReadAt, readAt);
@@ -195,17 +235,13 @@
    * all the time.
    */
   soleVersion(service: string, milliseconds: number): string | undefined {
+    this.#noticeSuspension();
     const sole = this.#soleVersions.find(service);
     if (!sole || this.listAge > CURRENT_LIST_MILLISECONDS) return undefined;
     const isLongEnough = this.#clock.monotonic() - sole.since >= milliseconds;
     return isLongEnough ? sole.softwareVersion : undefined;
   }
 
-  /** Takes over since when the leader has known the only versions. */
-  adoptSoleVersions(reports: readonly SoleVersionReport[]): void {
-    this.#soleVersions.adopt(reports, this.#clock.monotonic());
-  }
-
   /** Tokens that this instance's live requests may fill, by engine. */
   ownLiveTokens(): [string, number][] {
     return [...this.#ownTokens];
@@ -256,6 +292,14 @@
         };
       });
   }
+
+  /** Lists that were read before a suspension may be older than they seem. */
+  #noticeSuspension(): void {
+    const { disturbances } = this.#clockWatch;
+    if (disturbances === this.#seenDisturbances) return;
+    this.#seenDisturbances = disturbances;
+    this.#soleVersions.interrupt(this.#clock.monotonic());
+  }
 }
 
 function addTo(sums: Map<string, number>, key: string, change: number): void {
--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -258,8 +258,6 @@
     this.#recordSuccess();
     this.#clockOffset.recordResponse(answer.value, sentAt);
     const { load, shortLoad, suspects, list, grant, term } = answer.value;
-    // The answer may have waited, for example while this process was frozen.
-    const listAge = answer.value.listAge + clock.monotonic() - startedAt;
     // The levels of the earlier leader, before the new one admits requests.
     if (term !== this.#leaderTerm) {
       this.#callerLevels = this.#options.callerUse?.levels();
@@ -283,9 +281,12 @@
     if (question && isNewest && confirmedMilliseconds !== undefined) {
       permission?.confirm(question, confirmedMilliseconds);
     }
-    if (list) table.updateList(list, { age: listAge, source: "leader" });
-    else table.confirmListAge(listAge);
-    table.adoptSoleVersions(answer.value.soleVersions ?? []);
+    table.updateFromLeader({
+      ...{ term, revision, list },
+      requestedAt: startedAt,
+      listAge: answer.value.listAge,
+      soleVersions: answer.value.soleVersions ?? [],
+    });
     if (load) table.updateLoad(load, reported);
     // The short form refers to the list that the leader was told.
     if (shortLoad && table.revision === revision) {
--- a/src/placement/sole_versions.ts
+++ b/src/placement/sole_versions.ts
@@ -7,9 +7,11 @@
 interface ISoleVersion {
   readonly softwareVersion: string;
   /** Time since which all lists read here have had only this version. */
-  readonly since: number;
+  since: number;
   /** The same for the lists that the leader has read; absent if not known. */
   leaderSince?: number;
+  /** Term of the leader that has reported it. */
+  leaderTerm?: number;
 }
 
 /** A service, its only software version and the time since it is so, in ms. */
@@ -19,6 +21,14 @@
   milliseconds: number,
 ];
 
+/** An answer of the leader that contains reports. */
+export interface IReportSource {
+  readonly term: number;
+  /** When the answer was asked for; it may have waited on the way. */
+  readonly requestedAt: number;
+  readonly now: number;
+}
+
 /** Which services have had one software version only, and since when. */
 export class SoleVersions {
   #versions = new Map<string, ISoleVersion>();
@@ -29,15 +39,20 @@
   /** Records that the latest list was current at a point in time. */
   confirm(readAt: number): void {
     if (readAt - this.#readAt > CURRENT_LIST_MILLISECONDS) {
-      this.#currentSince = readAt;
-      // Versions may have come and gone that the leader reported elsewhere.
-      for (const version of this.#versions.values()) {
-        delete version.leaderSince;
-      }
+      this.interrupt(readAt);
     }
     this.#readAt = Math.max(this.#readAt, readAt);
   }
 
+  /** Records that changes of the list before a point in time were missed. */
+  interrupt(at: number): void {
+    this.#currentSince = Math.max(this.#currentSince, at);
+    // Versions may have come and gone that the leader reported elsewhere.
+    for (const version of this.#versions.values()) {
+      delete version.leaderSince;
+    }
+  }
+
   /** Records another list, which was current when it was last confirmed. */
   update(engines: readonly ListedEngine[]): void {
     const versions = new Map<string, Set<string>>();
@@ -60,11 +75,22 @@
   }
 
   /** Takes over what the leader knows, beside the list that it has sent. */
-  adopt(reports: readonly SoleVersionReport[], now: number): void {
+  adopt(reports: readonly SoleVersionReport[], source: IReportSource): void {
+    const { term, requestedAt, now } = source;
+    // Another version may have come and gone after the leader's answer, before
+    // the lists that were read here without interruption.
+    if (requestedAt < this.#currentSince) return;
     for (const [service, softwareVersion, milliseconds] of reports) {
       const known = this.#versions.get(service);
       if (known?.softwareVersion !== softwareVersion) continue;
-      known.leaderSince = now - milliseconds;
+      const leaderSince = now - milliseconds;
+      // The leader has read a list with another version that was missed here.
+      const hasChanged = known.leaderTerm === term &&
+        leaderSince > (known.leaderSince ?? leaderSince) +
+            CURRENT_LIST_MILLISECONDS;
+      if (hasChanged) known.since = Math.max(known.since, leaderSince);
+      known.leaderSince = leaderSince;
+      known.leaderTerm = term;
     }
   }
 
