Take no answer without length and bytes for a success

Reported by other operators: an engine stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

The hop between two entries and batch items use the same client, and were not tried by themselves.

Related, and a fault: an engine that closes its connection behind a whole head without a length. On stream routes that was no success already; on others the caller got a 200 with an empty body. Such an attempt now fails, unless the method or the status allows no body.

--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -68,6 +68,9 @@
 /** Maximum size of an error body that is buffered, in bytes. */
 const MAXIMUM_BODY_BYTES = 1024 * 1024;
 
+/** Status of answers that never have a body. */
+const NO_CONTENT_STATUS = 204;
+
 /** Sends a request to one engine and forwards its answer. */
 export class StreamAttempt {
   #client: IEngineClient;
@@ -138,6 +141,7 @@
     const isStream = request.route.kind === "stream";
     const hadBegun = sink.hasBegun;
     let hasEvent = false;
+    let hasBytes = false;
     const splitter = new EventSplitter();
     const watchdog = new AnswerWatchdog(this.#clock, answer, limits);
     const stop = () => answer.close();
@@ -147,6 +151,7 @@
       for await (const bytes of answer.body) {
         progress.lastByteAt = this.#clock.monotonic();
         progress.firstByteAt ??= progress.lastByteAt;
+        hasBytes = true;
         if (!isStream) {
           watchdog.reset();
           if (!sink.hasBegun) sink.begin(answer.status, answer.headers);
@@ -185,12 +190,15 @@
           isBroken: true,
         });
       }
-      // Without a length, an engine that crashes before its first event seems
-      // to have answered completely.
-      const isEmpty = isStream && !hasEvent && !answer.isFramed;
+      // Without a length, an engine that crashes after its head seems to have
+      // answered completely.
+      const isEmpty = !answer.isFramed &&
+        (isStream ? !hasEvent : !hasBytes && mayHaveBody(request, answer));
       // A caller may resume a stream of which only the end is missing.
-      if (isEmpty && (hadBegun || request.lastEventId === undefined)) {
-        return mayHaveRun("the stream ended before its first event", {
+      const mayResume = isStream && !hadBegun &&
+        request.lastEventId !== undefined;
+      if (isEmpty && !mayResume) {
+        return mayHaveRun("the answer ended before its first bytes", {
           isBroken: true,
         });
       }
@@ -238,6 +246,14 @@
   }
 }
 
+/** Whether the method and the status allow a body. */
+function mayHaveBody(
+  { method }: IForwardedRequest,
+  { status }: IEngineAnswer,
+): boolean {
+  return method !== "HEAD" && status !== NO_CONTENT_STATUS;
+}
+
 function invalidEvent() {
   return mayHaveRun("the engine sent bytes that do not continue the stream");
 }
--- a/src/streams/stream_attempt_test.ts
+++ b/src/streams/stream_attempt_test.ts
@@ -35,6 +35,7 @@
 async function attempt(
   scripts: EngineScript[],
   lastEventId?: string,
+  route = ROUTE,
 ) {
   const clock = new SystemClock();
   const streams = new StreamAttempt(new FakeEngines(scripts), clock);
@@ -51,7 +52,7 @@
       await streams.run(listedEngine(`engine-${index}`), {
         ...{ id: "request", method: "POST", path: "/alerts/1", headers: [] },
         body: Buffer.alloc(0),
-        route: ROUTE,
+        route,
         ...{ deadline, routeDeadline: deadline, isReturned: false },
         ...{ promptParts: [], contentIds: [] },
         ...{ lastEventId, resumedRequest: undefined },
@@ -129,3 +130,27 @@
   t.is(resumed.outcomes[0]?.kind, "failed");
   t.is(resumed.sink.text, "");
 });
+
+// Guards against a success with an empty body, framed as whole, for an engine
+// that closed the connection behind its head.
+test("unframed answer without a byte does not complete a request", async (t) => {
+  for (const kind of ["safe", "unsafe"] as const) {
+    const { outcomes, sink } = await attempt(
+      [
+        { kind: "stream", events: 0, unframed: true },
+        { kind: "stream", events: 2, unframed: true },
+      ],
+      undefined,
+      { ...ROUTE, kind },
+    );
+    t.like(outcomes[0], { kind: "failed", verdict: "may-have-run" });
+    t.like(outcomes[1], { kind: "answered", status: 200 });
+    t.is(sink.text, textOf(1, 2));
+  }
+  const framed = [{ kind: "stream", events: 0 } as const];
+  const { outcomes } = await attempt(framed, undefined, {
+    ...ROUTE,
+    kind: "safe",
+  });
+  t.like(outcomes[0], { kind: "answered" }, "its length says that it is empty");
+});
