Keep an answer while its engine pauses and no other one can go on

Cause: an attempt at a request that may be repeated is given up after 400 ms of silence, so that another engine can go on. But once bytes of an answer without numbered events have been sent, no other engine can, and the request ended. The same happened to a stream while no other engine was free.

Change: silence is allowed once an answer has begun that cannot go on elsewhere, and as long as no engine that was not tried has a free slot.

--- a/src/streams/answer_watchdog.ts
+++ b/src/streams/answer_watchdog.ts
@@ -12,6 +12,7 @@
   #closeAnswer: (reason: string) => void;
   #silenceTimer: NodeJS.Timeout | undefined;
   #silenceDeadline: Deadline;
+  #isSilenceAllowed = false;
   #deadlineTimer: NodeJS.Timeout;
   /** Why the watchdog closed the answer; undefined if it did not. */
   closeReason: string | undefined;
@@ -39,6 +40,12 @@
     this.#arm();
   }
 
+  /** Accepts any silence from now on: no other engine can go on. */
+  allowSilence(): void {
+    this.#isSilenceAllowed = true;
+    clearTimeout(this.#silenceTimer);
+  }
+
   /**
    * Waits for the caller to read. This time does not count as silence of the
    * engine, whose answer is not read meanwhile.
@@ -58,10 +65,11 @@
 
   #arm(): void {
     clearTimeout(this.#silenceTimer);
-    if (!this.#limits.mayFailOver) return;
-    this.#silenceTimer = setTimeout(
-      () => this.#closeAnswer("the engine is silent"),
-      this.#clock.remaining(this.#silenceDeadline),
-    );
+    if (!this.#limits.mayFailOver || this.#isSilenceAllowed) return;
+    this.#silenceTimer = setTimeout(() => {
+      // A sound engine may pause, and nothing is gained without another one.
+      if (this.#limits.hasAlternative?.() === false) this.reset();
+      else this.#closeAnswer("the engine is silent");
+    }, this.#clock.remaining(this.#silenceDeadline));
   }
 }
--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -61,6 +61,8 @@
   readonly firstEventDeadline: Deadline;
   /** Maximum gap between two events in ms, if failover is allowed. */
   readonly silenceMilliseconds: number;
+  /** Whether another engine could go on now; by default it could. */
+  readonly hasAlternative?: () => boolean;
   /** Time at which the request is abandoned. */
   readonly deadline: Deadline;
 }
@@ -153,7 +155,8 @@
         progress.firstByteAt ??= progress.lastByteAt;
         hasBytes = true;
         if (!isStream) {
-          watchdog.reset();
+          // What was sent cannot be taken back, so no other engine can go on.
+          watchdog.allowSilence();
           if (!sink.hasBegun) sink.begin(answer.status, answer.headers);
           await watchdog.excludeFromSilence(sink.write(bytes));
           continue;
@@ -180,6 +183,7 @@
         // send them without end.
         if (id !== undefined) watchdog.reset();
         progress.lastEventId = id ?? progress.lastEventId;
+        if (progress.lastEventId === undefined) watchdog.allowSilence();
         if (isInvalid) return invalidEvent();
       }
       if (sink.signal.aborted) {
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -324,6 +324,7 @@
         run.deadline,
       ),
       silenceMilliseconds: SILENCE_TIMEOUT_MILLISECONDS,
+      hasAlternative: () => this.#options.table.hasFreeEngine(run),
       deadline: run.deadline,
     };
   }
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -394,3 +394,35 @@
     [false, true],
   );
 });
+
+/** Pause of a sound engine, longer than the silence that may lead elsewhere. */
+const PAUSE = { pauseAt: 3, pauseMilliseconds: 1_000 };
+
+// Guards against answers that are broken off while their engine pauses,
+// although nothing that was sent can be taken back.
+test("answer that has begun outlives a pause of its engine", async (t) => {
+  for (const kind of ["safe", "unsafe"] as const) {
+    const { sink, run, engines } = setup([
+      { kind: "stream", events: EVENTS, ...PAUSE },
+    ]);
+    await run({ ...RESUMABLE_ROUTE, kind });
+    t.is(sink.text, WHOLE_STREAM);
+    t.is(sink.endKind, "end");
+    t.is(engines.received.length, 1);
+  }
+});
+
+// Guards against streams that are broken off while their engine pauses and no
+// other one could take them over.
+test("stream outlives a pause while there is no other engine", async (t) => {
+  const script = { kind: "stream", events: EVENTS, ...PAUSE } as const;
+  const alone = setup([script], ["one"]);
+  await alone.run(RESUMABLE_ROUTE);
+  t.is(alone.sink.text, WHOLE_STREAM);
+  t.is(alone.engines.received.length, 1);
+  // Another engine goes on at once if there is one.
+  const others = setup([script, { kind: "stream", events: EVENTS }]);
+  await others.run(RESUMABLE_ROUTE);
+  t.is(others.sink.text, WHOLE_STREAM);
+  t.is(others.engines.received.length, 2);
+});
--- a/testing/fake_engines.ts
+++ b/testing/fake_engines.ts
@@ -21,6 +21,7 @@
    * ends with its connection. From event `stallAt` on, `stallBytes` are sent
    * every now and then, and no further event. The bytes `extra` follow the
    * last event; `ignoresLastEventId` starts with the first event in any case.
+   * Before event `pauseAt`, nothing is sent for `pauseMilliseconds`.
    */
   | {
     kind: "stream";
@@ -32,6 +33,8 @@
     unframed?: boolean;
     extra?: string;
     ignoresLastEventId?: boolean;
+    pauseAt?: number;
+    pauseMilliseconds?: number;
   }
   /** Responds with the given status, perhaps to another request. */
   | { kind: "status"; status: number; notRun?: boolean; isForeign?: boolean }
@@ -111,6 +114,9 @@
       if (signal.aborted) throw new Error("answer was closed by the client");
       yield Buffer.from(script.stallBytes ?? "");
     }
+    if (id === script.pauseAt) {
+      await sleep(script.pauseMilliseconds, undefined, { signal });
+    }
     if (id === script.breakAt) {
       if (script.inEvent) yield Buffer.from(`id: ${id}\nda`);
       throw new Error("connection reset");
