Limit the waiting items, and the share of time that plans take

Callers saw: once about 40,000 items waited, the leader changed more than once a second without an end; no item ran, and no job could be read.

Cause: the leader filters, ranks and groups all waiting items every 25 ms in one turn of the event loop, so its heartbeats come later than the election timeout; the next leader does the same. Nothing bounded the number of items.

Change: the time between two plans is at least four times that of a plan, and jobs are refused at once (429, with the time by the rate at which items finish) beyond 20,000 waiting items.

Tests: "burst of many small items is accepted up to their number" in request_space_limiter_test.

--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -40,6 +40,12 @@
 /** Interval between two plans, in milliseconds. */
 const PLAN_INTERVAL_MILLISECONDS = 25;
 
+/**
+ * Time between two plans as a multiple of the time that a plan takes. With many
+ * waiting items, a leader that did nothing but plan would lose its leadership.
+ */
+const PLAN_PAUSE_FACTOR = 4;
+
 /** Delay before an item is retried after a failed run, in milliseconds. */
 const RETRY_DELAY_MILLISECONDS = 200;
 
@@ -149,8 +155,14 @@
   async #run(): Promise<void> {
     const { clock } = this.#options;
     while (!this.#isStopped) {
+      const startedAt = clock.monotonic();
       this.#plan();
-      const next = clock.deadlineIn(PLAN_INTERVAL_MILLISECONDS);
+      const duration = clock.monotonic() - startedAt;
+      const pause = Math.max(
+        PLAN_INTERVAL_MILLISECONDS,
+        duration * PLAN_PAUSE_FACTOR,
+      );
+      const next = clock.deadlineIn(pause);
       await clock.sleepUntil(next, this.#stopping.signal);
     }
   }
--- a/src/bulk/bulk_section.ts
+++ b/src/bulk/bulk_section.ts
@@ -90,6 +90,7 @@
   #loadedCharacters = 0;
   #settledTokens = 0;
   #settledBytes = 0;
+  #settledItems = 0;
   #changed = new Emitter<string>();
   /** Fires with the identifier of a job that has changed. */
   readonly onChanged = this.#changed.event;
@@ -172,6 +173,11 @@
     return this.#settledBytes;
   }
 
+  /** Number of items that stopped waiting since this process started. */
+  get settledItems(): number {
+    return this.#settledItems;
+  }
+
   /** Number of items by state. */
   counts(): { waiting: number; done: number; dead: number; ended: number } {
     const counts = { waiting: 0, done: 0, dead: 0, ended: 0 };
@@ -302,21 +308,28 @@
     if (from > known.length) return false;
     const text = [...known.slice(0, from), ...data].join("\n");
     withResult.add(item);
-    this.#settle(state, items.get(item)?.tokens ?? 0);
+    this.#settle(state, { items: 1, tokens: items.get(item)?.tokens ?? 0 });
     held.results.push({ item, state: command.state, text });
     held.progress = held.progress.filter((it) => it.item !== item);
     this.#dropRequests(state, [item]);
     return true;
   }
 
-  #settle(state: IndexedJob, tokens: number): void {
+  #settle(
+    state: IndexedJob,
+    { items, tokens }: { items: number; tokens: number },
+  ): void {
     state.waitingTokens -= tokens;
     this.#settledTokens += tokens;
+    this.#settledItems += items;
   }
 
   #end(state: IndexedJob): void {
+    if (!state.held.hasEnded) {
+      const items = state.items.size - state.withResult.size;
+      this.#settle(state, { items, tokens: state.waitingTokens });
+    }
     state.held.hasEnded = true;
-    this.#settle(state, state.waitingTokens);
     state.held.progress = [];
     this.#dropRequests(state, [...state.items.keys()]);
   }
--- a/src/bulk/events.ts
+++ b/src/bulk/events.ts
@@ -28,14 +28,17 @@
 export const jobWithoutSpace = defineEvent(1161, "bulk-job-without-space", {
   level: "warn",
   help: "A job was refused before anything was written to the replicated " +
-    "log, because the requests of the jobs that wait fill the space that " +
-    "stores have for them. Engines that answer too slowly for the jobs that " +
+    "log, because the items that wait are too many, or their requests fill " +
+    "the space that stores have for them. Engines that answer too slowly for the jobs that " +
     "arrive are the usual cause.",
   fields: {
     request: z.string(),
     bytes: z.number(),
     usedBytes: z.number(),
     maximumBytes: z.number(),
+    items: z.number(),
+    waitingItems: z.number(),
+    maximumItems: z.number(),
     retryMilliseconds: z.number().optional(),
   },
 });
--- a/src/bulk/job_submissions.ts
+++ b/src/bulk/job_submissions.ts
@@ -139,7 +139,9 @@
 /** The same for a job for which stores have no space. */
 function spaceFailure(refusal: ISpaceRefusal): Failure {
   const { bytes, usedBytes, maximumBytes, retryMilliseconds } = refusal;
-  const reason = `the job has ${bytes} bytes; ${usedBytes} of ` +
+  const { items, waitingItems, maximumItems } = refusal;
+  const reason = `the job has ${items} items and ${bytes} bytes; ` +
+    `${waitingItems} of ${maximumItems} items and ${usedBytes} of ` +
     `${maximumBytes} bytes are used by jobs that wait`;
   if (retryMilliseconds === undefined) return notRun("too-large", reason);
   const retryAfterSeconds = retryMilliseconds / MILLISECONDS_PER_SECOND;
--- a/src/bulk/request_space_limiter.ts
+++ b/src/bulk/request_space_limiter.ts
@@ -8,6 +8,12 @@
 import { PendingJobs } from "./pending_jobs.ts";
 import { type BulkJob, requestCharacters } from "./types.ts";
 
+/**
+ * Largest number of items that wait. The leader ranks all of them whenever it
+ * plans which ones to start.
+ */
+const MAXIMUM_WAITING_ITEMS = 20_000;
+
 /** Memory that an item takes on each store beside its request, in bytes. */
 const ITEM_BYTES = 1_024;
 
@@ -18,13 +24,22 @@
   /** Bytes of the jobs that wait. */
   readonly usedBytes: number;
   readonly maximumBytes: number;
+  readonly items: number;
+  readonly waitingItems: number;
+  readonly maximumItems: number;
   /** Estimated time until the job fits; undefined if it never can. */
   readonly retryMilliseconds: number | undefined;
 }
 
+/** What a job adds to the state of each store. */
+interface ISpace {
+  readonly bytes: number;
+  readonly items: number;
+}
+
 /**
- * Limits the bytes of the requests of accepted jobs, which every store keeps
- * until they have run.
+ * Limits the bytes and the number of the items of accepted jobs, which every
+ * store keeps until they have run.
  *
  * Like `WaitingTokenLimiter`, it decides at the leader only, after a barrier,
  * and counts what the leader has proposed until it is applied.
@@ -33,17 +48,20 @@
   #section: BulkSection;
   #clock: IClock;
   #maximumBytes: number;
-  #pending = new PendingJobs<number>();
-  #drainRate = new DrainRate();
+  #maximumItems: number;
+  #pending = new PendingJobs<ISpace>();
+  #byteRate = new DrainRate();
+  #itemRate = new DrainRate();
   #disposables = new DisposableStore();
 
   constructor(
     section: BulkSection,
-    options: { clock: IClock; maximumBytes: number },
+    options: { clock: IClock; maximumBytes: number; maximumItems?: number },
   ) {
     this.#section = section;
     this.#clock = options.clock;
     this.#maximumBytes = options.maximumBytes;
+    this.#maximumItems = options.maximumItems ?? MAXIMUM_WAITING_ITEMS;
     this.#disposables.add(section.onChanged((job) => this.#onChanged(job)));
   }
 
@@ -55,21 +73,24 @@
     this.#pending.forgetEarlierTerms(term);
     // An earlier proposal of this job may still be committed.
     if (this.#pending.has(job.id)) return undefined;
-    const bytes = jobBytes(job);
-    const pending = this.#pending.values()
-      .reduce((sum, pendingBytes) => sum + pendingBytes, 0);
-    const usedBytes = this.#section.requestBytes + pending +
-      this.#section.counts().waiting * ITEM_BYTES;
-    const excess = usedBytes + bytes - this.#maximumBytes;
-    if (excess <= 0) {
-      this.#pending.add(job.id, term, bytes);
+    const { bytes, items } = spaceOf(job);
+    const used = this.#usedSpace();
+    const maximumBytes = this.#maximumBytes;
+    const maximumItems = this.#maximumItems;
+    const excessBytes = used.bytes + bytes - maximumBytes;
+    const excessItems = used.items + items - maximumItems;
+    if (excessBytes <= 0 && excessItems <= 0) {
+      this.#pending.add(job.id, term, { bytes, items });
       return undefined;
     }
+    const isPossible = bytes <= maximumBytes && items <= maximumItems;
     return {
-      ...{ bytes, usedBytes, maximumBytes: this.#maximumBytes },
-      retryMilliseconds: bytes > this.#maximumBytes
-        ? undefined
-        : this.#drainRate.retryMilliseconds(excess),
+      ...{ bytes, usedBytes: used.bytes, maximumBytes },
+      ...{ items, waitingItems: used.items, maximumItems },
+      retryMilliseconds: !isPossible ? undefined : Math.max(
+        excessBytes > 0 ? this.#byteRate.retryMilliseconds(excessBytes) : 0,
+        excessItems > 0 ? this.#itemRate.retryMilliseconds(excessItems) : 0,
+      ),
     };
   }
 
@@ -84,13 +105,27 @@
 
   #onChanged(job: string): void {
     if (this.#section.job(job)) this.#pending.delete(job);
-    this.#drainRate.sample(
-      this.#clock.monotonic(),
-      this.#section.settledBytes,
-    );
+    const now = this.#clock.monotonic();
+    this.#byteRate.sample(now, this.#section.settledBytes);
+    this.#itemRate.sample(now, this.#section.settledItems);
+  }
+
+  /** Space of the jobs that wait, with those that are being committed. */
+  #usedSpace(): ISpace {
+    const { waiting } = this.#section.counts();
+    const used = {
+      bytes: this.#section.requestBytes + waiting * ITEM_BYTES,
+      items: waiting,
+    };
+    for (const { bytes, items } of this.#pending.values()) {
+      used.bytes += bytes;
+      used.items += items;
+    }
+    return used;
   }
 }
 
-function jobBytes({ items }: BulkJob): number {
-  return requestCharacters(items) + items.length * ITEM_BYTES;
+function spaceOf({ items }: BulkJob): ISpace {
+  const bytes = requestCharacters(items) + items.length * ITEM_BYTES;
+  return { bytes, items: items.length };
 }
--- a/src/bulk/request_space_limiter_test.ts
+++ b/src/bulk/request_space_limiter_test.ts
@@ -77,3 +77,23 @@
   limiter.release("b");
   t.is(limiter.findRefusal(job("c", 60_000), 2), undefined);
 });
+
+// Guards against more waiting items than a leader can rank while it sends its
+// heartbeats.
+test("burst of many small items is accepted up to their number", (t) => {
+  const clock = new FakeClock();
+  const section = new BulkSection();
+  const limiter = new RequestSpaceLimiter(section, {
+    ...{ clock, maximumBytes: Number.POSITIVE_INFINITY, maximumItems: 5 },
+  });
+  const context = { index: 1, term: 1, proposedAt: 1 };
+  for (const id of ["a", "b", "c", "d", "e"]) {
+    t.is(limiter.findRefusal(job(id, 1), 1), undefined);
+    section.apply({ kind: "submit", job: job(id, 1) }, context);
+  }
+  const refusal = limiter.findRefusal(job("f", 1), 1);
+  t.like(refusal, { waitingItems: 5, maximumItems: 5 });
+  t.true((refusal?.retryMilliseconds ?? 0) > 0);
+  section.apply({ kind: "end", job: "a" }, context);
+  t.is(limiter.findRefusal(job("f", 1), 1), undefined);
+});
