Keep texts of results in files beyond 8 MB

Change: texts of more than 64 KB, and all beyond 8 MB, are in files that jobs share; a file is removed with the last job that has a text in it. JobFiles (RequestFiles before) holds them beside the requests.

Besides, a request whose job ended while its run waited was read as an empty file, which counted against the engine; the run is now abandoned.

Tests: "large texts are in files until their jobs are deleted" and "texts go to files when there are too many in memory" (job_files_test).

--- a/src/bulk/bulk_handlers.ts
+++ b/src/bulk/bulk_handlers.ts
@@ -18,7 +18,7 @@
   submitBulkMethod,
 } from "./messages.ts";
 import type { RequestSpaceLimiter } from "./request_space_limiter.ts";
-import type { BulkResult, HeldJob } from "./types.ts";
+import type { HeldJob, HeldResult } from "./types.ts";
 import type { WaitingTokenLimiter } from "./waiting_token_limiter.ts";
 
 /** Maximum size of the results in one answer, in characters. */
@@ -62,7 +62,8 @@
     if (held.results.length <= params.after && params.wait > 0) {
       await waitForResult(section, held, { after: params.after, clock, end });
     }
-    const results = resultPage(held.results, params.after);
+    const results = resultPage(held.results, params.after)
+      .map((result) => section.loadResult(result));
     return ok({
       isKnown: true,
       total: held.job.items.length,
@@ -115,13 +116,14 @@
 
 /** Returns a page of results from a position on; at least one if any exists. */
 function resultPage(
-  results: readonly BulkResult[],
+  results: readonly HeldResult[],
   after: number,
-): BulkResult[] {
-  const taken: BulkResult[] = [];
+): HeldResult[] {
+  const taken: HeldResult[] = [];
   let size = 0;
   for (const result of results.slice(after)) {
-    size += result.text.length + result.item.length;
+    const { text, stored, item } = result;
+    size += (stored?.length ?? text.length) + item.length;
     if (taken.length > 0 && size > PAGE_CHARACTERS) break;
     taken.push(result);
   }
--- a/src/bulk/bulk_section.ts
+++ b/src/bulk/bulk_section.ts
@@ -6,23 +6,31 @@
   SectionFile,
   SectionSnapshot,
 } from "../consensus/mod.ts";
+import { IndexedJob } from "./indexed_job.ts";
 import {
   type BulkCommand,
   bulkSection,
   type ProgressDelta,
 } from "./messages.ts";
-import type { RequestFiles } from "./request_files.ts";
+import type { JobFiles } from "./job_files.ts";
 import {
   type BulkItem,
   type BulkJob,
-  EMPTY_REQUEST,
+  type BulkResult,
   type HeldItem,
   type HeldJob,
   heldJobSchema,
+  type HeldResult,
   type ItemProgress,
   requestCharacters,
 } from "./types.ts";
 
+/** Size of a result's text above which it is kept in a file. */
+const MAXIMUM_TEXT_CHARACTERS = 64 * 1024;
+
+/** Size of all texts in memory above which those of new results are not. */
+const MAXIMUM_LOADED_TEXT_CHARACTERS = 8 * 1024 * 1024;
+
 /** Size of a job's requests above which they are kept in a file. */
 const MAXIMUM_JOB_CHARACTERS = 32 * 1024;
 
@@ -31,53 +39,6 @@
 
 type RecordCommand = Extract<BulkCommand, { kind: "record" }>;
 
-/** A job with indices over its items. */
-class IndexedJob {
-  readonly held: HeldJob;
-  readonly items: Map<string, HeldItem>;
-  readonly withResult: Set<string>;
-  /** File with the requests of the items; undefined if they are in memory. */
-  readonly file: string | undefined;
-  /** Size of the requests in memory. */
-  loadedCharacters: number;
-  /** Tokens of the items that still wait for a result. */
-  waitingTokens: number;
-
-  constructor(held: HeldJob) {
-    this.held = held;
-    this.items = new Map(held.job.items.map((item) => [item.id, item]));
-    this.withResult = new Set(held.results.map(({ item }) => item));
-    this.file = held.job.items.find(({ stored }) => stored)?.stored?.file;
-    this.loadedCharacters = requestCharacters(held.job.items);
-    this.waitingTokens = this.#countWaitingTokens();
-  }
-
-  /** Whether nothing is left to run. */
-  get isClosed(): boolean {
-    return this.held.hasEnded || this.withResult.size === this.items.size;
-  }
-
-  #countWaitingTokens(): number {
-    if (this.held.hasEnded) return 0;
-    const waiting = [...this.items.values()]
-      .filter(({ id }) => !this.withResult.has(id));
-    return waiting.reduce((sum, { tokens }) => sum + tokens, 0);
-  }
-
-  /** Drops the headers and body of an item, which only its run needs. */
-  dropRequest(id: string): void {
-    const { job } = this.held;
-    const position = job.items.findIndex((item) => item.id === id);
-    const item = job.items[position];
-    if (!item) return;
-    this.loadedCharacters -= requestCharacters([item]);
-    const { tokens } = item;
-    const stripped = { ...EMPTY_REQUEST, id, tokens };
-    job.items[position] = stripped;
-    this.items.set(id, stripped);
-  }
-}
-
 /** Replicated jobs with their items and results. */
 export class BulkSection implements
   IStateSection<
@@ -85,9 +46,10 @@
     typeof bulkSection.output
   > {
   readonly definition = bulkSection;
-  #files: RequestFiles | undefined;
+  #files: JobFiles | undefined;
   #jobs = new Map<string, IndexedJob>();
   #loadedCharacters = 0;
+  #loadedTextCharacters = 0;
   #settledTokens = 0;
   #settledBytes = 0;
   #settledItems = 0;
@@ -95,8 +57,8 @@
   /** Fires with the identifier of a job that has changed. */
   readonly onChanged = this.#changed.event;
 
-  /** @param files files for the requests of large jobs; by default none */
-  constructor(files?: RequestFiles) {
+  /** @param files files for large requests and texts; by default none */
+  constructor(files?: JobFiles) {
     this.#files = files;
   }
 
@@ -165,7 +127,7 @@
 
   /** Size of the requests of the items that wait, in bytes. */
   get requestBytes(): number {
-    return this.#loadedCharacters + (this.#files?.bytes ?? 0);
+    return this.#loadedCharacters + (this.#files?.requestBytes ?? 0);
   }
 
   /** Size of the requests that were removed since this process started. */
@@ -202,7 +164,14 @@
     const { id, tokens, stored } = item;
     if (!stored) return item;
     if (!this.#files) throw new Error("the section has no files");
-    return { id, tokens, ...this.#files.read(stored) };
+    return { id, tokens, ...this.#files.readRequest(stored) };
+  }
+
+  /** Returns a result with its text, which is read if it is in a file. */
+  loadResult({ stored, ...result }: HeldResult): BulkResult {
+    if (!stored) return result;
+    if (!this.#files) throw new Error("the section has no files");
+    return { ...result, text: this.#files.readText(stored) };
   }
 
   /** Progress of an item without a result, as committed to the log. */
@@ -219,7 +188,7 @@
     const state = [...this.#jobs.values()].map(({ held }) => ({
       ...held,
       job: { ...held.job, items: held.job.items.map(snapshotItem) },
-      results: [...held.results],
+      results: held.results.map(snapshotResult),
       progress: held.progress.map((it) => ({ ...it, data: [...it.data] })),
     }));
     return { state, files: await this.#files?.snapshot() ?? [] };
@@ -237,7 +206,8 @@
     this.#files?.restore(files);
     for (const element of elements) {
       const held = heldJobSchema.parse(element);
-      this.#hold(held, this.#files?.unusedName() ?? "");
+      const results = held.results.map((result) => this.#holdResult(result));
+      this.#hold({ ...held, results }, this.#files?.unusedName() ?? "");
     }
     return Promise.resolve();
   }
@@ -251,6 +221,7 @@
   #clear(): void {
     this.#jobs.clear();
     this.#loadedCharacters = 0;
+    this.#loadedTextCharacters = 0;
   }
 
   /** Adds a job; its requests are written to a file if they are too large. */
@@ -260,7 +231,7 @@
     const isLarge = characters > MAXIMUM_JOB_CHARACTERS ||
       this.#loadedCharacters + characters > MAXIMUM_LOADED_CHARACTERS;
     const job = this.#files && isLarge && characters > 0
-      ? { ...held.job, items: this.#files.add(id, file, items) }
+      ? { ...held.job, items: this.#files.addRequests(id, file, items) }
       : held.job;
     const indexed = new IndexedJob({ ...held, job });
     this.#jobs.set(id, indexed);
@@ -273,6 +244,26 @@
     this.#jobs.delete(id);
     this.#dropRequests(state, [...state.items.keys()]);
     this.#removeFile(state);
+    for (const { text, stored } of state.held.results) {
+      this.#loadedTextCharacters -= text.length;
+      if (stored) this.#files?.removeText(stored);
+    }
+  }
+
+  /** Counts a result; its text is written to a file if it is too large. */
+  #holdResult(result: HeldResult): HeldResult {
+    const { text, stored } = result;
+    if (stored) {
+      this.#files?.retainText(stored.file);
+      return result;
+    }
+    const isLarge = text.length > MAXIMUM_TEXT_CHARACTERS ||
+      this.#loadedTextCharacters + text.length > MAXIMUM_LOADED_TEXT_CHARACTERS;
+    if (this.#files && isLarge) {
+      return { ...result, text: "", stored: this.#files.addText(text) };
+    }
+    this.#loadedTextCharacters += text.length;
+    return result;
   }
 
   /** Drops the requests of items that no run needs any more. */
@@ -287,9 +278,7 @@
 
   #removeFile({ file }: IndexedJob): void {
     if (!this.#files || file === undefined) return;
-    const before = this.#files.bytes;
-    this.#files.remove(file);
-    this.#settledBytes += before - this.#files.bytes;
+    this.#settledBytes += this.#files.removeRequests(file);
   }
 
   /**
@@ -309,7 +298,8 @@
     const text = [...known.slice(0, from), ...data].join("\n");
     withResult.add(item);
     this.#settle(state, { items: 1, tokens: items.get(item)?.tokens ?? 0 });
-    held.results.push({ item, state: command.state, text });
+    const result = this.#holdResult({ item, state: command.state, text });
+    held.results.push(result);
     held.progress = held.progress.filter((it) => it.item !== item);
     this.#dropRequests(state, [item]);
     return true;
@@ -359,6 +349,15 @@
   return { ...job, items: [...job.items] };
 }
 
+/**
+ * A result as snapshots contain it. Versions that do not know files reject a
+ * result without a text.
+ */
+function snapshotResult(result: HeldResult) {
+  const { item, state, stored } = result;
+  return stored ? { item, state, stored } : result;
+}
+
 /** An item as snapshots contain it. */
 function snapshotItem(item: HeldItem) {
   const { id, tokens, stored } = item;
--- a/src/bulk/item_run.ts
+++ b/src/bulk/item_run.ts
@@ -10,6 +10,7 @@
   takeValidEvents,
 } from "../streams/mod.ts";
 import { HttpExchangeError } from "../targets/http_exchange.ts";
+import { MissingRequestError } from "./job_files.ts";
 import type { BulkItem, HeldItem } from "./types.ts";
 
 /** Longest wait for the headers of an answer, in milliseconds. */
@@ -132,6 +133,9 @@
     } catch (error) {
       if (signal.aborted) return { kind: "stopped" };
       const reason = (error as Error).message;
+      if (error instanceof MissingRequestError) {
+        return { kind: "abandoned", reason };
+      }
       const isExchangeError = error instanceof HttpExchangeError;
       if (isExchangeError && !error.mayHaveRun) {
         return { kind: "turned-away", reason };
--- a/src/bulk/request_files_test.ts
+++ b/src/bulk/job_files_test.ts
@@ -4,7 +4,7 @@
 import anyTest, { type TestFn } from "ava";
 import type { SectionSnapshot } from "../consensus/mod.ts";
 import { BulkSection } from "./bulk_section.ts";
-import { RequestFiles } from "./request_files.ts";
+import { JobFiles } from "./job_files.ts";
 import type { BulkJob } from "./types.ts";
 
 const test = anyTest as TestFn<{ folder: string }>;
@@ -34,10 +34,16 @@
   section.apply({ kind: "submit", job }, context);
 }
 
-function record(section: BulkSection, job: string, item: string): void {
+function record(
+  section: BulkSection,
+  job: string,
+  item: string,
+  text?: string,
+): void {
+  const data = text === undefined ? [] : [text];
   const context = { index: 90, term: 1, proposedAt: 1 };
   section.apply({
-    ...{ kind: "record", job, item, state: "done", from: 0, data: [] },
+    ...{ kind: "record", job, item, state: "done", from: 0, data },
   }, context);
 }
 
@@ -54,7 +60,7 @@
 // Guards against stores that run out of memory under a burst of large jobs.
 test("requests of a large job are in a file until it is done", async (t) => {
   const { folder } = t.context;
-  const section = new BulkSection(new RequestFiles(folder));
+  const section = new BulkSection(new JobFiles(folder));
   submit(section, job("a"), 1);
   submit(section, job("b", 10), 2);
   t.deepEqual(section.job("a")?.job.items.map((item) => item.body), ["", ""]);
@@ -76,7 +82,7 @@
 });
 
 test("small jobs are moved to files when there are too many", (t) => {
-  const section = new BulkSection(new RequestFiles(t.context.folder));
+  const section = new BulkSection(new JobFiles(t.context.folder));
   for (let index = 1; index <= 500; index++) {
     submit(section, job(`${index}`, 10_000), index);
   }
@@ -87,13 +93,13 @@
 
 test("restart restores requests from the files of the snapshot", async (t) => {
   const { folder } = t.context;
-  const section = new BulkSection(new RequestFiles(folder));
+  const section = new BulkSection(new JobFiles(folder));
   submit(section, job("a"), 1);
   submit(section, job("b"), 2);
   record(section, "a", "a-one");
   const snapshot = await stored(section);
   submit(section, job("c"), 3);
-  const other = new BulkSection(new RequestFiles(folder));
+  const other = new BulkSection(new JobFiles(folder));
   await other.restore(snapshot);
   t.deepEqual(readdirSync(folder), ["1", "2"]);
   submit(other, job("c"), 3);
@@ -115,20 +121,20 @@
   submit(earlier, job("a"), 1);
   submit(earlier, job("b"), 2);
   const snapshot = await stored(earlier);
-  const section = new BulkSection(new RequestFiles(folder));
+  const section = new BulkSection(new JobFiles(folder));
   // The snapshot is read twice if the process ends before it takes its own.
   await section.restore(snapshot);
   await section.restore(snapshot);
   t.is(readdirSync(folder).length, 2);
   t.is(section.job("a")?.job.items[0]?.body, "");
   t.is(body(section, "b", "b-two"), job("b").items[1]?.body);
-  const again = new BulkSection(new RequestFiles(folder));
+  const again = new BulkSection(new JobFiles(folder));
   await again.restore(await stored(section));
   t.is(body(again, "a", "a-one"), job("a").items[0]?.body);
 });
 
 test("requests of ended and forgotten jobs are removed", (t) => {
-  const section = new BulkSection(new RequestFiles(t.context.folder));
+  const section = new BulkSection(new JobFiles(t.context.folder));
   const context = { index: 9, term: 1, proposedAt: 1 };
   submit(section, job("a"), 1);
   submit(section, job("b"), 2);
@@ -137,3 +143,51 @@
   t.is(section.requestBytes, 0);
   t.is(section.openJobs().length, 0);
 });
+
+// Guards against stores that run out of memory because results are large, and
+// against snapshots that contain all of them.
+test("large texts are in files until their jobs are deleted", async (t) => {
+  const { folder } = t.context;
+  const section = new BulkSection(new JobFiles(folder));
+  const large = "é".repeat(70_000);
+  const text = (section: BulkSection, id: string, position: number) => {
+    const result = section.job(id)?.results[position];
+    return result && section.loadResult(result).text;
+  };
+  for (const [index, id] of ["a", "b"].entries()) {
+    submit(section, job(id, 10), index + 1);
+    record(section, id, `${id}-one`, large + id);
+    record(section, id, `${id}-two`, "small");
+  }
+  t.is(section.job("a")?.results[0]?.text, "");
+  t.is(section.job("a")?.results[1]?.text, "small");
+  t.is(text(section, "b", 0), `${large}b`);
+  const snapshot = await stored(section);
+  t.true(JSON.stringify(snapshot).length < large.length);
+  const other = new BulkSection(new JobFiles(folder));
+  await other.restore(snapshot);
+  t.is(text(other, "a", 0), `${large}a`);
+  t.is(text(other, "a", 1), "small");
+  const context = { index: 9, term: 1, proposedAt: 1 };
+  submit(other, job("c", 10), 3);
+  record(other, "c", "c-one", `${large}c`);
+  other.apply({ kind: "forget", jobs: ["a"] }, context);
+  t.is(text(other, "b", 0), `${large}b`, "its file has another text");
+  other.apply({ kind: "forget", jobs: ["b", "c"] }, context);
+  for (let count = 0; count < 2; count++) await other.snapshot();
+  t.deepEqual(readdirSync(folder), []);
+});
+
+test("texts go to files when there are too many in memory", async (t) => {
+  const section = new BulkSection(new JobFiles(t.context.folder));
+  const text = "x".repeat(60_000);
+  for (let index = 0; index < 100; index++) {
+    submit(section, job(`${index}`, 10), index + 1);
+    record(section, `${index}`, `${index}-one`, text);
+    record(section, `${index}`, `${index}-two`, text);
+  }
+  const { state } = await section.snapshot();
+  t.true(JSON.stringify(state).length < 10_000_000);
+  const last = section.job("99")?.results[1];
+  t.is(last && section.loadResult(last).text, text);
+});
--- a/src/bulk/mod.ts
+++ b/src/bulk/mod.ts
@@ -3,7 +3,7 @@
 export * from "./bulk_schedule.ts";
 export * from "./bulk_section.ts";
 export * from "./item_run.ts";
-export * from "./request_files.ts";
+export * from "./job_files.ts";
 export * from "./request_space_limiter.ts";
 export * from "./run_host.ts";
 export * from "./store_executor.ts";
--- a/src/bulk/types.ts
+++ b/src/bulk/types.ts
@@ -13,13 +13,18 @@
 });
 export type BulkItem = z.infer<typeof bulkItemSchema>;
 
-/** Where a request is in the files of the section that holds the jobs. */
-export const requestLocationSchema = z.object({
-  job: z.string(),
+/** Bytes in a file of the section that holds the jobs. */
+export const fileRangeSchema = z.object({
   file: z.string(),
   offset: z.number(),
   length: z.number(),
 });
+export type FileRange = z.infer<typeof fileRangeSchema>;
+
+/** Where the request of an item is. */
+export const requestLocationSchema = fileRangeSchema.extend({
+  job: z.string(),
+});
 export type RequestLocation = z.infer<typeof requestLocationSchema>;
 
 /** Request of an item without its content. */
@@ -66,6 +71,14 @@
 });
 export type BulkResult = z.infer<typeof bulkResultSchema>;
 
+/** Result of a held job; its text is empty if it is in a file. */
+export const heldResultSchema = z.union([
+  bulkResultSchema.extend({ stored: z.undefined().optional() }),
+  bulkResultSchema.omit({ text: true }).extend({ stored: fileRangeSchema })
+    .transform((result) => ({ text: "", ...result })),
+]);
+export type HeldResult = z.infer<typeof heldResultSchema>;
+
 /** Progress of an item without a result. */
 export const itemProgressSchema = z.object({
   item: z.string(),
@@ -87,7 +100,7 @@
   /** Wall time of the submission, in milliseconds since the Unix epoch. */
   acceptedAt: z.number(),
   /** Results in the order in which they were recorded. */
-  results: z.array(bulkResultSchema),
+  results: z.array(heldResultSchema),
   progress: z.array(itemProgressSchema),
   hasEnded: z.boolean(),
 });
