Bound the pause between two plans, and test it

A process that is frozen during a plan would pause for four times as long as it was frozen. The pause is now at most half a second.

Tests: "long plans leave most of the time for other work" fails without the factor, "process that was frozen during a plan soon plans again" without the bound.

--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -46,6 +46,12 @@
  */
 const PLAN_PAUSE_FACTOR = 4;
 
+/**
+ * Upper bound of that time, in milliseconds. A plan seems to take long if the
+ * process is frozen meanwhile.
+ */
+const MAXIMUM_PLAN_PAUSE_MILLISECONDS = 500;
+
 /** Delay before an item is retried after a failed run, in milliseconds. */
 const RETRY_DELAY_MILLISECONDS = 200;
 
@@ -158,9 +164,9 @@
       const startedAt = clock.monotonic();
       this.#plan();
       const duration = clock.monotonic() - startedAt;
-      const pause = Math.max(
-        PLAN_INTERVAL_MILLISECONDS,
-        duration * PLAN_PAUSE_FACTOR,
+      const pause = Math.min(
+        MAXIMUM_PLAN_PAUSE_MILLISECONDS,
+        Math.max(PLAN_INTERVAL_MILLISECONDS, duration * PLAN_PAUSE_FACTOR),
       );
       const next = clock.deadlineIn(pause);
       await clock.sleepUntil(next, this.#stopping.signal);
--- a/src/bulk/bulk_runner_test.ts
+++ b/src/bulk/bulk_runner_test.ts
@@ -65,6 +65,8 @@
   });
   const runs: IStartedRun[] = [];
   const listed = { engines };
+  /** Number of plans, and how long each takes, in milliseconds. */
+  const planning = { count: 0, milliseconds: 0 };
   const runner = new BulkRunner({
     limiter: unlimitedEngines,
     ...{ log, section, clock, events },
@@ -88,20 +90,23 @@
     routes: () => routes,
     jobRetentionMilliseconds: 60_000,
     isLoadKnown: () => true,
-    engines: () =>
-      listed.engines.map((engine) => ({
+    engines: () => {
+      planning.count += 1;
+      time.now += planning.milliseconds;
+      return listed.engines.map((engine) => ({
         engine,
         live: 0,
         liveTokens: 0,
         memoryTokens: undefined,
         isSuspect: health.isSuspect(engine.id),
-      })),
+      }));
+    },
   });
   section.apply({ kind: "submit", job: JOB }, {
     ...{ index: 1, term: 1, proposedAt: 0 },
   });
   runner.start();
-  return { time, runs, runner, section, listed };
+  return { time, runs, runner, section, listed, planning };
 }
 
 const BROKEN = { kind: "broken", reason: "connection reset" } as const;
@@ -171,3 +176,25 @@
   await time.advanceUntil("result", () => section.hasResult("job", "item"));
   runner.dispose();
 });
+
+// Guards against a leader of many waiting items that does nothing but plan, and
+// loses its leadership.
+test("long plans leave most of the time for other work", async (t) => {
+  const { time, planning } = createFixture([engine("one", "v1")]);
+  await time.advance(1_000);
+  t.true(planning.count > 30, "short plans are made often");
+  planning.milliseconds = 100;
+  planning.count = 0;
+  await time.advance(10_000);
+  t.true(planning.count >= 15 && planning.count <= 25);
+});
+
+test("process that was frozen during a plan soon plans again", async (t) => {
+  const { time, planning } = createFixture([engine("one", "v1")]);
+  planning.milliseconds = 10_000;
+  await time.advance(10_100);
+  planning.milliseconds = 0;
+  planning.count = 0;
+  await time.advance(1_000);
+  t.true(planning.count > 10);
+});
