--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -40,10 +40,7 @@
 /** Interval between two plans, in milliseconds. */
 const PLAN_INTERVAL_MILLISECONDS = 25;
 
-/**
- * Time between two plans as a multiple of the time that a plan takes. With many
- * waiting items, a leader that did nothing but plan would lose its leadership.
- */
+/** Time between two plans as a multiple of a plan's, for other work. */
 const PLAN_PAUSE_FACTOR = 4;
 
 /**
