Refuse requests that a stopping entry cannot answer any more

What callers saw: in a planned stop of an entry, requests whose last byte came late were passed on to an engine and cut off at the end of the grace, with no answer or half of one, also where they may not be repeated.

Cause: after the signal nothing refused a request. The drain closed the listener and then waited for whatever was open, including what arrived later on connections with no request, half a head or half a body; connections whose request had begun before the signal were kept alive.

Connections without a request are closed once the balancer sends none; what has arrived in part at the end gets 503, what no engine has yet 503, what an engine has without an answer 502.

--- a/src/edge/drain.ts
+++ b/src/edge/drain.ts
@@ -18,17 +18,31 @@
 /** Interval at which the number of open requests is checked. */
 const POLL_INTERVAL_MILLISECONDS = 50;
 
+/** Time for writing the last answers. */
+const FLUSH_MILLISECONDS = 200;
+
+/** Other instances accept requests at once. */
+const RETRY_MILLISECONDS = 100;
+
+/** Options of `drain`. */
+export interface IDrainOptions {
+  readonly clock: IClock;
+  readonly deadline: Deadline;
+  /** Answers the requests that have no answer at the deadline. */
+  readonly endUnanswered?: () => void;
+}
+
 /**
  * Stops accepting callers' connections and waits until the open requests have
- * been answered. Resolves with the number of requests that are still open at
- * the deadline.
+ * been answered. Requests that have arrived in part only by then are refused.
+ * Resolves with the number of requests that were open at the deadline.
  */
 export async function drain(
   edge: HttpEdge,
   readiness: Readiness,
-  options: { clock: IClock; deadline: Deadline },
+  options: IDrainOptions,
 ): Promise<number> {
-  const { clock, deadline } = options;
+  const { clock, deadline, endUnanswered } = options;
   readiness.setStopping();
   edge.disableKeepAlive();
   const balancerDeadline = clock.deadlineIn(BALANCER_DELAY_MILLISECONDS);
@@ -41,12 +55,24 @@
   while (edge.openConnections > 0 && !clock.isPast(arrivalDeadline)) {
     await clock.sleepUntil(clock.deadlineIn(POLL_INTERVAL_MILLISECONDS));
   }
-  return await waitUntilIdle(edge, options);
+  edge.closeIdleConnections();
+  const openRequests = await waitUntilIdle(edge, options);
+  endUnanswered?.();
+  edge.refuseIncomplete({
+    reason: "the instance stops",
+    retryMilliseconds: RETRY_MILLISECONDS,
+  });
+  const flushed = clock.deadlineIn(FLUSH_MILLISECONDS);
+  const hasUnsent = () => edge.openConnections > edge.openRequests;
+  while (hasUnsent() && !clock.isPast(flushed)) {
+    await clock.sleepUntil(clock.deadlineIn(POLL_INTERVAL_MILLISECONDS));
+  }
+  return openRequests;
 }
 
 /**
- * Waits until a server answers no request. Resolves with the number of requests
- * that are still open at the deadline.
+ * Waits until a server answers no request, and closes connections that become
+ * idle. Resolves with the number of requests that are open at the deadline.
  */
 export async function waitUntilIdle(
   edge: HttpEdge,
@@ -55,6 +81,7 @@
   const { clock, deadline } = options;
   while (edge.openRequests > 0 && !clock.isPast(deadline)) {
     await clock.sleepUntil(clock.deadlineIn(POLL_INTERVAL_MILLISECONDS));
+    edge.closeIdleConnections();
   }
   return edge.openRequests;
 }
--- a/src/edge/http_edge.ts
+++ b/src/edge/http_edge.ts
@@ -6,6 +6,7 @@
   type ServerResponse,
   STATUS_CODES,
 } from "node:http";
+import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { err, ok, type Result } from "neverthrow";
 import { ByteBudget, type IDisposable, listen } from "../common/mod.ts";
@@ -43,6 +44,9 @@
 };
 
 const BAD_REQUEST_STATUS = 400;
+const UNAVAILABLE_STATUS = 503;
+
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Error of a connection, or of the parser of its requests. */
 interface IConnectionError extends Error {
@@ -58,6 +62,12 @@
   readonly retryMilliseconds?: number;
 }
 
+/** Why a request is refused, and when its caller may come back. */
+export interface IRefusal {
+  readonly reason: string;
+  readonly retryMilliseconds: number;
+}
+
 /** Answers a request whose body has been read. */
 export type EdgeHandler = (
   request: IncomingMessage,
@@ -70,8 +80,10 @@
   #server: Server;
   #handler: EdgeHandler;
   #events: IEventLog;
-  #openResponses = new Set<ServerResponse>();
-  #openConnections = 0;
+  /** Responses that have not ended, with whether their body was read. */
+  #openResponses = new Map<ServerResponse, { hasBody: boolean }>();
+  /** Open connections, with the bytes read up to their latest response. */
+  #connections = new Map<Socket, number>();
   #isKeepAliveDisabled = false;
   #heldBodies = new ByteBudget(MAXIMUM_HELD_BYTES);
   #limits: RequestLimits | undefined;
@@ -91,8 +103,8 @@
       this.#rejectMalformed(error, socket);
     });
     this.#server.on("connection", (socket) => {
-      this.#openConnections += 1;
-      socket.once("close", () => this.#openConnections -= 1);
+      this.#connections.set(socket, 0);
+      socket.once("close", () => this.#connections.delete(socket));
     });
   }
 
@@ -103,7 +115,7 @@
 
   /** Number of connections, with or without a request. */
   get openConnections(): number {
-    return this.#openConnections;
+    return this.#connections.size;
   }
 
   listen(address: string, port: number): Promise<number> {
@@ -118,17 +130,53 @@
       TIMEOUT_MARGIN_MILLISECONDS;
   }
 
-  /** Closes each connection after its next response. */
+  /** Closes each connection after the response that it receives next. */
   disableKeepAlive(): void {
     this.#isKeepAliveDisabled = true;
+    for (const response of this.#openResponses.keys()) {
+      if (!response.headersSent) response.shouldKeepAlive = false;
+    }
   }
 
-  /** Accepts no new connections and closes those without a request. */
+  /** Accepts no new connections and closes those that were used and are idle. */
   closeListener(): void {
     this.#server.close();
     this.#server.closeIdleConnections();
   }
 
+  /** Closes connections on which no request has begun to arrive. */
+  closeIdleConnections(): void {
+    const busy = this.#busySockets();
+    for (const [socket, bytesBefore] of this.#connections) {
+      const isIdle = !busy.has(socket) && socket.bytesRead === bytesBefore;
+      if (isIdle) socket.destroy();
+    }
+  }
+
+  /**
+   * Refuses requests that have arrived in part only and closes their
+   * connections.
+   */
+  refuseIncomplete(refusal: IRefusal): void {
+    const { reason, retryMilliseconds } = refusal;
+    const busy = this.#busySockets();
+    for (const [response, { hasBody }] of this.#openResponses) {
+      if (hasBody || response.headersSent) continue;
+      response.shouldKeepAlive = false;
+      const options = { body: { error: reason }, retryMilliseconds };
+      answerJson(response, UNAVAILABLE_STATUS, options);
+    }
+    const seconds = retryMilliseconds / MILLISECONDS_PER_SECOND;
+    for (const [socket, bytesBefore] of this.#connections) {
+      if (busy.has(socket) || socket.bytesRead === bytesBefore) continue;
+      socket.end(
+        `HTTP/1.1 ${UNAVAILABLE_STATUS} ${STATUS_CODES[UNAVAILABLE_STATUS]}` +
+          `\r\nRetry-After: ${seconds.toFixed(2)}\r\n` +
+          "Content-Length: 0\r\nConnection: close\r\n\r\n",
+      );
+    }
+  }
+
   dispose(): void {
     this.#server.close();
     this.#server.closeAllConnections();
@@ -140,7 +188,7 @@
     const isMalformed = code.startsWith("HPE_") ||
       code === "ERR_HTTP_REQUEST_TIMEOUT";
     // An answer would be taken for that of the request that is in progress.
-    const hasRequest = [...this.#openResponses].some((response) =>
+    const hasRequest = [...this.#openResponses.keys()].some((response) =>
       response.socket === socket && response.req.complete
     );
     const isAnswered = isMalformed && socket.writable && !hasRequest;
@@ -164,8 +212,15 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.#openResponses.add(response);
-    response.on("close", () => this.#openResponses.delete(response));
+    const progress = { hasBody: false };
+    const { socket } = request;
+    this.#openResponses.set(response, progress);
+    response.on("close", () => {
+      this.#openResponses.delete(response);
+      if (this.#connections.has(socket)) {
+        this.#connections.set(socket, socket.bytesRead);
+      }
+    });
     if (this.#isKeepAliveDisabled) response.shouldKeepAlive = false;
     try {
       const body = await this.#readBody(request, response);
@@ -177,6 +232,9 @@
         const options = { body: { error: reason }, retryMilliseconds };
         return answerJson(response, status, options);
       }
+      // The end of a stop may have refused the request meanwhile.
+      if (response.writableEnded) return;
+      progress.hasBody = true;
       await this.#handler(request, response, body.value);
     } catch (error) {
       if (response.destroyed) return;
@@ -190,6 +248,13 @@
     }
   }
 
+  /** Connections with a request whose head has arrived. */
+  #busySockets(): Set<Socket | null> {
+    return new Set(
+      [...this.#openResponses.keys()].map(({ socket }) => socket),
+    );
+  }
+
   /** Reads a body, which counts as held until the response has ended. */
   async #readBody(
     request: IncomingMessage,
--- a/src/edge/mod.ts
+++ b/src/edge/mod.ts
@@ -4,4 +4,6 @@
 export * from "./metrics_listener.ts";
 export * from "./output_budget.ts";
 export * from "./readiness.ts";
+export * from "./recent_durations.ts";
 export * from "./response_sink.ts";
+export * from "./stop_admission.ts";
--- a/src/streams/request_run.ts
+++ b/src/streams/request_run.ts
@@ -1,4 +1,4 @@
-import type { Deadline } from "../common/mod.ts";
+import { type Deadline, earlierDeadline } from "../common/mod.ts";
 import type { IStreamProgress } from "./stream_attempt.ts";
 import type { IAnswerSink, IForwardedRequest } from "./types.ts";
 
@@ -21,6 +21,37 @@
   /** Number of engines on which the request may have run. */
   possibleRuns: number;
   sends: number;
+  /** Whether it was answered because the instance stops. */
+  isEnded: boolean;
+}
+
+/** Begins a request at a service; it has not been placed yet. */
+export function beginRun(
+  request: IForwardedRequest,
+  sink: IAnswerSink,
+  options: { now: Deadline; service: string },
+): IRequestRun {
+  const { route } = request;
+  return {
+    ...{ request, sink },
+    startedAt: options.now,
+    deadline: earlierDeadline(request.deadline, request.routeDeadline),
+    excluded: new Set(),
+    progress: {
+      lastEventId: undefined,
+      firstByteAt: undefined,
+      lastByteAt: undefined,
+    },
+    isIdempotent: route.kind === "safe" ||
+      route.kind === "stream" && route.isResumable,
+    service: options.service,
+    softwareVersion: undefined,
+    isAdmitted: false,
+    isCounted: false,
+    possibleRuns: 0,
+    sends: 0,
+    isEnded: false,
+  };
 }
 
 /** Parts by which the request is judged, the most specific last. */
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -26,7 +26,7 @@
   StreamOriginResolver,
 } from "./stream_origin_resolver.ts";
 import { RequestReporter } from "./request_reporter.ts";
-import { type IRequestRun, partsOf } from "./request_run.ts";
+import { beginRun, type IRequestRun, partsOf } from "./request_run.ts";
 import type { IAnswerSink, IForwardedRequest } from "./types.ts";
 
 /** Time allowed for the first event beyond the expected wait, in ms. */
@@ -84,6 +84,8 @@
   #options: IStreamDispatcherOptions;
   #failures: FailureRecorder;
   #reporter: RequestReporter;
+  /** Requests that have not ended. */
+  #runs = new Set<IRequestRun>();
 
   constructor(options: IStreamDispatcherOptions) {
     this.#options = options;
@@ -92,30 +94,16 @@
   }
 
   async dispatch(request: IForwardedRequest, sink: IAnswerSink): Promise<void> {
-    const { route } = request;
-    const run: IRequestRun = {
-      request,
-      sink,
-      startedAt: this.#options.clock.monotonic(),
-      deadline: earlierDeadline(request.deadline, request.routeDeadline),
-      excluded: new Set(),
-      progress: {
-        lastEventId: undefined,
-        firstByteAt: undefined,
-        lastByteAt: undefined,
-      },
-      isIdempotent: route.kind === "safe" ||
-        route.kind === "stream" && route.isResumable,
-      service: chooseService(route, this.#options.random()),
-      softwareVersion: undefined,
-      isAdmitted: false,
-      isCounted: false,
-      possibleRuns: 0,
-      sends: 0,
-    };
+    const { clock, random } = this.#options;
+    const run = beginRun(request, sink, {
+      now: clock.monotonic(),
+      service: chooseService(request.route, random()),
+    });
+    this.#runs.add(run);
     try {
       await this.#run(run);
     } finally {
+      this.#runs.delete(run);
       const { caller } = request;
       if (run.isCounted && caller !== undefined) {
         this.#options.callers?.activity.end(caller);
@@ -123,6 +111,20 @@
     }
   }
 
+  /**
+   * Answers the requests whose answers have not begun; none of them is sent to
+   * an engine any more.
+   */
+  endUnanswered(reason: string): void {
+    for (const run of this.#runs) {
+      if (run.sink.hasBegun || run.sink.signal.aborted) continue;
+      run.isEnded = true;
+      const retryMilliseconds = NO_ENGINE_RETRY_MILLISECONDS;
+      if (run.sends > 0) this.#reporter.fail(run, { kind: "failed", reason });
+      else this.#refuse(run, { kind: "refused", reason, retryMilliseconds });
+    }
+  }
+
   async #run(run: IRequestRun): Promise<void> {
     const { request: { route, lastEventId }, sink } = run;
     const isResumption = route.kind === "stream" &&
@@ -132,7 +134,7 @@
       const placement = await this.#reserveSlot(run);
       if (!placement) return;
       const outcome = await this.#send(run, placement);
-      if (outcome.kind === "answered") return;
+      if (outcome.kind === "answered" || run.isEnded) return;
       if (!this.#mayRetry(run, outcome)) return this.#endFailed(run, outcome);
     }
     this.#reporter.callerLeft(run);
@@ -195,6 +197,13 @@
       caller: request.caller,
       isAdmitted: run.isAdmitted || undefined,
     });
+    if (run.isEnded) {
+      const { kind } = placement;
+      if (kind === "engine") {
+        table.endRequest(placement.engine.id, request.tokens);
+      }
+      return undefined;
+    }
     if (placement.kind === "engine") {
       this.#countAdmitted(run);
       // Without a path, further attempts would only delay the refusal.
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -14,6 +14,7 @@
 import {
   EngineHealth,
   EngineTable,
+  type IPlacementSource,
   LeavingEngines,
   Placer,
   StreamOrigins,
@@ -58,6 +59,8 @@
   readonly sink: FakeSink;
   readonly parts: PartMonitor;
   readonly origins: StreamOrigins;
+  readonly dispatcher: StreamDispatcher;
+  readonly source: IPlacementSource;
   run(route: Route, changes?: Partial<IForwardedRequest>): Promise<void>;
 }
 
@@ -88,6 +91,9 @@
   const engines = new FakeEngines(scripts);
   const sink = new FakeSink();
   const parts = new PartMonitor(clock, { events });
+  const source: IPlacementSource = {
+    requestPlacement: () => Promise.resolve(undefined),
+  };
   const dispatcher = new StreamDispatcher({
     ...{ table, health, clock, events, origins },
     parts,
@@ -103,7 +109,7 @@
     failureDomain: "a",
     random: () => 0,
     placer: new Placer(
-      { requestPlacement: () => Promise.resolve(undefined) },
+      source,
       table,
       { random: () => 0, limiter: unlimitedEngines },
     ),
@@ -125,7 +131,10 @@
       resumedRequest: undefined,
       ...changes,
     }, sink);
-  return { engines, table, health, sink, parts, origins, run };
+  return {
+    ...{ engines, table, health, sink, parts, origins },
+    ...{ dispatcher, source, run },
+  };
 }
 
 test("forwards a complete stream unchanged", async (t) => {
@@ -426,3 +435,29 @@
   t.is(others.sink.text, WHOLE_STREAM);
   t.is(others.engines.received.length, 2);
 });
+
+// Guards against requests that get no answer at the end of a planned stop, or
+// a promise that they have not run although an engine has them.
+test("end of a stop answers what has no answer yet", async (t) => {
+  const sent = setup([{ kind: "silent" }]);
+  const running = sent.run(NON_RESUMABLE_ROUTE);
+  await sleep(20);
+  t.is(sent.engines.received.length, 1);
+  sent.dispatcher.endUnanswered("the instance stops");
+  t.is(sent.sink.failure?.kind, "failed");
+  sent.sink.disconnect.abort();
+  await running;
+
+  const unsent = setup([{ kind: "stream", events: EVENTS }]);
+  let place = () => {};
+  unsent.source.requestPlacement = () =>
+    new Promise((resolve) => place = () => resolve(undefined));
+  const waiting = unsent.run(NON_RESUMABLE_ROUTE);
+  await sleep(20);
+  unsent.dispatcher.endUnanswered("the instance stops");
+  t.is(unsent.sink.failure?.kind, "refused");
+  place();
+  await waiting;
+  t.deepEqual(unsent.engines.received, []);
+  t.is(unsent.table.ownLiveCounts().size, 0);
+});
--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -28,7 +28,7 @@
 const METRICS_PORT = 9_464;
 
 /** Time limit of a stop; long, so that tests pass on an overloaded machine. */
-const SHUTDOWN_GRACE_SECONDS = 60;
+const STOP_GRACE_SECONDS = 60;
 
 /** Time after which a crashed engine is back. */
 const CRASH_MILLISECONDS = 2_000;
@@ -122,6 +122,8 @@
   readonly crashes: string[] = [];
   /** Promise that answers await after each event, if set. */
   eventGate: Promise<void> | undefined;
+  /** Path of the requests that wait for the gate; all if absent. */
+  gatedPath: string | undefined;
   #events: number;
 
   constructor(id: string, events: number) {
@@ -164,13 +166,18 @@
       });
       const { breakBefore } = this;
       this.breakBefore = undefined;
-      void this.#answer(response, { after, breakBefore });
+      const isGated = [undefined, incoming.url].includes(this.gatedPath);
+      void this.#answer(response, { after, breakBefore, isGated });
     });
   }
 
   async #answer(
     response: ServerResponse,
-    options: { after: number; breakBefore: number | undefined },
+    options: {
+      after: number;
+      breakBefore: number | undefined;
+      isGated: boolean;
+    },
   ): Promise<void> {
     for (let event = options.after + 1; event <= this.#events; event++) {
       if (event === options.breakBefore) {
@@ -178,7 +185,7 @@
         return;
       }
       response.write(`id: ${event}\ndata: word ${event}\n\n`);
-      await this.eventGate;
+      if (options.isGated) await this.eventGate;
     }
     response.end();
   }
@@ -333,7 +340,7 @@
       bootstrap: true,
       "data-dir": isStore ? dataFolder : null,
       tolerate: { machines: 1 },
-      bounds: { "grace-s": SHUTDOWN_GRACE_SECONDS, "strict-revoke": true },
+      bounds: { "grace-s": STOP_GRACE_SECONDS, "strict-revoke": true },
       cloud: { address: list },
     };
     const settingsPath = join(this.#folder, `${name}.json`);
