Keep a store up while its disk refuses writes

Cause: a failed write stopped the replica for good. Handlers that waited for the write never ended and kept their slot of the connection or the lock of the follower.

Change: after a disk error the replica stops, waits for what it has begun to write, and is opened again in the same process as soon as a probe of 1 MB can be written and synced. Bytes of the log behind the last synced frame are removed first and the term is written once more, since what is read after a failed sync may not be on disk. Waits for a failed write reject. Only other failures end the process.

Random runs now let replicas come back by themselves instead of restarting them.

--- a/src/composition/wait_for_replica_failure.ts
+++ b/src/composition/wait_for_replica_failure.ts
@@ -5,8 +5,8 @@
 const POLL_INTERVAL_MILLISECONDS = 500;
 
 /**
- * Resolves with a reason once the replica has stopped, for example after a
- * failed write. Never resolves if the signal is aborted first.
+ * Resolves with a reason once the replica has stopped for good, for example
+ * because its files are damaged. Never resolves if the signal is aborted first.
  */
 export async function waitForReplicaFailure(
   log: IReplicatedLog,
@@ -18,8 +18,8 @@
       clock.deadlineIn(POLL_INTERVAL_MILLISECONDS),
       signal,
     );
-    if (!signal.aborted && log.status().role === "stopped") {
-      return "the replica of the log has stopped; see event replica-failed";
+    if (!signal.aborted && log.failure !== undefined) {
+      return `the replica of the log has stopped: ${log.failure}`;
     }
   }
   return await new Promise(() => {});
--- a/src/consensus/events.ts
+++ b/src/consensus/events.ts
@@ -17,12 +17,19 @@
 export const replicaFailed = defineEvent(402, "replica-failed", {
   level: "error",
   help: "This replica has stopped because its disk failed or its data is " +
-    "inconsistent; it acknowledges no writes until the daemon is restarted. " +
-    "Check the disk. If the data is lost, empty the data folder: the replica " +
+    "inconsistent; it acknowledges no writes. After a failed write it is " +
+    "opened again when the disk works, see replica-reopened; otherwise the " +
+    "process ends. If the data is lost, empty the data folder: the replica " +
     "then rejoins as a learner.",
   fields: { reason: z.string() },
 });
 
+export const replicaReopened = defineEvent(416, "replica-reopened", {
+  level: "warn",
+  help: "The disk works again, and this replica takes part in the log again.",
+  fields: { milliseconds: z.number() },
+});
+
 export const tailCut = defineEvent(403, "log-tail-cut", {
   level: "warn",
   help: "The log ended with an incomplete write, as after a crash. The write " +
--- a/src/consensus/leader_term.ts
+++ b/src/consensus/leader_term.ts
@@ -319,7 +319,8 @@
       this.#options.machine.lastProposedAt,
     );
     const proposedAt = Math.max(clock.wall(), earliest);
-    void this.#state.append([{ index, term, proposedAt, body }]);
+    // A failed write stops the replica, and with it this term.
+    this.#state.append([{ index, term, proposedAt, body }]).catch(() => {});
     if (body.kind === "replicas") this.#updatePeers();
     this.#peers.forEach((peer) => peer.notifyNewEntries());
     return index;
--- a/src/consensus/log_store.ts
+++ b/src/consensus/log_store.ts
@@ -1,4 +1,9 @@
-import { Emitter, type IClock, invariant } from "../common/mod.ts";
+import {
+  DisposableStore,
+  Emitter,
+  type IClock,
+  invariant,
+} from "../common/mod.ts";
 import type { Entry } from "./entry.ts";
 import type {
   HeldEntries,
@@ -28,14 +33,15 @@
   readonly firstIndex: number;
   readonly lastIndex: number;
   readonly finish: () => void;
+  readonly reject: (error: Error) => void;
 }
 
 /**
  * Entries since the last compaction, on disk and, the latest ones, in memory.
  *
  * Appended entries can be read at once; a writer puts all pending entries into
- * a few frames, each with one sync (group commit). After a failed write nothing more is
- * written, and `onFailure` fires.
+ * a few frames, each with one sync (group commit). After a failed write nothing
+ * more is written, and `onFailure` fires.
  */
 export class LogStore {
   #wal: WriteAheadLog;
@@ -44,7 +50,8 @@
   #pending: IPendingWrite[] = [];
   #writing: IPendingWrite[] = [];
   #writer: Promise<void> | undefined;
-  #failed = false;
+  /** Failure after which nothing is written. */
+  #error: Error | undefined;
   readonly #synced = new Emitter<void>();
   readonly #failure = new Emitter<Error>();
   readonly #slowWrite = new Emitter<number>();
@@ -105,7 +112,7 @@
 
   /** Whether the disk has failed. */
   get isFailed(): boolean {
-    return this.#failed;
+    return this.#error !== undefined;
   }
 
   /** Term of an entry; undefined if the entry is compacted or missing. */
@@ -166,7 +173,7 @@
 
   /**
    * Appends entries, replacing existing ones from the first index on.
-   * Resolves when they are durable; never resolves if the disk fails.
+   * Resolves when they are durable; rejects if the disk fails.
    */
   append(entries: readonly Entry[]): Promise<void> {
     const [first] = entries;
@@ -183,28 +190,38 @@
       this.#entries.push(entry, record.length);
       return record;
     });
-    return new Promise((finish) => {
+    return new Promise((finish, reject) => {
+      if (this.#error) return reject(this.#error);
       const { index: firstIndex } = first;
       const { index: lastIndex } = last;
       this.#pending.push({
-        ...{ entries, records, firstIndex, lastIndex, finish },
+        ...{ entries, records, firstIndex, lastIndex, finish, reject },
       });
       this.#writer ??= this.#write();
     });
   }
 
-  /** Resolves when everything appended so far is durable. */
+  /**
+   * Resolves when everything appended so far is durable; rejects if the disk
+   * fails.
+   */
   waitUntilSynced(): Promise<void> {
+    if (this.#error) return Promise.reject(this.#error);
     const last = this.#pending.at(-1) ?? this.#writing.at(-1);
     if (!last) return Promise.resolve();
-    return new Promise((resolve) => {
-      const dispose = this.#synced.event(() => {
+    return new Promise((resolve, reject) => {
+      const store = new DisposableStore();
+      store.add(this.#synced.event(() => {
         if (this.#pending.includes(last) || this.#writing.includes(last)) {
           return;
         }
-        dispose.dispose();
+        store.dispose();
         resolve();
-      });
+      }));
+      store.add(this.#failure.event((error) => {
+        store.dispose();
+        reject(error);
+      }));
     });
   }
 
@@ -230,9 +247,12 @@
 
   /** Records a failure that another component has met, and stops writing. */
   fail(error: Error): void {
-    if (this.#failed) return;
-    this.#failed = true;
+    if (this.#error) return;
+    this.#error = error;
     this.#failure.fire(error);
+    for (const { reject } of [...this.#writing, ...this.#pending]) {
+      reject(error);
+    }
   }
 
   /** Waits for the write in progress and closes the files. */
@@ -241,6 +261,11 @@
     await this.#wal.close().catch(() => {});
   }
 
+  /** Removes what a failed write has left behind; the log is closed. */
+  async discardUnsynced(): Promise<void> {
+    await this.#wal.discardUnsynced();
+  }
+
   #held(index: number): IHeldEntry | undefined {
     return this.#entries.at(index - this.firstIndex);
   }
@@ -273,7 +298,7 @@
   }
 
   async #write(): Promise<void> {
-    while (this.#pending.length > 0 && !this.#failed) {
+    while (this.#pending.length > 0 && !this.#error) {
       this.#writing = this.#takeFrame();
       const records = this.#writing.flatMap((write) => write.records);
       const indexes = this.#writing.map(({ lastIndex }) => lastIndex);
@@ -283,7 +308,7 @@
         const locations = await this.#wal.append(records, highestIndex);
         this.#setLocations(locations);
       });
-      if (this.#failed) break;
+      if (this.#error) break;
       const duration = this.#clock.monotonic() - startedAt;
       if (duration > SLOW_WRITE_MILLISECONDS) this.#slowWrite.fire(duration);
       const written = this.#writing;
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -75,6 +75,8 @@
   #replicaSetManager: ReplicaSetManager | undefined;
   #store = new DisposableStore();
   #stopping = new AbortController();
+  /** Ends when the state machine applies nothing more. */
+  #applying: Promise<void> = Promise.resolve();
 
   private constructor(
     state: ReplicaState,
@@ -146,7 +148,8 @@
 
   /** Starts the tasks. */
   start(): void {
-    this.#supervise(this.machine.run());
+    this.#applying = this.machine.run();
+    this.#supervise(this.#applying);
     this.#supervise(this.#election.run(this.#stopping.signal));
   }
 
@@ -168,6 +171,11 @@
     return this.#state.hasRecentLeaderContact;
   }
 
+  /** Fires once, when the replica has stopped after a failure. */
+  get onFailure(): IEvent<Error> {
+    return this.#state.onFailure;
+  }
+
   get onLeadershipChange(): IEvent<ILeadership> {
     return this.#state.onChange;
   }
@@ -195,9 +203,17 @@
     this.#stopping.abort();
     this.#state.stop("the replica stops");
     this.machine.dispose();
+    this.#store.dispose();
+    await this.#applying.catch(() => {});
     await this.machine.waitForSnapshot();
+    await this.#receiver.close();
     await this.#state.log.close();
-    this.#store.dispose();
+    await this.#state.terms.close();
+  }
+
+  /** Removes what a failed write has left behind; the replica has stopped. */
+  async discardUnsynced(): Promise<void> {
+    await this.#state.log.discardUnsynced();
   }
 
   #updateLeaderTerm(): void {
--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -43,10 +43,13 @@
   readonly timing: IReplicationTiming;
   readonly #change = new Emitter<ILeadership>();
   readonly #commit = new Emitter<number>();
+  readonly #failure = new Emitter<Error>();
   /** Fires when the role, the term or the known leader changes. */
   readonly onChange = this.#change.event;
   /** Fires with the new commit index. */
   readonly onCommit = this.#commit.event;
+  /** Fires once, when the replica has stopped after a failure. */
+  readonly onFailure = this.#failure.event;
   #role: ReplicaRole = "follower";
   #leader: string | undefined;
   #leaderStorage: string | undefined;
@@ -171,12 +174,13 @@
     this.#setRole("follower", reason);
   }
 
-  /** Stops the replica after a failure, until the daemon is restarted. */
+  /** Stops the replica after a failure. */
   fail(error: Error): void {
     if (this.#role === "stopped") return;
     this.events.emit(replicaFailed, { reason: error.message });
     this.stop("replica failed");
     this.log.fail(error);
+    this.#failure.fire(error);
   }
 
   /** Stops taking part in the protocol. */
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -10,7 +10,9 @@
 } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { IRpcClient, IRpcServer } from "../rpc/mod.ts";
-import { joinedAgain, replicaFailed } from "./events.ts";
+import { isDiskError } from "./disk_error.ts";
+import { probeDisk } from "./disk_probe.ts";
+import { joinedAgain, replicaFailed, replicaReopened } from "./events.ts";
 import { ClusterBootstrap, type FounderAddress } from "./cluster_bootstrap.ts";
 import { IdentityStore } from "./identity_store.ts";
 import { LeaderHints } from "./leader_hints.ts";
@@ -19,8 +21,10 @@
 import { leaderStatusMethod, proposeMethod } from "./messages.ts";
 import { statusMethod } from "./messages.ts";
 import { Replica } from "./replica.ts";
+import { SnapshotStore } from "./snapshot_store.ts";
 import { DEFAULT_COMPACTION, type ICompactionPolicy } from "./state_machine.ts";
 import type { IStorage } from "./storage.ts";
+import { TermStore } from "./term_store.ts";
 import { DEFAULT_TIMING, type IReplicationTiming } from "./timing.ts";
 import type {
   AppendCommand,
@@ -40,6 +44,9 @@
 /** Longest wait for a transfer of leadership when stopping, in milliseconds. */
 const TRANSFER_TIMEOUT_MILLISECONDS = 2_000;
 
+/** Interval between two probes of a disk that has failed, in milliseconds. */
+const PROBE_INTERVAL_MILLISECONDS = 500;
+
 /** Dependencies and settings of a `ReplicatedLog`. */
 export interface IReplicatedLogOptions {
   readonly rpc: IRpcClient;
@@ -83,6 +90,9 @@
   /** Set only where the leader replaces voters automatically. */
   #hints: LeaderHints | undefined;
   #schedulers = new Map<string, IProposalScheduler>();
+  /** Whether the replica has stopped until the disk works again. */
+  #isReopening = false;
+  #failure: string | undefined;
   #store = new DisposableStore();
   #stopping = new AbortController();
 
@@ -105,25 +115,17 @@
   }
 
   /**
-   * Opens the data folder and takes part in the log. If the folder cannot be
+   * Opens the data folder and takes part in the log. If the disk refuses to
+   * work, the folder is opened as soon as it does; if the folder cannot be
    * used, the replica stays stopped, and an event says why.
    */
   async start(): Promise<void> {
-    const { storage, rpc, clock, events, founders, start } = this.#options;
-    const identities = new IdentityStore(storage);
-    const self = this.#self;
     try {
-      const identity = await identities.open(self.id);
-      this.#bootstrap = new ClusterBootstrap(identity, {
-        ...{ self, founders, start, identities, rpc, clock, events },
-        announcedLeader: () => this.#hints?.leader,
-      });
-      if (identity.cluster !== undefined) await this.#openReplica();
-      else this.#running = this.#joinOrBootstrap();
-      this.#hints?.start();
+      await this.#open();
     } catch (error) {
-      this.#reportFailure(error as Error);
+      this.#handleFailure(error as Error);
     }
+    this.#hints?.start();
   }
 
   get leadership(): ILeadership {
@@ -162,10 +164,15 @@
     return leader ? await leader.barrier(options) : err(this.#notLeader());
   }
 
+  get failure(): string | undefined {
+    return this.#failure;
+  }
+
   status(): LogStatus {
+    const isWaiting = this.#bootstrap !== undefined && !this.#isReopening;
     return this.#replica?.status() ?? {
       id: this.#self.id,
-      role: this.#bootstrap ? "learner" : "stopped",
+      role: isWaiting ? "learner" : "stopped",
       term: 0,
       firstIndex: 1,
       lastIndex: 0,
@@ -191,13 +198,62 @@
     this.#store.dispose();
   }
 
+  async #open(): Promise<void> {
+    const { storage, rpc, clock, events, founders, start } = this.#options;
+    const identities = new IdentityStore(storage);
+    const self = this.#self;
+    const identity = await identities.open(self.id);
+    this.#bootstrap = new ClusterBootstrap(identity, {
+      ...{ self, founders, start, identities, rpc, clock, events },
+      announcedLeader: () => this.#hints?.leader,
+    });
+    if (identity.cluster !== undefined) await this.#openReplica();
+    else this.#running = this.#joinOrBootstrap();
+  }
+
   async #joinOrBootstrap(): Promise<void> {
     try {
       const identity = await this.#bootstrap?.run(this.#stopping.signal);
       if (identity?.cluster === undefined) return;
       if (!this.#stopping.signal.aborted) await this.#openReplica();
     } catch (error) {
-      this.#reportFailure(error as Error);
+      this.#handleFailure(error as Error);
+    }
+  }
+
+  /** Opens the folder again after a disk error; gives up after another one. */
+  #handleFailure(error: Error, failed?: Replica): void {
+    if (!isDiskError(error)) return this.#reportFailure(error);
+    if (!failed) {
+      this.#options.events.emit(replicaFailed, { reason: error.message });
+    }
+    this.#replica = undefined;
+    this.#isReopening = true;
+    this.#running = this.#reopen(failed);
+  }
+
+  /** Opens the folder when the disk works again. */
+  async #reopen(failed: Replica | undefined): Promise<void> {
+    const { clock, events, storage } = this.#options;
+    const { signal } = this.#stopping;
+    const startedAt = clock.monotonic();
+    await failed?.stop();
+    while (!signal.aborted) {
+      const next = clock.deadlineIn(PROBE_INTERVAL_MILLISECONDS);
+      await clock.sleepUntil(next, signal);
+      if (signal.aborted) return;
+      try {
+        await new SnapshotStore(storage).removeUnfinished();
+        await probeDisk(storage);
+        await failed?.discardUnsynced();
+        await TermStore.rewrite(storage);
+        await this.#open();
+        this.#isReopening = false;
+        const milliseconds = Math.round(clock.monotonic() - startedAt);
+        return events.emit(replicaReopened, { milliseconds });
+      } catch (error) {
+        if (!isDiskError(error)) return this.#reportFailure(error as Error);
+      }
     }
   }
 
@@ -223,6 +279,10 @@
       },
     );
     replica.onLeadershipChange((leadership) => this.#change.fire(leadership));
+    replica.onFailure((error) => {
+      if (isDiskError(error)) this.#handleFailure(error, replica);
+      else this.#failure = error.message;
+    });
     this.#replica = replica;
     replica.start();
     if (this.#options.voterPolicy) void this.#rejoinIfRemoved(replica, storage);
@@ -238,6 +298,7 @@
         clock.deadlineIn(MEMBERSHIP_CHECK_INTERVAL_MILLISECONDS),
         signal,
       );
+      if (this.#replica !== replica) return;
       if (signal.aborted || replica.hasRecentLeaderContact) continue;
       const options = {
         deadline: clock.deadlineIn(MEMBERSHIP_CHECK_INTERVAL_MILLISECONDS),
@@ -281,6 +342,7 @@
 
   #reportFailure(error: Error): void {
     this.#bootstrap = undefined;
+    this.#failure = error.message;
     this.#options.events.emit(replicaFailed, { reason: error.message });
   }
 
--- a/src/consensus/snapshot_receiver.ts
+++ b/src/consensus/snapshot_receiver.ts
@@ -57,6 +57,15 @@
     }
   }
 
+  /** Waits for the chunk that is being written, and ends the transfer. */
+  async close(): Promise<void> {
+    await this.#options.follower.runExclusive(async () => {
+      const transfer = this.#transfer;
+      this.#transfer = undefined;
+      await transfer?.handle.close();
+    }).catch(() => {});
+  }
+
   async #receive(params: SnapshotChunkParams): Promise<boolean> {
     const state = this.#state;
     if (state.term !== params.term) return false;
--- a/src/consensus/snapshot_store.ts
+++ b/src/consensus/snapshot_store.ts
@@ -60,6 +60,13 @@
     }
   }
 
+  /** Removes a snapshot that was not saved or received completely. */
+  async removeUnfinished(): Promise<void> {
+    await this.#storage.remove(`${SNAPSHOT_FILE}.tmp`);
+    const isComplete = await this.#storage.size(COMPLETE_MARKER) !== undefined;
+    if (!isComplete) await this.clearIncoming();
+  }
+
   /** Records durably that the snapshot has been received completely. */
   async markComplete(): Promise<void> {
     const mark = await this.#storage.open(COMPLETE_MARKER);
--- a/src/consensus/state_machine.ts
+++ b/src/consensus/state_machine.ts
@@ -1,5 +1,6 @@
 import { setImmediate } from "node:timers/promises";
 import { Emitter, type IDisposable, invariant } from "../common/mod.ts";
+import { isDiskError } from "./disk_error.ts";
 import type { Entry } from "./entry.ts";
 import { replicasChanged, snapshotFailed, snapshotTaken } from "./events.ts";
 import type { ReplicaState } from "./replica_state.ts";
@@ -225,6 +226,8 @@
           isComplete = false;
           const reason = (error as Error).message;
           this.#state.events.emit(snapshotFailed, { section: name, reason });
+          // A later sync would not cover what this one has failed to write.
+          if (isDiskError(error)) this.#state.fail(error as Error);
         }
       }),
     );
--- a/src/consensus/term_store.ts
+++ b/src/consensus/term_store.ts
@@ -23,7 +23,8 @@
   #term: number;
   #votedFor: string | undefined;
   #writing: Promise<void> = Promise.resolve();
-  #failed = false;
+  /** Failure after which nothing is written. */
+  #error: Error | undefined;
   readonly #failure = new Emitter<Error>();
   /** Fires once, when the disk fails. */
   readonly onFailure = this.#failure.event;
@@ -40,6 +41,21 @@
     return new TermStore(storage, saved ?? { term: 0 });
   }
 
+  /**
+   * Writes the stored term once more. After a failed write, what is read may
+   * not be on disk.
+   */
+  static async rewrite(storage: IStorage): Promise<void> {
+    const bytes = await storage.read(FILE);
+    if (bytes) await storage.replace(FILE, bytes);
+  }
+
+  /** Writes nothing more, and waits for the write in progress. */
+  async close(): Promise<void> {
+    this.#error ??= new Error("the replica has stopped");
+    await this.#writing.catch(() => {});
+  }
+
   get term(): number {
     return this.#term;
   }
@@ -67,7 +83,7 @@
     this.#write();
   }
 
-  /** Resolves when all changes so far are durable; never if the disk fails. */
+  /** Resolves when all changes so far are durable; rejects if the disk fails. */
   waitUntilDurable(): Promise<void> {
     return this.#writing;
   }
@@ -78,15 +94,18 @@
       votedFor: this.#votedFor,
     });
     this.#writing = this.#writing.then(() => this.#replace(bytes));
+    // Those that wait see the failure; there may be none.
+    this.#writing.catch(() => {});
   }
 
   async #replace(bytes: ReturnType<typeof encodeChecksummed>): Promise<void> {
+    if (this.#error) throw this.#error;
     try {
-      if (!this.#failed) await this.#storage.replace(FILE, bytes);
+      await this.#storage.replace(FILE, bytes);
     } catch (error) {
-      this.#failed = true;
-      this.#failure.fire(error as Error);
+      this.#error = error as Error;
+      this.#failure.fire(this.#error);
+      throw error;
     }
-    if (this.#failed) await new Promise<never>(() => {});
   }
 }
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -178,6 +178,11 @@
    */
   readonly leaseUntil: Deadline | undefined;
   status(): LogStatus;
+  /**
+   * Why this replica has stopped for good; undefined while it runs or waits for
+   * its disk to work again.
+   */
+  readonly failure: string | undefined;
   /** Transfers leadership to a voter that has caught up, if there is one. */
   transferLeadership(options: IDeadlineOptions): Promise<boolean>;
   /** Stops after the writes in progress are durable. */
--- a/src/consensus/write_ahead_log.ts
+++ b/src/consensus/write_ahead_log.ts
@@ -166,9 +166,22 @@
     }
   }
 
+  /**
+   * Removes bytes behind the last synced frame. After a failed sync they may be
+   * read although they are not on disk, and no later sync would write them.
+   */
+  async discardUnsynced(): Promise<void> {
+    const last = this.#segments.at(-1);
+    if (!last) return;
+    const name = segmentName(last.sequence);
+    const size = await this.#storage.size(name) ?? 0;
+    if (size > last.length) await this.#storage.truncate(name, last.length);
+  }
+
   async close(): Promise<void> {
-    await this.#file?.close();
+    const file = this.#file;
     this.#file = undefined;
+    await file?.close();
   }
 
   async #activeSegment(): Promise<ISegment> {
--- a/testing/fake_log.ts
+++ b/testing/fake_log.ts
@@ -14,6 +14,7 @@
 
 /** In-memory replicated log whose leadership is set by the test. */
 export class FakeLog implements IReplicatedLog {
+  readonly failure = undefined;
   leadership: ILeadership = { term: 1, leader: "voter-0", isLeader: true };
   confirmedAt: Deadline | undefined = 0 as Deadline;
   leaseUntil: Deadline | undefined = Infinity as Deadline;
--- a/testing/fake_storage.ts
+++ b/testing/fake_storage.ts
@@ -7,6 +7,8 @@
   bytes: Buffer;
   /** Number of bytes that survive a crash. */
   syncedSize: number;
+  /** Bytes before which a sync has failed; they can be read until a crash. */
+  lost?: { readonly start: number; readonly end: number };
 }
 
 const NEVER_SETTLED = new Promise<never>(() => {});
@@ -16,6 +18,8 @@
   files = new Map<string, IFile>();
   /** Whether every operation fails. */
   isFailing = false;
+  /** Whether syncs fail; no later sync covers the bytes of a failed one. */
+  isSyncFailing = false;
   /** Duration of a sync. */
   syncMilliseconds = 1;
   /** Bytes that can be written before the disk is full. */
@@ -34,6 +38,7 @@
       const bytes = Buffer.from(
         file.bytes.subarray(0, file.syncedSize + kept),
       );
+      if (file.lost) bytes.fill(0, file.lost.start, file.lost.end);
       if (kept > 0 && this.#random.chance(50)) {
         bytes[bytes.length - 1] = (bytes.at(-1) ?? 0) ^ 0x55;
       }
@@ -102,30 +107,38 @@
     const written = bytes.subarray(0, fitting);
     this.#disk.freeBytes -= fitting;
     const whole = Buffer.concat([file.bytes, written]);
-    this.#disk.files.set(name, {
-      bytes: whole,
-      syncedSize: file.syncedSize,
-    });
-    if (fitting < bytes.length) throw new Error("ENOSPC: no space left");
+    this.#disk.files.set(name, { ...file, bytes: whole });
+    if (fitting < bytes.length) throw diskError("ENOSPC");
   }
 
   async sync(name: string): Promise<void> {
     const length = this.#disk.files.get(name)?.bytes.length ?? 0;
     await this.#simulateOperation(this.#disk.syncMilliseconds);
     const file = this.#disk.files.get(name);
-    if (file) file.syncedSize = Math.max(file.syncedSize, length);
+    if (!file) return;
+    if (this.#disk.isSyncFailing) {
+      file.lost = { start: file.lost?.start ?? file.syncedSize, end: length };
+      throw diskError("EIO");
+    }
+    file.syncedSize = Math.max(file.syncedSize, length);
   }
 
   async replace(name: string, bytes: Buffer): Promise<void> {
     await this.#simulateOperation(this.#disk.syncMilliseconds);
-    if (this.#disk.freeBytes < bytes.length) throw new Error("ENOSPC");
+    if (this.#disk.freeBytes < bytes.length) throw diskError("ENOSPC");
     this.#disk.files.set(name, { bytes, syncedSize: bytes.length });
   }
 
   async truncate(name: string, length: number): Promise<void> {
     await this.#simulateOperation();
-    const bytes = this.#disk.files.get(name)?.bytes.subarray(0, length);
-    if (bytes) this.#disk.files.set(name, { bytes, syncedSize: bytes.length });
+    const file = this.#disk.files.get(name);
+    if (!file) return;
+    const bytes = file.bytes.subarray(0, length);
+    const { lost } = file;
+    this.#disk.files.set(name, {
+      ...{ bytes, syncedSize: bytes.length },
+      ...lost && lost.start < length && { lost },
+    });
   }
 
   async rename(from: string, to: string): Promise<void> {
@@ -146,6 +159,10 @@
       await this.#clock.sleepUntil(this.#clock.deadlineIn(milliseconds));
     }
     if (this.isEnded) await NEVER_SETTLED;
-    if (this.#disk.isFailing) throw new Error("EIO: i/o error");
+    if (this.#disk.isFailing) throw diskError("EIO");
   }
 }
+
+function diskError(code: string): Error {
+  return Object.assign(new Error(`${code}: simulated failure`), { code });
+}
--- a/testing/log_random_run.ts
+++ b/testing/log_random_run.ts
@@ -113,7 +113,7 @@
     for (const node of this.#cluster.nodes) {
       node.disk.isFailing = false;
       node.disk.syncMilliseconds = 1;
-      if (node.isUp && node.log.status().role === "stopped") node.crash();
+      if (node.isUp && node.log.failure !== undefined) node.crash();
     }
   }
 
