--- a/src/consensus/segment_store.ts
+++ b/src/consensus/segment_store.ts
@@ -76,13 +76,7 @@
     for (const [name, parts] of this.#unwritten) {
       const bytes = Buffer.concat(parts);
       const descriptor = this.#descriptor(name);
-      writeSync(
-        descriptor,
-        bytes,
-        0,
-        bytes.length,
-        this.length(name) - bytes.length,
-      );
+      writeFully(descriptor, bytes, this.length(name) - bytes.length);
       this.#unsynced.add(name);
     }
     this.#unwritten.clear();
@@ -204,3 +198,12 @@
     this.#removed = [];
   }
 }
+
+/** Writes all bytes; the system may take only some of them at a time. */
+function writeFully(descriptor: number, bytes: Buffer, position: number): void {
+  let written = 0;
+  while (written < bytes.length) {
+    const rest = bytes.length - written;
+    written += writeSync(descriptor, bytes, written, rest, position + written);
+  }
+}
