--- a/src/streams/request_reporter.ts
+++ b/src/streams/request_reporter.ts
@@ -1,3 +1,4 @@
+import { match } from "ts-pattern";
 import type { IClock } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type {
@@ -143,3 +144,15 @@
     return Math.round(this.#options.clock.monotonic() - run.startedAt);
   }
 }
+
+/** Describes what the refused request lacked. */
+export function refusalReason(
+  missing: "slot" | "rate" | "caller-limit" | "share" | "memory" | undefined,
+): string {
+  return match(missing)
+    .with("rate", () => "the limits that the engines name are used up")
+    .with("caller-limit", () => "the caller's limit of requests is used up")
+    .with("memory", () => "no engine has memory for the request's tokens")
+    .with("share", () => "the caller uses its share of the slots already")
+    .otherwise(() => "no slot is expected to become free in time");
+}
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -25,7 +25,7 @@
   ResumptionTarget,
   StreamOriginResolver,
 } from "./stream_origin_resolver.ts";
-import { RequestReporter } from "./request_reporter.ts";
+import { refusalReason, RequestReporter } from "./request_reporter.ts";
 import { beginRun, type IRequestRun, partsOf } from "./request_run.ts";
 import type { IAnswerSink, IForwardedRequest } from "./types.ts";
 
@@ -377,18 +377,6 @@
   }
 }
 
-/** Describes what the refused request lacked. */
-function refusalReason(
-  missing: "slot" | "rate" | "caller-limit" | "share" | "memory" | undefined,
-): string {
-  return match(missing)
-    .with("rate", () => "the limits that the engines name are used up")
-    .with("caller-limit", () => "the caller's limit of requests is used up")
-    .with("memory", () => "no engine has memory for the request's tokens")
-    .with("share", () => "the caller uses its share of the slots already")
-    .otherwise(() => "no slot is expected to become free in time");
-}
-
 /**
  * Whether an engine's error answer may be forwarded. The statuses below tell
  * the caller that the request did not run, which is not certain here.
