Decode routes at stores when they are read, not after a pause

Cause: after it had decoded routes, a store paused for up to 500 ms before it decoded newer ones. A leader that had just started could take an older entry of the log, pause, and admit jobs, place items and inform entries by routes that had been replaced long before.

Change: RoutesHolder keeps the newest set and completes it when the table or the version is read. What is read is never older than what was applied, and in quick succession only the newest is decoded, as before.

--- a/src/service_routes/routes_holder.ts
+++ b/src/service_routes/routes_holder.ts
@@ -30,36 +30,60 @@
 /** Holds the routes in force here; their version never decreases. */
 export class RoutesHolder {
   #table: RouteTable | undefined;
+  /** Newer routes that have not been completed yet. */
+  #waiting: RouteSet | undefined;
   #events: IEventLog;
   #complete: RouteCompleter;
+  #isLazy: boolean;
   #change = new Emitter<RouteSet>();
   /** Fires when another version comes into force. */
   readonly onChange = this.#change.event;
 
-  /** @param options.complete by default, routes are complete as received. */
-  constructor(options: { events: IEventLog; complete?: RouteCompleter }) {
+  /**
+   * @param options.complete by default, routes are complete as received.
+   * @param options.isLazy whether routes are completed only when they are read;
+   * in quick succession only the newest are then.
+   */
+  constructor(
+    options: {
+      events: IEventLog;
+      complete?: RouteCompleter;
+      isLazy?: boolean;
+    },
+  ) {
     this.#events = options.events;
+    this.#isLazy = options.isLazy ?? false;
     this.#complete = options.complete ?? ((routes) => routes);
   }
 
   get table(): RouteTable | undefined {
+    this.#completeWaiting();
     return this.#table;
   }
 
   get version(): number {
-    return this.#table?.version ?? 0;
+    return this.table?.version ?? 0;
   }
 
   /** Puts routes into force if they are newer than the current ones. */
   setIfNewer(received: RouteSet): void {
-    if (received.version <= this.version) return;
+    const newest = this.#waiting ?? this.#table;
+    if (received.version <= (newest?.version ?? 0)) return;
+    this.#waiting = received;
+    if (!this.#isLazy) this.#completeWaiting();
+  }
+
+  #completeWaiting(): void {
+    const received = this.#waiting;
+    if (!received) return;
+    this.#waiting = undefined;
     const routes = this.#complete(received);
+    const previous = this.#table?.version ?? 0;
     if (!routes) {
       const { version } = received;
-      this.#events.emit(routesUndecodable, { version, kept: this.version });
+      this.#events.emit(routesUndecodable, { version, kept: previous });
       return;
     }
-    const previous = this.version;
     this.#table = new RouteTable(routes);
     this.#events.emit(routesInForce, {
       version: routes.version,
--- a/src/service_routes/service_routes_test.ts
+++ b/src/service_routes/service_routes_test.ts
@@ -92,3 +92,25 @@
   const times = [0, 0.5, 0.999].map(retryDelayBeforeRoutes);
   t.true(times[0]! >= 500 && times[2]! - times[0]! > 900);
 });
+
+// Guards against stores that decode each configuration of a storm, and against
+// decisions by routes that are older than those applied.
+test("lazy routes are decoded when read, the newest only", (t) => {
+  const decoded: number[] = [];
+  const holder = new RoutesHolder({
+    events: new SilentEventLog(),
+    complete: (routes) => {
+      decoded.push(routes.version);
+      return routes.version === 13 ? undefined : routes;
+    },
+    isLazy: true,
+  });
+  for (const version of [3, 8, 5]) holder.setIfNewer(routeSet(version));
+  t.deepEqual(decoded, []);
+  t.is(holder.table?.version, 8);
+  holder.setIfNewer(routeSet(9));
+  t.is(holder.version, 9, "what is read is never older than what was set");
+  holder.setIfNewer(routeSet(13));
+  t.is(holder.table?.version, 9);
+  t.deepEqual(decoded, [8, 9, 13]);
+});
