--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -221,7 +221,7 @@
     }
   }
 
-  /** Opens the folder again after a disk error; gives up after another one. */
+  /** Opens the folder again after a disk error; gives up after any other. */
   #handleFailure(error: Error, failed?: Replica): void {
     if (!isDiskError(error)) return this.#reportFailure(error);
     if (!failed) {
