--- a/src/consensus/disk_probe.ts
+++ b/src/consensus/disk_probe.ts
@@ -4,7 +4,7 @@
 /** File for probes, below the data folder. */
 const FILE = "log/probe.tmp";
 
-/** Space that a replica needs to go on, in bytes. */
+/** Space that must be free before a replica is opened again, in bytes. */
 const BYTES = 1024 * 1024;
 
 /** Rejects unless the disk takes bytes and keeps them. */
