--- a/review/harness-2/fleet.ts
+++ b/review/harness-2/fleet.ts
@@ -146,11 +146,15 @@
     }
   }
 
+  /** Log lines of the elections, in order. */
+  elections(): string[] {
+    return this.logs.split("\n")
+      .filter((line) => line.includes("leader-elected"));
+  }
+
   /** Index of the store that was elected last, by the logs. */
   leaderIndex(): number {
-    const lines = this.logs.split("\n")
-      .filter((line) => line.includes("leader-elected"));
-    const last = lines.at(-1) ?? "";
+    const last = this.elections().at(-1) ?? "";
     return this.stores.findIndex(({ name }) => last.includes(name));
   }
 
