Review: an entry that cannot be read hides the others

Case 8 shows that accepted items are never run after the engines were replaced, if the list has one entry that was cut off as it was written.

How: jobs are accepted, the entry appears, and two new engines take the place of the two that were there. No machine reads the list any more; the new engines get no request.

--- a/review/harness-2/platform.ts
+++ b/review/harness-2/platform.ts
@@ -19,6 +19,8 @@
 /** Stand-in for the platform's list of engines. */
 export class Platform {
   instances: IListedEngine[] = [];
+  /** Text of an entry of another writer, which comes after the first one. */
+  foreignEntry: string | undefined;
   #server: Server;
   #endpoint: IEndpoint = { address: "", port: 0 };
 
@@ -29,9 +31,7 @@
       response.writeHead(isList ? 200 : 404, {
         "Content-Type": "application/json",
       });
-      response.end(
-        isList ? JSON.stringify({ instances: this.instances, next: null }) : "",
-      );
+      response.end(isList ? this.#page() : "");
     });
   }
 
@@ -50,6 +50,13 @@
     });
   }
 
+  #page(): string {
+    const [first, ...others] = this.instances.map((it) => JSON.stringify(it));
+    const entries = [first, this.foreignEntry, ...others]
+      .filter((entry) => entry !== undefined);
+    return `{"instances":[${entries.join(",")}],"next":null}`;
+  }
+
   close(): void {
     this.#server.close();
     this.#server.closeAllConnections();
