--- a/review/harness-2/case_segments.ts
+++ b/review/harness-2/case_segments.ts
@@ -38,8 +38,11 @@
  */
 const SPREAD_MILLISECONDS = 600;
 const CHECK_MILLISECONDS = 10;
-/** Time for which the last store stays down, as one without power does. */
-const DARK_MILLISECONDS = 3_000;
+/**
+ * Time for which the last store stays down, as one without power does: until
+ * the others have elected a leader, within these bounds.
+ */
+const DARK_MILLISECONDS = { least: 2_000, most: 7_000 };
 
 /** Entries and bytes after which stores remove old files of the log. */
 const SMALL_JOBS = 320;
@@ -142,13 +145,30 @@
   throw new Error("the log file was not filled");
 }
 
-/**
- * All stores are killed, the leader last, while items end. Resolves with the
- * leader and the log file in which the results of the items begin.
- */
+/** Most rounds until the results of items go on in another log file. */
+const MAXIMUM_ROUNDS = 3;
+
+interface IRound {
+  readonly leader: IMachine;
+  /** Log file in which the results of the items begin. */
+  readonly file: string;
+  /** Whether they go on in the next file, and another leader replaced them. */
+  readonly isCrossed: boolean;
+}
+
+async function playRounds(fleet: Fleet): Promise<IRound> {
+  for (let round = 1;; round++) {
+    recorder.write(`round ${round}`);
+    const played = await playRound(fleet);
+    const { isCrossed } = played;
+    if (isCrossed || !hasKills || round === MAXIMUM_ROUNDS) return played;
+  }
+}
+
+/** All stores are killed, the leader last, while items end. */
 async function playRound(
   fleet: Fleet,
-): Promise<{ leader: IMachine; file: string }> {
+): Promise<IRound> {
   const leader = fleet.stores[fleet.leaderIndex()]!;
   recorder.write(`${leader.name} leads`);
   await fill(fleet, leader);
@@ -160,8 +180,8 @@
   const file = segmentsOf(leader).at(-1)!.name;
   if (!hasKills) {
     await openGate();
-    await sleep(DARK_MILLISECONDS);
-    return { leader, file };
+    await sleep(DARK_MILLISECONDS.least);
+    return { leader, file, isCrossed: false };
   }
   const followers = fleet.stores.filter((store) => store !== leader);
   const killLeaderAt = performance.now() + SPREAD_MILLISECONDS;
@@ -177,19 +197,26 @@
   for (const follower of followers) await fleet.waitUntilEnded(follower);
   await fleet.waitUntilEnded(leader);
   recorder.write(describe(leader));
+  const isInNextFile = segmentsOf(leader).at(-1)!.name !== file;
+  const elections = fleet.elections().length;
   await sleep(RESTART_MILLISECONDS);
   for (const follower of followers) await fleet.restart(follower);
-  await sleep(DARK_MILLISECONDS);
+  await sleep(DARK_MILLISECONDS.least);
+  const end = performance.now() + DARK_MILLISECONDS.most -
+    DARK_MILLISECONDS.least;
+  const hasElected = () => fleet.elections().length > elections;
+  while (!hasElected() && performance.now() < end) await sleep(50);
+  const isCrossed = isInNextFile && hasElected();
   await fleet.restart(leader);
   await sleep(2_000);
   recorder.write(describe(leader));
-  return { leader, file };
+  return { leader, file, isCrossed };
 }
 
 /** Submits jobs until a store has removed a log file. */
 async function compact(
   fleet: Fleet,
-  { leader, file }: { leader: IMachine; file: string },
+  { leader, file }: IRound,
 ): Promise<void> {
   const small = Array.from(
     { length: SMALL_JOBS },
@@ -256,7 +283,7 @@
   await fleet.waitUntilReady();
   await sleep(1_500);
   const restarter = new Restarter(fleet);
-  const affected = await playRound(fleet);
+  const affected = await playRounds(fleet);
   await compact(fleet, affected);
   const { leader, file } = affected;
   const isRemoved = segmentsOf(leader).every(({ name }) => name !== file);
