--- a/review/harness-2/case_segments.ts
+++ b/review/6/case.ts
@@ -8,14 +8,20 @@
   type IEngineRequest,
   RawEngine,
   streamHead,
-} from "./engine.ts";
-import type { Fleet, IMachine } from "./fleet.ts";
-import { call } from "./http_call.ts";
-import { configuration, createJob, HOST, readResults, submit } from "./jobs.ts";
-import { Recorder } from "./recorder.ts";
-import { RESTART_MILLISECONDS, Restarter } from "./restarter.ts";
-import { runCase } from "./run_case.ts";
-import { listEngines } from "./sound_engine.ts";
+} from "../engine_2.ts";
+import type { Fleet, IMachine } from "../fleet_2.ts";
+import { call } from "../http_call_2.ts";
+import {
+  configuration,
+  createJob,
+  HOST,
+  readResults,
+  submit,
+} from "../jobs_2.ts";
+import { Recorder } from "../recorder_2.ts";
+import { RESTART_MILLISECONDS, Restarter } from "../restarter_2.ts";
+import { runCase } from "../run_case_2.ts";
+import { listEngines } from "../sound_engine_2.ts";
 
 /** Length from which a store starts a new file of its log. */
 const SEGMENT_BYTES = 4 * 1024 * 1024;
@@ -42,7 +48,10 @@
  * Time for which the last store stays down, as one without power does: until
  * the others have elected a leader, within these bounds.
  */
-const DARK_MILLISECONDS = { least: 2_000, most: 7_000 };
+const DARK_MILLISECONDS = { least: 2_000, most: 4_500 };
+
+/** Time after which a store that is back no longer counts as lost. */
+const CATCH_UP_MILLISECONDS = 4_900;
 
 /** Entries and bytes after which stores remove old files of the log. */
 const SMALL_JOBS = 320;
@@ -208,7 +217,7 @@
   while (!hasElected() && performance.now() < end) await sleep(50);
   const isCrossed = isInNextFile && hasElected();
   await fleet.restart(leader);
-  await sleep(2_000);
+  await sleep(CATCH_UP_MILLISECONDS);
   recorder.write(describe(leader));
   return { leader, file, isCrossed };
 }
--- a/review/harness-2/case_store_crash.ts
+++ b/review/7/case.ts
@@ -1,11 +1,11 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { Fleet, IMachine } from "./fleet.ts";
-import { configuration, createJob, submit } from "./jobs.ts";
-import { Recorder } from "./recorder.ts";
-import { RESTART_MILLISECONDS, Restarter } from "./restarter.ts";
-import { runCase } from "./run_case.ts";
-import { createSoundEngine, listEngines } from "./sound_engine.ts";
+import type { Fleet, IMachine } from "../fleet_2.ts";
+import { configuration, createJob, submit } from "../jobs_2.ts";
+import { Recorder } from "../recorder_2.ts";
+import { RESTART_MILLISECONDS, Restarter } from "../restarter_2.ts";
+import { runCase } from "../run_case_2.ts";
+import { createSoundEngine, listEngines } from "../sound_engine_2.ts";
 
 /** Jobs whose log entries together exceed one message to a follower. */
 const FIRST_JOBS = 5;
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f target/review-2/case_store_crash.mjs ] || exit 2
-exec node target/review-2/case_store_crash.mjs review/7
+[ -f target/review-2/7.mjs ] || exit 2
+exec node target/review-2/7.mjs review/7
--- a/review/harness-2/case_pause.ts
+++ b/review/9/case.ts
@@ -7,17 +7,17 @@
   type IEngineRequest,
   RawEngine,
   streamHead,
-} from "./engine.ts";
-import type { Fleet } from "./fleet.ts";
-import type { IEndpoint } from "./http_call.ts";
-import { configuration, HOST } from "./jobs.ts";
-import { Recorder } from "./recorder.ts";
-import { runCase } from "./run_case.ts";
-import { listEngines } from "./sound_engine.ts";
+} from "../engine_2.ts";
+import type { Fleet } from "../fleet_2.ts";
+import type { IEndpoint } from "../http_call_2.ts";
+import { configuration, HOST } from "../jobs_2.ts";
+import { Recorder } from "../recorder_2.ts";
+import { runCase } from "../run_case_2.ts";
+import { listEngines } from "../sound_engine_2.ts";
 
 /** Clients; two of their requests fill the memory of an engine. */
 const CLIENTS = 4;
-const TOKENS = "30000,2000";
+const TOKENS = "60000,4000";
 
 const EVENTS = 30;
 const EVENT_MILLISECONDS = 50;
@@ -114,7 +114,7 @@
         "Request-Id": id,
         "Model": "m",
         "Token-Count": TOKENS,
-        "Prefix-Hash": `${id}:30000`,
+        "Prefix-Hash": `${id}:60000`,
         "Deadline-Ms": "5002",
       },
     }, (response) => {
@@ -130,7 +130,7 @@
 }
 
 async function run(fleet: Fleet): Promise<boolean> {
-  await fleet.start({ stores: 3, entries: 1 });
+  await fleet.start({ stores: 3, entries: 2 });
   const engines = ["i-0001", "i-0002"].map(createEngine);
   await listEngines(fleet, engines);
   await fleet.configure(configuration(5));
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f target/review-2/case_pause.mjs ] || exit 2
-exec node target/review-2/case_pause.mjs review/9
+[ -f target/review-2/9.mjs ] || exit 2
+exec node target/review-2/9.mjs review/9
--- a/review/harness-2/engine.ts
+++ b/review/engine_2.ts
@@ -1,6 +1,6 @@
 import { Buffer } from "node:buffer";
 import { createServer, type Server, type Socket } from "node:net";
-import type { IEndpoint } from "./http_call.ts";
+import type { IEndpoint } from "./http_call_2.ts";
 
 /** A request as an engine has read it. */
 export interface IEngineRequest {
--- a/review/harness-2/fleet.ts
+++ b/review/fleet_2.ts
@@ -6,9 +6,9 @@
 import { join } from "node:path";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import { call, type IEndpoint } from "./http_call.ts";
-import { Platform } from "./platform.ts";
-import type { Recorder } from "./recorder.ts";
+import { call, type IEndpoint } from "./http_call_2.ts";
+import { Platform } from "./platform_2.ts";
+import type { Recorder } from "./recorder_2.ts";
 
 const DEPLOY_FILE = "deploy/system.toml";
 
@@ -80,6 +80,7 @@
   }`;
   #firstPort = 20_000 + Math.floor(Math.random() * 8_000);
   #commands = new Map<string, string[]>();
+  #isStopping = false;
 
   constructor(recorder: Recorder) {
     this.#recorder = recorder;
@@ -174,9 +175,11 @@
 
   /** Starts an ended process again; its settings say that it is no first start. */
   async restart(machine: IMachine): Promise<void> {
+    if (this.#isStopping) return;
     const settings = JSON.parse(await readFile(machine.settingsPath, "utf8"));
     const changed = { ...settings, bootstrap: false };
     await writeFile(machine.settingsPath, JSON.stringify(changed));
+    if (this.#isStopping) return;
     this.#recorder.write(`start of ${machine.name}`);
     machine.isExpectedToEnd = false;
     machine.child = this.#run(machine);
@@ -196,6 +199,7 @@
   }
 
   async stop(): Promise<void> {
+    this.#isStopping = true;
     for (const machine of [...this.stores, ...this.entries]) {
       machine.isExpectedToEnd = true;
       machine.child.kill("SIGCONT");
--- a/review/harness-2/jobs.ts
+++ b/review/jobs_2.ts
@@ -1,8 +1,8 @@
 import { Buffer } from "node:buffer";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { Fleet } from "./fleet.ts";
-import { call } from "./http_call.ts";
-import type { Recorder } from "./recorder.ts";
+import type { Fleet } from "./fleet_2.ts";
+import { call } from "./http_call_2.ts";
+import type { Recorder } from "./recorder_2.ts";
 
 export const HOST = "notices.example";
 
@@ -24,7 +24,7 @@
     routes: [
       {
         ...{ ...route, ...live, name: "live", "path-prefix": "/live/" },
-        "gap-target-ms": 400,
+        "gap-target-ms": 250,
       },
       {
         ...{ ...route, name: "jobs", "path-prefix": "/jobs/", kind: "batch" },
@@ -33,9 +33,9 @@
       },
     ],
     services: [{
-      ...{ name: "writer", "health-path": "/health", "max-conns": 580 },
+      ...{ name: "writer", "health-path": "/health", "max-conns": 498 },
       ...{ protocol: "h1", tls: false },
-      engine: { slots: 8, "kv-capacity": 72_000 },
+      engine: { slots: 8, "kv-capacity": 147_261 },
     }],
     limits: {
       "header-bytes": 16_384,
--- a/review/harness-2/platform.ts
+++ b/review/platform_2.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server } from "node:http";
-import type { IEndpoint } from "./http_call.ts";
+import type { IEndpoint } from "./http_call_2.ts";
 
 /** An engine as the platform lists it. */
 export interface IListedEngine {
--- a/review/harness-2/restarter.ts
+++ b/review/restarter_2.ts
@@ -1,4 +1,4 @@
-import type { Fleet } from "./fleet.ts";
+import type { Fleet } from "./fleet_2.ts";
 
 /** Time after which the platform starts an ended process again. */
 export const RESTART_MILLISECONDS = 300;
@@ -9,6 +9,7 @@
 export class Restarter {
   #timer: NodeJS.Timeout;
   #handled = new Set<unknown>();
+  #restarts = new Set<NodeJS.Timeout>();
 
   constructor(fleet: Fleet) {
     this.#timer = setInterval(() => {
@@ -17,12 +18,15 @@
         const hasEnded = child.exitCode !== null || child.signalCode !== null;
         if (!hasEnded || isExpectedToEnd || this.#handled.has(child)) continue;
         this.#handled.add(child);
-        setTimeout(() => void fleet.restart(store), RESTART_MILLISECONDS);
+        this.#restarts.add(
+          setTimeout(() => void fleet.restart(store), RESTART_MILLISECONDS),
+        );
       }
     }, CHECK_INTERVAL_MILLISECONDS);
   }
 
   stop(): void {
     clearInterval(this.#timer);
+    for (const restart of this.#restarts) clearTimeout(restart);
   }
 }
--- a/review/harness-2/run_case.ts
+++ b/review/run_case_2.ts
@@ -1,6 +1,6 @@
 import process from "node:process";
-import { Fleet } from "./fleet.ts";
-import type { Recorder } from "./recorder.ts";
+import { Fleet } from "./fleet_2.ts";
+import type { Recorder } from "./recorder_2.ts";
 
 /** Exit code of a case that could not run. */
 const COULD_NOT_RUN = 2;
--- a/review/harness-2/sound_engine.ts
+++ b/review/sound_engine_2.ts
@@ -5,9 +5,9 @@
   type IEngineRequest,
   RawEngine,
   streamHead,
-} from "./engine.ts";
-import type { Fleet } from "./fleet.ts";
-import type { Recorder } from "./recorder.ts";
+} from "./engine_2.ts";
+import type { Fleet } from "./fleet_2.ts";
+import type { Recorder } from "./recorder_2.ts";
 
 const SLOTS = 8;
 
