Recover a log whose oldest segment begins with replaced entries

The next one may begin with entries that a later frame replaces from an index on that only the removed segment contained. The recovery took the index of the first record that it found for the first one of the log, and called the later, lower one a corruption.

--- a/src/consensus/log_store_test.ts
+++ b/src/consensus/log_store_test.ts
@@ -90,7 +90,7 @@
     await wal.append([JSON.stringify({ ...entry(index), body: large })], index);
   }
   const reopened = new WriteAheadLog(storage);
-  const { entries } = await reopened.recover();
+  const { entries } = await reopened.recover(0);
   t.is(entries.length, 20);
   t.true(entries.loadedCharacters < 10_000_000);
   const location = entries.at(0)?.location;
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -9,12 +9,11 @@
 } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { IRpcClient, IRpcServer } from "../rpc/mod.ts";
-import { CorruptionError } from "./corruption_error.ts";
 import { LeaderElection } from "./leader_election.ts";
 import { tailCut } from "./events.ts";
 import { Follower } from "./follower.ts";
 import { LeaderTerm } from "./leader_term.ts";
-import { LogStore } from "./log_store.ts";
+import { recoverLog } from "./log_recovery.ts";
 import {
   appendMethod,
   type ReplicaMessageHeader,
@@ -29,7 +28,6 @@
 import { SnapshotReceiver } from "./snapshot_receiver.ts";
 import { SnapshotSender } from "./snapshot_sender.ts";
 import { SnapshotStore } from "./snapshot_store.ts";
-import type { StoredSnapshot } from "./stored_snapshot.ts";
 import {
   type ICompactionPolicy,
   restoreSections,
@@ -44,7 +42,7 @@
   IVoterPolicy,
   LogStatus,
 } from "./types.ts";
-import { type IRecoveredLog, WriteAheadLog } from "./write_ahead_log.ts";
+import { WriteAheadLog } from "./write_ahead_log.ts";
 
 /** Dependencies and settings of a `Replica`. */
 export interface IReplicaOptions {
@@ -115,21 +113,17 @@
     const store = new SnapshotStore(storage);
     const snapshot = await store.recover();
     const terms = await TermStore.open(storage);
-    const wal = new WriteAheadLog(storage);
-    const recovered = await wal.recover();
-    if (recovered.truncatedBytes > 0) {
-      events.emit(tailCut, { bytes: recovered.truncatedBytes });
-    }
-    const log = await openLog(wal, recovered, {
-      snapshot,
-      clock: options.clock,
-    });
+    const { log, entries, truncatedBytes } = await recoverLog(
+      new WriteAheadLog(storage),
+      { snapshot, clock: options.clock },
+    );
+    if (truncatedBytes > 0) events.emit(tailCut, { bytes: truncatedBytes });
     const base = { voters: founders, learners: [] };
     const replicaSetHistory = new ReplicaSetHistory(
       snapshot?.index ?? 0,
       snapshot?.replicas ?? base,
     );
-    replicaSetHistory.append([...recovered.entries]);
+    replicaSetHistory.append([...entries]);
     await restoreSections(sections, snapshot);
     const commitIndex = snapshot?.index ?? 0;
     const stateOptions = {
@@ -304,38 +298,3 @@
     }
   }
 }
-
-/** Opens the log with the recovered entries that follow the snapshot. */
-async function openLog(
-  wal: WriteAheadLog,
-  recovered: IRecoveredLog,
-  options: { snapshot: StoredSnapshot | undefined; clock: IClock },
-): Promise<LogStore> {
-  const { snapshot, clock } = options;
-  const position = snapshot
-    ? { index: snapshot.index, term: snapshot.term }
-    : { index: 0, term: 0 };
-  const { entries, base } = recovered;
-  const first = entries.at(0)?.index ?? (base?.index ?? 0) + 1;
-  const covered = entries.at(position.index - first);
-  const isContiguous = first === position.index + 1 ||
-    covered?.term === position.term;
-  if (isContiguous) {
-    entries.removeFirst(Math.max(0, position.index - first + 1));
-    return new LogStore(wal, position, { entries, clock });
-  }
-  const last = entries.last?.index ?? 0;
-  if (first > position.index + 1) {
-    throw new CorruptionError(
-      `entries ${position.index + 1} to ${first - 1} are missing`,
-    );
-  }
-  // A crash came after the snapshot was installed and before the log was reset.
-  entries.truncate(0);
-  const log = new LogStore(wal, position, { entries, clock });
-  await log.restartAfter(position);
-  if (last >= position.index && covered === undefined) {
-    throw new CorruptionError(`no entry at ${position.index}`);
-  }
-  return log;
-}
--- a/src/consensus/write_ahead_log.ts
+++ b/src/consensus/write_ahead_log.ts
@@ -30,9 +30,10 @@
 
 /** Content of the segments after a restart. */
 export interface IRecoveredLog {
-  /** Position before the first entry, when a snapshot was installed. */
-  readonly base: { index: number; term: number } | undefined;
+  /** Entries that follow the snapshot. */
   readonly entries: HeldEntries;
+  /** Term of the entry at the snapshot's index; undefined if it is removed. */
+  readonly coveredTerm: number | undefined;
   /** Length of an incomplete write that was truncated, in bytes. */
   readonly truncatedBytes: number;
 }
@@ -70,10 +71,13 @@
   /**
    * Reads the segments and truncates an incomplete write at the end.
    *
-   * @throws CorruptionError when anything else is unreadable.
+   * @param snapshotIndex index up to which a snapshot covers the log; 0 if
+   * there is none.
+   * @throws CorruptionError when anything else is unreadable, or entries after
+   * the snapshot are missing.
    */
-  async recover(): Promise<IRecoveredLog> {
-    const replay = new Replay();
+  async recover(snapshotIndex: number): Promise<IRecoveredLog> {
+    const replay = new Replay(snapshotIndex);
     const names = (await this.#storage.list(FOLDER))
       .filter((name) => name.endsWith(".wal"));
     let truncatedBytes = 0;
@@ -97,11 +101,8 @@
       }
       this.#segments.push(segment);
     }
-    return {
-      base: replay.base,
-      entries: replay.entries,
-      truncatedBytes,
-    };
+    const { entries, coveredTerm } = replay;
+    return { entries, coveredTerm, truncatedBytes };
   }
 
   /**
@@ -199,10 +200,25 @@
   }
 }
 
-/** Entries that remain after later frames replaced earlier ones. */
+/**
+ * Entries after a snapshot that remain after later frames replaced earlier
+ * ones.
+ *
+ * Segments are removed once a snapshot covers all entries in them. The oldest
+ * one that is left may therefore begin with entries that a later frame replaces
+ * from an index on that only a removed segment contained.
+ */
 class Replay {
-  base: { index: number; term: number } | undefined;
   readonly entries = new HeldEntries(RECOVERED_CHARACTERS);
+  coveredTerm: number | undefined;
+  #snapshotIndex: number;
+  /** Index after the last record; no gap may follow it. */
+  #nextIndex: number;
+
+  constructor(snapshotIndex: number) {
+    this.#snapshotIndex = snapshotIndex;
+    this.#nextIndex = snapshotIndex + 1;
+  }
 
   /** Adds the records of a frame and returns their highest index. */
   add(segment: number, bytes: Buffer, frame: IJsonRange): number {
@@ -218,8 +234,7 @@
       const index = "base" in data ? data.base.index : data.index;
       highest = Math.max(highest, index);
       if ("base" in data) {
-        this.base = data.base;
-        this.entries.truncate(0);
+        this.#addBase(data.base, name);
       } else {
         this.#addEntry(data, {
           ...{ segment, offset: start, length: end - start },
@@ -230,22 +245,35 @@
     return highest;
   }
 
+  #addBase(base: { index: number; term: number }, name: string): void {
+    if (base.index > this.#snapshotIndex) {
+      throw new CorruptionError(
+        `${name}: the snapshot at ${base.index} is missing`,
+      );
+    }
+    this.#continueAfter(base);
+  }
+
   #addEntry(entry: Entry, location: IRecordLocation): void {
-    const first = this.entries.at(0)?.index ?? this.#firstIndex(entry);
-    const position = entry.index - first;
-    if (position > this.entries.length || position < 0) {
+    if (entry.index > this.#nextIndex) {
+      const name = segmentName(location.segment);
       throw new CorruptionError(
-        `${
-          segmentName(location.segment)
-        }: entry ${entry.index} is out of order`,
+        `${name}: entries ${this.#nextIndex} to ${entry.index - 1} are missing`,
       );
     }
-    this.entries.truncate(position);
-    this.entries.push(entry, location.length, location);
+    this.#continueAfter(entry);
+    if (entry.index > this.#snapshotIndex) {
+      this.entries.push(entry, location.length, location);
+    }
   }
 
-  #firstIndex(entry: Entry): number {
-    return this.base ? this.base.index + 1 : entry.index;
+  /** Drops the entries from an index on, which a record there replaces. */
+  #continueAfter({ index, term }: { index: number; term: number }): void {
+    this.entries.truncate(Math.max(0, index - this.#snapshotIndex - 1));
+    if (index <= this.#snapshotIndex) {
+      this.coveredTerm = index === this.#snapshotIndex ? term : undefined;
+    }
+    this.#nextIndex = index + 1;
   }
 }
 
--- a/src/consensus/write_ahead_log_test.ts
+++ b/src/consensus/write_ahead_log_test.ts
@@ -65,11 +65,11 @@
   const disk = await filled();
   const file = onlySegment(disk);
   file.bytes = file.bytes.subarray(0, file.bytes.length - 3);
-  const recovered = await new WriteAheadLog(reopen(disk)).recover();
+  const recovered = await new WriteAheadLog(reopen(disk)).recover(0);
   const indexes = [...recovered.entries].map(({ index }) => index);
   t.deepEqual(indexes, [1, 2, 3, 4]);
   t.true(recovered.truncatedBytes > 0);
-  const again = await new WriteAheadLog(reopen(disk)).recover();
+  const again = await new WriteAheadLog(reopen(disk)).recover(0);
   t.is(again.truncatedBytes, 0);
 });
 
@@ -79,7 +79,7 @@
     const { bytes } = onlySegment(disk);
     bytes[position] = (bytes[position] ?? 0) ^ 1;
     const wal = new WriteAheadLog(reopen(disk));
-    await t.throwsAsync(wal.recover(), { instanceOf: CorruptionError });
+    await t.throwsAsync(wal.recover(0), { instanceOf: CorruptionError });
   }
 });
 
@@ -91,7 +91,7 @@
   }
   t.true(wal.segmentCount > 3);
   disk.files.delete("log/000000000002.wal");
-  await t.throwsAsync(log(reopen(disk)).recover(), {
+  await t.throwsAsync(log(reopen(disk)).recover(0), {
     instanceOf: CorruptionError,
   });
 });
@@ -104,8 +104,8 @@
     await wal.removeThrough(index - 10);
   }
   t.true(disk.files.size < 6);
-  const { entries } = await log(reopen(disk)).recover();
-  t.true((entries.at(0)?.index ?? 0) <= 51);
+  const { entries } = await log(reopen(disk)).recover(50);
+  t.is(entries.at(0)?.index, 51);
   t.is(entries.last?.index, 60);
 });
 
@@ -139,7 +139,7 @@
         }
         disk.crash();
         const reopened = log(reopen(disk));
-        const entries = await readAll(reopened, await reopened.recover());
+        const entries = await readAll(reopened, await reopened.recover(0));
         const expected = entries.length === model.length &&
             entries.at(-1)?.term === model.at(-1)?.term
           ? model
