Keep leading when a stopping voter answers an append

Cause: a voter that had begun to stop answered an append that had waited behind a write with "not accepted, index 0" in the same term. The leader took this for the place where the logs match and sent its log again from the beginning. After its restart the voter confirmed the first message, whose last index lies before what it had confirmed already, and the leader's invariant stopped its replica.

The leader computes the durable index from what it has sent, and never lets an answer end its replica: a rejection steps back by at least one entry, and one below what was confirmed is reported (417 peer-entries-lost) and repaired. Entries that are not consecutive are refused, and a commit index beyond the log of a voter, whose disk has lost its end, no longer stops it. Indexes and terms in messages are integers from 0 on.

Why it works: "index 0" has one meaning again, and the invariant tested what a peer said; no answer can break what is left in its place.

The network of the tests checks results against their schema, as the real one does.

--- a/src/consensus/events.ts
+++ b/src/consensus/events.ts
@@ -127,3 +127,15 @@
     "happens on a quorum.",
   fields: { milliseconds: z.number() },
 });
+
+export const peerEntriesLost = defineEvent(417, "peer-entries-lost", {
+  level: "error",
+  help:
+    "A replica lacks entries that it had confirmed as durable; the leader " +
+    "sends them again. Check the disk of that replica.",
+  fields: {
+    peer: z.string(),
+    confirmedIndex: z.number(),
+    retryIndex: z.number(),
+  },
+});
--- a/src/consensus/follower.ts
+++ b/src/consensus/follower.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
-import { type Failure, invariant, mayHaveRun } from "../common/mod.ts";
+import { type Failure, invariant, mayHaveRun, notRun } from "../common/mod.ts";
 import type { Entry } from "./entry.ts";
 import type { AppendParams, AppendResult } from "./messages.ts";
 import type { ReplicaState } from "./replica_state.ts";
@@ -17,7 +17,7 @@
   async handleAppend(
     params: AppendParams,
   ): Promise<Result<AppendResult, Failure>> {
-    if (params.entries.length === 0) return ok(await this.#heartbeat(params));
+    if (params.entries.length === 0) return await this.#heartbeat(params);
     const run = this.#appending.then(() => this.#handleAppend(params));
     this.#appending = run.catch(() => {});
     return await run;
@@ -41,26 +41,45 @@
     return true;
   }
 
+  /**
+   * Answers a sender that is not followed: its term is over, or this replica
+   * stops and can say nothing about its log.
+   */
+  async rejectLeader(): Promise<
+    Result<{ term: number; accepted: false; index: 0 }, Failure>
+  > {
+    const state = this.#state;
+    if (state.role === "stopped") {
+      return err(notRun("storage-error", "the replica is stopped"));
+    }
+    await state.terms.waitUntilDurable();
+    return ok({ term: state.term, accepted: false, index: 0 });
+  }
+
   /**
    * Handles a heartbeat. Its commit index is no higher than the last entry
    * that this replica is known to have stored.
    */
-  async #heartbeat(params: AppendParams): Promise<AppendResult> {
+  async #heartbeat(
+    params: AppendParams,
+  ): Promise<Result<AppendResult, Failure>> {
     const state = this.#state;
-    const accepted = this.acceptLeader(params);
-    if (accepted) state.commit(params.commitIndex);
+    if (!this.acceptLeader(params)) return await this.rejectLeader();
+    // A disk may have lost entries that the leader knows to be stored.
+    state.commit(Math.min(params.commitIndex, state.log.lastIndex));
     await state.terms.waitUntilDurable();
-    return { term: state.term, accepted, index: state.log.lastIndex };
+    const { term, log } = state;
+    return ok({ term, accepted: true, index: log.lastIndex });
   }
 
   async #handleAppend(
     params: AppendParams,
   ): Promise<Result<AppendResult, Failure>> {
     const state = this.#state;
-    if (!this.acceptLeader(params)) {
-      await state.terms.waitUntilDurable();
-      return ok({ term: state.term, accepted: false, index: 0 });
+    if (!isConsecutive(params)) {
+      return err(notRun("bad-request", "the entries are not consecutive"));
     }
+    if (!this.acceptLeader(params)) return await this.rejectLeader();
     const { term } = state;
     if (!this.#matchesPreviousEntry(params)) {
       await state.terms.waitUntilDurable();
@@ -110,3 +129,10 @@
     return index;
   }
 }
+
+/** Whether the entries follow the previous one without a gap. */
+function isConsecutive({ prevIndex, entries }: AppendParams): boolean {
+  return entries.every(({ index }, position) =>
+    index === prevIndex + 1 + position
+  );
+}
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -7,6 +7,9 @@
 /** Names of files in a snapshot: relative paths without `..`. */
 const FILE_NAME = /^(?!.*\.\.)[A-Za-z0-9_-][A-Za-z0-9._/-]*$/;
 
+/** A term, an index of the log, or an offset in a file. */
+const positionSchema = z.int().nonnegative();
+
 /** Proposes a command; answered by the leader only. */
 export const proposeMethod = defineMethod("consensus.propose", {
   params: z.object({ section: z.string(), command: z.unknown() }),
@@ -29,7 +32,7 @@
 export const leaderAnnouncementSchema = z.object({
   /** Identifier of the leading instance. */
   leader: z.string(),
-  term: z.number(),
+  term: positionSchema,
   voters: z.array(memberStatusSchema),
 });
 export type LeaderAnnouncement = z.infer<typeof leaderAnnouncementSchema>;
@@ -48,7 +51,7 @@
   to: z.string(),
   /** Storage identity of the sender. */
   from: z.string(),
-  term: z.number(),
+  term: positionSchema,
 });
 export type ReplicaMessageHeader = z.infer<typeof replicaMessageHeaderSchema>;
 
@@ -59,10 +62,10 @@
     preVote: z.boolean(),
     /** Whether the candidate runs because the leader asked it to take over. */
     transfer: z.boolean(),
-    lastIndex: z.number(),
-    lastTerm: z.number(),
+    lastIndex: positionSchema,
+    lastTerm: positionSchema,
   }),
-  result: z.object({ term: z.number(), granted: z.boolean() }),
+  result: z.object({ term: positionSchema, granted: z.boolean() }),
 });
 export type VoteParams = z.infer<typeof voteMethod.params>;
 
@@ -71,16 +74,16 @@
   params: replicaMessageHeaderSchema.extend({
     /** Identifier of the leading instance. */
     leader: z.string(),
-    prevIndex: z.number(),
-    prevTerm: z.number(),
+    prevIndex: positionSchema,
+    prevTerm: positionSchema,
     entries: z.array(entrySchema),
-    commitIndex: z.number(),
+    commitIndex: positionSchema,
   }),
   result: z.object({
-    term: z.number(),
+    term: positionSchema,
     accepted: z.boolean(),
     /** Last durable index; if not accepted, the index after which to retry. */
-    index: z.number(),
+    index: positionSchema,
   }),
 });
 export type AppendParams = z.infer<typeof appendMethod.params>;
@@ -93,17 +96,17 @@
     /** Identifier of the transfer; a new identifier starts it over. */
     transfer: z.string(),
     /** Position of the snapshot in the log. */
-    index: z.number(),
-    indexTerm: z.number(),
+    index: positionSchema,
+    indexTerm: positionSchema,
     /** Name of the file below the data folder. */
     file: z.string().regex(FILE_NAME),
-    offset: z.number(),
+    offset: positionSchema,
     /** Bytes of the file, in base64. */
     bytes: z.string(),
     /** Set with the last chunk of the last file. */
     last: z.boolean(),
   }),
-  result: z.object({ term: z.number(), accepted: z.boolean() }),
+  result: z.object({ term: positionSchema, accepted: z.boolean() }),
 });
 export type SnapshotChunkParams = z.infer<typeof snapshotChunkMethod.params>;
 
--- a/src/consensus/peer_replicator.ts
+++ b/src/consensus/peer_replicator.ts
@@ -4,10 +4,10 @@
   type Failure,
   type IClock,
   type IDisposable,
-  invariant,
 } from "../common/mod.ts";
 import type { IRpcClient, RpcLane } from "../rpc/mod.ts";
 import type { Entry } from "./entry.ts";
+import { peerEntriesLost } from "./events.ts";
 import { appendMethod, type AppendResult } from "./messages.ts";
 import type { ReplicaMember } from "./replica_set.ts";
 import type { ReplicaState } from "./replica_state.ts";
@@ -167,21 +167,35 @@
         : "control",
     });
     if (!answer.isOk() || !this.#isActive) return false;
-    if (!this.#accepts(answer)) {
-      this.#nextIndex = Math.max(1, answer.value.index + 1);
-      return true;
-    }
-    const { index } = answer.value;
-    invariant(
-      index >= this.#matchIndex,
-      "the durable index of a peer never decreases",
-    );
-    this.#matchIndex = index;
-    this.#nextIndex = index + 1;
+    if (!answer.value.accepted) return this.#stepBack(answer.value.index);
+    const last = this.#nextIndex + entries.length - 1;
+    this.#matchIndex = Math.max(this.#matchIndex, last);
+    this.#nextIndex = this.#matchIndex + 1;
     this.#recordContact(sentAt);
     return true;
   }
 
+  /**
+   * Continues before entries that the peer rejected.
+   *
+   * @param index index after which to retry, as the peer says.
+   * @returns whether there are earlier entries to send.
+   */
+  #stepBack(index: number): boolean {
+    const prevIndex = this.#nextIndex - 1;
+    const retryIndex = Math.max(0, Math.min(index, prevIndex - 1));
+    if (retryIndex < this.#matchIndex) {
+      this.#state.events.emit(peerEntriesLost, {
+        peer: this.peer.id,
+        confirmedIndex: this.#matchIndex,
+        retryIndex,
+      });
+      this.#matchIndex = retryIndex;
+    }
+    this.#nextIndex = retryIndex + 1;
+    return prevIndex > 0;
+  }
+
   async #sendSnapshot(): Promise<boolean> {
     const index = await this.#snapshots.send(this.peer, this.#stopping.signal);
     if (index === undefined || !this.#isActive) return false;
--- a/src/consensus/snapshot_receiver.ts
+++ b/src/consensus/snapshot_receiver.ts
@@ -41,14 +41,10 @@
     params: SnapshotChunkParams,
   ): Promise<Result<{ term: number; accepted: boolean }, Failure>> {
     const state = this.#state;
-    if (!this.#options.follower.acceptLeader(params)) {
-      await state.terms.waitUntilDurable();
-      return ok({ term: state.term, accepted: false });
-    }
+    const { follower } = this.#options;
+    if (!follower.acceptLeader(params)) return await follower.rejectLeader();
     try {
-      const accepted = await this.#options.follower.runExclusive(() =>
-        this.#receive(params)
-      );
+      const accepted = await follower.runExclusive(() => this.#receive(params));
       await state.terms.waitUntilDurable();
       return ok({ term: state.term, accepted });
     } catch (error) {
--- a/testing/fake_network.ts
+++ b/testing/fake_network.ts
@@ -1,4 +1,4 @@
-import { err, type Result } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import type { z } from "zod";
 import { type Failure, mayHaveRun, notRun } from "../src/common/mod.ts";
 import type {
@@ -83,22 +83,21 @@
         err(mayHaveRun("deadline-exceeded", "no response before the deadline"))
       );
     const text = JSON.stringify(params);
-    const answer = this.#send(peer, method.name, { text, options });
+    const answer = this.#send(peer, method, { text, options });
     const result = await Promise.race([answer, timeout]);
     timer.abort();
     return result;
   }
 
-  async #send(
+  async #send<P extends z.ZodType, R extends z.ZodType>(
     peer: PeerAddress,
-    method: string,
+    method: IRpcMethod<P, R>,
     call: { text: string; options: IRpcCallOptions },
-    // deno-lint-ignore no-explicit-any
-  ): Promise<Result<any, Failure>> {
+  ): Promise<Result<z.infer<R>, Failure>> {
     const isDelivered = await this.#network.deliver(this.id, peer.id);
     const target = this.#network.endpoints.get(peer.id);
     if (!isDelivered) return new Promise(() => {});
-    const handler = target && target.#handlers.get(method);
+    const handler = target && target.#handlers.get(method.name);
     if (!target || target.clock.isEnded || !handler) {
       return err(notRun("unavailable", `${peer.id} is down`));
     }
@@ -110,6 +109,11 @@
     const answer = await handler(JSON.parse(call.text), context);
     if (target.clock.isEnded) return new Promise(() => {});
     const isAnswerDelivered = await this.#network.deliver(peer.id, this.id);
-    return isAnswerDelivered ? answer : new Promise(() => {});
+    if (!isAnswerDelivered) return new Promise(() => {});
+    if (answer.isErr()) return err(answer.error);
+    const result = method.result.safeParse(answer.value);
+    return result.success
+      ? ok(result.data)
+      : err(mayHaveRun("internal", result.error.message));
   }
 }
--- a/testing/log_cluster.ts
+++ b/testing/log_cluster.ts
@@ -182,6 +182,8 @@
   readonly appliedCommands = new Map<number, string>();
   /** Log index of each acknowledged command, by id. */
   readonly acknowledged = new Map<string, number>();
+  /** Characters that are added to the ids of new commands. */
+  padding = "";
   #nextCommand = 0;
 
   constructor(
@@ -258,7 +260,7 @@
   /** Proposes a new command; resolves with true if it is acknowledged. */
   async propose(node = this.leader): Promise<boolean> {
     if (!node) return false;
-    const id = `command-${this.#nextCommand++}`;
+    const id = `command-${this.#nextCommand++}${this.padding}`;
     const { clock, log } = node;
     const options = {
       deadline: clock.deadlineIn(PROPOSAL_TIMEOUT_MILLISECONDS),
