Leave a silent engine only for a place that is reserved

Cause: whether another engine could go on was answered by a second, simpler rule (free slots in the entry's own view). The placement, which decides, also knows memory, rate limits, shares and the leader's load, and refused; by then the first answer was closed. On the way to the head of an answer, the silent engine was given up without any question.

Change: SlotReserver asks the placement itself for a place at a healthy engine with a free slot (isAlternative) and holds it before the answer is closed. If there is none, or the engine goes on meanwhile, the answer stays. The same holds before the head: exchange() asks at its deadline for a later one. If the engine with the reserved place refuses after all, the paused one may be used again. A reserved place is given back when the links turn out to be lost, as only a new question names the instances that forward. EngineTable.hasFreeEngine is removed.

Why it works: there is one decision, made by the code that also places, and its result is held while the old answer is closed.

The fixture of stream_dispatcher_test moved to testing/ unchanged but for the memory of engines.

--- a/src/placement/engine_table.ts
+++ b/src/placement/engine_table.ts
@@ -293,25 +293,6 @@
       });
   }
 
-  /**
-   * Whether a live request could go to an engine at once. An undefined software
-   * version stands for any.
-   */
-  hasFreeEngine(request: {
-    readonly service: string;
-    readonly softwareVersion: string | undefined;
-    readonly excluded: ReadonlySet<string>;
-  }): boolean {
-    const { service, softwareVersion, excluded } = request;
-    return this.views(service).some(({ engine, live, isSuspect }) => {
-      const isUsable = !engine.isLeaving && !isSuspect &&
-        !excluded.has(engine.id);
-      const isSameVersion = softwareVersion === undefined ||
-        engine.softwareVersion === softwareVersion;
-      return isUsable && isSameVersion && live < engine.slots;
-    });
-  }
-
   /** Lists that were read before a suspension may be older than they seem. */
   #noticeSuspension(): void {
     const { disturbances } = this.#clockWatch;
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -43,6 +43,11 @@
   isReturned: z.boolean(),
   /** Whether it may have run, so that a refusal would fail it. */
   hasBegun: z.boolean().optional(),
+  /**
+   * Whether an engine that has gone silent is still connected and may go on. The
+   * request then moves only to a healthy engine with a free slot.
+   */
+  isAlternative: z.boolean().optional(),
   /** Engines that have failed this request. */
   excluded: z.array(z.string()),
   /** Software version that the engine must have; any if absent. */
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -63,6 +63,8 @@
   readonly isReturned: boolean;
   /** Whether it may have run, so that a refusal would fail it. */
   readonly hasBegun?: boolean | undefined;
+  /** Whether it may also stay where it is, see `PlacementRequest`. */
+  readonly isAlternative?: boolean | undefined;
   /** Engines that have failed this request. */
   readonly excluded: ReadonlySet<string>;
   /** Software version that the engine must have; any if absent. */
@@ -96,7 +98,9 @@
       engine.softwareVersion === softwareVersion)
   );
   const healthy = usable.filter((view) => !view.isSuspect);
-  const candidates = healthy.length > 0 ? healthy : usable;
+  const candidates = healthy.length > 0 || request.isAlternative
+    ? healthy
+    : usable;
   if (candidates.length === 0) return { kind: "no-engine" };
   const isLimited = candidates.some(({ engine }) =>
     request.limiter.isLimited(engine.id)
@@ -130,7 +134,7 @@
   const mayWaitLonger = request.hasBegun ||
     request.isReturned && !isLimited;
   const ratio = mayWaitLonger ? RETRY_MAXIMUM_WAIT_RATIO : MAXIMUM_WAIT_RATIO;
-  const maximumWait = Math.min(
+  const maximumWait = request.isAlternative ? 0 : Math.min(
     ratio * request.objectiveMilliseconds,
     request.remainingMilliseconds,
   );
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -164,3 +164,16 @@
   const unknown = [view("unknown", 0, { liveTokens: 95_000 })];
   t.is(chosen(unknown, { ...REQUEST, tokens: 80_000 }), "unknown");
 });
+
+// Guards against requests that leave a silent engine, which may go on, for one
+// at which they would wait or be refused.
+test("a silent engine is left for a free and healthy one only", (t) => {
+  const request = { ...REQUEST, isAlternative: true, hasBegun: true };
+  const full = view("full", ENGINE_SLOTS);
+  const suspect = view("suspect", 0, { isSuspect: true });
+  const crowded = view("crowded", 1, { liveTokens: 900, memoryTokens: 1_000 });
+  const tokens = 200;
+  t.is(chosen([full, suspect, crowded], { ...request, tokens }), "none");
+  t.is(chosen([full, view("free", 1)], { ...request, tokens }), "free");
+  t.is(chosen([full], { ...REQUEST, hasBegun: true }), "full");
+});
--- a/src/streams/answer_watchdog.ts
+++ b/src/streams/answer_watchdog.ts
@@ -4,7 +4,8 @@
 
 /**
  * Closes an engine's answer at the request's deadline, and after too long a
- * silence if another engine may go on.
+ * silence once a place at another engine is reserved. A sound engine may pause,
+ * so the answer stays open until then.
  */
 export class AnswerWatchdog implements IDisposable {
   #clock: IClock;
@@ -13,6 +14,13 @@
   #silenceTimer: NodeJS.Timeout | undefined;
   #silenceDeadline: Deadline;
   #isSilenceAllowed = false;
+  /** Whether a place at another engine is being reserved. */
+  #isReserving = false;
+  /** Whether bytes of the answer wait for the caller to read. */
+  #isWriting = false;
+  /** Whether the answer has made progress since the place was asked for. */
+  #hasMoved = false;
+  #isDisposed = false;
   #deadlineTimer: NodeJS.Timeout;
   /** Why the watchdog closed the answer; undefined if it did not. */
   closeReason: string | undefined;
@@ -34,6 +42,7 @@
 
   /** Records that the answer has made progress. */
   reset(): void {
+    this.#hasMoved = true;
     this.#silenceDeadline = this.#clock.deadlineIn(
       this.#limits.silenceMilliseconds,
     );
@@ -53,23 +62,47 @@
   async excludeFromSilence(reading: Promise<void>): Promise<void> {
     clearTimeout(this.#silenceTimer);
     const remaining = this.#clock.remaining(this.#silenceDeadline);
+    this.#isWriting = true;
     await reading;
+    this.#isWriting = false;
     this.#silenceDeadline = this.#clock.deadlineIn(remaining);
     this.#arm();
   }
 
   dispose(): void {
+    this.#isDisposed = true;
     clearTimeout(this.#silenceTimer);
     clearTimeout(this.#deadlineTimer);
   }
 
   #arm(): void {
     clearTimeout(this.#silenceTimer);
-    if (!this.#limits.mayFailOver || this.#isSilenceAllowed) return;
-    this.#silenceTimer = setTimeout(() => {
-      // A sound engine may pause, and nothing is gained without another one.
-      if (this.#limits.hasAlternative?.() === false) this.reset();
-      else this.#closeAnswer("the engine is silent");
-    }, this.#clock.remaining(this.#silenceDeadline));
+    const { mayFailOver } = this.#limits;
+    const isAllowed = !mayFailOver || this.#isSilenceAllowed;
+    if (isAllowed || this.#isReserving || this.#isDisposed) return;
+    this.#silenceTimer = setTimeout(
+      () =>
+        this.#moveOn().catch((error) =>
+          this.#closeAnswer((error as Error).message)
+        ),
+      this.#clock.remaining(this.#silenceDeadline),
+    );
+  }
+
+  /** Closes the answer if another engine has a place and this one is silent. */
+  async #moveOn(): Promise<void> {
+    const { alternative } = this.#limits;
+    this.#hasMoved = false;
+    this.#isReserving = true;
+    const isReserved = await alternative?.reserve() ?? true;
+    this.#isReserving = false;
+    const isSilent = !this.#hasMoved && !this.#isWriting &&
+      !this.#isSilenceAllowed && !this.#isDisposed;
+    if (isReserved && isSilent) {
+      return this.#closeAnswer("the engine is silent");
+    }
+    if (isReserved) alternative?.release();
+    if (isSilent) this.reset();
+    else if (!this.#isWriting) this.#arm();
   }
 }
--- a/src/streams/request_run.ts
+++ b/src/streams/request_run.ts
@@ -1,4 +1,5 @@
 import { type Deadline, earlierDeadline } from "../common/mod.ts";
+import type { IPlacedRequest } from "../placement/mod.ts";
 import type { IStreamProgress } from "./stream_attempt.ts";
 import type { IAnswerSink, IForwardedRequest } from "./types.ts";
 
@@ -21,6 +22,8 @@
   /** Number of engines on which the request may have run. */
   possibleRuns: number;
   sends: number;
+  /** Slot to move to, reserved before a silent engine's answer is closed. */
+  alternative: IPlacedRequest | undefined;
   /** Whether it was answered because the instance stops. */
   isEnded: boolean;
 }
@@ -50,6 +53,7 @@
     isCounted: false,
     possibleRuns: 0,
     sends: 0,
+    alternative: undefined,
     isEnded: false,
   };
 }
--- /dev/null
+++ b/src/streams/silent_engine_test.ts
@@ -0,0 +1,133 @@
+import test from "ava";
+import { type EngineScript, eventText } from "../../testing/fake_engines.ts";
+import {
+  type IDispatcherSetup,
+  RESUMABLE_ROUTE,
+  setUpDispatcher,
+} from "../../testing/stream_dispatcher_fixture.ts";
+
+const EVENTS = 6;
+const WHOLE_STREAM = Array.from(
+  { length: EVENTS },
+  (_, index) => eventText(index + 1),
+)
+  .join("");
+
+const WHOLE: EngineScript = { kind: "stream", events: EVENTS };
+
+/** Answers of a sound engine that pauses in the stream, or before its head. */
+const PAUSES: EngineScript[] = [
+  { ...WHOLE, pauseAt: 3, pauseMilliseconds: 1_000 },
+  { ...WHOLE, headMilliseconds: 1_400 },
+];
+
+const MEMORY_TOKENS = 1_000;
+
+/** Tokens of a request; an engine holds two of them. */
+const REQUEST_TOKENS = 450;
+
+/** Two engines, of which the one that is not used first is out of memory. */
+function setUpFullMemory(scripts: EngineScript[]): IDispatcherSetup {
+  const setup = setUpDispatcher(scripts, ["one", "two"], {}, {
+    memoryTokens: MEMORY_TOKENS,
+  });
+  for (let count = 0; count < 2; count++) {
+    setup.table.beginRequest("two", REQUEST_TOKENS);
+  }
+  return setup;
+}
+
+// Streams were broken off while a sound engine paused, as another one had free
+// slots, but no memory for them (review/9).
+test("answer outlives a pause while others are out of memory", async (t) => {
+  for (const pause of PAUSES) {
+    const { sink, run, engines, table, health } = setUpFullMemory([pause]);
+    await run(RESUMABLE_ROUTE, { tokens: REQUEST_TOKENS });
+    t.is(sink.text, WHOLE_STREAM);
+    t.is(sink.endKind, "end");
+    t.is(engines.received.length, 1);
+    t.false(health.isSuspect("one"));
+    t.deepEqual(table.ownLiveTokens(), [["two", 2 * REQUEST_TOKENS]]);
+  }
+});
+
+// The same where only the leader knows that there is no place.
+test("answer outlives a pause while the leader refuses a place", async (t) => {
+  const reasons = ["slot", "rate", "memory", "share"] as const;
+  const cases = PAUSES.flatMap((pause) =>
+    reasons.map((missing) => ({ pause, missing }))
+  );
+  await Promise.all(cases.map(async ({ pause, missing }) => {
+    const { sink, run, engines, source, table } = setUpDispatcher([pause]);
+    const asked: (boolean | undefined)[] = [];
+    source.requestPlacement = ({ isAlternative }) => {
+      asked.push(isAlternative);
+      if (!isAlternative) return Promise.resolve(undefined);
+      const kind = "refused" as const;
+      return Promise.resolve({ kind, retryMilliseconds: 100, missing });
+    };
+    await run(RESUMABLE_ROUTE);
+    t.is(sink.text, WHOLE_STREAM);
+    t.is(engines.received.length, 1);
+    t.true(asked.includes(true));
+    t.is(table.ownLiveCounts().size, 0);
+  }));
+});
+
+test("silent engine's request moves to a place that is reserved", async (t) => {
+  for (const pause of PAUSES) {
+    const { sink, run, engines, table } = setUpDispatcher([pause, WHOLE]);
+    await run(RESUMABLE_ROUTE);
+    t.is(sink.text, WHOLE_STREAM);
+    t.deepEqual(engines.received.map(({ engine }) => engine), ["one", "two"]);
+    t.is(table.ownLiveCounts().size, 0);
+  }
+});
+
+test("answer that goes on while a place is reserved stays", async (t) => {
+  for (const pause of PAUSES) {
+    const { sink, run, engines, source, table } = setUpDispatcher([pause]);
+    source.requestPlacement = ({ isAlternative }) =>
+      new Promise((resolve) => {
+        setTimeout(() => resolve(undefined), isAlternative ? 1_200 : 0);
+      });
+    await run(RESUMABLE_ROUTE);
+    t.is(sink.text, WHOLE_STREAM);
+    t.is(engines.received.length, 1);
+    t.is(table.ownLiveCounts().get("one"), undefined);
+    // The place is returned also if it comes after the end of the answer.
+    await new Promise((resolve) => setTimeout(resolve, 1_300));
+    t.is(table.ownLiveCounts().size, 0);
+  }
+});
+
+// The reserved place may be lost after the answer was closed.
+test("request returns to a paused engine if the other refuses", async (t) => {
+  for (const pause of PAUSES) {
+    const refusal = { kind: "status", status: 503, notRun: true } as const;
+    const ids = ["one", "two"];
+    const { sink, run, engines } = setUpDispatcher(
+      [pause, refusal, WHOLE],
+      ids,
+    );
+    await run(RESUMABLE_ROUTE);
+    t.is(sink.text, WHOLE_STREAM);
+    t.deepEqual(
+      engines.received.map(({ engine }) => engine),
+      ["one", "two", "one"],
+    );
+  }
+});
+
+test("request without another place ends at its deadline", async (t) => {
+  const setup = setUpDispatcher(
+    [{ ...WHOLE, headMilliseconds: 10_000 }],
+    ["one"],
+  );
+  const { clock, sink, run, engines } = setup;
+  const routeDeadline = clock.deadlineIn(1_500);
+  await run(RESUMABLE_ROUTE, { routeDeadline });
+  t.true(clock.isPast(routeDeadline));
+  t.is(sink.failure?.kind, "timeout");
+  t.is(engines.received.length, 1);
+});
--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -4,6 +4,7 @@
 import { RelayError } from "../relaying/mod.ts";
 import { HttpExchangeError } from "../targets/http_exchange.ts";
 import { AnswerWatchdog } from "./answer_watchdog.ts";
+import { HeadPatience } from "./head_patience.ts";
 import { EventSplitter, takeValidEvents } from "./event_splitter.ts";
 import type {
   HeaderLines,
@@ -53,6 +54,14 @@
   lastByteAt: Deadline | undefined;
 }
 
+/** Another engine for a request whose present one is silent. */
+export interface IAlternative {
+  /** Reserves a place; resolves with false if there is none. */
+  reserve(): Promise<boolean>;
+  /** Returns the place: the present engine goes on. */
+  release(): void;
+}
+
 /** Time limits of one attempt, and whether the request may fail over. */
 export interface IAttemptLimits {
   /** Whether the request may fail over to another engine. */
@@ -61,8 +70,8 @@
   readonly firstEventDeadline: Deadline;
   /** Maximum gap between two events in ms, if failover is allowed. */
   readonly silenceMilliseconds: number;
-  /** Whether another engine could go on now; by default it could. */
-  readonly hasAlternative?: () => boolean;
+  /** Where the request may go on; by default there always is a place. */
+  readonly alternative?: IAlternative;
   /** Time at which the request is abandoned. */
   readonly deadline: Deadline;
 }
@@ -98,19 +107,21 @@
   ): Promise<AttemptOutcome> {
     const { sink, progress, limits } = options;
     let answer: IEngineAnswer;
+    const patience = new HeadPatience(this.#clock, limits);
     try {
       answer = await this.#client.send(engine, {
         ...request,
         lastEventId: progress.lastEventId ?? request.lastEventId,
       }, {
         signal: sink.signal,
-        headDeadline: limits.mayFailOver
-          ? limits.firstEventDeadline
-          : limits.deadline,
+        headDeadline: patience.deadline,
+        extendHeadDeadline: () => patience.extend(),
         freshConnection: options.freshConnection,
       });
     } catch (error) {
       return sendErrorOutcome(error);
+    } finally {
+      patience.dispose();
     }
     if (answer.isNotRun) {
       answer.close();
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -27,6 +27,7 @@
 } from "./stream_origin_resolver.ts";
 import { refusalReason, RequestReporter } from "./request_reporter.ts";
 import { beginRun, type IRequestRun, partsOf } from "./request_run.ts";
+import { SlotReserver } from "./slot_reserver.ts";
 import type { IAnswerSink, IForwardedRequest } from "./types.ts";
 
 /** Time allowed for the first event beyond the expected wait, in ms. */
@@ -35,12 +36,6 @@
 /** Maximum gap between events of a stream that can fail over, in ms. */
 const SILENCE_TIMEOUT_MILLISECONDS = 400;
 
-/** Maximum attempts of one request, including those that an engine refused. */
-const MAXIMUM_SENDS = 5;
-
-/** Minimum remaining time for another attempt, in milliseconds. */
-const MINIMUM_REMAINING_MILLISECONDS = 100;
-
 /** Time after which a caller may retry when no engine is available, in ms. */
 const NO_ENGINE_RETRY_MILLISECONDS = 500;
 
@@ -84,6 +79,7 @@
   #options: IStreamDispatcherOptions;
   #failures: FailureRecorder;
   #reporter: RequestReporter;
+  #slots: SlotReserver;
   /** Requests that have not ended. */
   #runs = new Set<IRequestRun>();
 
@@ -91,6 +87,7 @@
     this.#options = options;
     this.#failures = new FailureRecorder(options);
     this.#reporter = new RequestReporter(options);
+    this.#slots = new SlotReserver(options);
   }
 
   async dispatch(request: IForwardedRequest, sink: IAnswerSink): Promise<void> {
@@ -104,6 +101,7 @@
       await this.#run(run);
     } finally {
       this.#runs.delete(run);
+      this.#slots.release(run);
       const { caller } = request;
       if (run.isCounted && caller !== undefined) {
         this.#options.callers?.activity.end(caller);
@@ -135,7 +133,11 @@
       if (!placement) return;
       const outcome = await this.#send(run, placement);
       if (outcome.kind === "answered" || run.isEnded) return;
-      if (!this.#mayRetry(run, outcome)) return this.#endFailed(run, outcome);
+      // A paused engine may be used again if the other one refuses.
+      if (run.alternative) run.excluded.delete(placement.engine.id);
+      const mayRetry = run.alternative !== undefined ||
+        this.#mayRetry(run, outcome);
+      if (!mayRetry) return this.#endFailed(run, outcome);
     }
     this.#reporter.callerLeft(run);
   }
@@ -168,8 +170,8 @@
 
   /** Reserves an engine slot; answers the caller if there is none. */
   async #reserveSlot(run: IRequestRun): Promise<IPlacedRequest | undefined> {
-    const { placer, clock, failureDomain, parts, paths, table } = this.#options;
-    const { request, service, softwareVersion } = run;
+    const { clock, parts, paths } = this.#options;
+    const { request, softwareVersion } = run;
     const quarantined = parts.findQuarantined(partsOf(request));
     if (quarantined) {
       this.#endUnplaced(run, {
@@ -181,34 +183,16 @@
       });
       return undefined;
     }
-    const remainingMilliseconds = clock.remaining(run.deadline);
-    const hasBegun = run.possibleRuns > 0 || softwareVersion !== undefined;
-    const placement = await placer.place({
-      request: request.id,
-      service,
-      failureDomain,
-      objectiveMilliseconds: request.route.objectiveMilliseconds,
-      remainingMilliseconds,
-      isReturned: request.isReturned || hasBegun,
-      hasBegun,
-      excluded: [...run.excluded],
-      softwareVersion,
-      tokens: request.tokens,
-      caller: request.caller,
-      isAdmitted: run.isAdmitted || undefined,
-    });
+    const placement = await this.#slots.reserve(run);
     if (run.isEnded) {
-      const { kind } = placement;
-      if (kind === "engine") {
-        table.endRequest(placement.engine.id, request.tokens);
-      }
+      if (placement.kind === "engine") this.#slots.release(run, placement);
       return undefined;
     }
     if (placement.kind === "engine") {
       this.#countAdmitted(run);
       // Without a path, further attempts would only delay the refusal.
       if (run.sends === 0 || paths.hasPath) return placement;
-      table.endRequest(placement.engine.id, request.tokens);
+      this.#slots.release(run, placement);
       this.#endUnplaced(run, {
         kind: "refused",
         reason: "no engine can be reached from here or through an instance",
@@ -333,7 +317,10 @@
         run.deadline,
       ),
       silenceMilliseconds: SILENCE_TIMEOUT_MILLISECONDS,
-      hasAlternative: () => this.#options.table.hasFreeEngine(run),
+      alternative: {
+        reserve: () => this.#slots.reserveAlternative(run),
+        release: () => this.#slots.release(run),
+      },
       deadline: run.deadline,
     };
   }
@@ -342,10 +329,7 @@
     run: IRequestRun,
     outcome: FailedAttempt,
   ): boolean {
-    const { clock } = this.#options;
-    const remaining = clock.remaining(run.deadline);
-    if (remaining < MINIMUM_REMAINING_MILLISECONDS) return false;
-    if (run.sends >= MAXIMUM_SENDS || run.sink.signal.aborted) return false;
+    if (!this.#slots.maySendAgain(run)) return false;
     if (outcome.verdict === "not-run") return true;
     if (run.sink.hasBegun && run.progress.lastEventId === undefined) {
       return false;
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -1,30 +1,12 @@
-import { Buffer } from "node:buffer";
 import { setTimeout as sleep } from "node:timers/promises";
 import test from "ava";
-import { unlimitedEngines } from "../../testing/unlimited_engines.ts";
+import { eventText } from "../../testing/fake_engines.ts";
 import {
-  type EngineScript,
-  eventText,
-  FakeEngines,
-  FakeSink,
-} from "../../testing/fake_engines.ts";
-import { listedEngine } from "../../testing/listed_engine.ts";
-import { type Deadline, SystemClock } from "../common/mod.ts";
-import { SilentEventLog } from "../events/mod.ts";
-import {
-  EngineHealth,
-  EngineTable,
-  type IPlacementSource,
-  LeavingEngines,
-  Placer,
-  StreamOrigins,
-} from "../placement/mod.ts";
-import { PartMonitor } from "../quarantine/mod.ts";
+  RESUMABLE_ROUTE,
+  setUpDispatcher,
+} from "../../testing/stream_dispatcher_fixture.ts";
+import type { Deadline } from "../common/mod.ts";
 import type { Route } from "../service_routes/mod.ts";
-import { StreamAttempt } from "./stream_attempt.ts";
-import { StreamDispatcher } from "./stream_dispatcher.ts";
-import { StreamOriginResolver } from "./stream_origin_resolver.ts";
-import type { IForwardedRequest } from "./types.ts";
 
 const EVENTS = 6;
 const WHOLE_STREAM = Array.from(
@@ -33,112 +15,14 @@
 )
   .join("");
 
-const RESUMABLE_ROUTE: Route = {
-  name: "alerts",
-  host: "alerts.example",
-  pathPrefix: "/alerts/",
-  kind: "stream",
-  timeoutMilliseconds: 5_000,
-  objectiveMilliseconds: 300,
-  priority: 0,
-  shares: [{ service: "writer", weight: 1 }],
-  attempts: 2,
-  isResumable: true,
-};
-
 const NON_RESUMABLE_ROUTE: Route = {
   ...RESUMABLE_ROUTE,
   isResumable: false,
   attempts: 1,
 };
 
-interface ITestSetup {
-  readonly engines: FakeEngines;
-  readonly table: EngineTable;
-  readonly health: EngineHealth;
-  readonly sink: FakeSink;
-  readonly parts: PartMonitor;
-  readonly origins: StreamOrigins;
-  readonly dispatcher: StreamDispatcher;
-  readonly source: IPlacementSource;
-  run(route: Route, changes?: Partial<IForwardedRequest>): Promise<void>;
-}
-
-/**
- * @param versions software versions of engines by id; others run `v1`.
- * @param links whether this instance has lost its own links, and whether
- * requests reach engines all the same.
- */
-function setup(
-  scripts: EngineScript[],
-  ids = ["one", "two", "three"],
-  versions: Record<string, string> = {},
-  links = { isCutOff: false, hasPath: true },
-): ITestSetup {
-  const clock = new SystemClock();
-  const events = new SilentEventLog();
-  const health = new EngineHealth(clock, { events });
-  const leaving = new LeavingEngines(clock, { events });
-  const table = new EngineTable(clock, { events, health, leaving });
-  const list = {
-    revision: "1",
-    engines: ids.map((id) =>
-      listedEngine(id, { softwareVersion: versions[id] ?? "v1" })
-    ),
-  };
-  table.updateList(list, { age: 0, source: "leader" });
-  const origins = new StreamOrigins(clock);
-  const engines = new FakeEngines(scripts);
-  const sink = new FakeSink();
-  const parts = new PartMonitor(clock, { events });
-  const source: IPlacementSource = {
-    requestPlacement: () => Promise.resolve(undefined),
-  };
-  const dispatcher = new StreamDispatcher({
-    ...{ table, health, clock, events, origins },
-    parts,
-    paths: {
-      hasPath: links.hasPath,
-      checkLinks: () => Promise.resolve(links.isCutOff),
-    },
-    resolver: new StreamOriginResolver({
-      ...{ origins, table, clock },
-      leader: { findOrigin: () => Promise.resolve(undefined) },
-    }),
-    attempt: new StreamAttempt(engines, clock),
-    failureDomain: "a",
-    random: () => 0,
-    placer: new Placer(
-      source,
-      table,
-      { random: () => 0, limiter: unlimitedEngines },
-    ),
-  });
-  const run = (route: Route, changes: Partial<IForwardedRequest> = {}) =>
-    dispatcher.dispatch({
-      id: "request-1",
-      method: "POST",
-      path: "/alerts/1",
-      headers: [],
-      body: Buffer.alloc(0),
-      route,
-      deadline: clock.deadlineIn(5_000),
-      routeDeadline: clock.deadlineIn(5_000),
-      isReturned: false,
-      promptParts: [],
-      contentIds: [],
-      lastEventId: undefined,
-      resumedRequest: undefined,
-      ...changes,
-    }, sink);
-  return {
-    ...{ engines, table, health, sink, parts, origins },
-    ...{ dispatcher, source, run },
-  };
-}
-
 test("forwards a complete stream unchanged", async (t) => {
-  const { sink, run, table, engines } = setup([
+  const { sink, run, table, engines } = setUpDispatcher([
     { kind: "stream", events: EVENTS },
   ]);
   await run(RESUMABLE_ROUTE);
@@ -151,7 +35,7 @@
 
 test("resumes a broken stream after its last complete event", async (t) => {
   for (const inEvent of [false, true]) {
-    const { sink, run, engines, health } = setup([
+    const { sink, run, engines, health } = setUpDispatcher([
       { kind: "stream", events: EVENTS, breakAt: 4, inEvent },
       { kind: "stream", events: EVENTS },
     ]);
@@ -166,7 +50,7 @@
 });
 
 test("aborts a broken stream that cannot be resumed", async (t) => {
-  const { sink, run, engines } = setup([
+  const { sink, run, engines } = setUpDispatcher([
     { kind: "stream", events: EVENTS, breakAt: 4 },
   ]);
   await run(NON_RESUMABLE_ROUTE);
@@ -176,19 +60,19 @@
 });
 
 test("broken stream is aborted and does not look complete", async (t) => {
-  const { sink, run } = setup([
+  const { sink, run } = setUpDispatcher([
     { kind: "stream", events: 3, breakAt: 4, inEvent: true },
   ]);
   await run({ ...NON_RESUMABLE_ROUTE });
   t.is(sink.text, [1, 2, 3].map(eventText).join(""));
   t.is(sink.endKind, "end");
-  const broken = setup([{ kind: "stream", events: 4, breakAt: 4 }]);
+  const broken = setUpDispatcher([{ kind: "stream", events: 4, breakAt: 4 }]);
   await broken.run(NON_RESUMABLE_ROUTE);
   t.is(broken.sink.endKind, "abort");
 });
 
 test("request that engines did not run goes to another engine", async (t) => {
-  const { sink, run, engines, health } = setup([
+  const { sink, run, engines, health } = setUpDispatcher([
     { kind: "status", status: 503, notRun: true },
     { kind: "unreachable" },
     { kind: "stream", events: EVENTS },
@@ -201,34 +85,34 @@
 });
 
 test("request that no engine ran is refused with a retry delay", async (t) => {
-  const { sink, run } = setup([{ kind: "unreachable" }], ["one"]);
+  const { sink, run } = setUpDispatcher([{ kind: "unreachable" }], ["one"]);
   await run(NON_RESUMABLE_ROUTE);
   t.is(sink.failure?.kind, "refused");
   t.true((sink.failure?.retryMilliseconds ?? 0) > 0);
 });
 
 test("non-idempotent request that may have run is not retried", async (t) => {
-  const { sink, run, engines } = setup([{ kind: "foreign" }]);
+  const { sink, run, engines } = setUpDispatcher([{ kind: "foreign" }]);
   await run(NON_RESUMABLE_ROUTE);
   t.is(sink.failure?.kind, "failed");
   t.is(engines.received.length, 1);
 });
 
 test("status 503 without the not-run header is not a refusal", async (t) => {
-  const { sink, run } = setup([{ kind: "status", status: 503 }]);
+  const { sink, run } = setUpDispatcher([{ kind: "status", status: 503 }]);
   await run(NON_RESUMABLE_ROUTE);
   t.is(sink.failure?.kind, "failed");
 });
 
 test("forwards an engine's error answer with its signature", async (t) => {
-  const { sink, run } = setup([{ kind: "status", status: 500 }]);
+  const { sink, run } = setUpDispatcher([{ kind: "status", status: 500 }]);
   await run(NON_RESUMABLE_ROUTE);
   t.is(sink.status, 500);
   t.deepEqual(sink.headers, [["Engine-Signature", "signed by one"]]);
 });
 
 test("idempotent request runs on no more engines than allowed", async (t) => {
-  const { sink, run, engines } = setup([
+  const { sink, run, engines } = setUpDispatcher([
     { kind: "status", status: 500 },
     { kind: "status", status: 500 },
     { kind: "stream", events: EVENTS },
@@ -239,7 +123,7 @@
 });
 
 test("closes the engine's connection when the caller leaves", async (t) => {
-  const { sink, run, engines } = setup([{ kind: "silent" }]);
+  const { sink, run, engines } = setUpDispatcher([{ kind: "silent" }]);
   const done = run(NON_RESUMABLE_ROUTE);
   await Promise.resolve();
   sink.disconnect.abort();
@@ -249,7 +133,7 @@
 });
 
 test("refuses at once when live requests take all slots", async (t) => {
-  const { sink, run, table, engines } = setup([], ["one"]);
+  const { sink, run, table, engines } = setUpDispatcher([], ["one"]);
   for (let count = 0; count < 12; count++) table.beginRequest("one");
   await run(RESUMABLE_ROUTE);
   t.is(sink.failure?.kind, "refused");
@@ -261,14 +145,17 @@
   const broken = { kind: "stream", events: EVENTS, breakAt: 4 } as const;
   const whole = { kind: "stream", events: EVENTS } as const;
   const ids = ["one", "two", "three"];
-  const same = setup([broken, whole], ids, { two: "v2" });
+  const same = setUpDispatcher([broken, whole], ids, { two: "v2" });
   await same.run(RESUMABLE_ROUTE);
   t.is(same.sink.text, WHOLE_STREAM);
   t.deepEqual(same.engines.received.map((send) => send.engine), [
     "one",
     "three",
   ]);
-  const other = setup([broken, whole], ids, { two: "v2", three: "v2" });
+  const other = setUpDispatcher([broken, whole], ids, {
+    two: "v2",
+    three: "v2",
+  });
   await other.run(RESUMABLE_ROUTE);
   t.is(other.engines.received.length, 1);
   t.is(other.sink.endKind, "abort");
@@ -276,7 +163,7 @@
 
 // Guards against streams with events of two software versions (inc-defd).
 test("resumption of a stream of unknown version is refused", async (t) => {
-  const { sink, run, engines } = setup(
+  const { sink, run, engines } = setUpDispatcher(
     [{ kind: "stream", events: EVENTS }],
     ["one", "two"],
     { two: "v2" },
@@ -290,14 +177,18 @@
 });
 
 test("unframed answer without an event is broken off, not complete", async (t) => {
-  const { sink, run, engines } = setup([
+  const { sink, run, engines } = setUpDispatcher([
     { kind: "stream", events: 0, unframed: true },
     { kind: "stream", events: EVENTS, unframed: true },
   ]);
   await run(RESUMABLE_ROUTE);
   t.is(sink.text, WHOLE_STREAM);
   t.is(engines.received.length, 2);
-  const resumed = setup([{ kind: "stream", events: EVENTS, unframed: true }]);
+  const resumed = setUpDispatcher([{
+    kind: "stream",
+    events: EVENTS,
+    unframed: true,
+  }]);
   resumed.origins.record({
     ...{ request: "begun", service: "writer", softwareVersion: "v1" },
     expiresAt: Infinity as Deadline,
@@ -313,7 +204,7 @@
 // engines (day-1e2e).
 test("engines are not blamed for lost links of this instance", async (t) => {
   const links = { isCutOff: true, hasPath: true };
-  const { sink, run, health, parts } = setup(
+  const { sink, run, health, parts } = setUpDispatcher(
     [
       { kind: "unreachable" },
       { kind: "stream", events: EVENTS, breakAt: 4 },
@@ -331,7 +222,7 @@
 
 test("engine is tried again after a request did not reach it", async (t) => {
   const links = { isCutOff: true, hasPath: true };
-  const { sink, run, engines } = setup(
+  const { sink, run, engines } = setUpDispatcher(
     [{ kind: "unreachable" }, { kind: "stream", events: EVENTS }],
     ["one"],
     {},
@@ -345,7 +236,7 @@
 // Guards against callers who wait for several connections that cannot open.
 test("request without any path is refused after one attempt", async (t) => {
   const links = { isCutOff: true, hasPath: false };
-  const { sink, run, table } = setup(
+  const { sink, run, table } = setUpDispatcher(
     [{ kind: "unreachable" }, { kind: "stream", events: EVENTS }],
     ["one", "two"],
     {},
@@ -360,7 +251,7 @@
 // now and then.
 test("stream that stalls between bytes goes on elsewhere", async (t) => {
   for (const stallBytes of [":", ": still here\n\n", "d"]) {
-    const { sink, run, engines } = setup([
+    const { sink, run, engines } = setUpDispatcher([
       { kind: "stream", events: EVENTS, stallAt: 4, stallBytes },
       { kind: "stream", events: EVENTS },
     ]);
@@ -374,7 +265,7 @@
 
 // Guards against sound streams that are cut because their caller reads slowly.
 test("stream of a slow reader stays at its engine", async (t) => {
-  const { sink, run, engines, health } = setup([
+  const { sink, run, engines, health } = setUpDispatcher([
     { kind: "stream", events: EVENTS },
   ]);
   const write = sink.write.bind(sink);
@@ -392,7 +283,7 @@
 // Guards against requests whose attempts all go to open connections that have
 // gone silent, while new connections work.
 test("further attempt uses a connection of its own", async (t) => {
-  const { sink, run, engines } = setup([
+  const { sink, run, engines } = setUpDispatcher([
     { kind: "stream", events: EVENTS, breakAt: 4 },
     { kind: "stream", events: EVENTS },
   ]);
@@ -411,7 +302,7 @@
 // although nothing that was sent can be taken back.
 test("answer that has begun outlives a pause of its engine", async (t) => {
   for (const kind of ["safe", "unsafe"] as const) {
-    const { sink, run, engines } = setup([
+    const { sink, run, engines } = setUpDispatcher([
       { kind: "stream", events: EVENTS, ...PAUSE },
     ]);
     await run({ ...RESUMABLE_ROUTE, kind });
@@ -425,12 +316,12 @@
 // other one could take them over.
 test("stream outlives a pause while there is no other engine", async (t) => {
   const script = { kind: "stream", events: EVENTS, ...PAUSE } as const;
-  const alone = setup([script], ["one"]);
+  const alone = setUpDispatcher([script], ["one"]);
   await alone.run(RESUMABLE_ROUTE);
   t.is(alone.sink.text, WHOLE_STREAM);
   t.is(alone.engines.received.length, 1);
   // Another engine goes on at once if there is one.
-  const others = setup([script, { kind: "stream", events: EVENTS }]);
+  const others = setUpDispatcher([script, { kind: "stream", events: EVENTS }]);
   await others.run(RESUMABLE_ROUTE);
   t.is(others.sink.text, WHOLE_STREAM);
   t.is(others.engines.received.length, 2);
@@ -439,7 +330,7 @@
 // Guards against requests that get no answer at the end of a planned stop, or
 // a promise that they have not run although an engine has them.
 test("end of a stop answers what has no answer yet", async (t) => {
-  const sent = setup([{ kind: "silent" }]);
+  const sent = setUpDispatcher([{ kind: "silent" }]);
   const running = sent.run(NON_RESUMABLE_ROUTE);
   await sleep(20);
   t.is(sent.engines.received.length, 1);
@@ -448,7 +339,7 @@
   sent.sink.disconnect.abort();
   await running;
 
-  const unsent = setup([{ kind: "stream", events: EVENTS }]);
+  const unsent = setUpDispatcher([{ kind: "stream", events: EVENTS }]);
   let place = () => {};
   unsent.source.requestPlacement = () =>
     new Promise((resolve) => place = () => resolve(undefined));
--- a/src/streams/types.ts
+++ b/src/streams/types.ts
@@ -93,6 +93,8 @@
     options: {
       signal: AbortSignal;
       headDeadline: Deadline;
+      /** Asked at the deadline for a later one; without one, the call fails. */
+      extendHeadDeadline?: () => Promise<Deadline | undefined>;
       freshConnection: boolean;
       /** Instance that forwards the request; absent to send it directly. */
       relay?: Relay;
--- a/src/targets/http_exchange.ts
+++ b/src/targets/http_exchange.ts
@@ -42,6 +42,8 @@
   readonly agent: Agent;
   /** Time by which the headers of the response must have arrived. */
   readonly deadline: Deadline;
+  /** Asked at the deadline for a later one; without one, the request fails. */
+  readonly extendDeadline?: () => Promise<Deadline | undefined>;
   readonly signal: AbortSignal;
   /** Time by which a new connection must be open. */
   readonly connectDeadline?: Deadline;
@@ -78,7 +80,10 @@
     let connected = false;
     let incoming: IncomingMessage | undefined;
     const outgoing = createRequest(message, options);
+    let isSettled = false;
+    let timer: NodeJS.Timeout;
     const cleanUp = () => {
+      isSettled = true;
       clearTimeout(timer);
       clearTimeout(connectTimer);
       options.signal.removeEventListener("abort", cancel);
@@ -89,10 +94,20 @@
       outgoing.destroy();
     };
     const cancel = () => fail("cancelled", "request cancelled");
-    const timer = setTimeout(
-      () => fail("timeout", "no response in time"),
-      Math.ceil(options.clock.remaining(options.deadline)),
-    );
+    const waitUntil = (deadline: Deadline) => {
+      const remaining = Math.ceil(options.clock.remaining(deadline));
+      timer = setTimeout(() => {
+        if (!options.extendDeadline) {
+          return fail("timeout", "no response in time");
+        }
+        options.extendDeadline().then((later) => {
+          if (isSettled) return;
+          if (later === undefined) fail("timeout", "no response in time");
+          else waitUntil(later);
+        }, (error) => fail("timeout", (error as Error).message));
+      }, remaining);
+    };
+    waitUntil(options.deadline);
     const connectTimer = options.connectDeadline === undefined
       ? undefined
       : setTimeout(
--- a/testing/fake_engines.ts
+++ b/testing/fake_engines.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
 import { setTimeout as sleep } from "node:timers/promises";
+import { SystemClock } from "../src/common/mod.ts";
 import { HttpExchangeError } from "../src/targets/http_exchange.ts";
 import type {
   HeaderLines,
@@ -21,7 +22,8 @@
    * ends with its connection. From event `stallAt` on, `stallBytes` are sent
    * every now and then, and no further event. The bytes `extra` follow the
    * last event; `ignoresLastEventId` starts with the first event in any case.
-   * Before event `pauseAt`, nothing is sent for `pauseMilliseconds`.
+   * Before event `pauseAt`, nothing is sent for `pauseMilliseconds`; the head
+   * comes after `headMilliseconds`.
    */
   | {
     kind: "stream";
@@ -35,6 +37,7 @@
     ignoresLastEventId?: boolean;
     pauseAt?: number;
     pauseMilliseconds?: number;
+    headMilliseconds?: number;
   }
   /** Responds with the given status, perhaps to another request. */
   | { kind: "status"; status: number; notRun?: boolean; isForeign?: boolean }
@@ -80,6 +83,9 @@
     }
     this.received.push(send);
     if (script.kind === "silent") await untilAborted(options.signal);
+    if (script.kind === "stream") {
+      await untilHead(script.headMilliseconds ?? 0, options);
+    }
     const closed = new AbortController();
     const status = script.kind === "status" ? script.status : 200;
     return {
@@ -99,6 +105,27 @@
   }
 }
 
+/** Waits for the head of an answer. */
+async function untilHead(
+  milliseconds: number,
+  options: Parameters<IEngineClient["send"]>[2],
+): Promise<void> {
+  const clock = new SystemClock();
+  const headAt = clock.deadlineIn(milliseconds);
+  const head = clock.sleepUntil(headAt).then(() => "head" as const);
+  let { headDeadline } = options;
+  while (headDeadline < headAt) {
+    await clock.sleepUntil(headDeadline);
+    const later = await Promise.race([head, options.extendHeadDeadline?.()]);
+    if (later === "head") return;
+    if (later === undefined) {
+      throw new HttpExchangeError("timeout", "no response in time", true);
+    }
+    headDeadline = later;
+  }
+  await head;
+}
+
 async function* bodyOf(
   script: EngineScript,
   after: number,
