Take an answer without a valid status for a failed attempt

Cause: exchange() resolved with whatever number the parser had read, and Node closes a connection that switches protocols without reporting an error.

Change: a status below 200 or above 599 and a switch of protocols reject with the code "invalid": the request may have run, the engine is at fault, and it is repeated where it may be. A connection that closes without any event rejects as well. This covers live requests, items, health checks, forwarded requests and the product's own adapters, which all use exchange().

--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import { match } from "ts-pattern";
 import type { Deadline, IClock, Verdict } from "../common/mod.ts";
 import type { ListedEngine } from "../placement/mod.ts";
 import { RelayError } from "../relaying/mod.ts";
@@ -308,7 +309,11 @@
   if (!(error instanceof HttpExchangeError)) {
     return mayHaveRun((error as Error).message);
   }
-  const fault = error.code === "cancelled" ? "none" : "connection";
+  const fault = match(error.code)
+    .with("cancelled", () => "none" as const)
+    .with("invalid", () => "engine" as const)
+    .with("connection", "timeout", () => "connection" as const)
+    .exhaustive();
   return error.mayHaveRun
     ? mayHaveRun(error.message, {
       fault,
--- a/src/targets/http_engine_adapter.ts
+++ b/src/targets/http_engine_adapter.ts
@@ -253,6 +253,7 @@
     .with("cancelled", () => "cancelled" as const)
     .with("timeout", () => "deadline-exceeded" as const)
     .with("connection", () => "unavailable" as const)
+    .with("invalid", () => "target-error" as const)
     .exhaustive();
   return withEngineId(engine, createFailure(code, error.message));
 }
--- a/src/targets/http_exchange.ts
+++ b/src/targets/http_exchange.ts
@@ -20,14 +20,21 @@
   readonly body?: string | Uint8Array;
 }
 
+/** What ended a request; `invalid` if what the target sent is no answer. */
+type ExchangeErrorCode = "timeout" | "cancelled" | "connection" | "invalid";
+
+/** Lowest and highest status of an answer; 1xx only precede one (RFC 9110). */
+const MINIMUM_STATUS = 200;
+const MAXIMUM_STATUS = 599;
+
 /** Error of a request to a target. */
 export class HttpExchangeError extends Error {
   /** False only if the target is known to have received no byte. */
   readonly mayHaveRun: boolean;
-  readonly code: "timeout" | "cancelled" | "connection";
+  readonly code: ExchangeErrorCode;
 
   constructor(
-    code: "timeout" | "cancelled" | "connection",
+    code: ExchangeErrorCode,
     message: string,
     mayHaveRun: boolean,
   ) {
@@ -88,7 +95,7 @@
       clearTimeout(connectTimer);
       options.signal.removeEventListener("abort", cancel);
     };
-    const fail = (code: HttpExchangeError["code"], reason: string) => {
+    const fail = (code: ExchangeErrorCode, reason: string) => {
       cleanUp();
       reject(new HttpExchangeError(code, reason, connected));
       outgoing.destroy();
@@ -141,12 +148,24 @@
       socket.prependOnceListener("end", checkReset);
       outgoing.once("close", () => socket.off("end", checkReset));
     });
+    outgoing.on("upgrade", (_, socket) => {
+      socket.destroy();
+      fail("invalid", "the target switches to another protocol");
+    });
     outgoing.on("response", (response) => {
+      const { statusCode = 0 } = response;
+      if (statusCode < MINIMUM_STATUS || statusCode > MAXIMUM_STATUS) {
+        response.destroy();
+        return fail("invalid", `${statusCode} is no status of an answer`);
+      }
       incoming = response;
       cleanUp();
       response.on("error", () => {});
       resolve(response);
     });
+    outgoing.on("close", () => {
+      if (!isSettled) fail("connection", "closed without a response");
+    });
     outgoing.end(message.body);
   });
 }
--- a/src/targets/http_plain_adapter.ts
+++ b/src/targets/http_plain_adapter.ts
@@ -116,6 +116,7 @@
     .with("cancelled", () => "cancelled" as const)
     .with("timeout", () => "deadline-exceeded" as const)
     .with("connection", () => "unavailable" as const)
+    .with("invalid", () => "target-error" as const)
     .exhaustive();
   return createFailure(code, reason);
 }
