Bound the bytes before the head of an answer

Callers saw: while one engine sent interim answers (100, 103) without end, the requests of other callers at the same entry were late or lost.

Cause: each interim answer was parsed and dropped, as long as the deadline of the request allowed, and took all turns of the one thread.

Change: more than 32 interim answers, or 256 KiB without the head of an answer, reject with "invalid".

Tests: "endless interim answers end the request" and "other endless bytes before an answer end the request"; empty lines lasted until the deadline before.

--- a/src/targets/http_exchange.ts
+++ b/src/targets/http_exchange.ts
@@ -27,6 +27,15 @@
 const MINIMUM_STATUS = 200;
 const MAXIMUM_STATUS = 599;
 
+/** Most interim answers (status 1xx) to one request. */
+const MAXIMUM_INTERIM_ANSWERS = 32;
+
+/**
+ * Bytes without the head of an answer from which on there is none. The parser
+ * accepts a head of 16 KiB, but skips any number of empty lines before it.
+ */
+const MAXIMUM_BYTES_BEFORE_HEAD = 256 * 1024;
+
 /** Error of a request to a target. */
 export class HttpExchangeError extends Error {
   /** False only if the target is known to have received no byte. */
@@ -93,6 +102,7 @@
       isSettled = true;
       clearTimeout(timer);
       clearTimeout(connectTimer);
+      outgoing.socket?.off("data", countBytes);
       options.signal.removeEventListener("abort", cancel);
     };
     const fail = (code: ExchangeErrorCode, reason: string) => {
@@ -101,6 +111,12 @@
       outgoing.destroy();
     };
     const cancel = () => fail("cancelled", "request cancelled");
+    let bytesBeforeHead = 0;
+    const countBytes = (bytes: Buffer) => {
+      bytesBeforeHead += bytes.length;
+      if (isSettled || bytesBeforeHead <= MAXIMUM_BYTES_BEFORE_HEAD) return;
+      fail("invalid", "the target sends bytes, but no head of an answer");
+    };
     const waitUntil = (deadline: Deadline) => {
       const remaining = Math.ceil(options.clock.remaining(deadline));
       timer = setTimeout(() => {
@@ -143,11 +159,19 @@
           incoming.destroy(new Error("the connection was reset"));
         }
       };
+      // Called after the parser.
+      socket.on("data", countBytes);
       // Runs before the parser treats the end of the connection as the end of
       // the response.
       socket.prependOnceListener("end", checkReset);
       outgoing.once("close", () => socket.off("end", checkReset));
     });
+    let interimAnswers = 0;
+    outgoing.on("information", () => {
+      interimAnswers += 1;
+      if (interimAnswers <= MAXIMUM_INTERIM_ANSWERS) return;
+      fail("invalid", `more than ${MAXIMUM_INTERIM_ANSWERS} interim answers`);
+    });
     outgoing.on("upgrade", (_, socket) => {
       socket.destroy();
       fail("invalid", "the target switches to another protocol");
--- a/src/targets/http_exchange_test.ts
+++ b/src/targets/http_exchange_test.ts
@@ -1,4 +1,5 @@
 import { Agent, createServer } from "node:http";
+import { createServer as createTcpServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
 import { type Deadline, listen, SystemClock } from "../common/mod.ts";
@@ -65,3 +66,52 @@
     t.true(error?.mayHaveRun);
   }
 });
+
+/** Sends a request to a target that answers with the given bytes for ever. */
+async function sendToEndless(t: ExecutionContext, bytes: string) {
+  const clock = new SystemClock();
+  const agent = new Agent();
+  const server = createTcpServer((socket) => {
+    const write = () => {
+      while (!socket.destroyed && socket.write(bytes));
+    };
+    socket.on("error", () => {});
+    socket.on("drain", write);
+    socket.once("data", write);
+  });
+  const port = await listen(server, "127.0.0.1", { port: 0 });
+  t.teardown(() => {
+    agent.destroy();
+    server.close();
+  });
+  return await exchange(
+    { address: "127.0.0.1", port, method: "GET", path: "/" },
+    {
+      ...{ clock, agent },
+      deadline: clock.deadlineIn(10_000),
+      signal: new AbortController().signal,
+    },
+  );
+}
+
+// A target that sent interim answers without end took all processor time of
+// this process until the deadline.
+test("endless interim answers end the request", async (t) => {
+  for (const head of ["100 Continue", "102 Processing", "103 Early Hints"]) {
+    const bytes = `HTTP/1.1 ${head}\r\n\r\n`.repeat(100);
+    await t.throwsAsync(sendToEndless(t, bytes), {
+      instanceOf: HttpExchangeError,
+      code: "invalid",
+    });
+  }
+});
+
+test("other endless bytes before an answer end the request", async (t) => {
+  for (
+    const bytes of ["HTTP/1.1 200 OK\r\nA: b\r\n", "x", "\r\n", "A: b\r\n"]
+  ) {
+    await t.throwsAsync(sendToEndless(t, bytes.repeat(100)), {
+      instanceOf: HttpExchangeError,
+    });
+  }
+});
