Read fast answers in turns, at a cost linear in their bytes

Callers saw: while an engine sent tiny chunks, comments or events as fast as the entry could read, other requests at that entry were slow or lost.

Cause: each answer took its turn of the event loop in every round, so a request waited for all of them at each of its steps. The splitter of events copied and scanned an incomplete event again with every chunk, a cost that grows with the square of its length, and created several buffers for each line.

Change: inTurns() lets one fast answer in the process go on in each turn of the event loop; slow ones are not affected. The splitter keeps an incomplete event in a growing buffer, and scans only new bytes. An engine that has to number its events, or sends comments alone, has failed after 1 MiB without an event; before, it was read until the deadline.

--- a/src/common/mod.ts
+++ b/src/common/mod.ts
@@ -5,6 +5,7 @@
 export * from "./deadline.ts";
 export * from "./disposable_store.ts";
 export * from "./emitter.ts";
+export * from "./event_loop_turns.ts";
 export * from "./failure.ts";
 export * from "./hash_key.ts";
 export * from "./invariant.ts";
--- a/src/relaying/engine_relay.ts
+++ b/src/relaying/engine_relay.ts
@@ -1,4 +1,4 @@
-import type { Deadline, IClock } from "../common/mod.ts";
+import { type Deadline, type IClock, inTurns } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { EngineHealth, EngineTable } from "../placement/mod.ts";
 import type { IEngineAnswer, IEngineClient } from "../streams/mod.ts";
@@ -158,7 +158,7 @@
     const timer = setTimeout(stop, clock.remaining(options.deadline));
     try {
       sink.begin(answer);
-      for await (const bytes of answer.body) await sink.write(bytes);
+      for await (const bytes of inTurns(answer.body)) await sink.write(bytes);
       if (sink.signal.aborted) {
         return { outcome: "left", reason: "the other instance left" };
       }
--- a/src/streams/event_splitter.ts
+++ b/src/streams/event_splitter.ts
@@ -3,6 +3,12 @@
 /** Maximum size of one event, in bytes. */
 const MAXIMUM_EVENT_BYTES = 1024 * 1024;
 
+/**
+ * Bytes between two numbered events from which on an engine that has to number
+ * its events is faulty.
+ */
+export const MAXIMUM_UNNUMBERED_BYTES = 1024 * 1024;
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
@@ -22,17 +28,24 @@
   readonly bytes: Buffer;
   /** Value of its `id` line, if it has one. */
   readonly id: string | undefined;
+  /** False for comments alone. */
+  readonly hasField: boolean;
   /** False for other text, such as the head of a further HTTP answer. */
   readonly isWellFormed: boolean;
 }
 
-/** Splits a byte stream into complete server-sent events. */
+/**
+ * Splits a byte stream into complete server-sent events. The cost is linear in
+ * the bytes, however they arrive.
+ */
 export class EventSplitter {
-  #incomplete: Buffer = Buffer.alloc(0);
+  /** Begins with the incomplete event; the rest is unused. */
+  #buffer: Buffer = Buffer.alloc(0);
+  #length = 0;
 
   /** Bytes of an event that is not complete yet. */
   get incompleteBytes(): Buffer {
-    return this.#incomplete;
+    return this.#buffer.subarray(0, this.#length);
   }
 
   /**
@@ -41,25 +54,44 @@
    * @throws RangeError when an event is too long.
    */
   push(bytes: Buffer): IStreamEvent[] {
-    let rest = this.#incomplete.length > 0
-      ? Buffer.concat([this.#incomplete, bytes])
-      : bytes;
+    // The last two bytes may be the beginning of an event's end.
+    const scanned = Math.max(0, this.#length - 2);
+    const received = this.#length === 0 ? bytes : this.#append(bytes);
     const events: IStreamEvent[] = [];
+    let start = 0;
     for (
-      let end = firstEventLength(rest);
+      let end = findEventEnd(received, scanned);
       end > 0;
-      end = firstEventLength(rest)
+      end = findEventEnd(received, start)
     ) {
-      const event = rest.subarray(0, end);
+      const event = received.subarray(start, end);
       events.push({ bytes: event, ...parseLines(event) });
-      rest = rest.subarray(end);
+      start = end;
     }
-    if (rest.length > MAXIMUM_EVENT_BYTES) {
+    if (received.length - start > MAXIMUM_EVENT_BYTES) {
       throw new RangeError("server-sent event exceeds 1 MiB");
     }
-    this.#incomplete = rest;
+    if (events.length > 0) {
+      // The events refer to the previous buffer.
+      this.#buffer = Buffer.alloc(0);
+      this.#length = 0;
+      this.#append(received.subarray(start));
+    } else if (this.#length === 0) this.#append(received);
     return events;
   }
+
+  /** Appends to the incomplete event and returns all of its bytes. */
+  #append(bytes: Buffer): Buffer {
+    const length = this.#length + bytes.length;
+    if (length > this.#buffer.length) {
+      const larger = Buffer.allocUnsafe(2 * length);
+      this.#buffer.copy(larger, 0, 0, this.#length);
+      this.#buffer = larger;
+    }
+    bytes.copy(this.#buffer, this.#length);
+    this.#length = length;
+    return this.incompleteBytes;
+  }
 }
 
 /**
@@ -99,35 +131,44 @@
 
 /** Reads the names of the fields without decoding the data. */
 function parseLines(event: Buffer): Omit<IStreamEvent, "bytes"> {
-  const hasMark = event.subarray(0, BYTE_ORDER_MARK.length)
-    .equals(BYTE_ORDER_MARK);
+  const hasMark = event[0] === BYTE_ORDER_MARK[0] &&
+    event.subarray(0, BYTE_ORDER_MARK.length).equals(BYTE_ORDER_MARK);
   let id: string | undefined;
-  let isFirst = true;
+  let hasField = false;
   for (let from = hasMark ? BYTE_ORDER_MARK.length : 0; from < event.length;) {
     const feed = event.indexOf(LINE_FEED, from);
     const end = feed === -1 ? event.length : feed;
     const until = event[end - 1] === CARRIAGE_RETURN ? end - 1 : end;
     const isComment = event[from] === COLON;
     if (until > from && !isComment) {
-      const colon = event.subarray(from, until).indexOf(COLON);
-      const nameEnd = colon === -1 ? until : from + colon;
+      const nameEnd = findNameEnd(event, from, until);
       const name = event.toString("latin1", from, nameEnd);
       const isField = EVENT_FIELDS.has(name) ||
-        isFirst && name === LEADING_FIELD;
-      if (!isField) return { id: undefined, isWellFormed: false };
+        !hasField && name === LEADING_FIELD;
+      if (!isField) return { id: undefined, hasField, isWellFormed: false };
       if (name === "id") {
         id ??= event.toString("utf8", nameEnd + 1, until).trim();
       }
-      isFirst = false;
+      hasField = true;
     }
     from = end + 1;
   }
-  return { id, isWellFormed: true };
+  return { id, hasField, isWellFormed: true };
+}
+
+/** Returns where the name of a field ends: at its colon, or with the line. */
+function findNameEnd(event: Buffer, from: number, until: number): number {
+  let end = from;
+  while (end < until && event[end] !== COLON) end += 1;
+  return end;
 }
 
-/** Returns the length of the first complete event, or 0 if there is none. */
-function firstEventLength(bytes: Buffer): number {
-  let from = 0;
+/**
+ * Returns where the first event ends that is not complete before an offset, or
+ * 0 if none does.
+ */
+function findEventEnd(bytes: Buffer, offset: number): number {
+  let from = offset;
   for (;;) {
     const feed = bytes.indexOf(LINE_FEED, from);
     if (feed === -1) return 0;
--- a/src/streams/event_splitter_test.ts
+++ b/src/streams/event_splitter_test.ts
@@ -93,3 +93,29 @@
   );
   t.is(takeValidEvents(named, "c").length, 2);
 });
+
+// Guards against a cost that grows with the square of an event's length, with
+// which one engine took all processor time of an instance.
+test("event that arrives byte by byte costs little", (t) => {
+  const splitter = new EventSplitter();
+  const byte = Buffer.from("x");
+  splitter.push(Buffer.from("data: "));
+  for (let count = 0; count < 1_000_000; count++) splitter.push(byte);
+  const events = splitter.push(Buffer.from("\n\nid: 2\n"));
+  t.is(events[0]?.bytes.length, 1_000_008);
+  t.is(splitter.incompleteBytes.toString(), "id: 2\n");
+  const [next] = splitter.push(Buffer.from("\n"));
+  t.is(next?.id, "2");
+  t.true(events[0]?.bytes.toString().startsWith("data: xxx"));
+});
+
+test("comments have no field", (t) => {
+  const bytes = Buffer.from(": one\n\ndata: two\n\n\n\n: three\nid: 4\n\n");
+  const events = new EventSplitter().push(bytes);
+  t.deepEqual(events.map(({ hasField }) => hasField), [
+    false,
+    true,
+    false,
+    true,
+  ]);
+});
--- a/src/streams/silent_engine_test.ts
+++ b/src/streams/silent_engine_test.ts
@@ -131,3 +131,22 @@
   t.is(sink.failure?.kind, "timeout");
   t.is(engines.received.length, 1);
 });
+
+/** Comments that an engine sends at once. */
+const COMMENTS = ": comment\n\n".repeat(20_000);
+
+// Guards against an engine that keeps an instance busy with bytes that are no
+// events, until the deadline of the request.
+test("engine that sends comments without end has failed", async (t) => {
+  const { sink, run, health, clock } = setUpDispatcher([
+    { kind: "stream", events: EVENTS, stallAt: 3, stallBytes: COMMENTS },
+  ]);
+  const routeDeadline = clock.deadlineIn(30_000);
+  await run({ ...RESUMABLE_ROUTE, attempts: 1 }, {
+    deadline: routeDeadline,
+    routeDeadline,
+  });
+  t.is(sink.endKind, "abort");
+  t.false(clock.isPast(routeDeadline));
+  t.true(health.isSuspect("one"));
+});
--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -1,12 +1,21 @@
 import { Buffer } from "node:buffer";
 import { match } from "ts-pattern";
-import type { Deadline, IClock, Verdict } from "../common/mod.ts";
+import {
+  type Deadline,
+  type IClock,
+  inTurns,
+  type Verdict,
+} from "../common/mod.ts";
 import type { ListedEngine } from "../placement/mod.ts";
 import { RelayError } from "../relaying/mod.ts";
 import { HttpExchangeError } from "../targets/http_exchange.ts";
 import { AnswerWatchdog } from "./answer_watchdog.ts";
 import { HeadPatience } from "./head_patience.ts";
-import { EventSplitter, takeValidEvents } from "./event_splitter.ts";
+import {
+  EventSplitter,
+  MAXIMUM_UNNUMBERED_BYTES,
+  takeValidEvents,
+} from "./event_splitter.ts";
 import type {
   HeaderLines,
   IAnswerSink,
@@ -156,13 +165,14 @@
     const hadBegun = sink.hasBegun;
     let hasEvent = false;
     let hasBytes = false;
+    let bytesWithoutEvent = 0;
     const splitter = new EventSplitter();
     const watchdog = new AnswerWatchdog(this.#clock, answer, limits);
     const stop = () => answer.close();
     sink.signal.addEventListener("abort", stop, { once: true });
     if (sink.signal.aborted) stop();
     try {
-      for await (const bytes of answer.body) {
+      for await (const bytes of inTurns(answer.body)) {
         progress.lastByteAt = this.#clock.monotonic();
         progress.firstByteAt ??= progress.lastByteAt;
         hasBytes = true;
@@ -179,6 +189,13 @@
           progress.lastEventId ?? request.lastEventId,
         );
         const isInvalid = events.length < received.length;
+        const hasProgress = events.some((event) =>
+          request.route.isResumable ? event.id !== undefined : event.hasField
+        );
+        bytesWithoutEvent = hasProgress ? 0 : bytesWithoutEvent + bytes.length;
+        if (bytesWithoutEvent > MAXIMUM_UNNUMBERED_BYTES) {
+          return mayHaveRun("the engine sends bytes, but no event");
+        }
         if (isInvalid && events.length === 0) return invalidEvent();
         if (events.length === 0) continue;
         // The answer begins with the first complete event: until then, another
@@ -242,7 +259,7 @@
     let length = 0;
     const watchdog = new AnswerWatchdog(this.#clock, answer, limits);
     try {
-      for await (const bytes of answer.body) {
+      for await (const bytes of inTurns(answer.body)) {
         length += bytes.length;
         if (length > MAXIMUM_BODY_BYTES) throw new Error("error body too long");
         body.push(bytes);
--- a/testing/raw_fleet.ts
+++ b/testing/raw_fleet.ts
@@ -49,10 +49,11 @@
 
   /** Starts a fleet with routes of all kinds, and one for jobs. */
   static async start(
-    options: { engines: number; entries: number },
+    options: { engines: number; entries: number; storeHeapMegabytes?: number },
   ): Promise<RawFleet> {
     const raw = new RawFleet(options.engines);
     const { fleet } = raw;
+    fleet.storeHeapMegabytes = options.storeHeapMegabytes;
     await fleet.start(options.entries);
     const base = JSON.parse(platformConfiguration(VERSION));
     const [live, , jobs] = base.routes;
