Bound the answer of an item by its tokens

Operators saw: a faulty engine sent numbered events without end to items of a batch job. The store that ran them ended (heap out of memory) within seconds, then the next one, then the third.

Cause: the events of an item were kept whatever their number. Numbered events count as progress, so the watchdog never ended the run.

Change: an event contains one token at least, so an answer with more events than its item's tokens and 16 more, with more than 1 KiB of data for each, or with more than 1,000,000 characters (a page of results) is broken, and the item's progress is discarded: nothing in such an answer is known to be the item's.

Why it works: what the store keeps is bounded by what the callers asked for, and the items in progress are limited by the engines' slots.

--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -13,6 +13,7 @@
   type IBulkEngine,
   type IMemoryUse,
   itemsBeyondMemory,
+  largestWithin,
   missingSlots,
   planBulk,
   startableWithinMemory,
@@ -321,7 +322,9 @@
       .with({ kind: "turned-away" }, ({ reason }) => {
         this.#reportFailure(pending, engine, reason);
       })
-      .with({ kind: "broken" }, ({ reason }) => {
+      .with({ kind: "broken" }, ({ reason, isExcessive }) => {
+        // Nothing in an answer that never ends is known to be the item's.
+        if (isExcessive) this.#items.discardProgress(pending);
         health.recordFailure(engine, reason);
         this.#reportFailure(pending, engine, reason);
       })
@@ -381,19 +384,3 @@
     });
   }
 }
-
-/** Returns the most tokens of an item that fits into a number of tokens. */
-function largestWithin(
-  waiting: readonly IPendingItem[],
-): (tokens: number) => number {
-  const sizes = waiting.map(({ item }) => item.tokens);
-  const known = new Map<number, number>();
-  return (tokens) => {
-    const largest = known.get(tokens) ?? sizes.reduce(
-      (most, size) => size <= tokens ? Math.max(most, size) : most,
-      0,
-    );
-    known.set(tokens, largest);
-    return largest;
-  };
-}
--- a/src/bulk/bulk_runner_test.ts
+++ b/src/bulk/bulk_runner_test.ts
@@ -198,3 +198,21 @@
   await time.advance(1_000);
   t.true(planning.count > 10);
 });
+
+// Guards against results with events of an engine that never ends its answer.
+test("item starts again after an answer beyond its tokens", async (t) => {
+  const { time, runs, runner, section } = createFixture([
+    engine("endless", "v1"),
+    engine("sound", "v1"),
+  ]);
+  await time.advanceUntil("first run", () => runs.length === 1);
+  const excess = { ...BROKEN, isExcessive: true };
+  runs[0]?.end(excess, Array.from({ length: 40 }, () => "rubbish"));
+  await time.advanceUntil("second run", () => runs.length === 2);
+  t.not(runs[1]?.engine, runs[0]?.engine);
+  t.is(runs[1]?.lastEventId, undefined);
+  runs[1]?.end({ kind: "complete" }, ["word"]);
+  await time.advanceUntil("result", () => section.hasResult("job", "item"));
+  t.is(section.job("job")?.results[0]?.text, "word");
+  runner.dispose();
+});
--- a/src/bulk/bulk_schedule.ts
+++ b/src/bulk/bulk_schedule.ts
@@ -166,3 +166,19 @@
   }
   return { preemptions, starts };
 }
+
+/** Returns the most tokens of an item that fits into a number of tokens. */
+export function largestWithin(
+  waiting: readonly { readonly item: { readonly tokens: number } }[],
+): (tokens: number) => number {
+  const sizes = waiting.map(({ item }) => item.tokens);
+  const known = new Map<number, number>();
+  return (tokens) => {
+    const largest = known.get(tokens) ?? sizes.reduce(
+      (most, size) => size <= tokens ? Math.max(most, size) : most,
+      0,
+    );
+    known.set(tokens, largest);
+    return largest;
+  };
+}
--- a/src/bulk/item_run.ts
+++ b/src/bulk/item_run.ts
@@ -1,12 +1,13 @@
 import { Buffer } from "node:buffer";
 import { z } from "zod";
-import { ByteBudget, type IClock } from "../common/mod.ts";
+import { ByteBudget, type IClock, inTurns } from "../common/mod.ts";
 import type { LeavingEngines, ListedEngine } from "../placement/mod.ts";
 import {
   EventSplitter,
   fieldValues,
   type IEngineAnswer,
   type IEngineClient,
+  MAXIMUM_UNNUMBERED_BYTES,
   takeValidEvents,
 } from "../streams/mod.ts";
 import { HttpExchangeError } from "../targets/http_exchange.ts";
@@ -25,6 +26,15 @@
  */
 const MAXIMUM_SENDING_BYTES = 24 * 1024 * 1024;
 
+/** Events without a token that an engine may add to an item's answer. */
+const MAXIMUM_EXTRA_EVENTS = 16;
+
+/** Longest data for each token of an item, in characters. */
+const MAXIMUM_TOKEN_CHARACTERS = 1_024;
+
+/** Longest data of an item, in characters; a page of results holds one. */
+const MAXIMUM_DATA_CHARACTERS = 1_000_000;
+
 /** Progress of an item across its runs. */
 export interface IItemProgress {
   /** Data of the events received so far. */
@@ -47,6 +57,8 @@
     reason: z.string(),
     /** Whether the engine broke off the run, as it does when it crashes. */
     isBrokenOff: z.boolean().optional(),
+    /** Whether the engine sent more than the item asked for. */
+    isExcessive: z.boolean().optional(),
   }),
   /** The store that ran the item was lost; the engine is not at fault. */
   z.object({ kind: z.literal("abandoned"), reason: z.string() }),
@@ -85,6 +97,13 @@
   }
 }
 
+/** An engine sent more than the item asked for. */
+export class ExcessiveAnswerError extends Error {
+  constructor() {
+    super("the engine sent more than the item asked for");
+  }
+}
+
 /** Runs items from this process. */
 export class LocalExecutor implements IItemExecutor {
   #client: IEngineClient;
@@ -114,7 +133,7 @@
       const reason = "the engine has announced that it leaves";
       return { kind: "turned-away", reason };
     }
-    const { progress, signal } = run;
+    const { signal } = run;
     try {
       const answer = await this.#send(engine, run);
       if (!answer) return { kind: "stopped" };
@@ -123,7 +142,7 @@
         answer.close();
         return early;
       }
-      const hasEvent = await collectEvents(answer, { progress, signal });
+      const hasEvent = await collectEvents(answer, run);
       // Without a length, an engine that crashes before its first event seems
       // to have answered completely.
       if (!hasEvent && !answer.isFramed) {
@@ -143,8 +162,10 @@
       const isBrokenOff = isExchangeError
         ? error.code === "connection"
         : !(error instanceof SilentEngineError) &&
-          !(error instanceof InvalidEventError);
-      return { kind: "broken", reason, isBrokenOff };
+          !(error instanceof InvalidEventError) &&
+          !(error instanceof ExcessiveAnswerError);
+      const isExcessive = error instanceof ExcessiveAnswerError;
+      return { kind: "broken", reason, isBrokenOff, isExcessive };
     }
   }
 
@@ -180,6 +201,43 @@
   }
 }
 
+/** Bounds of an item's answer, which follow from its tokens. */
+export class AnswerBounds {
+  #eventsLeft = Number.POSITIVE_INFINITY;
+  #charactersLeft = MAXIMUM_DATA_CHARACTERS;
+
+  /** @param data data that was received in earlier runs */
+  constructor(
+    { tokens }: Pick<HeldItem, "tokens">,
+    data: readonly string[],
+  ) {
+    // Items may name no tokens; an event contains one token at least.
+    if (tokens > 0) {
+      this.#eventsLeft = tokens + MAXIMUM_EXTRA_EVENTS;
+      this.#charactersLeft = Math.min(
+        this.#charactersLeft,
+        this.#eventsLeft * MAXIMUM_TOKEN_CHARACTERS,
+      );
+    }
+    this.#countCharacters(data);
+  }
+
+  /** Whether the answer is more than the item asked for. */
+  get isExceeded(): boolean {
+    return this.#eventsLeft < 0 || this.#charactersLeft < 0;
+  }
+
+  /** @param data lines of data of one event */
+  addEvent(data: readonly string[]): void {
+    this.#eventsLeft -= 1;
+    this.#countCharacters(data);
+  }
+
+  #countCharacters(data: readonly string[]): void {
+    for (const { length } of data) this.#charactersLeft -= length + 1;
+  }
+}
+
 /** Outcome of an answer that is not a stream; undefined for a stream. */
 function outcomeWithoutStream(answer: IEngineAnswer): ItemOutcome | undefined {
   const { status, isNotRun, isGenuine } = answer;
@@ -205,10 +263,12 @@
  */
 async function collectEvents(
   answer: { body: AsyncIterable<Buffer>; close: () => void },
-  run: { progress: IItemProgress; signal: AbortSignal },
+  run: Pick<IItemRun, "item" | "progress" | "signal">,
 ): Promise<boolean> {
-  const { progress, signal } = run;
+  const { item, progress, signal } = run;
+  const bounds = new AnswerBounds(item, progress.data);
   let hasEvent = false;
+  let bytesWithoutEvent = 0;
   const splitter = new EventSplitter();
   let silent = false;
   const timer = setTimeout(() => {
@@ -218,7 +278,8 @@
   const stop = () => answer.close();
   signal.addEventListener("abort", stop, { once: true });
   try {
-    for await (const bytes of answer.body) {
+    for await (const bytes of inTurns(answer.body)) {
+      bytesWithoutEvent += bytes.length;
       const received = splitter.push(bytes);
       const events = takeValidEvents(received, progress.lastEventId);
       for (const event of events) {
@@ -226,10 +287,16 @@
         hasEvent = true;
         // A faulty engine may send other bytes without end.
         timer.refresh();
-        progress.data.push(...fieldValues(event.bytes, "data"));
+        bytesWithoutEvent = 0;
+        const data = fieldValues(event.bytes, "data");
+        bounds.addEvent(data);
+        if (bounds.isExceeded) throw new ExcessiveAnswerError();
+        progress.data.push(...data);
         progress.lastEventId = event.id;
       }
-      if (events.length < received.length) throw new InvalidEventError();
+      const isInvalid = events.length < received.length ||
+        bytesWithoutEvent > MAXIMUM_UNNUMBERED_BYTES;
+      if (isInvalid) throw new InvalidEventError();
     }
     if (silent) throw new SilentEngineError();
     if (splitter.incompleteBytes.length > 0 && !signal.aborted) {
--- a/src/bulk/item_run_test.ts
+++ b/src/bulk/item_run_test.ts
@@ -142,3 +142,54 @@
   t.is(outcomes[2]?.kind, "complete");
   t.deepEqual(progress.data, ["word 1", "word 2", "word 3"]);
 });
+
+/** Answer of numbered events that never ends, and how many were read. */
+function endlessEvents(data: string) {
+  const sent = { events: 0 };
+  const client: IEngineClient = {
+    send: () =>
+      Promise.resolve({
+        status: 200,
+        headers: [],
+        isNotRun: false,
+        isGenuine: true,
+        isFramed: true,
+        isRelayed: false,
+        body: (async function* () {
+          for (;;) {
+            sent.events += 1;
+            yield await Promise.resolve(
+              Buffer.from(`id: ${sent.events}\ndata: ${data}\n\n`),
+            );
+          }
+        })(),
+        close: () => {},
+      }),
+  };
+  return { sent, client };
+}
+
+// Guards against stores that keep the events of an engine without end, as
+// numbered events count as progress.
+test("item leaves an engine that sends more than it asked for", async (t) => {
+  const answers = [
+    { tokens: ITEM.tokens, data: "word", most: 2 * ITEM.tokens + 10 },
+    { tokens: ITEM.tokens, data: "x".repeat(100_000), most: 1 },
+    { tokens: 0, data: "x".repeat(100_000), most: 10 },
+    { tokens: 0, data: "", most: 1_000_001 },
+  ];
+  for (const { tokens, data, most } of answers) {
+    const { sent, client } = endlessEvents(data);
+    const executor = new LocalExecutor(client, new SystemClock(), {
+      leaving: { has: () => false },
+    });
+    const progress: IItemProgress = { data: [], lastEventId: undefined };
+    const { signal } = new AbortController();
+    const item = { ...ITEM, tokens };
+    const run = { item, host: "reports.example", progress, signal };
+    const outcome = await executor.run(listedEngine("one"), run);
+    t.like(outcome, { kind: "broken", isExcessive: true, isBrokenOff: false });
+    t.true(progress.data.length <= most, `${progress.data.length} events`);
+    t.true(sent.events <= most + 1);
+  }
+});
--- a/src/bulk/store_executor.ts
+++ b/src/bulk/store_executor.ts
@@ -9,7 +9,13 @@
 } from "../common/mod.ts";
 import type { LeavingEngines, ListedEngine } from "../placement/mod.ts";
 import type { IRpcClient, IRpcServer, PeerAddress } from "../rpc/mod.ts";
-import type { IItemExecutor, IItemRun, ItemOutcome } from "./item_run.ts";
+import {
+  AnswerBounds,
+  ExcessiveAnswerError,
+  type IItemExecutor,
+  type IItemRun,
+  type ItemOutcome,
+} from "./item_run.ts";
 import {
   reportRunsMethod,
   type RunDelta,
@@ -153,6 +159,11 @@
     if (outcome.kind === "abandoned") this.#avoid(store);
     if (isEngineLeaving) this.#options.leaving.announce(engine.id, "store");
     if (remote) applyDelta(remote, delta);
+    // The other store does not know the data of earlier runs.
+    if (new AnswerBounds(item, progress.data).isExceeded) {
+      const reason = new ExcessiveAnswerError().message;
+      return { kind: "broken", reason, isExcessive: true };
+    }
     return outcome;
   }
 
--- a/src/bulk/store_executor_test.ts
+++ b/src/bulk/store_executor_test.ts
@@ -195,3 +195,16 @@
   await time.advance(50);
   t.is((await outcome).kind, "complete");
 });
+
+// Guards against results that grow beyond what a store would accept itself, as
+// each run at another store may add to those before.
+test("data of all runs of an item stays within its bounds", async (t) => {
+  const { time, hosted, executor, runOf } = setup();
+  const run = runOf(undefined, ["x".repeat(20_000)]);
+  const outcome = executor.run(ENGINE, run);
+  await time.advanceUntil("hosted", () => hosted.runs.length === 1);
+  receive(hosted.runs[0], ["x".repeat(20_000)]);
+  hosted.end(0, { kind: "complete" });
+  await time.advance(50);
+  t.like(await outcome, { kind: "broken", isExcessive: true });
+});
