Say how a replica with damaged files is restored

A store whose log could not be read exited at each start, for ever, and no log line told the operator what to do. The reason of replica-failed (402), which is also the reason of the exit, now names the cure: if a quorum of the other voters is sound, empty the data folder; the replica rejoins. A folder that belongs to another instance keeps its own message, as emptying it would be wrong.

The store does not empty its folder by itself: a second such store would lose what an operator could have saved.

Test: "replica with damaged files says how it is restored".

--- a/src/consensus/identity_store.ts
+++ b/src/consensus/identity_store.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { z } from "zod";
 import { encodeChecksummed, readChecksummed } from "./checksummed_document.ts";
-import { CorruptionError } from "./corruption_error.ts";
+import { CorruptionError, ForeignFolderError } from "./corruption_error.ts";
 import { replicaMemberSchema } from "./replica_set.ts";
 import type { IStorage } from "./storage.ts";
 
@@ -39,7 +39,9 @@
     const saved = await readChecksummed(this.#storage, FILE, identitySchema);
     if (saved?.id === id) return saved;
     if (saved) {
-      throw new CorruptionError(`data folder belongs to instance ${saved.id}`);
+      throw new ForeignFolderError(
+        `data folder belongs to instance ${saved.id}`,
+      );
     }
     if ((await this.#storage.list("log")).some((it) => !it.endsWith(".tmp"))) {
       throw new CorruptionError("data folder has log files but no identity");
--- a/src/consensus/replica_state.ts
+++ b/src/consensus/replica_state.ts
@@ -5,6 +5,7 @@
   invariant,
 } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
+import { describeFailure } from "./corruption_error.ts";
 import type { Entry } from "./entry.ts";
 import { leadershipLost, otherLog, replicaFailed, syncSlow } from "./events.ts";
 import type { ILogPosition, LogStore } from "./log_store.ts";
@@ -177,7 +178,7 @@
   /** Stops the replica after a failure. */
   fail(error: Error): void {
     if (this.#role === "stopped") return;
-    this.events.emit(replicaFailed, { reason: error.message });
+    this.events.emit(replicaFailed, { reason: describeFailure(error) });
     this.stop("replica failed");
     this.log.fail(error);
     this.#failure.fire(error);
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -10,6 +10,7 @@
 } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
 import type { IRpcClient, IRpcServer } from "../rpc/mod.ts";
+import { describeFailure } from "./corruption_error.ts";
 import { isDiskError } from "./disk_error.ts";
 import { probeDisk } from "./disk_probe.ts";
 import { joinedAgain, replicaFailed, replicaReopened } from "./events.ts";
@@ -281,7 +282,7 @@
     replica.onLeadershipChange((leadership) => this.#change.fire(leadership));
     replica.onFailure((error) => {
       if (isDiskError(error)) this.#handleFailure(error, replica);
-      else this.#failure = error.message;
+      else this.#failure = describeFailure(error);
     });
     this.#replica = replica;
     replica.start();
@@ -342,8 +343,8 @@
 
   #reportFailure(error: Error): void {
     this.#bootstrap = undefined;
-    this.#failure = error.message;
-    this.#options.events.emit(replicaFailed, { reason: error.message });
+    this.#failure = describeFailure(error);
+    this.#options.events.emit(replicaFailed, { reason: this.#failure });
   }
 
   #registerHandlers(): void {
--- a/src/consensus/replicated_log_test.ts
+++ b/src/consensus/replicated_log_test.ts
@@ -389,3 +389,26 @@
   await cluster.untilSettled(target?.log.stop() ?? Promise.resolve());
   t.not(cluster.leader, target);
 });
+
+// Guards against a voter that exits at each start while no log line says that
+// the other voters can restore it (review/6).
+test("replica with damaged files says how it is restored", async (t) => {
+  const cluster = await LogCluster.start(3, 61);
+  await cluster.commit(5);
+  const [damaged] = cluster.followers;
+  if (!damaged) return t.fail("no follower");
+  damaged.crash();
+  const segment = damaged.disk.files.get("log/000000000001.wal");
+  if (!segment) return t.fail("no segment");
+  segment.bytes[20] = (segment.bytes[20] ?? 0) ^ 1;
+  await cluster.untilSettled(damaged.start());
+  const line = damaged.events.find((it) => it.startsWith("replica-failed"));
+  t.regex(line ?? "", /invalid frame.*empty the data folder/);
+  t.is(damaged.log.status().role, "stopped");
+  damaged.crash();
+  damaged.wipeDisk();
+  await cluster.untilSettled(damaged.start("join"));
+  await cluster.commit(1);
+  await cluster.untilEqual();
+  t.deepEqual(cluster.findViolations(), []);
+});
