--- a/src/common/json_ranges.ts
+++ b/src/common/json_ranges.ts
@@ -68,6 +68,15 @@
   }
 }
 
+/**
+ * Position after the value with which the text begins.
+ *
+ * @throws SyntaxError if the value is not closed.
+ */
+export function jsonValueEnd(bytes: Buffer): number {
+  return valueEnd(bytes, 0);
+}
+
 /** Decodes one value. */
 export function parseJson(bytes: Buffer, { start, end }: IJsonRange): unknown {
   return JSON.parse(bytes.toString("utf8", start, end));
