Wait elsewhere unless a sound engine has begun to answer

A place with a wait is now reserved too, before the head of an answer and at an engine at which other requests have failed. Only an answer that a sound engine has begun needs a free slot. In no case is an answer closed before a place is reserved.

--- a/src/streams/answer_watchdog.ts
+++ b/src/streams/answer_watchdog.ts
@@ -94,7 +94,7 @@
     const { alternative } = this.#limits;
     this.#hasMoved = false;
     this.#isReserving = true;
-    const isReserved = await alternative?.reserve() ?? true;
+    const isReserved = await alternative?.reserve(true) ?? true;
     this.#isReserving = false;
     const isSilent = !this.#hasMoved && !this.#isWriting &&
       !this.#isSilenceAllowed && !this.#isDisposed;
--- a/src/streams/head_patience.ts
+++ b/src/streams/head_patience.ts
@@ -33,7 +33,7 @@
     const { mayFailOver, alternative, deadline } = this.#limits;
     const isOver = !mayFailOver || this.#clock.isPast(deadline);
     if (isOver || !alternative) return undefined;
-    if (!await alternative.reserve()) {
+    if (!await alternative.reserve(false)) {
       const { silenceMilliseconds } = this.#limits;
       const next = this.#clock.deadlineIn(silenceMilliseconds);
       return earlierDeadline(next, deadline);
--- a/src/streams/slot_reserver.ts
+++ b/src/streams/slot_reserver.ts
@@ -56,20 +56,24 @@
   /**
    * Reserves a slot at another engine while the answer of the present one
    * stays open. Resolves with whether the request may move there.
+   *
+   * @param options.needsFreeSlot whether it must not wait there, as the present
+   * engine has done a part of the work and is probably sound
    */
-  async reserveAlternative(run: IRequestRun): Promise<boolean> {
+  async reserveAlternative(
+    run: IRequestRun,
+    options: { needsFreeSlot: boolean },
+  ): Promise<boolean> {
     const { parts, paths, table } = this.#options;
     const mayMove = this.maySendAgain(run) && paths.hasPath &&
       parts.findQuarantined(partsOf(run.request)) === undefined;
     if (!mayMove) return false;
-    const placed = await this.#place(run, {
-      hasBegun: true,
-      isAlternative: true,
-    });
+    const isAlternative = options.needsFreeSlot || undefined;
+    const placed = await this.#place(run, { hasBegun: true, isAlternative });
     if (placed.kind !== "engine") return false;
     // A leader of an earlier version of figroad takes it for a retry.
-    const isBetter = placed.waitMilliseconds === 0 &&
-      !table.isSuspect(placed.engine.id);
+    const isBetter = !isAlternative ||
+      placed.waitMilliseconds === 0 && !table.isSuspect(placed.engine.id);
     if (!isBetter || run.isEnded) {
       this.release(run, placed);
       return false;
@@ -90,7 +94,7 @@
 
   #place(
     run: IRequestRun,
-    options: { hasBegun: boolean; isAlternative?: true },
+    options: { hasBegun: boolean; isAlternative?: boolean | undefined },
   ): Promise<PlacerResult> {
     const { placer, clock, failureDomain } = this.#options;
     const { request, service, softwareVersion } = run;
--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -66,8 +66,12 @@
 
 /** Another engine for a request whose present one is silent. */
 export interface IAlternative {
-  /** Reserves a place; resolves with false if there is none. */
-  reserve(): Promise<boolean>;
+  /**
+   * Reserves a place; resolves with false if there is none.
+   *
+   * @param hasHead whether the engine has begun to answer
+   */
+  reserve(hasHead: boolean): Promise<boolean>;
   /** Returns the place: the present engine goes on. */
   release(): void;
 }
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -255,7 +255,6 @@
     const { table, health, clock, attempt, parts } = this.#options;
     const { request, sink, progress, isIdempotent } = run;
     const { engine } = placement;
-    const waitMilliseconds = Math.round(placement.waitMilliseconds);
     run.sends += 1;
     run.excluded.add(engine.id);
     this.#reporter.placed(run, placement);
@@ -267,7 +266,7 @@
         progress,
         // Open connections may have gone silent together.
         freshConnection: !isIdempotent || run.sends > 1,
-        limits: this.#limits(run, waitMilliseconds),
+        limits: this.#limits(run, placement),
         onFirstEvent: () => this.#recordOrigin(run, engine),
       });
     } finally {
@@ -307,8 +306,11 @@
     });
   }
 
-  #limits(run: IRequestRun, waitMilliseconds: number): IAttemptLimits {
-    const { clock } = this.#options;
+  #limits(
+    run: IRequestRun,
+    { engine, waitMilliseconds }: IPlacedRequest,
+  ): IAttemptLimits {
+    const { clock, table } = this.#options;
     const { route } = run.request;
     return {
       mayFailOver: run.isIdempotent && run.possibleRuns + 1 < route.attempts,
@@ -318,7 +320,10 @@
       ),
       silenceMilliseconds: SILENCE_TIMEOUT_MILLISECONDS,
       alternative: {
-        reserve: () => this.#slots.reserveAlternative(run),
+        reserve: (hasHead) => {
+          const needsFreeSlot = hasHead && !table.isSuspect(engine.id);
+          return this.#slots.reserveAlternative(run, { needsFreeSlot });
+        },
         release: () => this.#slots.release(run),
       },
       deadline: run.deadline,
