--- a/src/streams/answer_watchdog.ts
+++ b/src/streams/answer_watchdog.ts
@@ -19,7 +19,7 @@
   /** Whether bytes of the answer wait for the caller to read. */
   #isWriting = false;
   /** Whether the answer has made progress since the place was asked for. */
-  #hasMoved = false;
+  #hasProgressed = false;
   #isDisposed = false;
   #deadlineTimer: NodeJS.Timeout;
   /** Why the watchdog closed the answer; undefined if it did not. */
@@ -42,7 +42,7 @@
 
   /** Records that the answer has made progress. */
   reset(): void {
-    this.#hasMoved = true;
+    this.#hasProgressed = true;
     this.#silenceDeadline = this.#clock.deadlineIn(
       this.#limits.silenceMilliseconds,
     );
@@ -82,7 +82,7 @@
     if (isAllowed || this.#isReserving || this.#isDisposed) return;
     this.#silenceTimer = setTimeout(
       () =>
-        this.#moveOn().catch((error) =>
+        this.#tryAlternative().catch((error) =>
           this.#closeAnswer((error as Error).message)
         ),
       this.#clock.remaining(this.#silenceDeadline),
@@ -90,13 +90,13 @@
   }
 
   /** Closes the answer if another engine has a place and this one is silent. */
-  async #moveOn(): Promise<void> {
+  async #tryAlternative(): Promise<void> {
     const { alternative } = this.#limits;
-    this.#hasMoved = false;
+    this.#hasProgressed = false;
     this.#isReserving = true;
     const isReserved = await alternative?.reserve(true) ?? true;
     this.#isReserving = false;
-    const isSilent = !this.#hasMoved && !this.#isWriting &&
+    const isSilent = !this.#hasProgressed && !this.#isWriting &&
       !this.#isSilenceAllowed && !this.#isDisposed;
     if (isReserved && isSilent) {
       return this.#closeAnswer("the engine is silent");
--- a/src/streams/head_patience.ts
+++ b/src/streams/head_deadline.ts
@@ -10,9 +10,9 @@
  * Decides how long to wait for the head of an engine's answer: until the
  * deadline of the request, or until another engine can take the request over.
  */
-export class HeadPatience implements IDisposable {
+export class HeadDeadline implements IDisposable {
   /** Time by which the head must arrive, unless it is extended. */
-  readonly deadline: Deadline;
+  readonly initial: Deadline;
   #clock: IClock;
   #limits: IAttemptLimits;
   #isDisposed = false;
@@ -20,7 +20,7 @@
   constructor(clock: IClock, limits: IAttemptLimits) {
     this.#clock = clock;
     this.#limits = limits;
-    this.deadline = limits.mayFailOver
+    this.initial = limits.mayFailOver
       ? limits.firstEventDeadline
       : limits.deadline;
   }
--- a/src/streams/slot_reserver.ts
+++ b/src/streams/slot_reserver.ts
@@ -74,7 +74,7 @@
     // A leader of an earlier version of figroad takes it for a retry.
     const isBetter = !isAlternative ||
       placed.waitMilliseconds === 0 && !table.isSuspect(placed.engine.id);
-    if (!isBetter || run.isEnded) {
+    if (!isBetter || run.isEnded || run.alternative) {
       this.release(run, placed);
       return false;
     }
--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -10,7 +10,7 @@
 import { RelayError } from "../relaying/mod.ts";
 import { HttpExchangeError } from "../targets/http_exchange.ts";
 import { AnswerWatchdog } from "./answer_watchdog.ts";
-import { HeadPatience } from "./head_patience.ts";
+import { HeadDeadline } from "./head_deadline.ts";
 import {
   EventSplitter,
   MAXIMUM_UNNUMBERED_BYTES,
@@ -121,21 +121,21 @@
   ): Promise<AttemptOutcome> {
     const { sink, progress, limits } = options;
     let answer: IEngineAnswer;
-    const patience = new HeadPatience(this.#clock, limits);
+    const headDeadline = new HeadDeadline(this.#clock, limits);
     try {
       answer = await this.#client.send(engine, {
         ...request,
         lastEventId: progress.lastEventId ?? request.lastEventId,
       }, {
         signal: sink.signal,
-        headDeadline: patience.deadline,
-        extendHeadDeadline: () => patience.extend(),
+        headDeadline: headDeadline.initial,
+        extendHeadDeadline: () => headDeadline.extend(),
         freshConnection: options.freshConnection,
       });
     } catch (error) {
       return sendErrorOutcome(error);
     } finally {
-      patience.dispose();
+      headDeadline.dispose();
     }
     if (answer.isNotRun) {
       answer.close();
