--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -44,7 +44,7 @@
   /** Whether it may have run, so that a refusal would fail it. */
   hasBegun: z.boolean().optional(),
   /**
-   * Whether an engine that has gone silent is still connected and may go on. The
+   * Whether an engine that has gone silent is still connected and may continue. The
    * request then moves only to a healthy engine with a free slot.
    */
   isAlternative: z.boolean().optional(),
--- a/src/streams/silent_engine_test.ts
+++ b/src/streams/silent_engine_test.ts
@@ -1,19 +1,14 @@
 import test from "ava";
-import { type EngineScript, eventText } from "../../testing/fake_engines.ts";
+import type { EngineScript } from "../../testing/fake_engines.ts";
 import { ENGINE_SLOTS } from "../../testing/listed_engine.ts";
 import {
+  EVENTS,
   type IDispatcherSetup,
   RESUMABLE_ROUTE,
   setUpDispatcher,
+  WHOLE_STREAM,
 } from "../../testing/stream_dispatcher_fixture.ts";
 
-const EVENTS = 6;
-const WHOLE_STREAM = Array.from(
-  { length: EVENTS },
-  (_, index) => eventText(index + 1),
-)
-  .join("");
-
 const WHOLE: EngineScript = { kind: "stream", events: EVENTS };
 
 /** Answers of a sound engine that pauses in the stream, or before its head. */
@@ -85,7 +80,7 @@
   }
 });
 
-test("answer that goes on while a place is reserved stays", async (t) => {
+test("answer that continues while a place is reserved is kept", async (t) => {
   for (const pause of PAUSES) {
     const { sink, run, engines, source, table } = setUpDispatcher([pause]);
     let asked = 0;
--- a/src/streams/stream_attempt.ts
+++ b/src/streams/stream_attempt.ts
@@ -72,7 +72,7 @@
    * @param hasHead whether the engine has begun to answer
    */
   reserve(hasHead: boolean): Promise<boolean>;
-  /** Returns the place: the present engine goes on. */
+  /** Returns the place: the present engine continues to answer. */
   release(): void;
 }
 
@@ -84,7 +84,7 @@
   readonly firstEventDeadline: Deadline;
   /** Maximum gap between two events in ms, if failover is allowed. */
   readonly silenceMilliseconds: number;
-  /** Where the request may go on; by default there always is a place. */
+  /** Where the request may be sent again; by default there always is a place. */
   readonly alternative?: IAlternative;
   /** Time at which the request is abandoned. */
   readonly deadline: Deadline;
--- a/src/streams/stream_dispatcher_test.ts
+++ b/src/streams/stream_dispatcher_test.ts
@@ -2,19 +2,14 @@
 import test from "ava";
 import { eventText } from "../../testing/fake_engines.ts";
 import {
+  EVENTS,
   RESUMABLE_ROUTE,
   setUpDispatcher,
+  WHOLE_STREAM,
 } from "../../testing/stream_dispatcher_fixture.ts";
 import type { Deadline } from "../common/mod.ts";
 import type { Route } from "../service_routes/mod.ts";
 
-const EVENTS = 6;
-const WHOLE_STREAM = Array.from(
-  { length: EVENTS },
-  (_, index) => eventText(index + 1),
-)
-  .join("");
-
 const NON_RESUMABLE_ROUTE: Route = {
   ...RESUMABLE_ROUTE,
   isResumable: false,
--- a/src/targets/http_exchange_test.ts
+++ b/src/targets/http_exchange_test.ts
@@ -107,11 +107,17 @@
 });
 
 test("other endless bytes before an answer end the request", async (t) => {
-  for (
-    const bytes of ["HTTP/1.1 200 OK\r\nA: b\r\n", "x", "\r\n", "A: b\r\n"]
-  ) {
+  const cases = [
+    { bytes: "HTTP/1.1 200 OK\r\nA: b\r\n", code: "connection" },
+    { bytes: "x", code: "connection" },
+    { bytes: "A: b\r\n", code: "connection" },
+    // The parser skips empty lines.
+    { bytes: "\r\n", code: "invalid" },
+  ];
+  for (const { bytes, code } of cases) {
     await t.throwsAsync(sendToEndless(t, bytes.repeat(100)), {
       instanceOf: HttpExchangeError,
+      code,
     });
   }
 });
--- a/testing/stream_dispatcher_fixture.ts
+++ b/testing/stream_dispatcher_fixture.ts
@@ -15,10 +15,25 @@
 import { StreamAttempt } from "../src/streams/stream_attempt.ts";
 import { StreamDispatcher } from "../src/streams/stream_dispatcher.ts";
 import { StreamOriginResolver } from "../src/streams/stream_origin_resolver.ts";
-import { type EngineScript, FakeEngines, FakeSink } from "./fake_engines.ts";
+import {
+  type EngineScript,
+  eventText,
+  FakeEngines,
+  FakeSink,
+} from "./fake_engines.ts";
 import { listedEngine } from "./listed_engine.ts";
 import { unlimitedEngines } from "./unlimited_engines.ts";
 
+/** Number of events in a whole stream. */
+export const EVENTS = 6;
+
+/** Whole stream as callers receive it. */
+export const WHOLE_STREAM = Array.from(
+  { length: EVENTS },
+  (_, index) => eventText(index + 1),
+)
+  .join("");
+
 /** Stream that another engine may continue. */
 export const RESUMABLE_ROUTE: Route = {
   name: "alerts",
