Ask the leader only for places that may exist

Cause: a request at a silent engine asks the leader for another place every 400 ms. Under overload there is none, so all requests at silent engines keep asking; before the entry's own view of the load answered this.

Change: the entry first asks the same placement with what it knows itself, and the leader only if that finds a place. A place is still reserved by the leader alone. What the entry believes full for too long is asked for again 400 ms later.

Evidence: the new test of silent_engine_test failed before (the leader was asked more than once while all other engines were out of memory).

--- a/src/placement/placer.ts
+++ b/src/placement/placer.ts
@@ -7,7 +7,7 @@
 import type { IEngineChooser } from "./engine_chooser.ts";
 import type { EngineTable } from "./engine_table.ts";
 import type { PlacementDecision, PlacementRequest } from "./messages.ts";
-import { place } from "./placement.ts";
+import { place, type Placement } from "./placement.ts";
 import type { ListedEngine } from "./types.ts";
 
 /** Asks the leader to place requests. */
@@ -119,16 +119,27 @@
     return placed;
   }
 
-  #placeLocally(request: PlacementRequest): PlacerResult {
-    const views = this.#table.views(request.service);
-    const excluded = new Set(request.excluded);
-    const random = this.#random();
+  /**
+   * Whether there is a place for a request as far as this instance knows. Only
+   * `place` reserves it; the leader knows the load of the fleet better.
+   */
+  mayPlace(request: PlacementRequest): boolean {
+    return this.#decide(request, this.#random()).kind === "engine";
+  }
+
+  #decide(request: PlacementRequest, random: number): Placement {
     const limiter = this.#limiter;
     const chooser = this.#chooser;
-    const placement = place(
+    const excluded = new Set(request.excluded);
+    return place(
       { ...request, excluded, random, limiter, chooser },
-      views,
+      this.#table.views(request.service),
     );
+  }
+
+  #placeLocally(request: PlacementRequest): PlacerResult {
+    const random = this.#random();
+    const placement = this.#decide(request, random);
     if (placement.kind !== "engine") return placement;
     if (!this.#admitLocally(request)) {
       const retryMilliseconds = LIMIT_RETRY_MILLISECONDS * (1 + random);
@@ -136,7 +147,7 @@
     }
     const { engine, live, bulk } = placement.view;
     this.#table.beginRequest(engine.id, request.tokens);
-    limiter.take(engine.id);
+    this.#limiter.take(engine.id);
     const { waitMilliseconds } = placement;
     return {
       kind: "engine",
--- a/src/streams/silent_engine_test.ts
+++ b/src/streams/silent_engine_test.ts
@@ -122,6 +122,21 @@
   }
 });
 
+// Under overload, requests at silent engines kept the leader busy.
+test("leader is not asked for places that are known to be taken", async (t) => {
+  for (const pause of PAUSES) {
+    const { sink, run, source } = setUpFullMemory([pause]);
+    let asked = 0;
+    source.requestPlacement = () => {
+      asked += 1;
+      return Promise.resolve(undefined);
+    };
+    await run(RESUMABLE_ROUTE, { tokens: REQUEST_TOKENS });
+    t.is(sink.text, WHOLE_STREAM);
+    t.is(asked, 1);
+  }
+});
+
 // The reserved place may be lost after the answer was closed.
 test("request returns to a paused engine if the other refuses", async (t) => {
   for (const pause of PAUSES) {
--- a/src/streams/slot_reserver.ts
+++ b/src/streams/slot_reserver.ts
@@ -2,6 +2,7 @@
 import type {
   EngineTable,
   IPlacedRequest,
+  PlacementRequest,
   Placer,
   PlacerResult,
 } from "../placement/mod.ts";
@@ -50,7 +51,7 @@
     // The leader names instances that forward only once links are known lost.
     this.release(run);
     const hasBegun = run.possibleRuns > 0 || run.softwareVersion !== undefined;
-    return await this.#place(run, { hasBegun });
+    return await this.#options.placer.place(this.#describe(run, { hasBegun }));
   }
 
   /**
@@ -64,12 +65,15 @@
     run: IRequestRun,
     options: { needsFreeSlot: boolean },
   ): Promise<boolean> {
-    const { parts, paths, table } = this.#options;
+    const { parts, paths, placer, table } = this.#options;
     const mayMove = this.maySendAgain(run) && paths.hasPath &&
       parts.findQuarantined(partsOf(run.request)) === undefined;
     if (!mayMove) return false;
     const isAlternative = options.needsFreeSlot || undefined;
-    const placed = await this.#place(run, { hasBegun: true, isAlternative });
+    const request = this.#describe(run, { hasBegun: true, isAlternative });
+    // Under overload, all requests at silent engines would ask the leader.
+    if (!placer.mayPlace(request)) return false;
+    const placed = await placer.place(request);
     if (placed.kind !== "engine") return false;
     // A leader of an earlier version of figroad takes it for a retry.
     const isBetter = !isAlternative ||
@@ -92,13 +96,13 @@
     if (run.alternative === placed) run.alternative = undefined;
   }
 
-  #place(
+  #describe(
     run: IRequestRun,
     options: { hasBegun: boolean; isAlternative?: boolean | undefined },
-  ): Promise<PlacerResult> {
-    const { placer, clock, failureDomain } = this.#options;
+  ): PlacementRequest {
+    const { clock, failureDomain } = this.#options;
     const { request, service, softwareVersion } = run;
-    return placer.place({
+    return {
       request: request.id,
       service,
       failureDomain,
@@ -111,6 +115,6 @@
       tokens: request.tokens,
       caller: request.caller,
       isAdmitted: run.isAdmitted || undefined,
-    });
+    };
   }
 }
