Suspect an engine that delays the head of an answer

Cause: since a request stays at an engine that has not begun to answer while no other engine has a place. Until then the attempt failed and the engine was avoided; now nothing recorded that it was silent, so an instance went on placing requests at an engine that was dead.

Change: the first time that the head is late and the request stays, the engine counts as failed once, unless the instance has lost its own links. An answer ends the suspicion, as before. The request itself stays where it is.

Evidence: the new test failed before: the engine was never suspect while it delayed a head for 1.4 s.

--- a/src/streams/failure_recorder.ts
+++ b/src/streams/failure_recorder.ts
@@ -28,6 +28,21 @@
     this.#options = options;
   }
 
+  /**
+   * Records that an engine has not begun to answer in time, though the request
+   * stays there.
+   */
+  async recordDelay(
+    run: IRequestRun,
+    engine: string,
+    { startedAt }: { startedAt: Deadline },
+  ): Promise<void> {
+    const { health, paths } = this.#options;
+    const { signal } = run.sink;
+    if (signal.aborted || await paths.checkLinks(startedAt)) return;
+    health.recordFailure(engine, "the engine has not begun to answer in time");
+  }
+
   async record(
     run: IRequestRun,
     engine: string,
--- a/src/streams/silent_engine_test.ts
+++ b/src/streams/silent_engine_test.ts
@@ -137,6 +137,24 @@
   }
 });
 
+// Guards against more and more requests at an engine that is dead, while the
+// others are full.
+test("engine is suspect while it delays an answer's head", async (t) => {
+  const head = { ...WHOLE, headMilliseconds: 1_400 };
+  const { sink, run, health } = setUpFullMemory([head]);
+  const reasons: string[] = [];
+  const recordFailure = health.recordFailure.bind(health);
+  health.recordFailure = (engine, reason) => {
+    recordFailure(engine, reason);
+    t.true(health.isSuspect("one"));
+    reasons.push(reason);
+  };
+  await run(RESUMABLE_ROUTE, { tokens: REQUEST_TOKENS });
+  t.is(sink.text, WHOLE_STREAM);
+  t.deepEqual(reasons, ["the engine has not begun to answer in time"]);
+  t.false(health.isSuspect("one"));
+});
+
 // The reserved place may be lost after the answer was closed.
 test("request returns to a paused engine if the other refuses", async (t) => {
   for (const pause of PAUSES) {
--- a/src/streams/stream_dispatcher.ts
+++ b/src/streams/stream_dispatcher.ts
@@ -17,6 +17,7 @@
 import type {
   AttemptOutcome,
   FailedAttempt,
+  IAlternative,
   IAttemptLimits,
   IBufferedAnswer,
   StreamAttempt,
@@ -310,7 +311,7 @@
     run: IRequestRun,
     { engine, waitMilliseconds }: IPlacedRequest,
   ): IAttemptLimits {
-    const { clock, table } = this.#options;
+    const { clock } = this.#options;
     const { route } = run.request;
     return {
       mayFailOver: run.isIdempotent && run.possibleRuns + 1 < route.attempts,
@@ -319,17 +320,31 @@
         run.deadline,
       ),
       silenceMilliseconds: SILENCE_TIMEOUT_MILLISECONDS,
-      alternative: {
-        reserve: (hasHead) => {
-          const needsFreeSlot = hasHead && !table.isSuspect(engine.id);
-          return this.#slots.reserveAlternative(run, { needsFreeSlot });
-        },
-        release: () => this.#slots.release(run),
-      },
+      alternative: this.#alternative(run, engine.id),
       deadline: run.deadline,
     };
   }
 
+  /** Finds another place for a request that an engine leaves waiting. */
+  #alternative(run: IRequestRun, engine: string): IAlternative {
+    const { clock, table } = this.#options;
+    const startedAt = clock.monotonic();
+    let isDelayRecorded = false;
+    return {
+      reserve: async (hasHead) => {
+        const needsFreeSlot = hasHead && !table.isSuspect(engine);
+        const options = { needsFreeSlot };
+        if (await this.#slots.reserveAlternative(run, options)) return true;
+        if (!hasHead && !isDelayRecorded) {
+          isDelayRecorded = true;
+          await this.#failures.recordDelay(run, engine, { startedAt });
+        }
+        return false;
+      },
+      release: () => this.#slots.release(run),
+    };
+  }
+
   #mayRetry(
     run: IRequestRun,
     outcome: FailedAttempt,
