Log what tells the hypotheses of the late routes apart

Nothing said whether a leader's applied state was behind what it had committed, whether calls expired in its backlog, whether answers came too late, or whether an entry had routes that no leader confirmed. Events 305, 306, 418, 1004 and 1005, and captureMilliseconds in 409; each is bounded in number. No behaviour changes.

--- a/src/consensus/events.ts
+++ b/src/consensus/events.ts
@@ -82,9 +82,18 @@
     index: z.number(),
     bytes: z.number(),
     milliseconds: z.number(),
+    /** Part of the time in which no entry was applied. */
+    captureMilliseconds: z.number(),
   },
 });
 
+export const entriesAppliedLate = defineEvent(418, "entries-applied-late", {
+  level: "warn",
+  help: "Committed entries waited long until they were applied here. Until " +
+    "then, this instance answers from an older state than others may have.",
+  fields: { index: z.number(), milliseconds: z.number() },
+});
+
 export const snapshotFailed = defineEvent(410, "snapshot-failed", {
   level: "warn",
   help: "A section could not capture its state. The log is not compacted and " +
--- a/src/consensus/state_machine.ts
+++ b/src/consensus/state_machine.ts
@@ -1,8 +1,18 @@
 import { setImmediate } from "node:timers/promises";
-import { Emitter, type IDisposable, invariant } from "../common/mod.ts";
+import {
+  type Deadline,
+  Emitter,
+  type IDisposable,
+  invariant,
+} from "../common/mod.ts";
 import { isDiskError } from "./disk_error.ts";
 import type { Entry } from "./entry.ts";
-import { replicasChanged, snapshotFailed, snapshotTaken } from "./events.ts";
+import {
+  entriesAppliedLate,
+  replicasChanged,
+  snapshotFailed,
+  snapshotTaken,
+} from "./events.ts";
 import type { ReplicaState } from "./replica_state.ts";
 import { ConditionVariable } from "./condition_variable.ts";
 import type { ISnapshot, SnapshotStore } from "./snapshot_store.ts";
@@ -15,6 +25,9 @@
 /** Encoded size of the entries that are applied at once, in characters. */
 const APPLY_BATCH_CHARACTERS = 1024 * 1024;
 
+/** Wait of committed entries above which it is logged, in milliseconds. */
+const LATE_APPLY_MILLISECONDS = 250;
+
 /** Thresholds for compaction of the log. */
 export interface ICompactionPolicy {
   /** Number of entries since the last snapshot that triggers a new one. */
@@ -48,6 +61,8 @@
   #state: ReplicaState;
   #compaction: ICompactionPolicy;
   #appliedIndex: number;
+  /** When the oldest entry that is not applied yet was committed. */
+  #behindSince: Deadline | undefined;
   #lastProposedAt: number;
   #lastSnapshotAttempt: { index: number; bytes: number };
   #saving: Promise<void> | undefined;
@@ -75,7 +90,10 @@
     this.#appliedIndex = options.snapshot?.index ?? 0;
     this.#lastProposedAt = options.snapshot?.proposedAt ?? 0;
     this.#lastSnapshotAttempt = { index: this.#appliedIndex, bytes: 0 };
-    state.onCommit(() => this.#work.notify());
+    state.onCommit(() => {
+      this.#behindSince ??= state.clock.monotonic();
+      this.#work.notify();
+    });
   }
 
   get appliedIndex(): number {
@@ -127,6 +145,7 @@
             "the applied index only increases",
           );
           this.#appliedIndex = snapshot.index;
+          if (snapshot.index >= this.#state.commitIndex) this.#recordCaughtUp();
           this.#lastProposedAt = snapshot.proposedAt;
           this.#lastSnapshotAttempt = { index: snapshot.index, bytes: 0 };
           resolve(snapshot);
@@ -164,6 +183,19 @@
       this.#state.fail(error as Error);
     }
     if (this.#appliedIndex < commitIndex) await setImmediate();
+    if (this.#appliedIndex >= this.#state.commitIndex) this.#recordCaughtUp();
+  }
+
+  #recordCaughtUp(): void {
+    const { clock, events } = this.#state;
+    const since = this.#behindSince ?? clock.monotonic();
+    this.#behindSince = undefined;
+    const milliseconds = Math.round(clock.monotonic() - since);
+    if (milliseconds < LATE_APPLY_MILLISECONDS) return;
+    events.emit(entriesAppliedLate, {
+      index: this.#appliedIndex,
+      milliseconds,
+    });
   }
 
   #applyNext(entry: Entry): void {
@@ -232,7 +264,8 @@
       }),
     );
     if (!isComplete) return;
-    const { log, replicaSetHistory } = this.#state;
+    const { clock, log, replicaSetHistory } = this.#state;
+    const captured = { startedAt, endedAt: clock.monotonic() };
     const snapshot = {
       index,
       term: log.termAt(index) ?? 0,
@@ -240,10 +273,13 @@
       replicas: replicaSetHistory.at(index),
       sections,
     };
-    this.#saving = this.#saveSnapshot(snapshot, startedAt);
+    this.#saving = this.#saveSnapshot(snapshot, captured);
   }
 
-  async #saveSnapshot(snapshot: ISnapshot, startedAt: number): Promise<void> {
+  async #saveSnapshot(
+    snapshot: ISnapshot,
+    captured: { startedAt: number; endedAt: number },
+  ): Promise<void> {
     const { clock, events, log, replicaSetHistory } = this.#state;
     try {
       const bytes = await this.#store.save(snapshot);
@@ -255,8 +291,13 @@
       });
       await log.compact(firstKept - 1);
       replicaSetHistory.compact(log.firstIndex - 1);
-      const milliseconds = Math.round(clock.monotonic() - startedAt);
-      events.emit(snapshotTaken, { index, bytes, milliseconds });
+      const { startedAt, endedAt } = captured;
+      events.emit(snapshotTaken, {
+        index,
+        bytes,
+        milliseconds: Math.round(clock.monotonic() - startedAt),
+        captureMilliseconds: Math.round(endedAt - startedAt),
+      });
     } catch (error) {
       this.#state.fail(error as Error);
     } finally {
--- a/src/rpc/connection_pool.ts
+++ b/src/rpc/connection_pool.ts
@@ -1,6 +1,6 @@
 import type { Deadline, IClock, IDisposable } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
-import { connectionSilent, peerSilent } from "./events.ts";
+import { answersLate, connectionSilent, peerSilent } from "./events.ts";
 import { RpcConnection } from "./rpc_connection.ts";
 import type { IRpcStatistics, PeerAddress, RpcLane } from "./types.ts";
 
@@ -137,6 +137,10 @@
     connection: RpcConnection,
     key: string,
   ): Promise<void> {
+    const count = connection.takeLateAnswers();
+    if (count > 0) {
+      this.#events.emit(answersLate, { peer: connection.peer.id, count });
+    }
     const isUnused = connection.pendingCalls === 0;
     if (connection.isClosed || isUnused && this.#canClose(connection)) {
       await this.#remove(connection, key);
--- a/src/rpc/events.ts
+++ b/src/rpc/events.ts
@@ -37,3 +37,18 @@
     "refused. Check the addresses under voters in the caller's settings.",
   fields: { from: z.string(), fleet: z.string() },
 });
+
+export const callsExpired = defineEvent(305, "calls-expired", {
+  level: "warn",
+  help: "Calls of other instances waited here until their callers had given " +
+    "them up, and were not handled: this instance is overloaded. `count` is " +
+    "their number since the last such line; one line a second at most.",
+  fields: { method: z.string(), count: z.number(), waiting: z.number() },
+});
+
+export const answersLate = defineEvent(306, "answers-late", {
+  level: "warn",
+  help: "Answers of a peer came after their calls had been given up, and " +
+    "were dropped: the peer or the network is slow.",
+  fields: { peer: z.string(), count: z.number() },
+});
--- a/src/rpc/rpc_connection.ts
+++ b/src/rpc/rpc_connection.ts
@@ -53,6 +53,7 @@
   #unansweredSince: Deadline | undefined;
   /** Whether a call has timed out since bytes last arrived. */
   #hasTimedOut = false;
+  #lateAnswers = 0;
   #closed = false;
 
   constructor(
@@ -123,6 +124,13 @@
     return this.#clock.monotonic() - this.#unansweredSince;
   }
 
+  /** Answers since the last call of this method that came too late. */
+  takeLateAnswers(): number {
+    const count = this.#lateAnswers;
+    this.#lateAnswers = 0;
+    return count;
+  }
+
   /** Time since the latest request or received bytes. */
   get idleMilliseconds(): number {
     const latest = Math.max(this.#lastRequestAt, this.#lastReceivedAt);
@@ -216,6 +224,7 @@
   #handleResponse(response: JSONRPCResponse): void {
     if (!this.#pending.delete(response.id as number)) {
       this.#statistics.lateAnswersDropped += 1;
+      this.#lateAnswers += 1;
       return;
     }
     this.#client.receive(response);
--- a/src/rpc/rpc_server.ts
+++ b/src/rpc/rpc_server.ts
@@ -4,6 +4,7 @@
 import type { z } from "zod";
 import {
   CallBacklog,
+  type Deadline,
   type Failure,
   type IClock,
   type IDisposable,
@@ -11,7 +12,7 @@
   notRun,
 } from "../common/mod.ts";
 import type { IEventLog } from "../events/mod.ts";
-import { otherFleetRefused } from "./events.ts";
+import { callsExpired, otherFleetRefused } from "./events.ts";
 import {
   DEFAULT_FLEET,
   type Envelope,
@@ -26,6 +27,9 @@
   RpcHandler,
 } from "./types.ts";
 
+/** Shortest time between two lines about calls that expired, in ms. */
+const EXPIRED_LINE_INTERVAL_MILLISECONDS = 1_000;
+
 /** Accepts connections of other instances and handles their calls. */
 export class RpcServer implements IRpcServer, IDisposable {
   #clock: IClock;
@@ -35,6 +39,9 @@
   #server: Server;
   #sockets = new Set<Socket>();
   #backlog: CallBacklog;
+  /** Calls that expired since the last line about them. */
+  #expiredCalls = 0;
+  #nextExpiredLineAt: Deadline;
 
   constructor(
     clock: IClock,
@@ -43,6 +50,7 @@
   ) {
     this.#clock = clock;
     this.#backlog = new CallBacklog(clock);
+    this.#nextExpiredLineAt = clock.monotonic();
     this.#fleet = options.fleet ?? DEFAULT_FLEET;
     this.#events = events;
     this.#server = createServer((socket) => void this.#serve(socket));
@@ -100,6 +108,7 @@
     }
     const deadline = this.#clock.deadlineIn(envelope.data.remaining);
     if (method.mayWait && !await this.#backlog.enter(deadline)) {
+      this.#recordExpired(method.name);
       return err(
         notRun("deadline-exceeded", "the call waited past its deadline"),
       );
@@ -113,6 +122,18 @@
     return await handler(params.data, context);
   }
 
+  #recordExpired(method: string): void {
+    this.#expiredCalls += 1;
+    if (!this.#clock.isPast(this.#nextExpiredLineAt)) return;
+    this.#nextExpiredLineAt = this.#clock.deadlineIn(
+      EXPIRED_LINE_INTERVAL_MILLISECONDS,
+    );
+    const count = this.#expiredCalls;
+    this.#expiredCalls = 0;
+    const waiting = this.#backlog.length;
+    this.#events.emit(callsExpired, { method, count, waiting });
+  }
+
   /**
    * Reports a call of another fleet, which indicates a wrong address in the
    * caller's settings.
--- a/src/service_routes/events.ts
+++ b/src/service_routes/events.ts
@@ -53,3 +53,21 @@
     "by this version; the previous ones stay in force at this instance.",
   fields: { version: z.number(), kept: z.number() },
 });
+
+export const routesUnconfirmed = defineEvent(1004, "routes-unconfirmed", {
+  level: "warn",
+  help: "No leader has confirmed for a while that the routes in force here " +
+    "are the newest. `contactMilliseconds` is the time since a leader last " +
+    "answered at all: if it is short, the leader's own state is behind.",
+  fields: {
+    version: z.number(),
+    ageMilliseconds: z.number().optional(),
+    contactMilliseconds: z.number(),
+  },
+});
+
+export const routesConfirmed = defineEvent(1005, "routes-confirmed", {
+  level: "info",
+  help: "The leader confirms the routes in force here as the newest again.",
+  fields: { version: z.number(), unconfirmedMilliseconds: z.number() },
+});
--- a/src/service_routes/key_permission.ts
+++ b/src/service_routes/key_permission.ts
@@ -101,6 +101,17 @@
     return isCurrent;
   }
 
+  /**
+   * Time since the confirmation, in milliseconds; infinite before the first,
+   * and after the clocks were disturbed.
+   */
+  get unconfirmedMilliseconds(): number {
+    if (this.#question?.disturbances !== this.#watch.disturbances) {
+      return Infinity;
+    }
+    return this.ageMilliseconds ?? Infinity;
+  }
+
   /** Time since the confirmation, in milliseconds; undefined before one. */
   get ageMilliseconds(): number | undefined {
     if (this.#confirmedAt === undefined) return undefined;
