--- a/src/consensus/replicated_log_test.ts
+++ b/src/consensus/replicated_log_test.ts
@@ -412,3 +412,29 @@
   await cluster.untilEqual();
   t.deepEqual(cluster.findViolations(), []);
 });
+
+// Guards against a leader that confirms an older state as the newest while it
+// captures a snapshot and followers already acknowledge (late-routes).
+test("leader that applies nothing does not confirm its state", async (t) => {
+  const cluster = await LogCluster.start(3, 62);
+  const leader = await cluster.untilLeader();
+  let openGate = () => {};
+  leader.section.snapshotGate = new Promise((resolve) => openGate = resolve);
+  const [follower] = cluster.followers;
+  const applied = (node?: ClusterNode) => node?.log.status().appliedIndex ?? 0;
+  await cluster.time.advanceUntil("the leader captures a snapshot", () => {
+    void cluster.propose(leader);
+    return applied(follower) > applied(leader) + 1;
+  });
+  const behindAt = leader.clock.monotonic();
+  await cluster.time.advance(1_000);
+  t.true(leader.isLeader);
+  t.true(applied(follower) > applied(leader));
+  t.true((leader.log.confirmedAt ?? Infinity) <= behindAt);
+  openGate();
+  await cluster.time.advanceUntil(
+    "the leader confirms its state again",
+    () => (leader.log.confirmedAt ?? 0) > behindAt,
+  );
+  t.true(applied(leader) >= applied(follower));
+});
--- a/testing/log_cluster.ts
+++ b/testing/log_cluster.ts
@@ -45,6 +45,8 @@
   /** Log index and id of each applied command. */
   items: [number, string][] = [];
   isSnapshotFailing = false;
+  /** Promise that snapshots await before they are captured, if set. */
+  snapshotGate: Promise<void> | undefined;
   #storage: FakeStorage;
   #appliedCommands: Map<number, string>;
 
@@ -69,6 +71,7 @@
 
   async snapshot(): Promise<SectionSnapshot> {
     if (this.isSnapshotFailing) throw new Error("simulated failure");
+    await this.snapshotGate;
     const state = structuredClone(this.items);
     const text = this.items.map(([, id]) => `${id}\n`).join("");
     await this.#storage.sync(ITEMS_FILE);
--- a/testing/platform_fleet.ts
+++ b/testing/platform_fleet.ts
@@ -272,12 +272,33 @@
    * clients and other processes keep working.
    */
   setLinkFault(entry: number, kind: LinkFaultKind | undefined): void {
-    const fault: ILinkFault = { ports: this.#enginePorts, kind };
+    this.#sendFault(entry, { ports: this.#enginePorts, addresses: [], kind });
+  }
+
+  /** Makes the links of an entry to a store hang, and all others work. */
+  cutOffStore(entry: number, store: number): void {
+    const addresses = [this.stores[store]!.address];
+    this.#sendFault(entry, { ports: [], addresses, kind: "silent" });
+  }
+
+  #sendFault(entry: number, fault: ILinkFault): void {
     const { child } = this.entries[entry]!;
     // An entry that has been killed has a new process with working links.
     if (child.connected) child.send(fault);
   }
 
+  /** Number of the store that leads; -1 if none does. */
+  async findLeader(): Promise<number> {
+    const leads = await Promise.all(this.stores.map(async ({ address }) => {
+      const { text } = await sendRequest({ address, port: METRICS_PORT }, {
+        method: "GET",
+        path: "/metrics",
+      });
+      return text.includes('figroad_log{kind="leader"} 1');
+    }));
+    return leads.indexOf(true);
+  }
+
   /** Restarts an ended process with its previous settings. */
   restart(process: IRoleProcess): void {
     process.child = this.#run(process);
