Confirm a leader's state only as far as it has applied the log

What callers saw: a route was used that a later, acknowledged configuration had changed, by an entry that the leader answered all the time.

Cause: a leader told entries that its routes were the newest as of the last contact with a quorum. Followers apply and acknowledge meanwhile, so an entry had an older version confirmed as the newest. Withdrawn keys and 404 rely on the same confirmation.

Change: the state is confirmed as of the moment at which the oldest entry that is not applied was committed, if that is earlier. An acknowledgement cannot be earlier than that moment, as followers learn of a commit from the leader. The lease, which is about leadership only, is unchanged.

--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -221,14 +221,14 @@
     runner.start();
   }
 
-  /** Time since a quorum followed this leader; undefined if not certain. */
+  /** Time since these were the newest routes; undefined if not certain. */
   #confirmedMilliseconds(): number | undefined {
     const { log, clock, routes, routesSection } = this.#options;
-    const { confirmedAt } = log;
-    const isCertain = confirmedAt !== undefined &&
+    const { stateConfirmedAt } = log;
+    const isCertain = stateConfirmedAt !== undefined &&
       routes.version >= (routesSection.current?.version ?? 0) &&
-      this.#clockWatch.isContinuousSince(confirmedAt);
-    return isCertain ? clock.monotonic() - confirmedAt : undefined;
+      this.#clockWatch.isContinuousSince(stateConfirmedAt);
+    return isCertain ? clock.monotonic() - stateConfirmedAt : undefined;
   }
 
   #engines(directory: EngineDirectory, health: EngineHealth) {
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -134,8 +134,8 @@
     return this.#replica?.leadership ?? none;
   }
 
-  get confirmedAt(): Deadline | undefined {
-    return this.#replica?.leader?.confirmedAt;
+  get stateConfirmedAt(): Deadline | undefined {
+    return this.#replica?.leader?.stateConfirmedAt;
   }
 
   get leaseUntil(): Deadline | undefined {
--- a/src/consensus/replicated_log_test.ts
+++ b/src/consensus/replicated_log_test.ts
@@ -430,11 +430,11 @@
   await cluster.time.advance(1_000);
   t.true(leader.isLeader);
   t.true(applied(follower) > applied(leader));
-  t.true((leader.log.confirmedAt ?? Infinity) <= behindAt);
+  t.true((leader.log.stateConfirmedAt ?? Infinity) <= behindAt);
   openGate();
   await cluster.time.advanceUntil(
     "the leader confirms its state again",
-    () => (leader.log.confirmedAt ?? 0) > behindAt,
+    () => (leader.log.stateConfirmedAt ?? 0) > behindAt,
   );
   t.true(applied(leader) >= applied(follower));
 });
--- a/src/consensus/state_machine.ts
+++ b/src/consensus/state_machine.ts
@@ -61,7 +61,6 @@
   #state: ReplicaState;
   #compaction: ICompactionPolicy;
   #appliedIndex: number;
-  /** When the oldest entry that is not applied yet was committed. */
   #behindSince: Deadline | undefined;
   #lastProposedAt: number;
   #lastSnapshotAttempt: { index: number; bytes: number };
@@ -100,6 +99,11 @@
     return this.#appliedIndex;
   }
 
+  /** When the oldest entry that is not applied yet was committed. */
+  get behindSince(): Deadline | undefined {
+    return this.#behindSince;
+  }
+
   /** Time stamp of the last applied entry. */
   get lastProposedAt(): number {
     return this.#lastProposedAt;
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -167,10 +167,11 @@
   readonly leadership: ILeadership;
   readonly onLeadershipChange: IEvent<ILeadership>;
   /**
-   * Time as of which no other replica can have committed anything, since a
-   * quorum followed this leader. Undefined unless this replica leads.
+   * Time as of which the applied state includes everything that any replica has
+   * committed: a quorum followed this leader then, and it has applied what was
+   * committed. Undefined unless this replica leads.
    */
-  readonly confirmedAt: Deadline | undefined;
+  readonly stateConfirmedAt: Deadline | undefined;
   /**
    * End of the leader's lease, reduced by the bound on clock drift; until then
    * no other replica can lead. Undefined unless this replica leads. Effects
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -67,7 +67,7 @@
   /** Batch items by engine. */
   readonly bulk: ReadonlyMap<string, number>;
   readonly routes: RouteTable | undefined;
-  /** Time since a quorum followed this leader; undefined if not certain. */
+  /** Time since the routes were the newest; undefined if not certain. */
   readonly confirmedMilliseconds: number | undefined;
   /** Keeps callers within their limits of requests. */
   readonly callerLimiter: FleetCallerLimiter;
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -184,8 +184,9 @@
     /** Version of the routes in force at the leader. */
     routesVersion: z.number().optional(),
     /**
-     * Time since a quorum followed the leader, in milliseconds; until then, no
-     * other leader can have accepted newer routes. Absent if it is not certain.
+     * Time since the leader's routes were the newest, in milliseconds: until
+     * then a quorum followed it, and it had applied all that was committed.
+     * Absent if it is not certain.
      */
     confirmedMilliseconds: z.number().optional(),
     /** Limits that engines name; left out where a request is placed. */
--- a/testing/fake_log.ts
+++ b/testing/fake_log.ts
@@ -16,7 +16,7 @@
 export class FakeLog implements IReplicatedLog {
   readonly failure = undefined;
   leadership: ILeadership = { term: 1, leader: "voter-0", isLeader: true };
-  confirmedAt: Deadline | undefined = 0 as Deadline;
+  stateConfirmedAt: Deadline | undefined = 0 as Deadline;
   leaseUntil: Deadline | undefined = Infinity as Deadline;
   transferCount = 0;
   #change = new Emitter<ILeadership>();
