Read unconfirmed routes from any store that has applied them

What callers saw: an entry ran a request by version 19 or older of the configuration 4.0 s after version 29 had been acknowledged; the deployment allows 2.5 s.

Cause: an entry gets routes in the leader's answers to its load exchange only. If these are late, lost or of an older state, it goes on with what it has for as long as that lasts, although other stores hold the newer routes and answer. A confirmation that has become old led to nothing but a metric.

Any store that has applied newer routes sends them. It needs no leader: what is applied is committed, and stays in force until something newer does.

--- a/src/consensus/control_client.ts
+++ b/src/consensus/control_client.ts
@@ -43,6 +43,11 @@
     this.#finder = new LeaderFinder(voters, rpc, options);
   }
 
+  /** Voters of the log, as far as they are known here. */
+  get voters(): readonly PeerAddress[] {
+    return this.#finder.voters;
+  }
+
   async propose<C extends z.ZodType, O extends z.ZodType>(
     section: ISectionDefinition<C, O>,
     command: z.infer<C>,
--- a/src/consensus/leader_finder.ts
+++ b/src/consensus/leader_finder.ts
@@ -40,12 +40,12 @@
 
   /** Voter with an identifier, if it is known. */
   voter(id: string | undefined): PeerAddress | undefined {
-    return this.#voters().find((voter) => voter.id === id);
+    return this.voters.find((voter) => voter.id === id);
   }
 
   /** Searches for the leader once. */
   find(options: IDeadlineOptions): Promise<PeerAddress | undefined> {
-    const [first, ...others] = this.#voters();
+    const [first, ...others] = this.voters;
     // A single voter is the leader, or rejects the call if it is not.
     if (others.length === 0) return Promise.resolve(first);
     this.#search ??= this.#queryVoters(options).finally(() => {
@@ -55,7 +55,7 @@
   }
 
   /** Voters in the settings, and those learned from answers since. */
-  #voters(): PeerAddress[] {
+  get voters(): PeerAddress[] {
     const learned = new Set(this.#learned.map(({ id }) => id));
     const configured = this.#configuredVoters().filter(({ id }) =>
       !learned.has(id)
@@ -64,7 +64,7 @@
   }
 
   #queryVoters(options: IDeadlineOptions): Promise<PeerAddress | undefined> {
-    const voters = this.#voters();
+    const voters = this.voters;
     const deadline = earlierDeadline(
       options.deadline,
       this.#clock.deadlineIn(STATUS_TIMEOUT_MILLISECONDS),
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -157,7 +157,7 @@
         : state.soleVersions.map((report) => [...report]),
       listAge: state.listAge,
       list: isNewList ? list : undefined,
-      routes: isNewRoutes ? withoutSource(routes) : undefined,
+      routes: isNewRoutes ? routes.setForEntries : undefined,
       routesVersion: routes?.version,
       confirmedMilliseconds: state.confirmedMilliseconds,
       parts: parts ? judge.receive(params.instance, parts) : judge.findNews(),
@@ -180,11 +180,6 @@
   });
 }
 
-/** Leaves out the operator's document, which contains callers' keys. */
-function withoutSource({ set }: RouteTable): RouteTable["set"] {
-  return set.callers === undefined ? set : { ...set, source: "" };
-}
-
 function notLeader() {
   return notRun("not-leader", "this instance is not the leader");
 }
--- a/src/service_routes/events.ts
+++ b/src/service_routes/events.ts
@@ -71,3 +71,10 @@
   help: "The leader confirms the routes in force here as the newest again.",
   fields: { version: z.number(), unconfirmedMilliseconds: z.number() },
 });
+
+export const routesRead = defineEvent(1006, "routes-read", {
+  level: "info",
+  help: "A store had newer routes while no leader confirmed those in force " +
+    "here; they are in force now.",
+  fields: { store: z.string(), version: z.number(), previous: z.number() },
+});
--- a/src/service_routes/messages.ts
+++ b/src/service_routes/messages.ts
@@ -31,3 +31,15 @@
     routes: routeSetSchema.optional(),
   }),
 });
+
+/** Reads newer routes; each store answers from what it has applied. */
+export const readAppliedRoutesMethod = defineMethod("routes.read-applied", {
+  params: z.object({
+    /** Version that the caller has. */
+    have: z.number(),
+  }),
+  result: z.object({
+    /** Absent if the store has no newer routes. */
+    routes: routeSetSchema.optional(),
+  }),
+});
--- a/src/service_routes/mod.ts
+++ b/src/service_routes/mod.ts
@@ -6,6 +6,7 @@
 export * from "./route_table.ts";
 export * from "./review_routes.ts";
 export * from "./routes_holder.ts";
+export * from "./routes_handlers.ts";
 export * from "./routes_refresher.ts";
 export * from "./routes_section.ts";
 export * from "./routes_updater.ts";
--- a/src/service_routes/route_table.ts
+++ b/src/service_routes/route_table.ts
@@ -61,6 +61,12 @@
     return this.set.version;
   }
 
+  /** The routes without the operator's document, which contains keys. */
+  get setForEntries(): RouteSet {
+    const { set } = this;
+    return set.callers === undefined ? set : { ...set, source: "" };
+  }
+
   /** Returns the route with the longest prefix that matches the path. */
   find(host: string, path: string): Route | undefined {
     const routes = this.#byHost.get(host.toLowerCase()) ?? [];
