Ask all stores for newer routes in time, however many there are

Found by reading: an entry asked one store each tenth of config-ms. It may know more than five, as the seeds in its settings need not be voters; with twelve, the last was asked after 1.4 times the bound.

Change: the interval is half of config-ms divided by the number of stores.

--- a/src/service_routes/routes_refresher.ts
+++ b/src/service_routes/routes_refresher.ts
@@ -8,12 +8,12 @@
 
 /**
  * Share of the time within which routes must come into force after which they
- * count as unconfirmed. The rest is left for asking all stores.
+ * count as unconfirmed.
  */
 const UNCONFIRMED_SHARE = 0.2;
 
-/** Share of that time between the calls to two stores. */
-const CALL_INTERVAL_SHARE = 0.1;
+/** Share of that time in which all stores are then asked once. */
+const ROUND_SHARE = 0.5;
 
 /** Dependencies of a `RoutesRefresher`. */
 export interface IRoutesRefresherOptions {
@@ -48,8 +48,8 @@
   #unconfirmedSince: Deadline | undefined;
   /** Position of the store to ask next, as a count of calls. */
   #turn: number;
-  /** Stores that have not answered yet. */
-  #asked = new Set<string>();
+  /** Stores whose answers are outstanding. */
+  #unanswered = new Set<string>();
   #stopping = new AbortController();
 
   constructor(options: IRoutesRefresherOptions) {
@@ -67,11 +67,14 @@
   }
 
   async #run(): Promise<void> {
-    const { clock, boundMilliseconds } = this.#options;
+    const { clock, stores, boundMilliseconds } = this.#options;
     const { signal } = this.#stopping;
     while (!signal.aborted) {
       this.#check();
-      const next = clock.deadlineIn(boundMilliseconds * CALL_INTERVAL_SHARE);
+      const storeCount = Math.max(1, stores().length);
+      const next = clock.deadlineIn(
+        boundMilliseconds * ROUND_SHARE / storeCount,
+      );
       await clock.sleepUntil(next, signal);
     }
   }
@@ -93,14 +96,14 @@
     const { clock, events, routes, rpc, boundMilliseconds } = this.#options;
     const store = this.#nextStore();
     if (!store) return;
-    this.#asked.add(store.id);
+    this.#unanswered.add(store.id);
     const answer = await rpc.call(
       store,
       readAppliedRoutesMethod,
       { have: routes.version },
       { deadline: clock.deadlineIn(boundMilliseconds) },
     );
-    this.#asked.delete(store.id);
+    this.#unanswered.delete(store.id);
     // A store that fails is asked again in its next turn.
     const newer = answer.isOk() ? answer.value.routes : undefined;
     const previous = routes.version;
@@ -116,7 +119,7 @@
     const stores = this.#options.stores();
     for (let count = 0; count < stores.length; count++) {
       const store = stores[this.#turn++ % stores.length];
-      if (store && !this.#asked.has(store.id)) return store;
+      if (store && !this.#unanswered.has(store.id)) return store;
     }
     return undefined;
   }
--- a/src/service_routes/routes_refresher_test.ts
+++ b/src/service_routes/routes_refresher_test.ts
@@ -24,13 +24,13 @@
   return { version, routes: [], services: [], limits, source: "" };
 }
 
-/** An entry with version 1, which no leader confirms, and five stores. */
-function createFixture() {
+/** An entry with version 1, which no leader confirms, and some stores. */
+function createFixture(storeCount = 5) {
   const time = new VirtualTime();
   const clock = new VirtualClock(time);
   const network = new FakeNetwork(time, new TestRandom(1));
   const events = new SilentEventLog();
-  const stores = Array.from({ length: 5 }, (_, index) => {
+  const stores = Array.from({ length: storeCount }, (_, index) => {
     const id = `store-${index}`;
     const section = new RoutesSection();
     const routes = new RoutesHolder({ events, isLazy: true });
@@ -70,6 +70,14 @@
   t.is(routes.version, 2);
 });
 
+// The same, with more stores than a log has voters.
+test("all of twelve stores are asked in time", async (t) => {
+  const { time, stores, routes } = createFixture(12);
+  stores.at(-1)!.section.apply({ routes: routeSet(2) });
+  await time.advance(BOUND_MILLISECONDS);
+  t.is(routes.version, 2);
+});
+
 // The same, with a delay that exceeds the timeout of an exchange.
 test("routes in answers that take 0.6 s come into force", async (t) => {
   const { time, clock, stores, routes } = createFixture();
