Move the time of the confirmed state to the replica

The value needs the leader's term and the state machine, and the replica has both. Nothing else changes; the tests of consensus, composition and late routes pass.

--- a/src/consensus/leader_term.ts
+++ b/src/consensus/leader_term.ts
@@ -2,7 +2,6 @@
 import {
   type Deadline,
   DisposableStore,
-  earlierDeadline,
   type Failure,
   type IDisposable,
   invariant,
@@ -146,19 +145,6 @@
     return this.quorumContactAt as Deadline;
   }
 
-  /**
-   * Time as of which the applied state includes all that is committed. It is
-   * earlier than `confirmedAt` while committed entries wait to be applied.
-   */
-  get stateConfirmedAt(): Deadline | undefined {
-    const { confirmedAt } = this;
-    const { behindSince } = this.#options.machine;
-    if (confirmedAt === undefined || behindSince === undefined) {
-      return confirmedAt;
-    }
-    return earlierDeadline(confirmedAt, behindSince);
-  }
-
   /** End of the lease; until then no other replica can become leader. */
   get leaseUntil(): Deadline | undefined {
     const { confirmedAt } = this;
--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -1,6 +1,8 @@
 import { err, ok, type Result } from "neverthrow";
 import {
+  type Deadline,
   DisposableStore,
+  earlierDeadline,
   type Failure,
   type IClock,
   type IEvent,
@@ -152,6 +154,20 @@
     return this.#leader;
   }
 
+  /**
+   * Time as of which the applied state includes all that is committed. It is
+   * earlier than the leader's `confirmedAt` while committed entries wait to be
+   * applied. Undefined while this replica does not lead.
+   */
+  get stateConfirmedAt(): Deadline | undefined {
+    const confirmedAt = this.#leader?.confirmedAt;
+    const { behindSince } = this.machine;
+    if (confirmedAt === undefined || behindSince === undefined) {
+      return confirmedAt;
+    }
+    return earlierDeadline(confirmedAt, behindSince);
+  }
+
   get replicaSetManager(): ReplicaSetManager | undefined {
     return this.#replicaSetManager;
   }
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -135,7 +135,7 @@
   }
 
   get stateConfirmedAt(): Deadline | undefined {
-    return this.#replica?.leader?.stateConfirmedAt;
+    return this.#replica?.stateConfirmedAt;
   }
 
   get leaseUntil(): Deadline | undefined {
