--- a/review/fleet_3.ts
+++ b/review/fleet_3.ts
@@ -116,10 +116,15 @@
     return machine;
   }
 
-  /** Names other stores in the settings of all running processes. */
-  async changeSeeds(stores: readonly IMachine[]): Promise<void> {
+  /** Names other stores in the settings files that are written from now on. */
+  setSeeds(stores: readonly IMachine[]): void {
     this.#seeds = stores.slice(0, 3)
       .map(({ address }) => `${address}:${this.ports.control}`);
+  }
+
+  /** Names other stores in the settings of all running processes. */
+  async changeSeeds(stores: readonly IMachine[]): Promise<void> {
+    this.setSeeds(stores);
     for (const machine of this.machines.filter(isRunning)) {
       await this.#prepare(machine, false);
       this.signal(machine, "SIGHUP");
