Report a retirement as done only once the removal is committed

What callers could see: the operator reads that a store is retired and switches its machine off. If the leader is lost at that moment, its removal may never be committed: the log still counts four voters, and one of them is gone for good.

Cause: the state of a retirement was taken from the latest members in the log, which take effect when they are appended.

Change: a store is a member until an entry without it is committed (IReplicatedLog.isMember).

Evidence: the new test fails if only the latest members are looked at ("Value is not `true`") and passes with the change.

--- a/src/consensus/replica.ts
+++ b/src/consensus/replica.ts
@@ -24,7 +24,7 @@
   voteMethod,
 } from "./messages.ts";
 import { ReplicaSetManager } from "./replica_set_manager.ts";
-import type { ReplicaMember } from "./replica_set.ts";
+import { allMembers, type ReplicaMember } from "./replica_set.ts";
 import { ReplicaState } from "./replica_state.ts";
 import { ReplicaSetHistory } from "./replica_set_history.ts";
 import { SnapshotReceiver } from "./snapshot_receiver.ts";
@@ -208,6 +208,14 @@
     };
   }
 
+  /** Whether an instance is a member before or after a pending change. */
+  isMember(id: string): boolean {
+    const { replicas, replicaSetHistory, commitIndex } = this.#state;
+    const committed = replicaSetHistory.at(commitIndex);
+    return [...allMembers(committed), ...allMembers(replicas)]
+      .some((member) => member.id === id);
+  }
+
   /** Stops after the writes in progress are finished. */
   async stop(): Promise<void> {
     this.#stopping.abort();
--- a/src/consensus/replicated_log.ts
+++ b/src/consensus/replicated_log.ts
@@ -185,6 +185,10 @@
     };
   }
 
+  isMember(id: string): boolean {
+    return this.#replica?.isMember(id) ?? false;
+  }
+
   async transferLeadership(options: IDeadlineOptions): Promise<boolean> {
     const manager = this.#replica?.replicaSetManager;
     const isDone = await manager?.transferLeadership(options) ?? false;
--- a/src/consensus/types.ts
+++ b/src/consensus/types.ts
@@ -179,6 +179,11 @@
    */
   readonly leaseUntil: Deadline | undefined;
   status(): LogStatus;
+  /**
+   * Whether an instance is a member of the log, or its removal is not committed
+   * yet. A leader that is lost can leave such a removal without effect.
+   */
+  isMember(id: string): boolean;
   /**
    * Why this replica has stopped for good; undefined while it runs or waits for
    * its disk to work again.
--- a/src/consensus/voter_replacement_test.ts
+++ b/src/consensus/voter_replacement_test.ts
@@ -178,3 +178,21 @@
   await cluster.time.advance(1_000);
   t.true(await timeOf(second!.stop()) < 50);
 });
+
+// A retirement was reported as done before the removal was committed.
+test("member counts as one until its removal is committed", async (t) => {
+  const retiring = new Set<string>();
+  const { cluster, spare } = await LogCluster.startWithSpare(91, retiring);
+  const { log } = await cluster.untilLeader();
+  const { id } = someVoter(cluster, spare).address;
+  retiring.add(id);
+  let uncommitted = 0;
+  await cluster.time.advance(500, () => {
+    const { commitIndex, lastIndex } = log.status();
+    if (voters(cluster).includes(id) || commitIndex === lastIndex) return;
+    uncommitted += 1;
+    t.true(log.isMember(id));
+  });
+  t.true(uncommitted > 0);
+  t.false(log.isMember(id));
+});
--- a/src/retirement/retirement_handlers.ts
+++ b/src/retirement/retirement_handlers.ts
@@ -94,7 +94,5 @@
 ): { state: RetirementState } {
   const store = options.section.storeIdOf(name);
   if (store === undefined) return { state: "unknown-store" };
-  const { voters, learners } = options.log.status();
-  const isMember = [...voters, ...learners].some(({ id }) => id === store);
-  return { state: isMember ? "running" : "done" };
+  return { state: options.log.isMember(store) ? "running" : "done" };
 }
--- a/testing/fake_log.ts
+++ b/testing/fake_log.ts
@@ -63,6 +63,10 @@
     throw new Error("FakeLog does not implement status()");
   }
 
+  isMember(): boolean {
+    return false;
+  }
+
   leave(): Promise<boolean> {
     return Promise.resolve(false);
   }
