--- a/src/consensus/state_machine.ts
+++ b/src/consensus/state_machine.ts
@@ -54,6 +54,13 @@
   readonly output: unknown;
 }
 
+/** Work that no entry is applied during. */
+interface IStateTask {
+  run(): Promise<void>;
+  /** Ends the task without running it. */
+  reject(error: Error): void;
+}
+
 /** Applies committed entries to the sections, and captures their state. */
 export class StateMachine implements IDisposable {
   #sections: Map<string, IStateSection>;
@@ -65,7 +72,7 @@
   #lastProposedAt: number;
   #lastSnapshotAttempt: { index: number; bytes: number };
   #saving: Promise<void> | undefined;
-  #tasks: (() => Promise<void>)[] = [];
+  #tasks: IStateTask[] = [];
   #work = new ConditionVariable();
   #disposed = false;
   readonly #applied = new Emitter<IAppliedEntry>();
@@ -121,7 +128,7 @@
     while (!this.#disposed && this.#state.role !== "stopped") {
       const task = this.#tasks.shift();
       if (task) {
-        await task();
+        await task.run();
       } else if (this.#appliedIndex < this.#state.commitIndex) {
         await this.#applyBatch();
         if (this.#isSnapshotDue()) await this.#captureSnapshot();
@@ -136,7 +143,7 @@
     prepare: () => Promise<StoredSnapshot>,
   ): Promise<StoredSnapshot> {
     return new Promise((resolve, reject) => {
-      this.#tasks.push(async () => {
+      const run = async () => {
         try {
           await this.#saving;
           for (const section of this.#sections.values()) {
@@ -157,16 +164,26 @@
           this.#state.fail(error as Error);
           reject(error);
         }
-      });
+      };
+      this.#tasks.push({ run, reject });
+      if (this.#disposed) this.#rejectTasks();
       this.#work.notify();
     });
   }
 
   dispose(): void {
     this.#disposed = true;
+    this.#rejectTasks();
     this.#work.notify();
   }
 
+  /** Ends tasks that will not run, so that nothing waits for them. */
+  #rejectTasks(): void {
+    for (const { reject } of this.#tasks.splice(0)) {
+      reject(new Error("the replica is stopped"));
+    }
+  }
+
   /** Waits for the snapshot that is being written. */
   async waitForSnapshot(): Promise<void> {
     await this.#saving;
--- a/src/consensus/stopping_voter_test.ts
+++ b/src/consensus/stopping_voter_test.ts
@@ -10,6 +10,9 @@
 /** Duration of a sync that outlasts the deadline of an append. */
 const SLOW_SYNC_MILLISECONDS = 1_500;
 
+/** Longest time for a stop. */
+const STOP_LIMIT_MILLISECONDS = 3_000;
+
 /** Three voters whose log is longer than one message. */
 async function startWithLongLog(seed: number): Promise<LogCluster> {
   const cluster = await LogCluster.start(3, seed, { bytes: 100_000_000 });
@@ -131,3 +134,20 @@
   await cluster.time.advance(500);
   t.true(calls.count > 1);
 });
+
+// A replica that stopped between the last chunk of a snapshot and its
+// installation never ended.
+test("voter stops while it receives a snapshot", async (t) => {
+  const cluster = await LogCluster.start(3, 77);
+  const follower = someFollower(cluster);
+  for (let delay = 0; delay < 30; delay += 2) {
+    follower.crash();
+    await cluster.commit(50);
+    await cluster.untilSettled(follower.start());
+    await cluster.time.advance(delay);
+    let isStopped = false;
+    void follower.log.stop().then(() => isStopped = true);
+    await cluster.time.advance(STOP_LIMIT_MILLISECONDS);
+    t.true(isStopped, `stopped ${delay} ms after its start`);
+  }
+});
