--- a/testing/log_cluster.ts
+++ b/testing/log_cluster.ts
@@ -157,11 +157,12 @@
 
   /** Stops the process as on a signal that announces its end. */
   async stop(): Promise<void> {
-    const deadline = this.clock.deadlineIn(STOP_LIMIT_MILLISECONDS);
-    await this.log.transferLeadership({ deadline });
-    await this.log.leave({ deadline });
-    await this.log.stop();
-    this.crash();
+    const { log, clock } = this;
+    const deadline = clock.deadlineIn(STOP_LIMIT_MILLISECONDS);
+    await log.transferLeadership({ deadline });
+    await log.leave({ deadline });
+    await log.stop();
+    if (this.clock === clock) this.crash();
   }
 
   /** Ends the process and loses unsynced bytes. */
--- a/testing/log_random_run.ts
+++ b/testing/log_random_run.ts
@@ -5,6 +5,9 @@
 
 const WORKERS = 4;
 
+/** Time after which a planned stop that has begun is over. */
+const LONGEST_STOP_MILLISECONDS = 7_000;
+
 /** Result of a randomised run. */
 export interface IRandomRunResult {
   readonly violations: string[];
@@ -24,8 +27,19 @@
     this.#cluster = cluster;
   }
 
-  static async run(voters: number, seed: number): Promise<IRandomRunResult> {
-    const cluster = await LogCluster.start(voters, seed);
+  /** @param spares replicas beyond the voters that the leader maintains. */
+  static async run(
+    voters: number,
+    seed: number,
+    spares = 0,
+  ): Promise<IRandomRunResult> {
+    const cluster = new LogCluster(voters, seed);
+    if (spares > 0) {
+      cluster.voterPolicy = { targetVoters: voters, isRetiring: () => false };
+    }
+    for (const node of cluster.nodes) void node.start();
+    await cluster.untilLeader();
+    for (let added = 0; added < spares; added++) await cluster.addSpare();
     const run = new RandomRun(cluster);
     cluster.network.lossPercent = 3;
     const workers = Array.from({ length: WORKERS }, () => run.#runWorker());
@@ -123,12 +137,13 @@
     network.lossPercent = 0;
     this.#isOver = true;
     this.#repairDisks();
+    if (this.#spares > 0) await time.advance(LONGEST_STOP_MILLISECONDS);
     for (const node of nodes) {
       if (!node.isUp) await this.#cluster.untilSettled(node.start());
     }
     await time.advanceUntil(
-      "all nodes are voters",
-      () => this.#leaderVoters().length === nodes.length,
+      "all nodes are members",
+      () => this.#isComplete,
     );
   }
 
@@ -172,14 +187,19 @@
   }
 
   #transfer(): void {
-    const { leader } = this.#cluster;
+    const { leader, voterPolicy, random, nodes } = this.#cluster;
+    if (voterPolicy && random.chance(80)) {
+      const node = random.pick(nodes);
+      if (node.isUp) this.#count("stop", node.stop());
+      return;
+    }
     if (!leader) return;
     const deadline = leader.clock.deadlineIn(300);
     this.#count("transfer", leader.log.transferLeadership({ deadline }));
   }
 
   /**
-   * Wipes one disk, only while all nodes are healthy voters: losing more than
+   * Wipes one disk, only while all nodes are healthy members: losing more than
    * a minority of the disks would lose acknowledged commands.
    */
   #wipeDisk(): void {
@@ -188,10 +208,10 @@
       node.isUp && !node.disk.isFailing
     );
     if (!leader || !areAllHealthy || network.isolated.size > 0) return;
-    const isVoter = (node: ClusterNode) =>
-      !["learner", "stopped"].includes(node.log.status().role);
-    if (this.#leaderVoters().length < nodes.length) return;
-    if (!nodes.every(isVoter)) return;
+    if (!this.#isComplete) return;
+    const roles = nodes.map((node) => node.log.status().role);
+    const learners = roles.filter((role) => role === "learner").length;
+    if (learners !== this.#spares || roles.includes("stopped")) return;
     const node = random.pick(nodes);
     node.crash();
     node.wipeDisk();
@@ -199,10 +219,17 @@
     this.#count("lose disk", node.start());
   }
 
-  #leaderVoters() {
-    const { leader } = this.#cluster;
-    if (!leader) return [];
+  /** Whether the leader's members are all voters and all spares. */
+  get #isComplete(): boolean {
+    const { leader, nodes } = this.#cluster;
+    if (!leader) return false;
     const { voters, learners } = leader.log.status();
-    return learners.length > 0 ? [] : voters;
+    return voters.length === nodes.length - this.#spares &&
+      learners.length === this.#spares;
+  }
+
+  get #spares(): number {
+    const { nodes, voterPolicy } = this.#cluster;
+    return voterPolicy ? nodes.length - voterPolicy.targetVoters : 0;
   }
 }
