--- a/soak/platform/run_platform_soak.ts
+++ b/soak/platform/run_platform_soak.ts
@@ -44,6 +44,8 @@
   readonly seconds: number;
   readonly entries: number;
   readonly engines: number;
+  /** Stores beyond the three that vote. */
+  readonly spareStores?: number;
   /** Whether callers have keys, some of which are withdrawn. */
   readonly hasCallers?: boolean;
 }
@@ -73,11 +75,12 @@
     (_, index) => new SoakEngine(index),
   );
   const fleet = new PlatformFleet(engines);
-  const { hasCallers = false } = options;
+  const { hasCallers = false, spareStores = 0 } = options;
   const context = { fleet, record, random };
   try {
     await fleet.start(options.entries);
     await waitUntilServing(fleet, record, hasCallers);
+    for (let added = 0; added < spareStores; added++) await fleet.addStore();
     const load = new AbortController();
     const { signal } = load;
     const tasks = startLoad(context, { seed, signal, hasCallers });
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -68,6 +68,11 @@
     ...COMMON_ARGUMENTS,
     entries: { type: "string", default: "3", description: "Number of entries" },
     engines: { type: "string", default: "3", description: "Number of engines" },
+    spares: {
+      type: "string",
+      default: "0",
+      description: "Number of stores beyond the three that vote",
+    },
     callers: {
       type: "boolean",
       default: false,
@@ -81,6 +86,7 @@
         seconds: Number(args.seconds),
         entries: Number(args.entries),
         engines: Number(args.engines),
+        spareStores: Number(args.spares),
         hasCallers: args.callers,
       });
       printSchedule(schedule);
