Keep a replaced voter as a learner

Cause: a voter that was silent for one election timeout was removed from the members, although it may only be slow.

Change: a voter that stops or is silent becomes a learner in the change that ends its vote.

--- a/src/consensus/replica_set_manager.ts
+++ b/src/consensus/replica_set_manager.ts
@@ -79,8 +79,7 @@
       const next = this.#clock.deadlineIn(this.#state.timing.heartbeatInterval);
       await this.#clock.sleepUntil(next, this.#wakeUp.signal);
       if (this.#wakeUp.signal.aborted) this.#wakeUp = new AbortController();
-      // Between the two changes of a replacement the log has one voter more
-      // than it needs, so the second one follows at once.
+      // The second change of a replacement follows at once.
       while (!signal.aborted && await this.#makeNextChange()) {
         this.#progress.notify();
       }
@@ -96,15 +95,13 @@
 
   /** Makes one change if one is needed; returns whether it was made. */
   async #makeNextChange(): Promise<boolean> {
-    const options = {
-      deadline: this.#clock.deadlineIn(CHANGE_TIMEOUT_MILLISECONDS),
-    };
+    const deadline = this.#clock.deadlineIn(CHANGE_TIMEOUT_MILLISECONDS);
     const returned = this.#state.replicas.learners.find((it) =>
       it.promote && !this.#isStopping(it) && this.#isCaughtUp(it)
     );
     const result = returned
-      ? await this.#promote(returned, options)
-      : this.#policy && await this.#maintainVoters(this.#policy, options);
+      ? await this.#promote(returned, { deadline })
+      : this.#policy && await this.#maintainVoters(this.#policy, { deadline });
     return result?.isOk() ?? false;
   }
 
@@ -131,6 +128,7 @@
     events.emit(voterReplaced, { action, member: member.id, reason });
     return await match(action)
       .with("promote", () => this.#promote(member, options))
+      .with("demote", () => this.#demote(member, options))
       .with("remove", () => this.#remove(member, options))
       .with("hand-over", () => this.#transfer(undefined, options))
       .exhaustive();
@@ -149,8 +147,8 @@
     while (!this.#stopping.signal.aborted) {
       const { replicas, commitIndex, replicaSetHistory } = this.#state;
       const isVoting = isVoter(replicas, storage);
-      const isCommitted = replicaSetHistory.latestIndex <= commitIndex;
-      if (!isVoting && isCommitted) return ok(true);
+      const isPending = replicaSetHistory.latestIndex > commitIndex;
+      if (!isVoting && !isPending) return ok(true);
       if (isVoting && !this.#canReplaceVoter()) return ok(false);
       if (this.#clock.isPast(options.deadline)) {
         const reason = "no learner has caught up yet";
@@ -163,9 +161,7 @@
 
   /** Transfers leadership to the voter that has most entries and stays. */
   async transferLeadership(options: IDeadlineOptions): Promise<boolean> {
-    const target = this.#selectNextLeader();
-    return target !== undefined &&
-      await this.#leader.transfer(target, options);
+    return (await this.#transfer(undefined, options)).isOk();
   }
 
   /** Makes a change that an operator requests. */
@@ -284,6 +280,15 @@
     return await this.#leader.changeReplicas(replicas, options);
   }
 
+  async #demote(
+    member: ReplicaMember,
+    options: IDeadlineOptions,
+  ): Promise<ChangeResult> {
+    const replicas = withoutMember(this.#state.replicas, member);
+    replicas.learners.push({ ...member, promote: false });
+    return await this.#leader.changeReplicas(replicas, options);
+  }
+
   async #remove(
     member: ReplicaMember,
     options: IDeadlineOptions,
@@ -343,11 +348,11 @@
     if (!this.#policy) return false;
     const { voters, learners } = this.#state.replicas;
     if (voters.length > this.#policy.targetVoters) return true;
-    const { minimumElectionTimeout } = this.#state.timing;
+    const { contacts } = this.#leader;
     return learners.some((it) =>
       !this.#policy?.isRetiring(it.id) && !this.#isStopping(it) &&
-      this.#leader.contacts.timeSinceContact(it.storage) <
-        minimumElectionTimeout
+      contacts.timeSinceContact(it.storage) <
+        this.#state.timing.minimumElectionTimeout
     );
   }
 
@@ -370,8 +375,8 @@
   #isCaughtUp(member: ReplicaMember): boolean {
     const index = this.#leader.contacts.matchIndex(member.storage) ?? 0;
     const { lastIndex } = this.#state.log;
-    if (!this.#hasRecentContact(member, 1)) return false;
-    return this.#leader.isEstablished &&
+    return this.#hasRecentContact(member, 1) &&
+      this.#leader.isEstablished &&
       index + PROMOTION_LAG_ENTRIES >= lastIndex &&
       index > 0;
   }
@@ -386,9 +391,8 @@
     return this.#hasRecentContact(member, REPLACEABLE_AFTER_ELECTION_TIMEOUTS);
   }
 
-  #hasRecentContact(member: ReplicaMember, timeouts: number): boolean {
-    const contactAt = this.#leader.contacts.contactAt(member.storage);
-    if (contactAt === undefined) return false;
+  #hasRecentContact({ storage }: ReplicaMember, timeouts: number): boolean {
+    const contactAt = this.#leader.contacts.contactAt(storage) ?? -Infinity;
     const silence = this.#clock.monotonic() - contactAt;
     return silence < timeouts * this.#state.timing.minimumElectionTimeout;
   }
--- a/src/consensus/voter_policy.ts
+++ b/src/consensus/voter_policy.ts
@@ -2,7 +2,7 @@
 
 /** One change of the members that brings the voters closer to the policy. */
 export interface IVoterChange {
-  readonly action: "promote" | "remove" | "hand-over";
+  readonly action: "promote" | "demote" | "remove" | "hand-over";
   readonly member: ReplicaMember;
   readonly reason: string;
 }
@@ -25,8 +25,10 @@
 /**
  * Chooses the next change of the members, if one is needed.
  *
- * A voter is removed only after its replacement has been promoted, so that a
- * replacement never lowers the number of voters below the target.
+ * A voter stops voting only after its replacement has been promoted, so that a
+ * replacement never lowers the number of voters below the target. Unless it is
+ * being retired it becomes a learner, which still receives the log: if it was
+ * only slow or is back soon, it can take over again at once.
  */
 export function nextVoterChange(
   replicas: ReplicaSet,
@@ -52,9 +54,12 @@
       )
       : voters.filter(({ storage }) => storage !== view.leader).reverse();
     if (!first) return undefined;
-    const isLeader = first.storage === view.leader;
     return {
-      action: isLeader ? "hand-over" : "remove",
+      action: first.storage === view.leader
+        ? "hand-over"
+        : view.isRetiring(first)
+        ? "remove"
+        : "demote",
       member: first,
       reason: reasonToLeave(first) ?? "there are too many voters",
     };
