Promote no learner that a quorum cannot confirm

Cause: voters count as silent after one election timeout or two refused heartbeats now, so a leader can still lead when most voters are silent. It then promoted a learner: the change takes effect when it is appended, could not be committed, and raised the votes needed from two of three to three of four.

Change: a learner is promoted only if the voters that answer and the learner are a quorum of the new set.

Evidence: "no voter is added without a quorum of the others" fails without the change and passes with it. Found by reading, before it was landed.

--- a/src/consensus/voter_policy.ts
+++ b/src/consensus/voter_policy.ts
@@ -42,7 +42,13 @@
   };
   const leaving = voters.filter((it) => reasonToLeave(it) !== undefined);
   const replacement = selectReplacement(replicas, { view, leaving });
-  if (replacement && voters.length - leaving.length < view.targetVoters) {
+  // A change that no quorum stores would only raise the number of votes needed.
+  const answering = 1 + voters.filter((it) => !view.isSilent(it)).length;
+  const isCommittable = answering > (voters.length + 1) / 2;
+  if (
+    replacement && isCommittable &&
+    voters.length - leaving.length < view.targetVoters
+  ) {
     const reason = "a voter is missing";
     return { action: "promote", member: replacement, reason };
   }
--- a/src/consensus/voter_policy_test.ts
+++ b/src/consensus/voter_policy_test.ts
@@ -27,10 +27,11 @@
     stopping?: string[];
     behind?: string[];
   } = {},
+  targetVoters = 3,
 ): string | undefined {
   const { lost = [], retiring = [], stopping = [], behind = [] } = changes;
   const view: IReplicaSetView = {
-    targetVoters: 3,
+    targetVoters,
     leader: "a",
     isRetiring: ({ id }) => retiring.includes(id),
     isStopping: ({ id }) => stopping.includes(id),
@@ -82,6 +83,16 @@
   t.is(step(more, { stopping: ["b"], lost: ["c"] }), "demote c");
 });
 
+// Four voters would need three votes, of which only two could be given.
+test("no voter is added without a quorum of the others", (t) => {
+  const replicas = { voters: VOTERS, learners: [member("d")] };
+  t.is(step(replicas, { lost: ["b", "c"] }), undefined);
+  const five = [...VOTERS, member("e"), member("f")];
+  const more = { voters: five, learners: [member("d")] };
+  t.is(step(more, { lost: ["b", "c", "e"] }, 5), undefined);
+  t.is(step(more, { lost: ["b", "c"] }, 5), "promote d");
+});
+
 test("stopping learner neither votes nor is removed", (t) => {
   const replicas = { voters: VOTERS, learners: [member("d")] };
   t.is(step(replicas, { lost: ["c"], stopping: ["d"] }), undefined);
