Stop a replica that still leads without asking for a replacement

Cause: a leader whose transfer found no voter, such as the only voter, counted as one that knows a leader, and waited 1.8 s for the next one before it stopped.

Change: only a replica that does not lead asks to be replaced.

Evidence: "stop of a lone voter takes no longer" fails without the change and passes with it. Found by reading, before it was landed.

--- a/src/consensus/replica_membership.ts
+++ b/src/consensus/replica_membership.ts
@@ -89,8 +89,9 @@
   ): Promise<boolean> {
     const { clock, events } = this.#options;
     const startedAt = clock.monotonic();
+    // A replica that still leads found no voter that could take over.
     const hasLeader = options.hasTransferred ||
-      this.#replica.hasRecentLeaderContact;
+      (!this.#replica.leader && this.#replica.hasRecentLeaderContact);
     const isReplaced = hasLeader && await this.#requestReplacement(options);
     const milliseconds = Math.round(clock.monotonic() - startedAt);
     events.emit(leavingEnded, { isReplaced, milliseconds });
--- a/src/consensus/voter_replacement_test.ts
+++ b/src/consensus/voter_replacement_test.ts
@@ -179,6 +179,16 @@
   t.true(await timeOf(second!.stop()) < 50);
 });
 
+test("stop of a lone voter takes no longer", async (t) => {
+  const cluster = new LogCluster(1, 92);
+  cluster.voterPolicy = { targetVoters: 1, isRetiring: () => false };
+  void cluster.nodes[0]?.start();
+  const leader = await cluster.untilLeader();
+  const startedAt = cluster.time.now;
+  await cluster.untilSettled(leader.stop());
+  t.true(cluster.time.now - startedAt < 50);
+});
+
 // A retirement was reported as done before the removal was committed.
 test("member counts as one until its removal is committed", async (t) => {
   const retiring = new Set<string>();
