Log the store of an item's run and reports out of order

The events 1152 and 1153 name the store that runs an item; 1163 compares the lines that the store received with those that the leader holds when a run ends, 1164 names each report that repeats data or leaves a gap, and 1165 an order to stop that got no answer. Nothing else changes.

--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -239,6 +239,7 @@
         live: load.live,
         bulk: this.load.get(id) ?? 0,
         lastEventId: pending.progress.lastEventId,
+        store: pending.activeRun?.store,
       });
       this.#items.stop(pending);
     }
@@ -267,7 +268,14 @@
     pending.softwareVersion = engine.softwareVersion;
     pending.versionDeadline = undefined;
     const { progress } = pending;
-    const { signal } = this.#items.begin(pending, engine.id);
+    const activeRun = this.#items.begin(pending, engine.id);
+    const startedAt = clock.monotonic();
+    const eventsBefore = progress.data.length;
+    const running = executor.run(engine, {
+      ...{ item, host: job.job.host, progress },
+      signal: activeRun.abort.signal,
+      onHosted: (store) => activeRun.store = store,
+    });
     events.emit(itemStarted, {
       request: item.id,
       job: job.job.id,
@@ -276,12 +284,9 @@
       bulk: this.load.get(engine.id) ?? 0,
       softwareVersion: engine.softwareVersion,
       lastEventId: progress.lastEventId,
+      store: activeRun.store,
     });
-    const startedAt = clock.monotonic();
-    const eventsBefore = progress.data.length;
-    const host = job.job.host;
-    const run = { item, host, progress, signal };
-    const outcome = await executor.run(engine, run);
+    const outcome = await running;
     this.#items.end(pending);
     const { estimates } = this.#items;
     estimates.recordRun(
--- a/src/bulk/events.ts
+++ b/src/bulk/events.ts
@@ -68,6 +68,8 @@
     /** Version of the engine's software. */
     softwareVersion: z.string(),
     lastEventId: z.string().optional(),
+    /** Store that runs the item, if it is not the leader. */
+    store: z.string().optional(),
   },
 });
 
@@ -99,6 +101,8 @@
     live: z.number(),
     bulk: z.number(),
     lastEventId: z.string().optional(),
+    /** Store that runs the item, if it is not the leader. */
+    store: z.string().optional(),
   },
 });
 
@@ -149,3 +153,48 @@
     "that were running.",
   fields: { running: z.number() },
 });
+
+export const remoteRunEnded = defineEvent(1163, "bulk-remote-run-ended", {
+  level: "info",
+  help: "A run of an item at another store has ended. If the leader received " +
+    "fewer lines of data than the store did, the item is not complete.",
+  fields: {
+    request: z.string(),
+    run: z.string(),
+    store: z.string(),
+    outcome: z.string(),
+    /** Lines of data that the leader holds of the run. */
+    heldLines: z.number(),
+    /** Lines of data that the store received in the run. */
+    receivedLines: z.number(),
+  },
+});
+
+export const reportOutOfOrder = defineEvent(1164, "bulk-report-out-of-order", {
+  level: "info",
+  help: "A store reported data of a run that the leader holds already, or " +
+    "data after a gap. Reports arrive late or repeatedly after a partition.",
+  fields: {
+    request: z.string(),
+    run: z.string(),
+    store: z.string(),
+    /** Lines of data before the reported ones. */
+    from: z.number(),
+    /** Number of reported lines. */
+    lines: z.number(),
+    /** Lines of data that the leader held before. */
+    heldLines: z.number(),
+  },
+});
+
+export const stopUnanswered = defineEvent(1165, "bulk-stop-unanswered", {
+  level: "info",
+  help: "A store did not answer the order to stop the run of an item, which " +
+    "may therefore still use its slot at the engine.",
+  fields: {
+    request: z.string(),
+    run: z.string(),
+    store: z.string(),
+    reason: z.string(),
+  },
+});
--- a/src/bulk/item_run.ts
+++ b/src/bulk/item_run.ts
@@ -75,6 +75,8 @@
   /** Updated while the item runs. */
   readonly progress: IItemProgress;
   readonly signal: AbortSignal;
+  /** Is told at once which other store runs the item, if one does. */
+  readonly onHosted?: (store: string) => void;
 }
 
 /** Runs items at engines. */
--- a/src/bulk/pending_items.ts
+++ b/src/bulk/pending_items.ts
@@ -9,6 +9,8 @@
 export interface IActiveRun {
   readonly engine: string;
   readonly abort: AbortController;
+  /** Store that runs the item, if it is not the leader. */
+  store: string | undefined;
   /** Whether the run was told to stop; its slot counts as free. */
   isStopping: boolean;
 }
@@ -116,13 +118,14 @@
     pending.writtenEvents = 0;
   }
 
-  begin(pending: IPendingItem, engine: string): AbortController {
+  begin(pending: IPendingItem, engine: string): IActiveRun {
     const abort = new AbortController();
-    pending.activeRun = { engine, abort, isStopping: false };
+    const activeRun = { engine, abort, store: undefined, isStopping: false };
+    pending.activeRun = activeRun;
     this.#load.set(engine, (this.#load.get(engine) ?? 0) + 1);
     const tokens = this.tokensAt(engine) + pending.item.tokens;
     this.#tokens.set(engine, tokens);
-    return abort;
+    return activeRun;
   }
 
   /** Stops the run of an item; its slot counts as free from now on. */
--- a/src/bulk/pending_items_test.ts
+++ b/src/bulk/pending_items_test.ts
@@ -55,7 +55,7 @@
 test("items of an ended job stop and are not started again", (t) => {
   const { section, table } = createPendingItems();
   const [first] = [...table.all];
-  const abort = table.begin(first!, "one");
+  const { abort } = table.begin(first!, "one");
   section.apply({ kind: "end", job: "job" }, CONTEXT);
   table.removeFinished("job");
   t.true(abort.signal.aborted);
--- a/src/bulk/store_executor.ts
+++ b/src/bulk/store_executor.ts
@@ -7,8 +7,10 @@
   type IDisposable,
   notRun,
 } from "../common/mod.ts";
+import type { IEventLog } from "../events/mod.ts";
 import type { LeavingEngines, ListedEngine } from "../placement/mod.ts";
 import type { IRpcClient, IRpcServer, PeerAddress } from "../rpc/mod.ts";
+import { remoteRunEnded, reportOutOfOrder, stopUnanswered } from "./events.ts";
 import {
   AnswerBounds,
   ExcessiveAnswerError,
@@ -46,6 +48,7 @@
 const SILENCE_CHECK_INTERVAL_MILLISECONDS = 250;
 
 interface IRemoteRun {
+  readonly id: string;
   readonly store: string;
   readonly run: IItemRun;
   /** Number of events that the item had before the run. */
@@ -60,6 +63,7 @@
   readonly rpc: IRpcClient;
   readonly server: IRpcServer;
   readonly clock: IClock;
+  readonly events: IEventLog;
   /** Term in which this store is the leader. */
   readonly term: number;
   readonly leaving: Pick<LeavingEngines, "announce">;
@@ -124,15 +128,13 @@
     const { rpc, clock, term } = this.#options;
     const id = randomUUID();
     const { item, host, progress, signal } = run;
+    run.onHosted?.(store.id);
     const base = progress.data.length;
-    const stop = () =>
-      void rpc.call(store, stopItemMethod, { run: id }, {
-        deadline: clock.deadlineIn(STOP_TIMEOUT_MILLISECONDS),
-      });
+    const stop = () => void this.#stopRemotely(id, store, run);
     signal.addEventListener("abort", stop, { once: true });
     const abandoned = new Promise<undefined>((resolve) => {
       this.#remoteRuns.set(id, {
-        ...{ store: store.id, run, base },
+        ...{ id, store: store.id, run, base },
         lastReportAt: clock.monotonic(),
         abandon: () => resolve(undefined),
       });
@@ -158,7 +160,13 @@
     const { outcome, delta, isEngineLeaving } = answer.value;
     if (outcome.kind === "abandoned") this.#avoid(store);
     if (isEngineLeaving) this.#options.leaving.announce(engine.id, "store");
-    if (remote) applyDelta(remote, delta);
+    if (remote) this.#applyDelta(remote, delta);
+    this.#options.events.emit(remoteRunEnded, {
+      ...{ request: item.id, run: id, store: store.id },
+      outcome: outcome.kind,
+      heldLines: progress.data.length - base,
+      receivedLines: delta.from + delta.data.length,
+    });
     // The other store does not know the data of earlier runs.
     if (new AnswerBounds(item, progress.data).isExceeded) {
       const reason = new ExcessiveAnswerError().message;
@@ -174,10 +182,42 @@
     }
     for (const delta of deltas) {
       const remote = this.#remoteRuns.get(delta.run);
-      if (remote) applyDelta(remote, delta);
+      if (remote) this.#applyDelta(remote, delta);
     }
   }
 
+  async #stopRemotely(
+    id: string,
+    store: PeerAddress,
+    { item }: IItemRun,
+  ): Promise<void> {
+    const { rpc, clock, events } = this.#options;
+    const answer = await rpc.call(store, stopItemMethod, { run: id }, {
+      deadline: clock.deadlineIn(STOP_TIMEOUT_MILLISECONDS),
+    });
+    if (answer.isOk()) return;
+    const reason = answer.error.message;
+    events.emit(stopUnanswered, {
+      ...{ request: item.id, run: id, store: store.id, reason },
+    });
+  }
+
+  /** Adds what a run has received; a repeated delta has no effect. */
+  #applyDelta({ id, store, run, base }: IRemoteRun, delta: RunDelta): void {
+    const { progress, item } = run;
+    const { from, data, lastEventId } = delta;
+    const heldLines = progress.data.length - base;
+    if (from !== heldLines) {
+      this.#options.events.emit(reportOutOfOrder, {
+        ...{ request: item.id, run: id, store, from, heldLines },
+        lines: data.length,
+      });
+    }
+    if (from > heldLines) return;
+    progress.data.splice(base + from, Number.POSITIVE_INFINITY, ...data);
+    progress.lastEventId = lastEventId ?? progress.lastEventId;
+  }
+
   /** Abandons the runs of stores that no longer report. */
   async #abandonSilentRuns(): Promise<void> {
     const { clock } = this.#options;
@@ -218,12 +258,3 @@
       .sort((a, b) => runCount(a) - runCount(b))[0];
   }
 }
-
-/** Adds what a run has received; a repeated delta has no effect. */
-function applyDelta({ run, base }: IRemoteRun, delta: RunDelta): void {
-  const { progress } = run;
-  const { from, data, lastEventId } = delta;
-  if (base + from > progress.data.length) return;
-  progress.data.splice(base + from, Number.POSITIVE_INFINITY, ...data);
-  progress.lastEventId = lastEventId ?? progress.lastEventId;
-}
--- a/src/bulk/store_executor_test.ts
+++ b/src/bulk/store_executor_test.ts
@@ -78,6 +78,7 @@
     rpc: leader,
     server: leader,
     clock,
+    events: new SilentEventLog(),
     term: 3,
     leaving: leaderLeaving,
     stores: () => [address("other")],
--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -195,7 +195,7 @@
     const storeExecutor = disposables.add(
       new StoreExecutor({
         local: executor,
-        ...{ rpc, server, clock },
+        ...{ rpc, server, clock, events },
         term: log.leadership.term,
         leaving,
         stores: () => this.#otherStores(),
