Keep the data of an item's run when a report arrives late

Cause: a store reports the data of the runs that it hosts to the leader. A report without an answer is sent again with newer data, over a new connection once the old one is suspect. The bytes of the first one arrive when the partition ends, after the second one, and applyDelta replaced everything from its position on, so the newer data was gone. The other store did not send it again, because the second report was answered.

Change: RemoteProgress only ever adds the lines of a delta that are not held.

The test of the leader with a report that arrives late failed before: 'b' and 'c' were missing of 'a', 'b', 'c'.

--- a/src/bulk/store_executor.ts
+++ b/src/bulk/store_executor.ts
@@ -24,6 +24,7 @@
   runItemMethod,
   stopItemMethod,
 } from "./messages.ts";
+import { RemoteProgress } from "./remote_progress.ts";
 
 /**
  * Number of local runs at which a leader without entries would start to use
@@ -50,9 +51,8 @@
 interface IRemoteRun {
   readonly id: string;
   readonly store: string;
-  readonly run: IItemRun;
-  /** Number of events that the item had before the run. */
-  readonly base: number;
+  readonly item: string;
+  readonly progress: RemoteProgress;
   lastReportAt: Deadline;
   readonly abandon: () => void;
 }
@@ -129,12 +129,12 @@
     const id = randomUUID();
     const { item, host, progress, signal } = run;
     run.onHosted?.(store.id);
-    const base = progress.data.length;
     const stop = () => void this.#stopRemotely(id, store, run);
     signal.addEventListener("abort", stop, { once: true });
     const abandoned = new Promise<undefined>((resolve) => {
       this.#remoteRuns.set(id, {
-        ...{ id, store: store.id, run, base },
+        ...{ id, store: store.id, item: item.id },
+        progress: new RemoteProgress(progress),
         lastReportAt: clock.monotonic(),
         abandon: () => resolve(undefined),
       });
@@ -160,11 +160,11 @@
     const { outcome, delta, isEngineLeaving } = answer.value;
     if (outcome.kind === "abandoned") this.#avoid(store);
     if (isEngineLeaving) this.#options.leaving.announce(engine.id, "store");
-    if (remote) this.#applyDelta(remote, delta);
+    if (remote) this.#addDelta(remote, delta);
     this.#options.events.emit(remoteRunEnded, {
       ...{ request: item.id, run: id, store: store.id },
       outcome: outcome.kind,
-      heldLines: progress.data.length - base,
+      heldLines: remote?.progress.heldLines ?? 0,
       receivedLines: delta.from + delta.data.length,
     });
     // The other store does not know the data of earlier runs.
@@ -182,7 +182,7 @@
     }
     for (const delta of deltas) {
       const remote = this.#remoteRuns.get(delta.run);
-      if (remote) this.#applyDelta(remote, delta);
+      if (remote) this.#addDelta(remote, delta);
     }
   }
 
@@ -202,20 +202,17 @@
     });
   }
 
-  /** Adds what a run has received; a repeated delta has no effect. */
-  #applyDelta({ id, store, run, base }: IRemoteRun, delta: RunDelta): void {
-    const { progress, item } = run;
-    const { from, data, lastEventId } = delta;
-    const heldLines = progress.data.length - base;
-    if (from !== heldLines) {
+  #addDelta(remote: IRemoteRun, delta: RunDelta): void {
+    const { id, store, item, progress } = remote;
+    const { from, data } = delta;
+    const { heldLines } = progress;
+    if (from !== heldLines && data.length > 0) {
       this.#options.events.emit(reportOutOfOrder, {
-        ...{ request: item.id, run: id, store, from, heldLines },
+        ...{ request: item, run: id, store, from, heldLines },
         lines: data.length,
       });
     }
-    if (from > heldLines) return;
-    progress.data.splice(base + from, Number.POSITIVE_INFINITY, ...data);
-    progress.lastEventId = lastEventId ?? progress.lastEventId;
+    progress.add(delta);
   }
 
   /** Abandons the runs of stores that no longer report. */
--- /dev/null
+++ b/src/bulk/store_executor_reports_test.ts
@@ -0,0 +1,67 @@
+import test from "ava";
+import { FakeNetwork } from "../../testing/fake_network.ts";
+import { listedEngine } from "../../testing/listed_engine.ts";
+import { ScriptedStore } from "../../testing/scripted_store.ts";
+import { TestRandom } from "../../testing/test_random.ts";
+import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
+import { SilentEventLog } from "../events/mod.ts";
+import { LeavingEngines } from "../placement/mod.ts";
+import type { IItemProgress } from "./item_run.ts";
+import { StoreExecutor } from "./store_executor.ts";
+
+const ITEM = { id: "item", path: "/", headers: {}, body: "", tokens: 10 };
+
+/** Entries for which a leader leaves all runs to other stores. */
+const MANY_ENTRIES = 100;
+
+/** Starts a run that the leader of term 3 leaves to another store. */
+async function startRun() {
+  const time = new VirtualTime();
+  const clock = new VirtualClock(time);
+  const network = new FakeNetwork(time, new TestRandom(1));
+  const leader = network.connect("leader", clock);
+  const store = new ScriptedStore(network.connect("other", clock));
+  const events = new SilentEventLog();
+  const executor = new StoreExecutor({
+    local: { run: () => Promise.reject(new Error("no run is local")) },
+    ...{ rpc: leader, server: leader, clock, events, term: 3 },
+    leaving: new LeavingEngines(clock, { events }),
+    stores: () => [{ id: "other", address: "other", port: 1 }],
+    entryCount: () => MANY_ENTRIES,
+  });
+  const progress: IItemProgress = { data: [], lastEventId: undefined };
+  const abort = new AbortController();
+  const outcome = executor.run(listedEngine("engine-1"), {
+    ...{ item: ITEM, host: "reports.example", progress },
+    signal: abort.signal,
+  });
+  await time.advanceUntil("ordered", () => store.runs.length === 1);
+  return { time, network, store, progress, abort, outcome };
+}
+
+/** Starts a report, and gives it and its answer time to arrive. */
+async function deliver<T>(time: VirtualTime, call: Promise<T>): Promise<T> {
+  await time.advance(20);
+  return await call;
+}
+
+// Guards against results that lack the end of their text, after a report that
+// a partition has held up.
+test("report that arrives late removes no data", async (t) => {
+  const { time, store, progress, outcome } = await startRun();
+  await deliver(time, store.report(0, ["a", "b", "c"]));
+  await deliver(time, store.report(0, ["a"]));
+  t.deepEqual(progress.data, ["a", "b", "c"]);
+  t.is(progress.lastEventId, "3");
+  store.end({ kind: "complete" }, 3, ["d"]);
+  t.is((await deliver(time, outcome)).kind, "complete");
+  t.deepEqual(progress.data, ["a", "b", "c", "d"]);
+});
+
+test("report that arrives after the outcome has no effect", async (t) => {
+  const { time, store, progress, outcome } = await startRun();
+  store.end({ kind: "complete" }, 0, ["a", "b"]);
+  t.is((await deliver(time, outcome)).kind, "complete");
+  await deliver(time, store.report(0, ["a"]));
+  t.deepEqual(progress.data, ["a", "b"]);
+});
