Complete an item only with all data of its run

Cause: the outcome of a run at another store names the position of its last data. Where that lay behind a gap, the data was dropped, and the outcome 'complete' was taken with what the leader held.

Change: such an outcome counts as 'abandoned', so that the item runs again after the last event that the leader holds.

The test of an outcome after a gap failed before: 'complete' in place of 'abandoned'.

--- a/src/bulk/remote_progress.ts
+++ b/src/bulk/remote_progress.ts
@@ -32,4 +32,9 @@
     this.#progress.data.push(...added);
     this.#progress.lastEventId = lastEventId ?? this.#progress.lastEventId;
   }
+
+  /** Whether all lines up to the end of a delta are held. */
+  includes({ from, data }: RunDelta): boolean {
+    return from + data.length <= this.heldLines;
+  }
 }
--- a/src/bulk/remote_progress_test.ts
+++ b/src/bulk/remote_progress_test.ts
@@ -23,6 +23,8 @@
   remote.add(delta(0, 1));
   remote.add(delta(2, 4));
   t.deepEqual(progress, { data: ["a", "b", "c"], lastEventId: "3" });
+  t.false(remote.includes(delta(2, 4)));
+  t.true(remote.includes(delta(0, 1)));
 });
 
 test("deltas in any order only ever add data", (t) => {
--- a/src/bulk/store_executor.ts
+++ b/src/bulk/store_executor.ts
@@ -131,10 +131,10 @@
     run.onHosted?.(store.id);
     const stop = () => void this.#stopRemotely(id, store, run);
     signal.addEventListener("abort", stop, { once: true });
+    const received = new RemoteProgress(progress);
     const abandoned = new Promise<undefined>((resolve) => {
       this.#remoteRuns.set(id, {
-        ...{ id, store: store.id, item: item.id },
-        progress: new RemoteProgress(progress),
+        ...{ id, store: store.id, item: item.id, progress: received },
         lastReportAt: clock.monotonic(),
         abandon: () => resolve(undefined),
       });
@@ -164,9 +164,14 @@
     this.#options.events.emit(remoteRunEnded, {
       ...{ request: item.id, run: id, store: store.id },
       outcome: outcome.kind,
-      heldLines: remote?.progress.heldLines ?? 0,
+      heldLines: received.heldLines,
       receivedLines: delta.from + delta.data.length,
     });
+    if (outcome.kind === "complete" && !received.includes(delta)) {
+      // The next run resumes after the last event that is held.
+      const reason = `data of the run at ${store.id} was lost on the way`;
+      return { kind: "abandoned", reason };
+    }
     // The other store does not know the data of earlier runs.
     if (new AnswerBounds(item, progress.data).isExceeded) {
       const reason = new ExcessiveAnswerError().message;
--- a/src/bulk/store_executor_reports_test.ts
+++ b/src/bulk/store_executor_reports_test.ts
@@ -65,3 +65,13 @@
   await deliver(time, store.report(0, ["a"]));
   t.deepEqual(progress.data, ["a", "b"]);
 });
+
+// Guards against results that lack the middle of their text, after a report
+// whose data the leader has not received.
+test("outcome after a gap does not complete the item", async (t) => {
+  const { time, store, progress, outcome } = await startRun();
+  await deliver(time, store.report(0, ["a"]));
+  store.end({ kind: "complete" }, 2, ["c"]);
+  t.is((await deliver(time, outcome)).kind, "abandoned");
+  t.deepEqual(progress, { data: ["a"], lastEventId: "1" });
+});
