Report the data of runs from what the leader holds

Cause: a store counted data as received once the leader had answered a report, but the leader answers also if it drops the data, as it does after a gap. The store then never sent the data again.

Change: the answer to a report names the lines that the leader holds of each run, and the store goes on from there. Leaders of earlier versions name nothing; they get all data of a run again with each report and outcome.

Both tests of the store failed before: it sent from line 2 in place of 1, and from 1 in place of 0.

--- a/src/bulk/messages.ts
+++ b/src/bulk/messages.ts
@@ -94,10 +94,10 @@
   result: z.object({ isKnown: z.boolean() }),
 });
 
-/** Events that a run has received since its last report. */
+/** Data of a run that the leader may not hold yet. */
 export const runDeltaSchema = z.object({
   run: z.string(),
-  /** Number of events of the run that were reported before. */
+  /** Number of lines of data of the run that come before. */
   from: z.number(),
   data: z.array(z.string()),
   lastEventId: z.string().optional(),
@@ -139,6 +139,18 @@
 /** Reports the progress of runs to the leader. */
 export const reportRunsMethod = defineMethod("bulk.report-runs", {
   params: z.object({ store: z.string(), deltas: z.array(runDeltaSchema) }),
-  result: z.object({}),
+  result: z.object({
+    /** Term of the leader; absent from leaders of earlier versions. */
+    term: z.number().optional(),
+    /** Those of the reported runs that the leader has ordered. */
+    runs: z.array(z.object({
+      run: z.string(),
+      /** Number of lines of the run's data that the leader holds. */
+      heldLines: z.number(),
+      /** Whether the run is to continue. */
+      isWanted: z.boolean(),
+    })).optional(),
+  }),
   lane: "bulk",
 });
+export type ReportAnswer = z.infer<typeof reportRunsMethod.result>;
--- a/src/bulk/run_host.ts
+++ b/src/bulk/run_host.ts
@@ -11,6 +11,7 @@
 import type { BulkSection } from "./bulk_section.ts";
 import type { IItemExecutor, IItemProgress } from "./item_run.ts";
 import {
+  type ReportAnswer,
   reportRunsMethod,
   type RunDelta,
   runItemMethod,
@@ -31,8 +32,8 @@
   readonly term: number;
   readonly progress: IItemProgress;
   readonly abort: AbortController;
-  /** Number of events that were reported to the leader. */
-  reportedEvents: number;
+  /** Number of lines of data that the leader is known to hold. */
+  confirmedLines: number;
 }
 
 /** Dependencies of a `RunHost`. */
@@ -77,7 +78,7 @@
           ...{ id, term },
           progress: { data: [], lastEventId },
           abort: new AbortController(),
-          reportedEvents: 0,
+          confirmedLines: 0,
         };
         if (!item) {
           const reason = `${options.store} does not hold the item`;
@@ -130,22 +131,30 @@
 
   async #report(): Promise<void> {
     const { control, clock, store } = this.#options;
-    const runs = [...this.#runs.values()];
-    const deltas = runs.map(runDelta);
+    const deltas = [...this.#runs.values()].map(runDelta);
     const answer = await control.call(reportRunsMethod, { store, deltas }, {
       deadline: clock.deadlineIn(REPORT_TIMEOUT_MILLISECONDS),
     });
     if (answer.isOk()) {
       this.#leaderAnsweredAt = clock.monotonic();
-      runs.forEach((run, position) => {
-        const { from, data } = deltas[position] as RunDelta;
-        run.reportedEvents = from + data.length;
-      });
+      this.#confirm(answer.value);
     }
     const silence = clock.monotonic() - this.#leaderAnsweredAt;
     if (silence > LEADER_TIMEOUT_MILLISECONDS) this.#stopRuns(() => true);
   }
 
+  /**
+   * Records what the leader holds. Leaders of earlier versions do not say it,
+   * so all data is sent to them each time.
+   */
+  #confirm({ term, runs }: ReportAnswer): void {
+    for (const { run: id, heldLines } of runs ?? []) {
+      const run = this.#runs.get(id);
+      if (!run || run.term !== term) continue;
+      run.confirmedLines = Math.max(run.confirmedLines, heldLines);
+    }
+  }
+
   #stopRuns(shouldStop: (run: IHostedRun) => boolean): void {
     for (const run of this.#runs.values()) {
       if (shouldStop(run)) run.abort.abort();
@@ -153,14 +162,14 @@
   }
 }
 
-/** Returns the events of a run that were not reported to the leader yet. */
+/** Returns the data of a run that the leader may not hold yet. */
 function runDelta(
-  { id, progress, reportedEvents }: IHostedRun,
+  { id, progress, confirmedLines }: IHostedRun,
 ): RunDelta {
   return {
     run: id,
-    from: reportedEvents,
-    data: progress.data.slice(reportedEvents),
+    from: confirmedLines,
+    data: progress.data.slice(confirmedLines),
     lastEventId: progress.lastEventId,
   };
 }
--- /dev/null
+++ b/src/bulk/run_host_test.ts
@@ -0,0 +1,121 @@
+import { ok } from "neverthrow";
+import test from "ava";
+import { FakeLog } from "../../testing/fake_log.ts";
+import { FakeNetwork } from "../../testing/fake_network.ts";
+import { listedEngine } from "../../testing/listed_engine.ts";
+import { TestRandom } from "../../testing/test_random.ts";
+import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
+import type { IControlClient } from "../consensus/mod.ts";
+import type { IItemRun, ItemOutcome } from "./item_run.ts";
+import {
+  type ReportAnswer,
+  reportRunsMethod,
+  type RunDelta,
+  runItemMethod,
+} from "./messages.ts";
+import { RunHost } from "./run_host.ts";
+
+const ITEM = { id: "item", path: "/", headers: {}, body: "", tokens: 10 };
+
+const HOST_ADDRESS = { id: "other", address: "other", port: 1 };
+
+/**
+ * Creates a store that hosts runs, and a leader whose answers to reports the
+ * test determines.
+ */
+function setup() {
+  const time = new VirtualTime();
+  const clock = new VirtualClock(time);
+  const network = new FakeNetwork(time, new TestRandom(1));
+  const leader = network.connect("leader", clock);
+  const other = network.connect("other", clock);
+  const log = new FakeLog();
+  log.setLeadership(3, false);
+  const control = {
+    call: (method: never, params: never, options: never) =>
+      other.call(
+        { id: "leader", address: "leader", port: 1 },
+        method,
+        params,
+        options,
+      ),
+  } as unknown as IControlClient;
+  const runs: IItemRun[] = [];
+  const ends: ((outcome: ItemOutcome) => void)[] = [];
+  const host = new RunHost({
+    store: "other",
+    executor: {
+      run: (_, run) => {
+        runs.push(run);
+        return new Promise((resolve) => {
+          ends.push(resolve);
+          run.signal.addEventListener(
+            "abort",
+            () => resolve({ kind: "stopped" }),
+          );
+        });
+      },
+    },
+    section: { findOpenItem: () => undefined },
+    leaving: { has: () => false },
+    ...{ control, log, clock, server: other },
+  });
+  host.start();
+  /** Deltas of the reports, and how the leader answers each. */
+  const reports: RunDelta[][] = [];
+  const leaderState = { answer: (): ReportAnswer => ({}) };
+  leader.handle(reportRunsMethod, ({ deltas }) => {
+    reports.push(deltas);
+    return Promise.resolve(ok(leaderState.answer()));
+  });
+  /** Orders a run with the identifier `run`; resolves with its end. */
+  const order = (term = 3) =>
+    leader.call(HOST_ADDRESS, runItemMethod, {
+      ...{ run: "run", term, host: "reports.example", item: ITEM },
+      engine: listedEngine("engine-1"),
+    }, { deadline: clock.deadlineIn(60_000) });
+  return { time, network, log, runs, ends, reports, leaderState, order };
+}
+
+/** Adds an event with a line of data to a run. */
+function receive(run: IItemRun | undefined, line: string): void {
+  if (!run) return;
+  run.progress.data.push(line);
+  run.progress.lastEventId = `${run.progress.data.length}`;
+}
+
+// Guards against data that is never sent again although the leader dropped it.
+test("data that the leader does not hold is sent again", async (t) => {
+  const { time, runs, ends, reports, leaderState, order } = setup();
+  leaderState.answer = () => ({
+    term: 3,
+    runs: [{ run: "run", heldLines: 1, isWanted: true }],
+  });
+  const answer = order();
+  await time.advanceUntil("begun", () => runs.length === 1);
+  receive(runs[0], "a");
+  receive(runs[0], "b");
+  await time.advanceUntil("reported", () => reports.length === 2);
+  t.like(reports[0], [{ from: 0, data: ["a", "b"] }]);
+  t.like(reports[1], [{ from: 1, data: ["b"] }]);
+  receive(runs[0], "c");
+  ends[0]?.({ kind: "complete" });
+  await time.advance(20);
+  const { delta } = (await answer)._unsafeUnwrap();
+  t.like(delta, { from: 1, data: ["b", "c"] });
+});
+
+// Guards against lost data in a rolling upgrade: leaders of earlier versions
+// answer in the same way whether they hold the data or not.
+test("leader of an earlier version gets all data again", async (t) => {
+  const { time, runs, ends, reports, order } = setup();
+  const answer = order();
+  await time.advanceUntil("begun", () => runs.length === 1);
+  receive(runs[0], "a");
+  await time.advanceUntil("reported", () => reports.length === 2);
+  receive(runs[0], "b");
+  ends[0]?.({ kind: "complete" });
+  await time.advance(20);
+  const { delta } = (await answer)._unsafeUnwrap();
+  t.like(delta, { from: 0, data: ["a", "b"] });
+});
--- a/src/bulk/store_executor.ts
+++ b/src/bulk/store_executor.ts
@@ -19,6 +19,7 @@
   type ItemOutcome,
 } from "./item_run.ts";
 import {
+  type ReportAnswer,
   reportRunsMethod,
   type RunDelta,
   runItemMethod,
@@ -53,6 +54,8 @@
   readonly store: string;
   readonly item: string;
   readonly progress: RemoteProgress;
+  /** Is aborted when the run is to stop. */
+  readonly signal: AbortSignal;
   lastReportAt: Deadline;
   readonly abandon: () => void;
 }
@@ -93,8 +96,8 @@
         if (this.#stopping.signal.aborted) {
           return Promise.resolve(err(notRun("not-leader", "not the leader")));
         }
-        this.#applyReport(store, deltas);
-        return Promise.resolve(ok({}));
+        const runs = this.#applyReport(store, deltas);
+        return Promise.resolve(ok({ term: options.term, runs }));
       }),
     );
     void this.#abandonSilentRuns();
@@ -135,6 +138,7 @@
     const abandoned = new Promise<undefined>((resolve) => {
       this.#remoteRuns.set(id, {
         ...{ id, store: store.id, item: item.id, progress: received },
+        signal,
         lastReportAt: clock.monotonic(),
         abandon: () => resolve(undefined),
       });
@@ -180,15 +184,23 @@
     return outcome;
   }
 
-  #applyReport(store: string, deltas: readonly RunDelta[]): void {
+  /** Adds reported data; returns what this store holds of the known runs. */
+  #applyReport(
+    store: string,
+    deltas: readonly RunDelta[],
+  ): NonNullable<ReportAnswer["runs"]> {
     const now = this.#options.clock.monotonic();
     for (const remote of this.#remoteRuns.values()) {
       if (remote.store === store) remote.lastReportAt = now;
     }
-    for (const delta of deltas) {
+    return deltas.flatMap((delta) => {
       const remote = this.#remoteRuns.get(delta.run);
-      if (remote) this.#addDelta(remote, delta);
-    }
+      if (!remote) return [];
+      this.#addDelta(remote, delta);
+      const { id, progress, signal } = remote;
+      const { heldLines } = progress;
+      return [{ run: id, heldLines, isWanted: !signal.aborted }];
+    });
   }
 
   async #stopRemotely(
--- a/src/bulk/store_executor_reports_test.ts
+++ b/src/bulk/store_executor_reports_test.ts
@@ -75,3 +75,17 @@
   t.is((await deliver(time, outcome)).kind, "abandoned");
   t.deepEqual(progress, { data: ["a"], lastEventId: "1" });
 });
+
+// Guards against a store that never sends data again that the leader dropped.
+test("answer to a report tells which data is held", async (t) => {
+  const { time, store } = await startRun();
+  const [run] = store.runs;
+  const held = async (call: ReturnType<typeof store.report>) =>
+    (await deliver(time, call))._unsafeUnwrap();
+  const isWanted = true;
+  t.deepEqual(await held(store.report(0, ["a", "b"])), {
+    ...{ term: 3, runs: [{ run: run!, heldLines: 2, isWanted }] },
+  });
+  t.like(await held(store.report(3, ["d"])), { runs: [{ heldLines: 2 }] });
+  t.like(await held(store.report(2, ["c"])), { runs: [{ heldLines: 3 }] });
+});
