Repeat the order to stop a run at another store

What callers saw: late live requests. A preempted item ran on at its engine for up to two seconds after a cut of one second, while the leader had given its slot to a live request.

Cause: the order was sent once, with a deadline of 1 s, and nobody looked at the answer. It could also overtake the order that begins the run, as the two use different connections.

Change: the order is repeated every 250 ms until the end of the run is known.

The test with a lost order failed before: no order arrived after the cut.

--- a/src/bulk/store_executor.ts
+++ b/src/bulk/store_executor.ts
@@ -37,8 +37,8 @@
 /** Longest time of a run at another store, in milliseconds. */
 const RUN_TIMEOUT_MILLISECONDS = 120_000;
 
-/** Longest wait for the answer to a stop request, in milliseconds. */
-const STOP_TIMEOUT_MILLISECONDS = 1_000;
+/** Interval at which the order to stop a run is repeated, in milliseconds. */
+const STOP_INTERVAL_MILLISECONDS = 250;
 
 /** Time without a report after which a store's runs are abandoned, in ms. */
 const REPORT_TIMEOUT_MILLISECONDS = 1_500;
@@ -203,20 +203,31 @@
     });
   }
 
+  /**
+   * Orders a store to stop a run until the run has ended. An order may be lost
+   * or overtake the one that begins the run.
+   */
   async #stopRemotely(
     id: string,
     store: PeerAddress,
     { item }: IItemRun,
   ): Promise<void> {
     const { rpc, clock, events } = this.#options;
-    const answer = await rpc.call(store, stopItemMethod, { run: id }, {
-      deadline: clock.deadlineIn(STOP_TIMEOUT_MILLISECONDS),
-    });
-    if (answer.isOk()) return;
-    const reason = answer.error.message;
-    events.emit(stopUnanswered, {
-      ...{ request: item.id, run: id, store: store.id, reason },
-    });
+    let isLogged = false;
+    while (this.#remoteRuns.has(id)) {
+      const deadline = clock.deadlineIn(STOP_INTERVAL_MILLISECONDS);
+      const answer = await rpc.call(store, stopItemMethod, { run: id }, {
+        deadline,
+      });
+      if (answer.isErr() && !isLogged) {
+        isLogged = true;
+        const reason = answer.error.message;
+        events.emit(stopUnanswered, {
+          ...{ request: item.id, run: id, store: store.id, reason },
+        });
+      }
+      await clock.sleepUntil(deadline, this.#stopping.signal);
+    }
   }
 
   #addDelta(remote: IRemoteRun, delta: RunDelta): void {
--- a/src/bulk/store_executor_reports_test.ts
+++ b/src/bulk/store_executor_reports_test.ts
@@ -89,3 +89,23 @@
   t.like(await held(store.report(3, ["d"])), { runs: [{ heldLines: 2 }] });
   t.like(await held(store.report(2, ["c"])), { runs: [{ heldLines: 3 }] });
 });
+
+// Guards against items that hold their slot for seconds after a partition,
+// because the only order to stop them was lost.
+test("order to stop is repeated until the run has ended", async (t) => {
+  const { time, network, store, abort, outcome } = await startRun();
+  network.isolated.add("other");
+  abort.abort();
+  await time.advance(1_000);
+  network.isolated.delete("other");
+  await time.advance(300);
+  t.true(store.stops.length > 0, "an order has arrived");
+  await time.advance(300);
+  t.true(store.stops.length > 1, "the run may have begun after the first one");
+  store.end({ kind: "stopped" }, 0, ["a"]);
+  t.is((await deliver(time, outcome)).kind, "stopped");
+  await time.advance(300);
+  const count = store.stops.length;
+  await time.advance(2_000);
+  t.is(store.stops.length, count);
+});
