Stop runs that their leader does not know or want any more

What callers saw: late live requests, at engines whose slots were held by items that no leader counted.

Cause: a report of runs named no term, and each leader answered it alike. A store whose order to stop was lost went on to the end of the run, and one that got an order of a term that had ended was never told to stop, because the answers of any leader counted as its own leader's.

Change: the answer names the leader's term and the runs that it knows and wants. A store stops the others, begins no run of a term that has ended, and counts the silence of the leader for each run by answers that are its own leader's or a later one's. Answers of earlier versions count as before.

--- a/src/bulk/run_host.ts
+++ b/src/bulk/run_host.ts
@@ -24,7 +24,7 @@
 /** Longest wait for the answer to a report, in milliseconds. */
 const REPORT_TIMEOUT_MILLISECONDS = 700;
 
-/** Time without an answered report after which all runs are stopped, in ms. */
+/** Time without its leader's answer after which a run is stopped, in ms. */
 const LEADER_TIMEOUT_MILLISECONDS = 1_500;
 
 interface IHostedRun {
@@ -34,6 +34,7 @@
   readonly abort: AbortController;
   /** Number of lines of data that the leader is known to hold. */
   confirmedLines: number;
+  leaderAnsweredAt: Deadline;
 }
 
 /** Dependencies of a `RunHost`. */
@@ -61,29 +62,32 @@
   #runs = new Map<string, IHostedRun>();
   #disposables = new DisposableStore();
   #stopping = new AbortController();
-  #leaderAnsweredAt: Deadline;
 
   constructor(options: IRunHostOptions) {
     const { server, log, clock } = options;
     this.#options = options;
-    this.#leaderAnsweredAt = clock.monotonic();
     this.#disposables.add(
       server.handle(runItemMethod, async (params) => {
         const { run: id, term, engine, host, lastEventId } = params;
         const item = "job" in params.item
           ? options.section.findOpenItem(params.item.job, params.item.id)
           : params.item;
-        if (this.#runs.size === 0) this.#leaderAnsweredAt = clock.monotonic();
         const run: IHostedRun = {
           ...{ id, term },
           progress: { data: [], lastEventId },
           abort: new AbortController(),
           confirmedLines: 0,
+          leaderAnsweredAt: clock.monotonic(),
         };
-        if (!item) {
-          const reason = `${options.store} does not hold the item`;
-          const outcome = { kind: "abandoned" as const, reason };
-          return ok({ outcome, delta: runDelta(run) });
+        const abandon = (reason: string) =>
+          ok({
+            outcome: { kind: "abandoned" as const, reason },
+            delta: runDelta(run),
+          });
+        if (!item) return abandon(`${options.store} does not hold the item`);
+        const current = log.leadership.term;
+        if (term < current) {
+          return abandon(`term ${term} has ended, the log is in ${current}`);
         }
         this.#runs.set(id, run);
         const { signal } = run.abort;
@@ -131,27 +135,38 @@
 
   async #report(): Promise<void> {
     const { control, clock, store } = this.#options;
-    const deltas = [...this.#runs.values()].map(runDelta);
+    const reported = [...this.#runs.values()];
+    const deltas = reported.map(runDelta);
     const answer = await control.call(reportRunsMethod, { store, deltas }, {
       deadline: clock.deadlineIn(REPORT_TIMEOUT_MILLISECONDS),
     });
-    if (answer.isOk()) {
-      this.#leaderAnsweredAt = clock.monotonic();
-      this.#confirm(answer.value);
-    }
-    const silence = clock.monotonic() - this.#leaderAnsweredAt;
-    if (silence > LEADER_TIMEOUT_MILLISECONDS) this.#stopRuns(() => true);
+    if (answer.isOk()) this.#applyAnswer(reported, answer.value);
+    const earliest = clock.monotonic() - LEADER_TIMEOUT_MILLISECONDS;
+    this.#stopRuns(({ leaderAnsweredAt }) => leaderAnsweredAt < earliest);
   }
 
   /**
-   * Records what the leader holds. Leaders of earlier versions do not say it,
-   * so all data is sent to them each time.
+   * Records what the leader holds of the reported runs, and stops those that
+   * their leader does not want or know any more.
    */
-  #confirm({ term, runs }: ReportAnswer): void {
-    for (const { run: id, heldLines } of runs ?? []) {
-      const run = this.#runs.get(id);
-      if (!run || run.term !== term) continue;
-      run.confirmedLines = Math.max(run.confirmedLines, heldLines);
+  #applyAnswer(
+    reported: readonly IHostedRun[],
+    { term, runs = [] }: ReportAnswer,
+  ): void {
+    const now = this.#options.clock.monotonic();
+    const known = new Map(runs.map((it) => [it.run, it]));
+    for (const run of reported) {
+      // The answer of an earlier leader says nothing about the run.
+      if (term !== undefined && term < run.term) continue;
+      run.leaderAnsweredAt = now;
+      // Leaders of earlier versions name no runs; all data is sent to them
+      // with each report.
+      if (term === undefined) continue;
+      const state = term === run.term ? known.get(run.id) : undefined;
+      if (state) {
+        run.confirmedLines = Math.max(run.confirmedLines, state.heldLines);
+      }
+      if (!state?.isWanted) run.abort.abort();
     }
   }
 
--- a/src/bulk/run_host_test.ts
+++ b/src/bulk/run_host_test.ts
@@ -119,3 +119,65 @@
   const { delta } = (await answer)._unsafeUnwrap();
   t.like(delta, { from: 0, data: ["a", "b"] });
 });
+
+// Guards against runs that go on at their engines after their leader has given
+// them up, as any leader answers reports.
+test("run that the leader does not know is stopped", async (t) => {
+  const { time, runs, leaderState, order } = setup();
+  leaderState.answer = () => ({ term: 3, runs: [] });
+  const answer = order();
+  await time.advanceUntil("begun", () => runs.length === 1);
+  await time.advance(500);
+  t.is((await answer)._unsafeUnwrap().outcome.kind, "stopped");
+});
+
+// Guards against runs that hold their slots until an order to stop arrives.
+test("run that the leader no longer wants is stopped", async (t) => {
+  const { time, runs, leaderState, order } = setup();
+  const known = { run: "run", heldLines: 0 };
+  leaderState.answer = () => ({
+    term: 3,
+    runs: [{ ...known, isWanted: true }],
+  });
+  const answer = order();
+  await time.advanceUntil("begun", () => runs.length === 1);
+  await time.advance(1_000);
+  t.false(runs[0]?.signal.aborted);
+  leaderState.answer = () => ({
+    term: 3,
+    runs: [{ ...known, isWanted: false }],
+  });
+  await time.advance(500);
+  t.is((await answer)._unsafeUnwrap().outcome.kind, "stopped");
+});
+
+// Guards against runs that no leader waits for, ordered by one that was
+// replaced while a partition held up the order.
+test("run of an earlier term is not begun", async (t) => {
+  const { time, runs, order } = setup();
+  const answer = order(2);
+  await time.advance(50);
+  t.is((await answer)._unsafeUnwrap().outcome.kind, "abandoned");
+  t.is(runs.length, 0);
+});
+
+test("answer of an earlier leader does not stop a run", async (t) => {
+  const { time, runs, leaderState, order } = setup();
+  leaderState.answer = () => ({ term: 2, runs: [] });
+  void order();
+  await time.advanceUntil("begun", () => runs.length === 1);
+  await time.advance(1_000);
+  t.false(runs[0]?.signal.aborted);
+  // Its own leader is silent meanwhile.
+  await time.advance(1_500);
+  t.true(runs[0]?.signal.aborted);
+});
+
+test("run stops once a later leader answers", async (t) => {
+  const { time, runs, leaderState, order } = setup();
+  leaderState.answer = () => ({ term: 4, runs: [] });
+  void order();
+  await time.advanceUntil("begun", () => runs.length === 1);
+  await time.advance(500);
+  t.true(runs[0]?.signal.aborted);
+});
