Abandon a run that its store no longer reports

What callers would see: items that get no result in time.

Cause: a report renewed the time of all runs that the leader had left to the store, also of those that it did not name.

Change: a report renews the time of the runs that it names. Stores have always named all runs that they host.

The test of a store that reports only another run failed before: the run was not abandoned.

--- a/src/bulk/store_executor.ts
+++ b/src/bulk/store_executor.ts
@@ -40,7 +40,7 @@
 /** Interval at which the order to stop a run is repeated, in milliseconds. */
 const STOP_INTERVAL_MILLISECONDS = 250;
 
-/** Time without a report after which a store's runs are abandoned, in ms. */
+/** Time without a report on it after which a run is abandoned, in ms. */
 const REPORT_TIMEOUT_MILLISECONDS = 1_500;
 
 /** Time for which a store gets no runs after one has failed there, in ms. */
@@ -190,12 +190,10 @@
     deltas: readonly RunDelta[],
   ): NonNullable<ReportAnswer["runs"]> {
     const now = this.#options.clock.monotonic();
-    for (const remote of this.#remoteRuns.values()) {
-      if (remote.store === store) remote.lastReportAt = now;
-    }
     return deltas.flatMap((delta) => {
       const remote = this.#remoteRuns.get(delta.run);
-      if (!remote) return [];
+      if (remote?.store !== store) return [];
+      remote.lastReportAt = now;
       this.#addDelta(remote, delta);
       const { id, progress, signal } = remote;
       const { heldLines } = progress;
@@ -243,7 +241,7 @@
     progress.add(delta);
   }
 
-  /** Abandons the runs of stores that no longer report. */
+  /** Abandons runs that their stores no longer report. */
   async #abandonSilentRuns(): Promise<void> {
     const { clock } = this.#options;
     const { signal } = this.#stopping;
--- a/src/bulk/store_executor_reports_test.ts
+++ b/src/bulk/store_executor_reports_test.ts
@@ -109,3 +109,14 @@
   await time.advance(2_000);
   t.is(store.stops.length, count);
 });
+
+// Guards against items that wait for minutes for a run that its store has lost.
+test("run that its store no longer reports is abandoned", async (t) => {
+  const { time, store, outcome } = await startRun();
+  await deliver(time, store.report(0, ["a"]));
+  for (let count = 0; count < 5; count++) {
+    await deliver(time, store.reportOther());
+    await time.advance(400);
+  }
+  t.like(await outcome, { kind: "abandoned" });
+});
--- a/testing/scripted_store.ts
+++ b/testing/scripted_store.ts
@@ -36,20 +36,29 @@
 
   /** Reports data of the first run; resolves with the leader's answer. */
   async report(from: number, data: string[]) {
+    return await this.#send(this.#delta(from, data));
+  }
+
+  /** Reports a run that the leader did not order. */
+  async reportOther() {
+    return await this.#send({ run: "other-run", from: 0, data: [] });
+  }
+
+  /** Ends the first run with data that follows the line `from`. */
+  end(outcome: ItemOutcome, from: number, data: string[]): void {
+    this.#ends[0]?.({ outcome, delta: this.#delta(from, data) });
+  }
+
+  async #send(delta: RunDelta) {
     const { id, clock } = this.#endpoint;
     const leader = { id: "leader", address: "leader", port: 1 };
-    const params = { store: id, deltas: [this.#delta(from, data)] };
     const deadline = clock.deadlineIn(1_000);
+    const params = { store: id, deltas: [delta] };
     return await this.#endpoint.call(leader, reportRunsMethod, params, {
       deadline,
     });
   }
 
-  /** Ends the first run with data that follows the line `from`. */
-  end(outcome: ItemOutcome, from: number, data: string[]): void {
-    this.#ends[0]?.({ outcome, delta: this.#delta(from, data) });
-  }
-
   #delta(from: number, data: string[]): RunDelta {
     const lastEventId = `${from + data.length}`;
     return { run: this.runs[0] ?? "", from, data, lastEventId };
