--- a/testing/fake_network.ts
+++ b/testing/fake_network.ts
@@ -21,6 +21,13 @@
   lossPercent = 0;
   /** Maximum latency of a message; the minimum is 1 ms. */
   latencyMilliseconds = 3;
+  /**
+   * Percentage of messages that arrive late, as those do that a partition has
+   * held up on one connection while others deliver.
+   */
+  latePercent = 0;
+  /** Maximum latency of such a message. */
+  lateMilliseconds = 3;
   /** Instances whose incoming and outgoing messages are all lost. */
   readonly isolated = new Set<string>();
   readonly endpoints = new Map<string, FakeEndpoint>();
@@ -41,7 +48,12 @@
 
   /** Waits for the latency of a message; resolves with false if it is lost. */
   async deliver(from: string, to: string): Promise<boolean> {
-    const delay = this.#random.integer(1, this.latencyMilliseconds);
+    const isLate = this.latePercent > 0 &&
+      this.#random.chance(this.latePercent);
+    const delay = this.#random.integer(
+      1,
+      isLate ? this.lateMilliseconds : this.latencyMilliseconds,
+    );
     await new Promise<void>((resolve) => {
       this.#time.schedule(this.#time.now + delay, resolve);
     });
