Ignore load reports that arrive after a later one of their sender

What callers would see: live requests placed by loads of an earlier moment, on engines that are full or suspect.

A partition holds up an exchange on one connection while later ones arrive on another, and the ledger kept the report that arrived last, whatever its number. If the instance was then cut off, it stayed in force.

Change: an exchange names its process besides its number, and only the latest one of an instance replaces its load, suspects and counts of answered requests. Streams, limits and numbered uses still count, as they only add. A restarted process replaces the earlier one without comparing clocks. Exchanges of earlier versions name no process and count as before.

--- a/src/common/mod.ts
+++ b/src/common/mod.ts
@@ -11,4 +11,5 @@
 export * from "./invariant.ts";
 export * from "./json_ranges.ts";
 export * from "./listen.ts";
+export * from "./message_order.ts";
 export * from "./types.ts";
--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -1,4 +1,4 @@
-import { createHash } from "node:crypto";
+import { createHash, randomUUID } from "node:crypto";
 import type {
   CallerActivity,
   CallerLevel,
@@ -118,6 +118,7 @@
   #options: IExchangeClientOptions;
   #stopping = new AbortController();
   #interval = INITIAL_INTERVAL_MILLISECONDS;
+  readonly #process = randomUUID();
   #sequence = 0;
   #lastAnswered = 0;
   #lastAnswerAt: number;
@@ -226,6 +227,7 @@
     const callerLevels = this.#callerLevels;
     const answer = await this.#control.call(exchangeMethod, {
       ...{ instance, name, role, sequence, want },
+      process: this.#process,
       abilities: [...ABILITIES],
       answered: this.#lastAnswered,
       live: [...reported],
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -4,6 +4,7 @@
   DisposableStore,
   type IClock,
   type IDisposable,
+  MessageOrder,
   notRun,
 } from "../common/mod.ts";
 import {
@@ -104,6 +105,7 @@
 ): IDisposable {
   const { ledger, origins, judge, leaderState, name, clock } = options;
   const { engineLimits } = options;
+  const order = new MessageOrder();
   const disposables = new DisposableStore();
   disposables.add(server.handle(findStreamMethod, ({ request }) => {
     if (!leaderState()) return Promise.resolve(err(notLeader()));
@@ -120,9 +122,12 @@
     if (!state) return Promise.resolve(err(notLeader()));
     const { streams, parts, engineLimits: limits, ...others } = params;
     const { callerUse, callerLevels, ...report } = others;
-    ledger.recordReport(report);
+    const { instance, process, sequence } = params;
+    const isLatest = process === undefined ||
+      order.record(instance, { process, sequence });
+    if (isLatest) ledger.recordReport(report);
     if (callerLevels) state.callerLimiter.restore(callerLevels);
-    if (callerUse) state.callerLimiter.settle(params.instance, callerUse);
+    if (callerUse) state.callerLimiter.settle(instance, callerUse);
     for (const [request, service, softwareVersion, lifetime] of streams ?? []) {
       const expiresAt = clock.deadlineIn(lifetime);
       origins.record({ request, service, softwareVersion, expiresAt });
@@ -160,9 +165,12 @@
       routes: isNewRoutes ? routes.setForEntries : undefined,
       routesVersion: routes?.version,
       confirmedMilliseconds: state.confirmedMilliseconds,
-      parts: parts ? judge.receive(params.instance, parts) : judge.findNews(),
+      // Without an answer, the instance reports its parts again.
+      parts: parts
+        ? isLatest ? judge.receive(instance, parts) : undefined
+        : judge.findNews(),
       relays: params.isCutOff
-        ? ledger.relays({ asking: params.instance, random: options.random() })
+        ? ledger.relays({ asking: instance, random: options.random() })
         : undefined,
       grant,
       pauseMilliseconds: exchangeInterval(ledger.entryCount()),
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -109,6 +109,11 @@
     role: z.enum(["entry", "store"]),
     /** Abilities of the instance; absent from versions before abilities. */
     abilities: z.array(z.string()).optional(),
+    /**
+     * Identifier of the process; different after every start. Absent from
+     * versions that do not send it.
+     */
+    process: z.string().optional(),
     /** Number of this call; increases with each call. */
     sequence: z.number(),
     /** Highest sequence number whose answer is reflected in `live`. */
