Ignore answers to exchanges that later ones have overtaken

What callers would see: requests placed by an earlier load, or served with a prompt part that crashes engines, as an earlier leader did not refuse it yet.

Cause: an entry took load, suspects, relays and verdicts on prompt parts from each answer, also from one that arrived after a later one: over another connection, or from a leader that was replaced, frozen or cut off and answers late.

Change: only the answer to the latest exchange replaces what an entry knows of its leader. Answers of an earlier term do not count while the leader of the later one has answered within 3 s (terms begin again if the log is lost with all of its replicas); routes in them still count if they are newer.

Two tests failed before: an engine was suspect by the word of the leader of term 1 after that of term 2, and by an answer that was overtaken.

--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -50,6 +50,13 @@
 /** Longest wait for the origin of a stream, in milliseconds. */
 const FIND_STREAM_TIMEOUT_MILLISECONDS = 200;
 
+/**
+ * Time since the last answer of a leader for which answers of earlier terms are
+ * ignored, in milliseconds. Terms begin again if all replicas of the log are
+ * lost, with their leader.
+ */
+const LEADER_LIFETIME_MILLISECONDS = 3_000;
+
 /** Timeout of a periodic exchange. */
 const EXCHANGE_TIMEOUT_MILLISECONDS = 500;
 
@@ -123,6 +130,8 @@
   #lastAnswered = 0;
   #lastAnswerAt: number;
   #leaderTerm = 0;
+  /** Sequence number of the latest exchange that this leader has answered. */
+  #latestOfLeader = 0;
   #isLeaderReachable = true;
   #listAgeLimit: number;
   #entries: number | undefined;
@@ -257,9 +266,18 @@
       this.#recordFailure(answer.error.message);
       return undefined;
     }
+    const { load, shortLoad, suspects, list, grant, term } = answer.value;
+    if (answer.value.routes) routes.setIfNewer(answer.value.routes);
+    if (this.#isReplaced(term)) {
+      this.#recordFailure(`the leader of term ${term} has been replaced`);
+      return undefined;
+    }
     this.#recordSuccess();
     this.#clockOffset.recordResponse(answer.value, sentAt);
-    const { load, shortLoad, suspects, list, grant, term } = answer.value;
+    // Answers on different connections can overtake each other.
+    const isLatest = term !== this.#leaderTerm ||
+      sequence > this.#latestOfLeader;
+    if (isLatest) this.#latestOfLeader = sequence;
     // The levels of the earlier leader, before the new one admits requests.
     if (term !== this.#leaderTerm) {
       this.#callerLevels = this.#options.callerUse?.levels();
@@ -271,13 +289,14 @@
     if (callerUse) callers?.confirm(callerUse);
     engineLimits.markReported(limits, term);
     engineLimits.merge(answer.value.engineLimits ?? [], term);
-    this.#entries = answer.value.entries ?? this.#entries;
-    if (answer.value.relays) relaying?.relays.update(answer.value.relays);
     parts?.recordLeaderContact();
-    const verdicts = answer.value.parts;
-    if (verdicts) parts?.applyVerdicts(verdicts, { term, report });
-    this.#interval = answer.value.pauseMilliseconds;
-    if (answer.value.routes) routes.setIfNewer(answer.value.routes);
+    if (isLatest) {
+      const { entries, relays, parts: verdicts } = answer.value;
+      this.#entries = entries ?? this.#entries;
+      if (relays) relaying?.relays.update(relays);
+      if (verdicts) parts?.applyVerdicts(verdicts, { term, report });
+      this.#interval = answer.value.pauseMilliseconds;
+    }
     const { confirmedMilliseconds, routesVersion } = answer.value;
     const isNewest = routes.version >= (routesVersion ?? Infinity);
     if (question && isNewest && confirmedMilliseconds !== undefined) {
@@ -289,13 +308,15 @@
       listAge: answer.value.listAge,
       soleVersions: answer.value.soleVersions ?? [],
     });
-    if (load) table.updateLoad(load, reported);
-    // The short form refers to the list that the leader was told.
-    if (shortLoad && table.revision === revision) {
-      table.updateShortLoad(shortLoad, reported);
+    if (isLatest) {
+      if (load) table.updateLoad(load, reported);
+      // The short form refers to the list that the leader was told.
+      if (shortLoad && table.revision === revision) {
+        table.updateShortLoad(shortLoad, reported);
+      }
+      health.setLeaderSuspects(suspects);
     }
     if (means) table.markMeansReported(means, term);
-    health.setLeaderSuspects(suspects);
     this.#lastAnswered = Math.max(this.#lastAnswered, sequence);
     if (grant?.kind !== "engine") return grant;
     // A new leader may not have heard yet that the engine names a limit.
@@ -308,6 +329,13 @@
     return grant;
   }
 
+  /** Whether a leader of a later term has answered of late. */
+  #isReplaced(term: number): boolean {
+    // Leaders of earlier versions do not name their terms.
+    const isEarlier = term !== 0 && term < this.#leaderTerm;
+    return isEarlier && this.contactAge < LEADER_LIFETIME_MILLISECONDS;
+  }
+
   #recordSuccess(): void {
     const { clock, events } = this.#options;
     const now = clock.monotonic();
--- a/src/placement/late_exchange_test.ts
+++ b/src/placement/late_exchange_test.ts
@@ -40,3 +40,48 @@
   await exchange({ sequence: 10, live: [["one", 2]] });
   t.is(fleet.ledger.liveCounts().get("one"), 1);
 });
+
+// Guards against entries that go back to what a leader that was replaced says,
+// for example release a part from quarantine that crashes engines.
+test("answer of a replaced leader does not count", async (t) => {
+  const { fleet } = setup();
+  const { table } = fleet.entry("entry");
+  const state = fleet.leaderState!;
+  fleet.leaderState = { ...state, term: 2 };
+  await fleet.time.advance(500);
+  fleet.leaderState = { ...state, term: 1, failing: new Set(["one"]) };
+  await fleet.time.advance(500);
+  t.false(table.isSuspect("one"));
+});
+
+// The terms begin again if the log was lost with all of its replicas.
+test("lower term counts once the leader of the higher is silent", async (t) => {
+  const { fleet } = setup();
+  const { table } = fleet.entry("entry");
+  const state = fleet.leaderState!;
+  fleet.leaderState = { ...state, term: 2 };
+  await fleet.time.advance(500);
+  fleet.leaderState = { ...state, term: 1, failing: new Set(["one"]) };
+  await fleet.time.advance(4_000);
+  t.true(table.isSuspect("one"));
+});
+
+// Guards against the load of an earlier moment after a later answer.
+test("answer that arrives after a later one replaces nothing", async (t) => {
+  const { fleet } = setup();
+  const { table, placer } = fleet.entry("entry");
+  await fleet.time.advance(200);
+  const state = fleet.leaderState!;
+  // The answer to the next exchange arrives after that to a placement.
+  fleet.leaderState = { ...state, failing: new Set(["one"]) };
+  fleet.network.answerLatencyMilliseconds = 300;
+  await fleet.time.advance(100);
+  fleet.network.answerLatencyMilliseconds = undefined;
+  fleet.leaderState = state;
+  await fleet.place(placer);
+  let wasSuspect = false;
+  await fleet.time.advance(500, () => {
+    wasSuspect ||= table.isSuspect("one");
+  });
+  t.false(wasSuspect);
+});
--- a/testing/fake_network.ts
+++ b/testing/fake_network.ts
@@ -28,6 +28,8 @@
   latePercent = 0;
   /** Maximum latency of such a message. */
   lateMilliseconds = 3;
+  /** Latency of the answers to calls that are handled now, if it is fixed. */
+  answerLatencyMilliseconds: number | undefined;
   /** Instances whose incoming and outgoing messages are all lost. */
   readonly isolated = new Set<string>();
   readonly endpoints = new Map<string, FakeEndpoint>();
@@ -47,18 +49,25 @@
   }
 
   /** Waits for the latency of a message; resolves with false if it is lost. */
-  async deliver(from: string, to: string): Promise<boolean> {
+  async deliver(
+    from: string,
+    to: string,
+    latency = this.#latency(),
+  ): Promise<boolean> {
+    await new Promise<void>((resolve) => {
+      this.#time.schedule(this.#time.now + latency, resolve);
+    });
+    if (this.isolated.has(from) || this.isolated.has(to)) return false;
+    return !this.#random.chance(this.lossPercent);
+  }
+
+  #latency(): number {
     const isLate = this.latePercent > 0 &&
       this.#random.chance(this.latePercent);
-    const delay = this.#random.integer(
+    return this.#random.integer(
       1,
       isLate ? this.lateMilliseconds : this.latencyMilliseconds,
     );
-    await new Promise<void>((resolve) => {
-      this.#time.schedule(this.#time.now + delay, resolve);
-    });
-    if (this.isolated.has(from) || this.isolated.has(to)) return false;
-    return !this.#random.chance(this.lossPercent);
   }
 }
 
@@ -120,7 +129,11 @@
     };
     const answer = await handler(JSON.parse(call.text), context);
     if (target.clock.isEnded) return new Promise(() => {});
-    const isAnswerDelivered = await this.#network.deliver(peer.id, this.id);
+    const isAnswerDelivered = await this.#network.deliver(
+      peer.id,
+      this.id,
+      this.#network.answerLatencyMilliseconds,
+    );
     if (!isAnswerDelivered) return new Promise(() => {});
     if (answer.isErr()) return err(answer.error);
     const result = method.result.safeParse(answer.value);
