Correct ages in exchanges by the time that they were under way

What callers would see: limits of callers that follow an outdated level, and prompt parts released by an answer from before their crashes.

Cause: an exchange contains ages, so that clocks need not agree. One that a partition holds up for two seconds made all of them two seconds younger than they are.

Change: the exchange contains the monotonic time of sending. The leader compares it with its own clock; what exceeds the least difference of the last seconds is delay, and is added to the ages. A lasting latency is no delay, and a restarted process is compared anew. Exchanges of earlier versions are not corrected.

--- a/src/placement/exchange_client.ts
+++ b/src/placement/exchange_client.ts
@@ -236,7 +236,7 @@
     const callerLevels = this.#callerLevels;
     const answer = await this.#control.call(exchangeMethod, {
       ...{ instance, name, role, sequence, want },
-      process: this.#process,
+      ...{ process: this.#process, sentAt: startedAt },
       abilities: [...ABILITIES],
       answered: this.#lastAnswered,
       live: [...reported],
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -13,7 +13,7 @@
   type FleetCallerLimiter,
   type IEngineRateLimiter,
 } from "../admission/mod.ts";
-import type { PartJudge } from "../quarantine/mod.ts";
+import type { PartJudge, PartReport } from "../quarantine/mod.ts";
 import type { IRpcServer } from "../rpc/mod.ts";
 import type { RouteTable } from "../service_routes/mod.ts";
 import type { IEngineChooser } from "./engine_chooser.ts";
@@ -31,6 +31,7 @@
 import { place } from "./placement.ts";
 import type { SoleVersionReport } from "./sole_versions.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
+import { TransitDelays } from "./transit_delays.ts";
 import {
   type IEngineView,
   INITIAL_MEAN_MILLISECONDS,
@@ -106,6 +107,7 @@
   const { ledger, origins, judge, leaderState, name, clock } = options;
   const { engineLimits } = options;
   const order = new MessageOrder();
+  const delays = new TransitDelays(clock);
   const disposables = new DisposableStore();
   disposables.add(server.handle(findStreamMethod, ({ request }) => {
     if (!leaderState()) return Promise.resolve(err(notLeader()));
@@ -122,17 +124,22 @@
     if (!state) return Promise.resolve(err(notLeader()));
     const { streams, parts, engineLimits: limits, ...others } = params;
     const { callerUse, callerLevels, ...report } = others;
-    const { instance, process, sequence } = params;
+    const { instance, process, sequence, sentAt } = params;
     const isLatest = process === undefined ||
       order.record(instance, { process, sequence });
     if (isLatest) ledger.recordReport(report);
-    if (callerLevels) state.callerLimiter.restore(callerLevels);
+    const delay = process === undefined || sentAt === undefined
+      ? 0
+      : delays.estimate(instance, { process, sentAt });
+    if (callerLevels) {
+      state.callerLimiter.restore(agedBy(callerLevels, delay));
+    }
     if (callerUse) state.callerLimiter.settle(instance, callerUse);
     for (const [request, service, softwareVersion, lifetime] of streams ?? []) {
-      const expiresAt = clock.deadlineIn(lifetime);
+      const expiresAt = clock.deadlineIn(lifetime - delay);
       origins.record({ request, service, softwareVersion, expiresAt });
     }
-    engineLimits.merge(limits ?? []);
+    engineLimits.merge(agedBy(limits ?? [], delay));
     const grant = params.want && placeRequest(params, params.want, {
       ...options,
       state,
@@ -167,7 +174,9 @@
       confirmedMilliseconds: state.confirmedMilliseconds,
       // Without an answer, the instance reports its parts again.
       parts: parts
-        ? isLatest ? judge.receive(instance, parts) : undefined
+        ? isLatest
+          ? judge.receive(instance, agedReport(parts, delay))
+          : undefined
         : judge.findNews(),
       relays: params.isCutOff
         ? ledger.relays({ asking: instance, random: options.random() })
@@ -179,6 +188,30 @@
   return disposables;
 }
 
+/** Adds a delay to the ages that come last in the reports. */
+function agedBy<V>(
+  reports: readonly [string, V, number][],
+  delay: number,
+): [string, V, number][] {
+  return reports.map(([subject, value, age]) => [subject, value, age + delay]);
+}
+
+/** Corrects the ages in a report on prompt parts by its delay. */
+function agedReport(report: PartReport, delay: number): PartReport {
+  return {
+    ...report,
+    brokenRuns: report.brokenRuns.map((run) => ({
+      ...run,
+      ageMilliseconds: run.ageMilliseconds + delay,
+    })),
+    clearedParts: report.clearedParts.map(([part, age]) => [part, age + delay]),
+    quarantined: report.quarantined?.map(([part, remaining]) => [
+      part,
+      Math.max(0, remaining - delay),
+    ]),
+  };
+}
+
 /** The load in the order of the list of engines. */
 function shortLoad(list: EngineList, load: readonly LoadEntry[]): number[] {
   const byEngine = new Map(load.map((entry) => [entry[0], entry]));
--- a/src/placement/late_exchange_test.ts
+++ b/src/placement/late_exchange_test.ts
@@ -85,3 +85,27 @@
   });
   t.false(wasSuspect);
 });
+
+// Guards against ages that seem younger by the time for which a partition held
+// up the message, so that old levels of a caller's limit replace newer ones.
+test("ages count from the time of sending", async (t) => {
+  const { fleet, exchange } = setup();
+  fleet.callerLimit = { requestsPerSecond: 10, burst: 100 };
+  const { callerLimiter } = fleet.leaderState!;
+  await fleet.time.advance(1_000);
+  const sentAt = fleet.time.now;
+  await exchange({ sequence: 1, sentAt });
+  await fleet.time.advance(1_500);
+  // The leader started at time 0; the levels are 1 and 2 s older.
+  await exchange({
+    ...{ process: "other", instance: "10.0.0.2", sentAt: fleet.time.now },
+    callerLevels: [["caller", 0.5, fleet.time.now + 1_000]],
+  });
+  const level = callerLimiter.levelOf("caller") ?? 0;
+  await exchange({
+    ...{ sequence: 2, sentAt },
+    callerLevels: [["caller", 0, sentAt + 2_000]],
+  });
+  const later = callerLimiter.levelOf("caller") ?? 0;
+  t.true(later >= level, `${later} after ${level}`);
+});
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -114,6 +114,11 @@
      * versions that do not send it.
      */
     process: z.string().optional(),
+    /**
+     * Monotonic time of the process as it sent the call, in milliseconds. Ages
+     * in the call count from then.
+     */
+    sentAt: z.number().optional(),
     /** Number of this call; increases with each call. */
     sequence: z.number(),
     /** Highest sequence number whose answer is reflected in `live`. */
