Keep a released prompt part out of quarantine

What callers would see: refused requests with a prompt part that is no longer harmful.

Cause: a leader took the parts that an instance holds in quarantine from its first report to the term, also after another instance had reported an answer that released the part.

Change: parts with a recent answer are not taken.

The test with an instance out of touch failed before: the part was refused again at all entries.

--- a/src/quarantine/part_judge.ts
+++ b/src/quarantine/part_judge.ts
@@ -95,7 +95,9 @@
       until: this.#clock.deadlineIn(REPORT_LIFETIME_MILLISECONDS),
     });
     for (const [part, milliseconds] of report.quarantined ?? []) {
-      if (this.#quarantined.has(part)) continue;
+      // The instance may not know yet that the part was released.
+      const isReleased = this.#completions.isCleared(part);
+      if (isReleased || this.#quarantined.has(part)) continue;
       this.#quarantined.set(part, this.#clock.deadlineIn(milliseconds));
     }
     for (const [part, ageMilliseconds] of report.clearedParts) {
--- a/src/quarantine/part_judge_test.ts
+++ b/src/quarantine/part_judge_test.ts
@@ -227,3 +227,18 @@
   await fleet.exchangeFor(2_000);
   t.is(fleet.refusedBy(REPEATED), 0);
 });
+
+// Guards against parts that an instance without contact puts back into
+// quarantine after they were released.
+test("part that was answered is not quarantined by an old report", async (t) => {
+  const fleet = await fleetWithHarmfulPart();
+  const outdated = fleet.createEntry();
+  const term = 1;
+  outdated.applyVerdicts(fleet.judge.findNews()!, { term, report: undefined });
+  fleet.complete(1, ["caller", "bad"]);
+  await fleet.exchangeFor(300);
+  t.is(fleet.refusedBy(["caller", "bad"]), 0);
+  fleet.judge.receive("outdated", outdated.report(term)!.message);
+  await fleet.exchangeFor(300);
+  t.is(fleet.refusedBy(["caller", "bad"]), 0);
+});
