Ignore heartbeats and live reports that arrive late

What callers would see: live requests sent to an instance that leaves, and items that wait for slots of streams that have ended.

Cause: the same class: the leader's members and the owner of an engine took the state that arrived last from an instance, in whichever order it was sent.

Change: heartbeats and reports of live streams are numbered for each process, and only the latest one replaces state. Those of earlier versions have no number and count as before.

--- a/src/allotment/load_exchange.ts
+++ b/src/allotment/load_exchange.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import { ok } from "neverthrow";
 import {
   type Deadline,
@@ -5,6 +6,8 @@
   Emitter,
   type IClock,
   type IDisposable,
+  type MessageNumber,
+  MessageOrder,
 } from "../common/mod.ts";
 import type { IRpcClient, IRpcServer } from "../rpc/mod.ts";
 import { reportLiveMethod } from "./messages.ts";
@@ -32,6 +35,11 @@
 /** Age from which a received count is ignored. */
 const REPORT_LIFETIME_MILLISECONDS = 3_000;
 
+interface ILiveStreams {
+  readonly engineId: string;
+  readonly streams: number;
+}
+
 interface IReceivedLive {
   streams: number;
   receivedAt: Deadline;
@@ -73,6 +81,9 @@
   #receivedLoad = new Map<string, IReceivedLoad>();
   #ownerOf = new Map<string, IEngineOwner>();
   #reporters = new Map<string, IReporterState>();
+  readonly #process = randomUUID();
+  #sequence = 0;
+  #order = new MessageOrder();
   #change = new Emitter<string>();
   /** Fires with an engine's id when its live streams change. */
   readonly onChange = this.#change.event;
@@ -86,8 +97,10 @@
     const { activity, server } = options;
     this.#store.add(server.handle(
       reportLiveMethod,
-      ({ live }, { from }) =>
-        Promise.resolve(ok(this.#handleReport(live, from))),
+      ({ live, number }, { from }) => {
+        this.#recordLive(live, { from, number });
+        return Promise.resolve(ok(this.#totals(live, from)));
+      },
     ));
     this.#store.add(activity.onChange((id) => this.#handleLiveChange(id)));
     this.#store.add(ownership.onChange(() => this.#indexOwners()));
@@ -125,7 +138,11 @@
     this.#change.dispose();
   }
 
-  #handleReport(live: { engineId: string; streams: number }[], from: string) {
+  #recordLive(
+    live: readonly ILiveStreams[],
+    { from, number }: { from: string; number: MessageNumber | undefined },
+  ): void {
+    if (number && !this.#order.record(from, number)) return;
     const receivedAt = this.#options.clock.monotonic();
     for (const { engineId, streams } of live) {
       const reports = this.#receivedLive.get(engineId) ??
@@ -135,6 +152,10 @@
       reports.set(from, { streams, receivedAt });
       if (before !== streams) this.#change.fire(engineId);
     }
+  }
+
+  /** The load of these engines without that of the asking instance. */
+  #totals(live: readonly ILiveStreams[], from: string) {
     return {
       engines: live.map(({ engineId }) => ({
         engineId,
@@ -226,8 +247,11 @@
       engineId,
       streams: activity.liveStreams(engineId),
     }));
+    this.#sequence += 1;
+    const number = { process: this.#process, sequence: this.#sequence };
+    const params = { number, live };
     const deadline = clock.deadlineIn(REPORT_TIMEOUT_MILLISECONDS);
-    const answer = await rpc.call(owner.address, reportLiveMethod, { live }, {
+    const answer = await rpc.call(owner.address, reportLiveMethod, params, {
       deadline,
     });
     reporter.busy = false;
--- a/src/allotment/load_exchange_test.ts
+++ b/src/allotment/load_exchange_test.ts
@@ -62,7 +62,13 @@
   const address = { id: "owner", address: "127.0.0.1", port: 1 };
   other.ownership.others = [{ address, engines: [engine.id] }];
   other.ownership.change.fire();
-  return { owner, other };
+  /** Delivers a report of live streams to the owner. */
+  const report = (sequence: number, streams: number, process = "first") =>
+    handlers.get("owner")?.({
+      number: { process, sequence },
+      live: [{ engineId: engine.id, streams }],
+    }, { from: "third" });
+  return { owner, other, report };
 }
 
 test("live streams of other instances lower the batch limit", async (t) => {
@@ -117,3 +123,13 @@
   t.like(other.exchange.loadOf(engine.id), { ownLive: 1, otherLive: 1 });
   t.like(owner.exchange.loadOf(engine.id), { ownLive: 1, otherLive: 1 });
 });
+
+// Guards against live streams of an earlier moment that lower the batch limit.
+test("report that arrives after a later one replaces nothing", (t) => {
+  const { owner, report } = start(t);
+  report(2, 3);
+  report(1, 7);
+  t.is(owner.exchange.loadOf(engine.id).otherLive, 3);
+  report(1, 2, "second");
+  t.is(owner.exchange.loadOf(engine.id).otherLive, 2);
+});
--- a/src/allotment/messages.ts
+++ b/src/allotment/messages.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { messageNumberSchema } from "../common/mod.ts";
 import { defineMethod, peerAddressSchema } from "../rpc/mod.ts";
 
 /** An owner and its engines. */
@@ -31,6 +32,8 @@
 /** Reports live streams to an engine owner, and returns the totals. */
 export const reportLiveMethod = defineMethod("allotment.live", {
   params: z.object({
+    /** Absent from versions that do not number their reports. */
+    number: messageNumberSchema.optional(),
     live: z.array(z.object({ engineId: z.string(), streams: z.number() })),
   }),
   result: z.object({
--- a/src/common/message_order.ts
+++ b/src/common/message_order.ts
@@ -1,10 +1,13 @@
+import { z } from "zod";
+
 /** Number of a message among those that its sender has sent. */
-export interface IMessageNumber {
+export const messageNumberSchema = z.object({
   /** Identifier of the sending process; different after every start. */
-  readonly process: string;
+  process: z.string(),
   /** Increases with each message of the process. */
-  readonly sequence: number;
-}
+  sequence: z.number(),
+});
+export type MessageNumber = z.infer<typeof messageNumberSchema>;
 
 /** Earlier processes that are remembered for each sender. */
 const MAXIMUM_EARLIER_PROCESSES = 8;
@@ -28,7 +31,7 @@
    * Records a message of a sender. Returns false if it was not sent later than
    * all that were recorded before.
    */
-  record(sender: string, { process, sequence }: IMessageNumber): boolean {
+  record(sender: string, { process, sequence }: MessageNumber): boolean {
     const known = this.#senders.get(sender);
     if (known?.process === process) {
       if (sequence <= known.sequence) return false;
--- a/src/membership/heartbeat_client.ts
+++ b/src/membership/heartbeat_client.ts
@@ -67,6 +67,7 @@
   readonly onLeavingTargetsChange = this.#leavingTargetsChange.event;
   #confirmed = new Emitter<Deadline>();
   readonly onConfirmed = this.#confirmed.event;
+  #sequence = 0;
   #stop = new AbortController();
   #store = new DisposableStore();
 
@@ -151,8 +152,10 @@
     const platform = this.#reportedEpoch === revision.epoch
       ? undefined
       : this.#createPlatformReport();
+    this.#sequence += 1;
     const answer = await this.#control.call(heartbeatMethod, {
       instance: this.self,
+      sequence: this.#sequence,
       revision,
       platform,
     }, { deadline: this.#clock.deadlineIn(HEARTBEAT_TIMEOUT_MILLISECONDS) });
--- a/src/membership/member_registry.ts
+++ b/src/membership/member_registry.ts
@@ -8,6 +8,7 @@
   type Failure,
   type IClock,
   type IDisposable,
+  MessageOrder,
 } from "../common/mod.ts";
 import type { ConfigurationSection } from "../configuration/mod.ts";
 import type { IReplicatedLog } from "../consensus/mod.ts";
@@ -73,6 +74,7 @@
   #fleetSnapshot: () => IFleetSnapshot;
   #barrier: SharedBarrier;
   #records = new Map<string, IMemberRecord>();
+  #order = new MessageOrder();
   #list = new MemberList();
   #leavingTargets: LeavingTargetTracker;
   #epoch: string = randomUUID();
@@ -225,7 +227,11 @@
 
   /** Records a heartbeat; returns whether the state of the instance changed. */
   #recordHeartbeat(params: HeartbeatParams): boolean {
-    const { instance, platform } = params;
+    const { instance, platform, sequence } = params;
+    const { id, incarnation: process } = instance;
+    const isLatest = sequence === undefined ||
+      this.#order.record(id, { process, sequence });
+    if (!isLatest) return false;
     const lastHeartbeatAt = this.#clock.monotonic();
     const earlier = this.#records.get(instance.id)?.instance;
     this.#records.set(instance.id, { instance, lastHeartbeatAt });
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -75,6 +75,11 @@
   lane: "control",
   params: z.object({
     instance: instanceSchema,
+    /**
+     * Increases with each heartbeat of a process. Absent from versions that do
+     * not number their heartbeats.
+     */
+    sequence: z.number().optional(),
     revision: fleetRevisionSchema,
     /** Absent when the leader has received the same report before. */
     platform: platformReportSchema.optional(),
