Count the use of callers' limits for each process of an instance

What callers would see: a caller beyond its limit (QUOTA), through an entry that was restarted with its clock set back.

Cause: reports of use are numbered from the wall clock at the start of a process, and the leader counted only numbers above the last one of the instance.

Change: numbers are compared within a process, which exchanges name now. A late report of the earlier process counts too, once.

The test of a restarted instance failed before: the use was not counted.

--- a/src/admission/fleet_caller_limiter.ts
+++ b/src/admission/fleet_caller_limiter.ts
@@ -51,7 +51,7 @@
   #limitOf: (caller: string) => CallerLimit | undefined;
   #callers = new Map<string, ICallerState>();
   #startedAt: Deadline;
-  /** Last report that was counted, by instance. */
+  /** Last report that was counted, by instance and process. */
   #batches = new Map<string, number>();
 
   /** @param limitOf the limit in force; undefined if there is none. */
@@ -105,10 +105,17 @@
     return state.bookedUntil - now;
   }
 
-  /** Counts what an instance admitted by itself, once for each report. */
-  settle(instance: string, report: CallerUseReport): void {
-    if ((this.#batches.get(instance) ?? 0) >= report.batch) return;
-    this.#batches.set(instance, report.batch);
+  /**
+   * Counts what an instance admitted by itself, once for each report.
+   *
+   * @param process the instance's process, whose reports are numbered; empty
+   * for versions that do not name it and continue the numbers of an earlier
+   * process.
+   */
+  settle(instance: string, report: CallerUseReport, process = ""): void {
+    const sender = `${instance}/${process}`;
+    if ((this.#batches.get(sender) ?? 0) >= report.batch) return;
+    this.#batches.set(sender, report.batch);
     const isFirst = this.#clock.monotonic() - this.#startedAt <
       FIRST_REPORTS_MILLISECONDS;
     for (const [caller, count] of report.counts) {
--- a/src/admission/fleet_caller_limiter_test.ts
+++ b/src/admission/fleet_caller_limiter_test.ts
@@ -271,6 +271,22 @@
   t.is(limiter.usage()[0]?.available, 5, "what was not served is given back");
 });
 
+// Guards against callers that go beyond their limits through an instance that
+// was restarted with its clock set back.
+test("reports of a restarted instance count", (t) => {
+  const limit = { requestsPerSecond: 1, burst: 10 };
+  const limiter = new FleetCallerLimiter(new FakeClock(), () => limit);
+  const settle = (process: string, batch: number) =>
+    limiter.settle("entry", { batch, counts: [["caller", 2]] }, process);
+  settle("first", 100);
+  settle("second", 40);
+  t.is(limiter.usage()[0]?.available, 6);
+  settle("second", 40);
+  // A partition has held up the last report of the first process.
+  settle("first", 101);
+  t.is(limiter.usage()[0]?.available, 4);
+});
+
 test("refused requests are told to return one token apart", (t) => {
   const clock = new FakeClock();
   const limit = { requestsPerSecond: 4, burst: 1 };
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -134,7 +134,7 @@
     if (callerLevels) {
       state.callerLimiter.restore(agedBy(callerLevels, delay));
     }
-    if (callerUse) state.callerLimiter.settle(instance, callerUse);
+    if (callerUse) state.callerLimiter.settle(instance, callerUse, process);
     for (const [request, service, softwareVersion, lifetime] of streams ?? []) {
       const expiresAt = clock.deadlineIn(lifetime - delay);
       origins.record({ request, service, softwareVersion, expiresAt });
