Count slots whose runs do not stop as used

What callers saw: late live requests. In each partition of a store, engines got more requests than they have slots.

Cause: a run that is told to stop counts as gone at once. If its store cannot be reached, it goes on, and live requests and other items were placed in its slot until it ended.

Change: a run that has not ended 100 ms after it was told to stop counts as a live request at its engine, for placement and for the start and preemption of items, until its end is known.

With the count left out of the plan of items, the first test fails (a second item starts), without it in the placement the second one (a request is placed at the full engine).

--- a/src/bulk/bulk_runner.ts
+++ b/src/bulk/bulk_runner.ts
@@ -103,7 +103,7 @@
   constructor(options: IBulkRunnerOptions) {
     const { log, section, clock } = options;
     this.#options = options;
-    this.#items = new PendingItems(section);
+    this.#items = new PendingItems(section, clock);
     this.#writer = new ProgressWriter(log, this.#items, { clock });
     this.#expiry = new JobExpiry({
       ...options,
@@ -140,6 +140,11 @@
     return this.#items.load;
   }
 
+  /** Runs by engine that were told to stop in vain and may hold slots. */
+  overdueStops(): ReadonlyMap<string, number> {
+    return this.#items.overdueStops();
+  }
+
   /** Preempts items at an engine that has more requests than slots. */
   preemptBatchItems(load: IPreemptingLoad): void {
     const { id } = load.engine;
@@ -178,8 +183,10 @@
     const now = { wall: clock.wall(), monotonic: clock.monotonic() };
     const waiting = this.#items.startable(now);
     const largestFitting = largestWithin(waiting);
+    const overdueStops = this.overdueStops();
     const engines = this.#options.engines().map((it) => ({
       ...it,
+      live: it.live + (overdueStops.get(it.engine.id) ?? 0),
       bulk: this.load.get(it.engine.id) ?? 0,
       startable: Math.min(
         limiter.startableItems(it.engine.id),
--- a/src/bulk/bulk_runner_test.ts
+++ b/src/bulk/bulk_runner_test.ts
@@ -44,7 +44,7 @@
   end(outcome: ItemOutcome, data?: string[]): void;
 }
 
-function createFixture(engines: ListedEngine[]) {
+function createFixture(engines: ListedEngine[], job = JOB) {
   const time = new VirtualTime();
   const clock = new VirtualClock(time);
   const events = new SilentEventLog();
@@ -102,7 +102,7 @@
       }));
     },
   });
-  section.apply({ kind: "submit", job: JOB }, {
+  section.apply({ kind: "submit", job }, {
     ...{ index: 1, term: 1, proposedAt: 0 },
   });
   runner.start();
@@ -216,3 +216,26 @@
   t.is(section.job("job")?.results[0]?.text, "word");
   runner.dispose();
 });
+
+// Guards against too many requests at an engine in a partition.
+test("item does not start in a slot whose run does not stop", async (t) => {
+  // One of the two slots stays free for live requests.
+  const one = listedEngine("one", { slots: 2 });
+  const [item] = JOB.items;
+  const items = [{ ...item!, id: "first" }, { ...item!, id: "second" }];
+  const { time, runs, runner, listed } = createFixture([one], {
+    ...JOB,
+    items,
+  });
+  await time.advanceUntil("first run", () => runs.length === 1);
+  listed.engines = [];
+  const load = { engine: one, live: one.slots, liveTokens: 0 };
+  runner.preemptBatchItems({ ...load, memoryTokens: undefined });
+  await time.advance(200);
+  listed.engines = [one];
+  await time.advance(1_000);
+  t.is(runs.length, 1);
+  runs[0]?.end({ kind: "stopped" });
+  await time.advanceUntil("second run", () => runs.length === 2);
+  runner.dispose();
+});
--- a/src/bulk/pending_items.ts
+++ b/src/bulk/pending_items.ts
@@ -1,10 +1,13 @@
-import type { Deadline } from "../common/mod.ts";
+import type { Deadline, IClock } from "../common/mod.ts";
 import type { BulkItem, HeldJob } from "./types.ts";
 import { rankItems } from "./bulk_schedule.ts";
 import type { BulkSection } from "./bulk_section.ts";
 import { ItemEstimates } from "./item_estimates.ts";
 import type { IItemProgress } from "./item_run.ts";
 
+/** Time in which a run usually ends after it was told to stop, in ms. */
+const STOP_MILLISECONDS = 100;
+
 /** A run of an item at an engine. */
 export interface IActiveRun {
   readonly engine: string;
@@ -13,6 +16,8 @@
   store: string | undefined;
   /** Whether the run was told to stop; its slot counts as free. */
   isStopping: boolean;
+  /** Time by which the run should have ended; undefined until it is stopped. */
+  stopDeadline: Deadline | undefined;
 }
 
 /** An item that has no result yet. */
@@ -43,6 +48,7 @@
 export class PendingItems {
   readonly estimates = new ItemEstimates();
   #section: BulkSection;
+  #clock: IClock;
   #items = new Map<string, IPendingItem>();
   #knownJobs = new Set<string>();
   /** Number of running items by engine, without those that are stopping. */
@@ -50,8 +56,12 @@
   /** Tokens of the same items, by engine. */
   #tokens = new Map<string, number>();
 
-  constructor(section: BulkSection) {
+  /** Runs that were told to stop and have not ended yet. */
+  #stoppingRuns = new Set<IActiveRun>();
+
+  constructor(section: BulkSection, clock: IClock) {
     this.#section = section;
+    this.#clock = clock;
   }
 
   get all(): IterableIterator<IPendingItem> {
@@ -120,7 +130,10 @@
 
   begin(pending: IPendingItem, engine: string): IActiveRun {
     const abort = new AbortController();
-    const activeRun = { engine, abort, store: undefined, isStopping: false };
+    const activeRun: IActiveRun = {
+      ...{ engine, abort, store: undefined },
+      ...{ isStopping: false, stopDeadline: undefined },
+    };
     pending.activeRun = activeRun;
     this.#load.set(engine, (this.#load.get(engine) ?? 0) + 1);
     const tokens = this.tokensAt(engine) + pending.item.tokens;
@@ -132,6 +145,8 @@
   stop({ activeRun, item }: IPendingItem): void {
     if (!activeRun || activeRun.isStopping) return;
     activeRun.isStopping = true;
+    activeRun.stopDeadline = this.#clock.deadlineIn(STOP_MILLISECONDS);
+    this.#stoppingRuns.add(activeRun);
     this.#release(activeRun.engine, item.tokens);
     activeRun.abort.abort();
   }
@@ -142,9 +157,23 @@
     if (activeRun && !activeRun.isStopping) {
       this.#release(activeRun.engine, item.tokens);
     }
+    if (activeRun) this.#stoppingRuns.delete(activeRun);
     pending.activeRun = undefined;
   }
 
+  /**
+   * Number of runs by engine that should have ended, as they were told to stop,
+   * but may still hold their slots.
+   */
+  overdueStops(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const { engine, stopDeadline } of this.#stoppingRuns) {
+      if (!stopDeadline || !this.#clock.isPast(stopDeadline)) continue;
+      counts.set(engine, (counts.get(engine) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   /** Items that may be started now, highest priority first. */
   startable(now: { wall: number; monotonic: number }): IPendingItem[] {
     const waiting = [...this.#items.values()].filter((it) =>
--- a/src/bulk/pending_items_test.ts
+++ b/src/bulk/pending_items_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import fc from "fast-check";
+import { VirtualClock, VirtualTime } from "../../testing/virtual_clock.ts";
 import { BulkSection } from "./bulk_section.ts";
 import { PendingItems } from "./pending_items.ts";
 
@@ -8,6 +9,7 @@
 const CONTEXT = { index: 1, term: 1, proposedAt: 0 };
 
 function createPendingItems() {
+  const time = new VirtualTime();
   const section = new BulkSection();
   const items = ITEMS.map((id) => ({
     id,
@@ -18,9 +20,9 @@
   }));
   const job = { id: "job", host: "h", path: "/", items };
   section.apply({ kind: "submit", job }, CONTEXT);
-  const table = new PendingItems(section);
+  const table = new PendingItems(section, new VirtualClock(time));
   table.addJob(section.job("job")!, 18_000);
-  return { section, table };
+  return { time, section, table };
 }
 
 test("load of an engine counts its runs except those being stopped", (t) => {
@@ -77,3 +79,18 @@
   table.addJob(section.job("job")!, 18_000);
   t.is([...table.all].length, ITEMS.length);
 });
+
+// Guards against live requests and items at a slot whose run could not be told
+// to stop.
+test("run that does not end after its stop still holds its slot", async (t) => {
+  const { time, table } = createPendingItems();
+  const [first, second] = [...table.all];
+  table.begin(first!, "one");
+  table.begin(second!, "one");
+  table.stop(first!);
+  t.is(table.overdueStops().size, 0, "the order to stop is on its way");
+  await time.advance(200);
+  t.deepEqual([...table.overdueStops()], [["one", 1]]);
+  table.end(first!);
+  t.is(table.overdueStops().size, 0);
+});
--- a/src/composition/leader_duties.ts
+++ b/src/composition/leader_duties.ts
@@ -104,6 +104,7 @@
       failing: directory.failing,
       soleVersions: directory.soleVersions,
       bulk: runner.load,
+      overdueStops: runner.overdueStops(),
       routes: routes.table,
       confirmedMilliseconds: this.#confirmedMilliseconds(),
       leaving,
--- a/src/placement/exchange_handler.ts
+++ b/src/placement/exchange_handler.ts
@@ -68,6 +68,11 @@
   readonly soleVersions?: readonly SoleVersionReport[];
   /** Batch items by engine. */
   readonly bulk: ReadonlyMap<string, number>;
+  /**
+   * Batch items by engine that were told to stop in vain. They are not counted
+   * in `bulk`, as preemption cannot free their slots.
+   */
+  readonly overdueStops?: ReadonlyMap<string, number>;
   readonly routes: RouteTable | undefined;
   /** Time since the routes were the newest; undefined if not certain. */
   readonly confirmedMilliseconds: number | undefined;
@@ -257,7 +262,8 @@
     .filter(({ service }) => service === request.service)
     .map((engine) => ({
       engine: state.leaving.withAnnouncement(engine),
-      live: live.get(engine.id) ?? 0,
+      live: (live.get(engine.id) ?? 0) +
+        (state.overdueStops?.get(engine.id) ?? 0),
       bulk: state.bulk.get(engine.id) ?? 0,
       liveTokens: liveTokens.get(engine.id) ?? 0,
       memoryTokens,
--- a/src/placement/exchange_test.ts
+++ b/src/placement/exchange_test.ts
@@ -34,6 +34,19 @@
   t.is(fleet.preemptedEngines.length, 1);
 });
 
+// Guards against live requests at slots whose items go on in a partition.
+test("request avoids slots whose items do not stop", async (t) => {
+  const fleet = new ExchangeFleet();
+  const { placer } = fleet.entry("entry");
+  await fleet.time.advance(200);
+  const overdueStops = new Map([["one", ENGINE_SLOTS]]);
+  fleet.leaderState = { ...fleet.leaderState!, overdueStops };
+  for (let count = 0; count < 3; count++) {
+    const placement = await fleet.place(placer);
+    t.is(placement.kind === "engine" && placement.engine.id, "two");
+  }
+});
+
 test("the leader learns of ended requests within two exchanges", async (t) => {
   const fleet = new ExchangeFleet();
   const { placer, table } = fleet.entry("entry");
