Remove the abort listener of a sleep that has ended in tests

Cause: FakeClock added a listener to the signal for each sleep and for each advance of the time, and removed none.

Change: the listener is removed when the sleep ends, as SystemClock does.

--- a/testing/fake_clock.ts
+++ b/testing/fake_clock.ts
@@ -28,8 +28,12 @@
   async sleepUntil(deadline: Deadline, signal?: AbortSignal): Promise<void> {
     while (!this.isPast(deadline) && !signal?.aborted) {
       await new Promise<void>((resolve) => {
-        this.#sleepers.add(resolve);
-        signal?.addEventListener("abort", () => resolve(), { once: true });
+        const wake = () => {
+          signal?.removeEventListener("abort", wake);
+          resolve();
+        };
+        this.#sleepers.add(wake);
+        signal?.addEventListener("abort", wake, { once: true });
       });
     }
   }
