Wait between orders to stop a run without a shared signal

Cause: each run that is stopped waited with a listener at the one signal of the executor.

The state of a remote run is made before it is registered and not read back from the map.

--- a/src/bulk/store_executor.ts
+++ b/src/bulk/store_executor.ts
@@ -134,15 +134,16 @@
     run.onHosted?.(store.id);
     const stop = () => void this.#stopRemotely(id, store, run);
     signal.addEventListener("abort", stop, { once: true });
-    const received = new RemoteProgress(progress);
+    let abandon = () => {};
     const abandoned = new Promise<undefined>((resolve) => {
-      this.#remoteRuns.set(id, {
-        ...{ id, store: store.id, item: item.id, progress: received },
-        signal,
-        lastReportAt: clock.monotonic(),
-        abandon: () => resolve(undefined),
-      });
+      abandon = () => resolve(undefined);
     });
+    const received = new RemoteProgress(progress);
+    const remote: IRemoteRun = {
+      ...{ id, store: store.id, item: item.id, progress: received },
+      ...{ signal, abandon, lastReportAt: clock.monotonic() },
+    };
+    this.#remoteRuns.set(id, remote);
     const { lastEventId } = progress;
     const { stored } = item;
     const params = {
@@ -153,7 +154,6 @@
       deadline: clock.deadlineIn(RUN_TIMEOUT_MILLISECONDS),
     });
     const answer = await Promise.race([call, abandoned]);
-    const remote = this.#remoteRuns.get(id);
     this.#remoteRuns.delete(id);
     signal.removeEventListener("abort", stop);
     if (!answer || answer.isErr()) {
@@ -164,7 +164,7 @@
     const { outcome, delta, isEngineLeaving } = answer.value;
     if (outcome.kind === "abandoned") this.#avoid(store);
     if (isEngineLeaving) this.#options.leaving.announce(engine.id, "store");
-    if (remote) this.#addDelta(remote, delta);
+    this.#addDelta(remote, delta);
     this.#options.events.emit(remoteRunEnded, {
       ...{ request: item.id, run: id, store: store.id },
       outcome: outcome.kind,
@@ -224,7 +224,7 @@
           ...{ request: item.id, run: id, store: store.id, reason },
         });
       }
-      await clock.sleepUntil(deadline, this.#stopping.signal);
+      await clock.sleepUntil(deadline);
     }
   }
 
