Stop a fleet in tests that does not start

The runner had no worker left; 28 processes of fleets had lost theirs, and held the other ends of the workers' error output, which they inherit. The run ended within 4 s of the end of these processes by hand, with 811 results. Cause: a fleet that did not start in 90 s was not stopped, as a test registers its teardown after the start. The error is now thrown after the fleet's stop.

Whether the first run that did not end had the same cause is not known. Fleets that a test does not stop for another reason would still hold a run up.

--- a/testing/start_platform_fleet.ts
+++ b/testing/start_platform_fleet.ts
@@ -50,7 +50,20 @@
   );
   const fleet = new PlatformFleet(engines);
   fleet.storeHeapMegabytes = options.storeHeapMegabytes;
-  await fleet.start(2);
+  try {
+    await fleet.start(2);
+    await serveCallers(fleet);
+  } catch (error) {
+    // Processes that outlive the test runner's worker keep its output open, and
+    // the runner waits for them.
+    await fleet.stop();
+    throw error;
+  }
+  return fleet;
+}
+
+/** Configures a fleet and waits until its entries serve callers. */
+async function serveCallers(fleet: PlatformFleet): Promise<void> {
   await retryUntilStatus(
     200,
     () => putConfiguration(fleet, 0, platformConfiguration(INITIAL_VERSION)),
@@ -65,5 +78,4 @@
         }),
     );
   }
-  return fleet;
 }
