--- a/src/placement/late_exchange_test.ts
+++ b/src/placement/late_exchange_test.ts
@@ -41,28 +41,30 @@
   t.is(fleet.ledger.liveCounts().get("one"), 1);
 });
 
-// Guards against entries that go back to what a leader that was replaced says,
-// for example release a part from quarantine that crashes engines.
-test("answer of a replaced leader does not count", async (t) => {
-  const { fleet } = setup();
+/** Lets term 2 lead, then for some time term 1, in which "one" fails. */
+async function leadInReverse(
+  { fleet }: { fleet: ExchangeFleet },
+  milliseconds: number,
+) {
   const { table } = fleet.entry("entry");
   const state = fleet.leaderState!;
   fleet.leaderState = { ...state, term: 2 };
   await fleet.time.advance(500);
   fleet.leaderState = { ...state, term: 1, failing: new Set(["one"]) };
-  await fleet.time.advance(500);
+  await fleet.time.advance(milliseconds);
+  return table;
+}
+
+// Guards against entries that go back to what a leader that was replaced says,
+// for example release a part from quarantine that crashes engines.
+test("answer of a replaced leader does not count", async (t) => {
+  const table = await leadInReverse(setup(), 500);
   t.false(table.isSuspect("one"));
 });
 
 // The terms begin again if the log was lost with all of its replicas.
 test("lower term counts once the leader of the higher is silent", async (t) => {
-  const { fleet } = setup();
-  const { table } = fleet.entry("entry");
-  const state = fleet.leaderState!;
-  fleet.leaderState = { ...state, term: 2 };
-  await fleet.time.advance(500);
-  fleet.leaderState = { ...state, term: 1, failing: new Set(["one"]) };
-  await fleet.time.advance(4_000);
+  const table = await leadInReverse(setup(), 4_000);
   t.true(table.isSuspect("one"));
 });
 
